--- /dev/null
+++ b/firworks/codes.py
@@ -0,0 +1,57 @@
+"""Numbered result codes, as callers and operators see them; see docs/CODES.md."""
+
+from enum import IntEnum
+
+
+class Code(IntEnum):
+    """A result code.
+
+    1xxx: delivered. 2xxx: refused, not run. 3xxx: failed. 4xxx: the outcome of work
+    that may not be repeated. 5xxx: operators' tools, peers and configuration.
+    """
+
+    OK = 1000
+    ACCEPTED = 1001
+    REPLAYED = 1002
+
+    MALFORMED_REQUEST = 2000
+    UNAUTHENTICATED = 2001
+    UNKNOWN_PIPELINE = 2002
+    BODY_TOO_LARGE = 2003
+    HEADERS_TOO_LARGE = 2004
+    REQUEST_TIMEOUT = 2005
+    IDEMPOTENCY_KEY_REQUIRED = 2006
+    IDEMPOTENCY_KEY_REUSED = 2007
+    IDEMPOTENCY_KEY_EXPIRED = 2008
+    RATE_LIMITED = 2009
+    CONCURRENCY_LIMITED = 2010
+    DEADLINE_TOO_SHORT = 2011
+    OVERLOADED = 2012
+    NO_TARGET = 2013
+    QUARANTINED = 2014
+    DRAINING = 2015
+    NOT_CONFIGURED = 2016
+    LEDGER_UNAVAILABLE = 2017
+    LEDGER_FULL = 2018
+    UNKNOWN_RESULT = 2019
+    FORBIDDEN = 2020
+
+    DEADLINE_EXCEEDED = 3000
+    TARGET_FAILED = 3001
+    TARGET_REFUSED = 3002
+    INCOMPLETE_ANSWER = 3003
+    CANCELLED = 3004
+    SHUT_DOWN = 3005
+    INTERNAL = 3999
+
+    OUTCOME_UNKNOWN = 4000
+    IN_PROGRESS = 4001
+
+    DOCUMENT_INVALID = 5000
+    BASE_SUPERSEDED = 5001
+    NOT_PROMOTABLE = 5002
+    LOG_UNAVAILABLE = 5003
+    MALFORMED_RECORD = 5004
+    PEER_REFUSED = 5005
+    USAGE = 5006
+    DAEMON_UNREACHABLE = 5007
--- /dev/null
+++ b/firworks/document.py
@@ -0,0 +1,293 @@
+"""The environment document: pipelines, pools, targets and client accounts.
+
+One TOML document describes an environment. It holds no addresses or secrets, so
+trial and production use the same bytes.
+"""
+
+import hashlib
+
+from firworks.checks import check_table, parse_toml
+from firworks.errors import SettingsError
+from firworks.kernel.messages import Struct
+
+FORMAT = 1
+
+_NAME = {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"}
+_SHARE = {"type": "number", "minimum": 0, "maximum": 1}
+
+
+def _table(properties, required=()):
+    return {
+        "type": "object",
+        "additionalProperties": False,
+        "properties": properties,
+        "required": list(required),
+    }
+
+
+def _named(item):
+    return {
+        "type": "object",
+        "propertyNames": _NAME,
+        "additionalProperties": item,
+    }
+
+
+_STAGE = _table(
+    {
+        "name": _NAME,
+        "pool": _NAME,
+        "operation": {"type": "string", "minLength": 1, "maxLength": 200},
+        "model": {"type": "string"},
+        "repeatable": {"type": "boolean"},
+        "expected_tokens": {"type": "integer", "minimum": 0},
+    },
+    ("name", "pool", "operation"),
+)
+
+_PIPELINE = _table(
+    {
+        "deadline_ms": {"type": "integer", "minimum": 1, "maximum": 600_000},
+        "objective": {"type": "number", "exclusiveMinimum": 0, "exclusiveMaximum": 1},
+        "attainment_weight": _SHARE,
+        "deferred": {"type": "boolean"},
+        "stages": {
+            "type": "array",
+            "items": _STAGE,
+            "minItems": 1,
+            "maxItems": 6,
+        },
+    },
+    ("deadline_ms", "stages"),
+)
+
+_POOL = _table(
+    {
+        "kind": {"enum": ["engine", "service"]},
+        "targets": {
+            "type": "array",
+            "items": _NAME,
+            "minItems": 1,
+            "uniqueItems": True,
+        },
+        "reports_load": {"type": "boolean"},
+        "concurrency": {"type": "integer", "minimum": 1},
+        "price_per_second": {"type": "number", "minimum": 0},
+        "checks_fencing": {"type": "boolean"},
+        "models": {"type": "array", "items": {"type": "string"}},
+        "routing": _NAME,
+    },
+    ("kind", "targets"),
+)
+
+_ACCOUNT = _table(
+    {
+        "token_sha256": {
+            "type": "array",
+            "items": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
+            "minItems": 1,
+        },
+        "rate_per_s": {"type": "number", "exclusiveMinimum": 0},
+        "concurrency": {"type": "integer", "minimum": 1},
+        "weight": {"type": "number", "exclusiveMinimum": 0},
+    },
+    ("token_sha256", "rate_per_s", "concurrency"),
+)
+
+SCHEMA = _table(
+    {
+        "format": {"const": FORMAT},
+        "pipelines": _named(_PIPELINE),
+        "pools": _named(_POOL),
+        "accounts": _named(_ACCOUNT),
+    },
+    ("format", "pipelines", "pools", "accounts"),
+)
+
+
+class Stage(Struct):
+    """One stage of a pipeline.
+
+    Attributes:
+        name (str): Unique within the pipeline.
+        pool (str): The pool that serves it.
+        operation (str): The operation at the target.
+        model (str): For engines, the model; may be empty.
+        repeatable (bool): Whether the work may run more than once.
+        expected_tokens (int): Typical length of a streamed answer.
+    """
+
+    __slots__ = ("name", "pool", "operation", "model", "repeatable", "expected_tokens")
+    DEFAULTS = {"model": "", "repeatable": True, "expected_tokens": 0}
+
+
+class Pipeline(Struct):
+    """A pipeline.
+
+    Attributes:
+        name (str): Unique within the document.
+        deadline_ms (int): Default deadline, from arrival to whole answer.
+        objective (float): Share of answers to be whole within their deadline.
+        attainment_weight (float): 1 weighs only attainment, 0 only cost.
+        deferred (bool): Answers may wait but must arrive.
+        stages (tuple of Stage): In order.
+    """
+
+    __slots__ = (
+        "name",
+        "deadline_ms",
+        "objective",
+        "attainment_weight",
+        "deferred",
+        "stages",
+    )
+    DEFAULTS = {"objective": 0.95, "attainment_weight": 0.5, "deferred": False}
+
+    @property
+    def repeatable(self):
+        """Whether every stage may run more than once."""
+        return all(stage.repeatable for stage in self.stages)
+
+
+class Pool(Struct):
+    """Targets of one kind that serve the same operations.
+
+    Attributes:
+        name (str): Unique within the document.
+        kind (str): "engine" (streamed) or "service" (plain).
+        targets (tuple of str): Names of the targets in the VM list.
+        reports_load (bool): Whether its targets report their load.
+        concurrency (int): Requests that a target runs at once.
+        price_per_second (float): Cost of one second of one request's run.
+        checks_fencing (bool): Its engines refuse orders with an old fencing number.
+        models (tuple of str): Models that its engines should serve.
+        routing (str): Name of the routing policy.
+    """
+
+    __slots__ = (
+        "name",
+        "kind",
+        "targets",
+        "reports_load",
+        "concurrency",
+        "price_per_second",
+        "checks_fencing",
+        "models",
+        "routing",
+    )
+    DEFAULTS = {
+        "reports_load": False,
+        "concurrency": 8,
+        "price_per_second": 0.0,
+        "checks_fencing": False,
+        "models": (),
+        "routing": "adaptive",
+    }
+
+
+class Account(Struct):
+    """A client account.
+
+    Attributes:
+        name (str): Unique within the document.
+        token_sha256 (tuple of str): Digests of its bearer tokens.
+        rate_per_s (float): Requests a second, over the whole fleet.
+        concurrency (int): Requests in progress, over the whole fleet.
+        weight (float): Its weight in fair shares.
+    """
+
+    __slots__ = ("name", "token_sha256", "rate_per_s", "concurrency", "weight")
+    DEFAULTS = {"weight": 1.0}
+
+
+class Document:
+    """A parsed and checked environment document.
+
+    Attributes:
+        digest (str): SHA-256 of the document's bytes, in hexadecimal.
+        pipelines (dict of str to Pipeline): By name.
+        pools (dict of str to Pool): By name.
+        accounts (dict of str to Account): By name.
+    """
+
+    __slots__ = ("digest", "pipelines", "pools", "accounts", "_by_token")
+
+    def __init__(self, digest, pipelines, pools, accounts):
+        self.digest = digest
+        self.pipelines = pipelines
+        self.pools = pools
+        self.accounts = accounts
+        self._by_token = {
+            token: account
+            for account in accounts.values()
+            for token in account.token_sha256
+        }
+
+    def find_account(self, token):
+        """Return the client account that a bearer token belongs to, or None."""
+        return self._by_token.get(hashlib.sha256(token.encode()).hexdigest())
+
+
+def parse_document(data, source="document"):
+    """Parse and check a document.
+
+    Args:
+        data (bytes): The TOML document.
+        source (str): Named in errors.
+
+    Raises:
+        SettingsError: When it is malformed, has unknown keys, or refers to what it
+            does not define.
+    """
+    table = parse_toml(data, source)
+    check_table(table, SCHEMA, source)
+    pools = {name: _make(Pool, name, item) for name, item in table["pools"].items()}
+    pipelines = {
+        name: _make_pipeline(name, item) for name, item in table["pipelines"].items()
+    }
+    accounts = {
+        name: _make(Account, name, item) for name, item in table["accounts"].items()
+    }
+    document = Document(hashlib.sha256(data).hexdigest(), pipelines, pools, accounts)
+    _check_references(document, source)
+    return document
+
+
+def _make(cls, name, item):
+    fields = {
+        key: tuple(value) if isinstance(value, list) else value
+        for key, value in item.items()
+    }
+    return cls(name=name, **fields)
+
+
+def _make_pipeline(name, item):
+    stages = tuple(Stage(**stage) for stage in item["stages"])
+    return Pipeline(name=name, **{**item, "stages": stages})
+
+
+def _check_references(document, source):
+    for pipeline in document.pipelines.values():
+        seen = set()
+        for index, stage in enumerate(pipeline.stages):
+            path = f"pipelines.{pipeline.name}.stages.{index}"
+            if stage.pool not in document.pools:
+                allowed = ", ".join(sorted(document.pools))
+                problem = f"no pool {stage.pool!r}; allowed: {allowed}"
+                raise SettingsError(source, f"{path}.pool", problem)
+            if stage.name in seen:
+                problem = f"{stage.name!r} names two stages"
+                raise SettingsError(source, f"{path}.name", problem)
+            seen.add(stage.name)
+    _check_tokens(document, source)
+
+
+def _check_tokens(document, source):
+    owners = {}
+    for account in document.accounts.values():
+        for token in account.token_sha256:
+            owner = owners.setdefault(token, account.name)
+            if owner != account.name:
+                problem = f"the same token belongs to account {owner!r}"
+                path = f"accounts.{account.name}.token_sha256"
+                raise SettingsError(source, path, problem)
--- /dev/null
+++ b/firworks/errors.py
@@ -0,0 +1,51 @@
+"""The exception tree; every error names the result code that a caller sees."""
+
+from firworks.codes import Code
+
+
+class FirworksError(Exception):
+    """Base of all errors of firworks.
+
+    Attributes:
+        code (Code): The numbered result code.
+    """
+
+    code = Code.INTERNAL
+
+
+class SettingsError(FirworksError):
+    """A settings file or environment document is not valid.
+
+    Args:
+        source (str): The file.
+        path (str): Key path inside the file, such as ``pools.clocks.kind``.
+        problem (str): The value and what is allowed.
+    """
+
+    code = Code.DOCUMENT_INVALID
+
+    def __init__(self, source, path, problem):
+        super().__init__(f"{source}: {path}: {problem}")
+        self.source = source
+        self.path = path
+        self.problem = problem
+
+
+class CodecError(FirworksError):
+    """Bytes from a peer or the log service are not a valid record."""
+
+    code = Code.MALFORMED_RECORD
+
+
+class RequestError(FirworksError):
+    """A caller's request is refused before it runs.
+
+    Args:
+        code (Code): The numbered result code.
+        detail (str): What is wrong with the request.
+    """
+
+    def __init__(self, code, detail):
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
--- /dev/null
+++ b/firworks/events.py
@@ -0,0 +1,40 @@
+"""Numbered log events, written through loguru; see docs/EVENTS.md."""
+
+from enum import IntEnum
+
+from loguru import logger
+
+
+class LogEvent(IntEnum):
+    """A catalogued log event.
+
+    Each area has a block of numbers: 100 daemon, 200 callers, 300 targets, 400
+    ledger, 500 configuration, 600 fleet, 700 policy, 800 orders.
+    """
+
+    DAEMON_STARTED = 100
+    DAEMON_READY = 101
+    DAEMON_DRAINING = 102
+    DAEMON_STOPPED = 103
+    DAEMON_DRAIN_TIMEOUT = 104
+    PART_FAILED = 105
+
+
+# Levels of events that are not informational.
+LEVELS = {
+    LogEvent.DAEMON_DRAIN_TIMEOUT: "WARNING",
+    LogEvent.PART_FAILED: "ERROR",
+}
+
+
+def log_event(event, **fields):
+    """Write one catalogued event.
+
+    Args:
+        event (LogEvent): The event.
+        **fields: Values that belong to it; bound as structured fields.
+    """
+    level = LEVELS.get(event, "INFO")
+    text = " ".join(f"{name}={value}" for name, value in fields.items())
+    bound = logger.bind(event=int(event), event_name=event.name, **fields)
+    bound.log(level, "{:03d} {} {}", int(event), event.name, text)
--- /dev/null
+++ b/firworks/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The kernel: decides everything and performs no I/O."""
--- /dev/null
+++ b/firworks/kernel/codec.py
@@ -0,0 +1,89 @@
+"""CBOR codec for records: a type name and field values, checked on both sides."""
+
+import cbor2
+
+from firworks.errors import CodecError
+from firworks.kernel.messages import Record
+
+MAX_DEPTH = 12
+
+_RECORDS = {}
+
+
+def register_record(cls):
+    """Make a `Record` subclass known to the codec; used as a decorator.
+
+    Raises:
+        TypeError: When ``TYPES`` and ``__slots__`` differ in length, or the name is
+            already taken.
+    """
+    if len(cls.TYPES) != len(cls.fields()):
+        raise TypeError(f"{cls.__name__}: TYPES must name each field's type")
+    if cls.__name__ in _RECORDS:
+        raise TypeError(f"record type {cls.__name__} is registered twice")
+    _RECORDS[cls.__name__] = cls
+    return cls
+
+
+def encode_record(record):
+    """Return the CBOR bytes of a record."""
+    return cbor2.dumps(_pack(record))
+
+
+def decode_record(data):
+    """Return the record held in CBOR bytes.
+
+    Raises:
+        CodecError: When the bytes are not one well-formed record of a known type.
+    """
+    try:
+        packed = cbor2.loads(data)
+    except Exception as error:  # cbor2 raises many types on malformed input
+        raise CodecError(f"malformed CBOR: {error}") from error
+    return _unpack(packed, 0)
+
+
+def _pack(value):
+    if isinstance(value, Record):
+        return [type(value).__name__, *[_pack(item) for item in value.values()]]
+    if isinstance(value, tuple | list):
+        return [_pack(item) for item in value]
+    return value
+
+
+def _unpack(packed, depth):
+    if depth > MAX_DEPTH:
+        raise CodecError("records are nested too deeply")
+    if not isinstance(packed, list) or not packed:
+        raise CodecError("a record must be a non-empty array")
+    name = packed[0]
+    cls = _RECORDS.get(name) if isinstance(name, str) else None
+    if cls is None:
+        raise CodecError(f"unknown record type {name!r}")
+    if len(packed) - 1 != len(cls.TYPES):
+        raise CodecError(f"{name} must have {len(cls.TYPES)} fields")
+    pairs = zip(packed[1:], cls.TYPES, cls.fields(), strict=True)
+    values = [_check(value, kind, f"{name}.{f}", depth) for value, kind, f in pairs]
+    return cls(*values)
+
+
+def _check(value, kind, where, depth):
+    if isinstance(kind, tuple):
+        return _check_tuple(value, kind, where, depth)
+    if issubclass(kind, Record):
+        record = _unpack(value, depth + 1)
+        if not isinstance(record, kind):
+            raise CodecError(f"{where} must be a {kind.__name__}")
+        return record
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        raise CodecError(f"{where} must be {kind.__name__}")
+    return value
+
+
+def _check_tuple(value, kind, where, depth):
+    """Check a field whose type is ``(item_type,)``: a sequence of that type."""
+    if not isinstance(value, list):
+        raise CodecError(f"{where} must be an array")
+    return tuple(_check(item, kind[0], where, depth + 1) for item in value)
--- /dev/null
+++ b/firworks/kernel/node.py
@@ -0,0 +1,60 @@
+"""The kernel of one daemon: parts that exchange typed signals, and no I/O."""
+
+from firworks.kernel.messages import Action, Signal
+
+
+class Part:
+    """A part of the kernel with one job.
+
+    Subclasses define ``handle`` with `functools.singledispatchmethod` and register
+    a method for each event they care about.
+    """
+
+    def handle(self, event, now):
+        """Take one event and return a list of actions and signals.
+
+        Args:
+            event (Event): What happened.
+            now (float): Monotonic time in seconds.
+        """
+        return []
+
+
+class Kernel:
+    """Composes parts; the same seed, settings and events give the same actions.
+
+    Args:
+        parts (iterable of Part): Each event reaches them in this order.
+    """
+
+    def __init__(self, parts):
+        self.parts = list(parts)
+
+    def handle(self, event, now):
+        """Take one event and return the actions that follow from it.
+
+        Signals raised by a part are delivered to all parts, in the order raised,
+        before this method returns.
+
+        Args:
+            event (Event): What happened.
+            now (float): Monotonic time in seconds.
+
+        Returns:
+            list of Action: In the order raised.
+
+        Raises:
+            TypeError: When a part returns something that is neither.
+        """
+        actions = []
+        pending = [event]
+        for current in pending:
+            for part in self.parts:
+                for result in part.handle(current, now):
+                    if isinstance(result, Signal):
+                        pending.append(result)
+                    elif isinstance(result, Action):
+                        actions.append(result)
+                    else:
+                        raise TypeError(f"{type(part).__name__} returned {result!r}")
+        return actions
--- /dev/null
+++ b/firworks/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that perform the I/O; each module registers itself."""
--- /dev/null
+++ b/firworks/settings.py
@@ -0,0 +1,133 @@
+"""Settings of one process: defaults and checks."""
+
+import os
+from pathlib import Path
+
+from firworks.checks import check_table, parse_toml
+from firworks.errors import SettingsError
+
+_TEXT = {"type": "string", "minLength": 1}
+_ADDRESS = {"type": "string", "pattern": r"^([0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$"}
+_URL = {"type": "string", "pattern": r"^https?://[0-9.]+:[0-9]+(/.*)?$"}
+_SECONDS = {"type": "number", "exclusiveMinimum": 0}
+_BYTES = {"type": "integer", "minimum": 1}
+
+DEFAULTS = {
+    "environment": "production",
+    "callers": "127.0.0.1:8080",
+    "admin": "127.0.0.1:8081",
+    "peers": "127.0.0.1:8082",
+    "region": "region-1",
+    "failure_domain": "fd-1",
+    "peer_secret": "",
+    "peer_secret_file": "",
+    "tls_certificate": "",
+    "tls_key": "",
+    "tls_authority": "",
+    "log_format": "text",
+    "drain_timeout_s": 30.0,
+    "body_limit_bytes": 1_048_576,
+    "header_limit_bytes": 8_190,
+    "body_timeout_s": 10.0,
+    "dedupe_window_s": 86_400.0,
+    "clock_skew_s": 60.0,
+    "ledger_streams": 4,
+    "ledger_memory_limit_bytes": 67_108_864,
+    "append_budget_per_s": 200.0,
+    "log_retention_s": 604_800.0,
+    "seed": 0,
+    "addresses": {},
+}
+
+SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["name", "log_url", "vms_url"],
+    "properties": {
+        "name": _TEXT,
+        "log_url": _URL,
+        "vms_url": _URL,
+        "environment": {"enum": ["trial", "production"]},
+        "callers": _ADDRESS,
+        "admin": _ADDRESS,
+        "peers": _ADDRESS,
+        "region": _TEXT,
+        "failure_domain": _TEXT,
+        "peer_secret": {"type": "string"},
+        "peer_secret_file": {"type": "string"},
+        "tls_certificate": {"type": "string"},
+        "tls_key": {"type": "string"},
+        "tls_authority": {"type": "string"},
+        "log_format": {"enum": ["text", "json"]},
+        "drain_timeout_s": _SECONDS,
+        "body_limit_bytes": _BYTES,
+        "header_limit_bytes": _BYTES,
+        "body_timeout_s": _SECONDS,
+        "dedupe_window_s": _SECONDS,
+        "clock_skew_s": _SECONDS,
+        "ledger_streams": {"type": "integer", "minimum": 1, "maximum": 64},
+        "ledger_memory_limit_bytes": _BYTES,
+        "append_budget_per_s": _SECONDS,
+        "log_retention_s": _SECONDS,
+        "seed": {"type": "integer"},
+        "addresses": {"type": "object", "additionalProperties": _ADDRESS},
+    },
+}
+
+
+class Settings:
+    """Checked settings of one process; each key of ``SCHEMA`` is an attribute."""
+
+    __slots__ = tuple(SCHEMA["properties"])
+
+    def __init__(self, table):
+        for name in self.__slots__:
+            setattr(self, name, table[name])
+
+
+def make_settings(table, source="settings"):
+    """Check a table, fill in the defaults and return `Settings`.
+
+    Raises:
+        SettingsError: When a key is unknown or a value not allowed.
+    """
+    check_table(table, SCHEMA, source)
+    settings = Settings({**DEFAULTS, **table})
+    _read_secret(settings, source)
+    _check_together(settings, source)
+    return settings
+
+
+def load_settings(path):
+    """Read settings from a TOML file.
+
+    Raises:
+        SettingsError: When the file cannot be read or is not valid.
+    """
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(str(path), "(file)", error.strerror) from error
+    return make_settings(parse_toml(data, str(path)), str(path))
+
+
+def _read_secret(settings, source):
+    if settings.peer_secret_file:
+        try:
+            settings.peer_secret = Path(settings.peer_secret_file).read_text().strip()
+        except OSError as error:
+            raise SettingsError(source, "peer_secret_file", error.strerror) from error
+    if not settings.peer_secret:
+        settings.peer_secret = os.environ.get("FIRWORKS_PEER_SECRET", "")
+
+
+def _check_together(settings, source):
+    if settings.dedupe_window_s + 2 * settings.clock_skew_s >= settings.log_retention_s:
+        problem = (
+            f"{settings.dedupe_window_s} with twice clock_skew_s must be below "
+            f"log_retention_s ({settings.log_retention_s})"
+        )
+        raise SettingsError(source, "dedupe_window_s", problem)
+    if bool(settings.tls_certificate) != bool(settings.tls_key):
+        problem = "tls_certificate and tls_key go together"
+        raise SettingsError(source, "tls_certificate", problem)
--- /dev/null
+++ b/firworks/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems; loopback only."""
--- /dev/null
+++ b/firworks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one class per subject."""
--- /dev/null
+++ b/firworks/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for operators."""
