--- a/firworks/kernel/messages.py
+++ b/firworks/kernel/messages.py
@@ -116,7 +116,8 @@
     """Append one entry holding several records to a log stream.
 
     Attributes:
-        append_id (int): Echoed by `RecordsAppended` or `AppendFailed`.
+        append_id (str): Echoed by `RecordsAppended` or `AppendFailed`; begins with
+            the name of the part that appends.
         stream (str): Name of the stream.
         records (tuple of Record): Stored as one entry at one offset.
     """
@@ -231,3 +232,36 @@
     """Write the catalogued log event `event` (LogEvent) with `fields` (dict)."""
 
     __slots__ = ("event", "fields")
+
+
+class RequestFinished(Action):
+    """A request is over; the daemon's metrics and burn report take note.
+
+    Attributes:
+        request_id (str): The request.
+        pipeline (str): Its pipeline, or "" when unknown.
+        account (str): Its client account, or "" when unknown.
+        code (Code): The result code that the caller got.
+        met (bool): Delivered whole within the deadline.
+        latency_s (float): From arrival to the end.
+        first_token_s (float): From arrival to the first token; 0 without one.
+        costs (tuple of StageCost): Cost by stage, of all attempts.
+    """
+
+    __slots__ = (
+        "request_id",
+        "pipeline",
+        "account",
+        "code",
+        "met",
+        "latency_s",
+        "first_token_s",
+        "costs",
+    )
+    DEFAULTS = {"first_token_s": 0.0, "costs": ()}
+
+
+class StageCost(Struct):
+    """Cost of one `stage` (str): `seconds` of target time and `price` (floats)."""
+
+    __slots__ = ("stage", "seconds", "price")
