Follow the configuration stream and put accepted versions in force

A pure fold decides publications alike for every reader; the follower reads the stream, serves peers, and learns by gossip. Struct no longer calls fields() on instances, which a slot of that name (LogCatalogued) hid.

--- /dev/null
+++ b/firworks/kernel/configuration.py
@@ -0,0 +1,302 @@
+"""Acceptance of configuration versions: a pure fold over the log's entries."""
+
+import hashlib
+from functools import singledispatchmethod
+
+from firworks.codes import Code
+from firworks.document import FORMAT, parse_document
+from firworks.errors import SettingsError
+from firworks.kernel.configuration_records import (
+    NO_VERSION,
+    Carry,
+    Publish,
+    Restore,
+    unpack_document,
+)
+from firworks.kernel.messages import Struct
+
+# The checks of a released format never change: every reader must decide alike.
+CHECKS = {FORMAT: parse_document}
+
+
+class Decision(Struct):
+    """What became of one publication.
+
+    Attributes:
+        publication_id (str): The publication.
+        offset (int): Offset of its record; the version, when accepted.
+        code (Code): ``OK``, ``BASE_SUPERSEDED`` or ``DOCUMENT_INVALID``.
+        current (int): The version current before it.
+        digest (str): Digest that the record names.
+    """
+
+    __slots__ = ("publication_id", "offset", "code", "current", "digest")
+
+    @property
+    def accepted(self):
+        """Whether the publication became a version."""
+        return self.code is Code.OK
+
+
+class ConfigurationState(Struct):
+    """The version that all entries before `position` lead to.
+
+    Attributes:
+        position (int): The offset that follows the entries taken into account.
+        version (int): Offset of the accepted record, or ``NO_VERSION``.
+        format (int): Format number of its document.
+        digest (str): SHA-256 of the document's bytes, in hexadecimal.
+        packed (bytes): The packed document.
+        document (Document): The parsed document; None when its format is unknown.
+        carried_position (int): Position of the newest carry in the log.
+        carried_s (float): Wall time at which that carry was made.
+    """
+
+    __slots__ = (
+        "position",
+        "version",
+        "format",
+        "digest",
+        "packed",
+        "document",
+        "carried_position",
+        "carried_s",
+    )
+    DEFAULTS = {"carried_position": 0, "carried_s": 0.0}
+
+    def make_carry(self, wall_s):
+        """Return the `Carry` that states this at `wall_s` (wall seconds)."""
+        return Carry(
+            self.position, self.version, self.format, self.digest, self.packed, wall_s
+        )
+
+
+def make_empty_state():
+    """Return the state of a stream of which no entry has been read."""
+    return ConfigurationState(0, NO_VERSION, FORMAT, "", b"", None)
+
+
+def knows_format(record):
+    """Return whether this software has the checks of a record's format."""
+    return record.format in CHECKS
+
+
+def read_document(record):
+    """Return the document's bytes that a record holds, or None when they are wrong."""
+    data = unpack_document(record.document)
+    if data is None or hashlib.sha256(data).hexdigest() != record.digest:
+        return None
+    return data
+
+
+def check_record(record):
+    """Return the `Document` of a record of known format, or None when invalid."""
+    data = read_document(record)
+    if data is None:
+        return None
+    try:
+        return CHECKS[record.format](data)
+    except SettingsError:
+        return None
+
+
+class ConfigurationHistory:
+    """Folds the entries of a configuration stream; all readers decide alike.
+
+    A reader may begin at any offset. What it cannot decide, for want of the entries
+    before, it keeps until a carry or a peer's state settles it.
+
+    Attributes:
+        cursor (int): Offset of the next entry to read; None before the first.
+        run_start (int): Since this offset no entry was missed.
+        state (ConfigurationState): The newest state known exactly, or None.
+        known (bool): Whether `state` takes in every entry before `cursor`.
+        unknown_formats (int): Publications whose format this software lacks.
+    """
+
+    def __init__(self):
+        self.cursor = None
+        self.run_start = None
+        self.state = None
+        self.known = False
+        self.unknown_formats = 0
+        self._undecided = []
+
+    def begin(self, offset):
+        """Begin, or begin again, to read at an offset."""
+        self.cursor = offset
+        self.run_start = offset
+        self._undecided = []
+        self.known = self.state is not None and self.state.position == offset
+        if offset == 0:
+            self.state = make_empty_state()
+            self.known = True
+
+    def fold(self, read):
+        """Take in the entries of a `LogRead` and return the new decisions.
+
+        Entries that were taken in before are skipped, and nothing is taken in
+        beyond a missing entry.
+
+        Returns:
+            list of Decision: In the order of the log.
+        """
+        if self.cursor is None or read.oldest > self.cursor:
+            self.begin(read.oldest)
+        decisions = []
+        for entry in read.entries:
+            if entry.offset > self.cursor:
+                break
+            if entry.offset == self.cursor:
+                decisions += self._fold_entry(entry)
+        return decisions
+
+    def adopt(self, carry, carried_position, carried_s):
+        """Continue from a state that a peer or the log vouches for.
+
+        Args:
+            carry (Carry): The state.
+            carried_position (int): Position of the newest carry in the log.
+            carried_s (float): Wall time at which that carry was made.
+
+        Returns:
+            list of Decision: What could be decided thanks to it.
+        """
+        if not self._may_adopt(carry):
+            return []
+        document = check_record(carry) if knows_format(carry) else None
+        if document is None and (knows_format(carry) or read_document(carry) is None):
+            return []
+        if self.cursor is None or carry.position > self.cursor:
+            self.begin(carry.position)
+        self.state = ConfigurationState(
+            carry.position,
+            carry.version,
+            carry.format,
+            carry.digest,
+            carry.document,
+            document,
+            carried_position,
+            carried_s,
+        )
+        self.known = True
+        waiting = [item for item in self._undecided if item[0] >= carry.position]
+        self._undecided = []
+        return self._decide_all(waiting)
+
+    def _may_adopt(self, carry):
+        """Return whether a carry tells more than is known, with nothing missed."""
+        if carry.version >= carry.position:
+            return False
+        if self.state is not None and carry.version < self.state.version:
+            return False
+        if self.cursor is None or carry.position > self.cursor:
+            return True
+        return not self.known and carry.position >= self.run_start
+
+    def _fold_entry(self, entry):
+        decisions = []
+        for record in entry.records:
+            decisions += self._take(record, entry)
+        self.cursor = entry.offset + 1
+        if self.known:
+            self.state.position = self.cursor
+        return decisions
+
+    @singledispatchmethod
+    def _take(self, record, entry):
+        return []
+
+    @_take.register(Publish)
+    @_take.register(Restore)
+    def _take_publication(self, record, entry):
+        return self._decide_all([(entry.offset, record)])
+
+    @_take.register
+    def _take_carry(self, record: Carry, entry):
+        if record.position > entry.offset:
+            return []
+        made_s = min(record.made_s, entry.written_s)
+        if not self.known:
+            return self.adopt(record, record.position, made_s)
+        if made_s > self.state.carried_s:
+            self.state.carried_position = record.position
+            self.state.carried_s = made_s
+        return []
+
+    def _decide_all(self, publications):
+        decisions = []
+        for offset, record in publications:
+            decision = self._decide(offset, record)
+            if decision is None:
+                self._undecided.append((offset, record))
+            else:
+                decisions.append(decision)
+        if self.known:
+            self.state.position = self.cursor
+        return decisions
+
+    def _decide(self, offset, record):
+        """Return the decision on a record, or None when it cannot be decided."""
+        applies = self._applies(record, offset)
+        if applies is None:
+            return None
+        current = self.state.version if self.known else NO_VERSION
+        if not applies:
+            code = Code.BASE_SUPERSEDED
+        elif not knows_format(record):
+            self._lose_track(offset)
+            return None
+        else:
+            code = self._accept(offset, record)
+        return Decision(record.publication_id, offset, code, current, record.digest)
+
+    @singledispatchmethod
+    def _applies(self, record, offset):
+        """Return whether a publication may replace the current version, or None."""
+        raise TypeError(type(record).__name__)
+
+    @_applies.register
+    def _applies_publish(self, record: Publish, offset):
+        if record.base >= offset:
+            return False
+        return record.base == self.state.version if self.known else None
+
+    @_applies.register
+    def _applies_restore(self, record: Restore, offset):
+        if record.position > offset:
+            return False
+        if self.known:
+            return self.state.version < record.position
+        # Undecided publications at or after the position may have been accepted.
+        newest = self._undecided[-1][0] if self._undecided else NO_VERSION
+        decidable = record.position >= self.run_start and newest < record.position
+        return True if decidable else None
+
+    def _lose_track(self, offset):
+        """Note that the version is not known after a record of unknown format."""
+        self.unknown_formats += 1
+        if self.known:
+            self.state.position = offset
+        self.known = False
+        self.run_start = offset + 1
+
+    def _accept(self, offset, record):
+        document = check_record(record)
+        if document is None:
+            return Code.DOCUMENT_INVALID
+        carried = (0, 0.0)
+        if self.known:
+            carried = (self.state.carried_position, self.state.carried_s)
+        self.known = True
+        self._undecided = []
+        self.state = ConfigurationState(
+            offset + 1,
+            offset,
+            record.format,
+            record.digest,
+            record.document,
+            document,
+            *carried,
+        )
+        return Code.OK
--- /dev/null
+++ b/firworks/kernel/configuration_follower.py
@@ -0,0 +1,325 @@
+"""Keeps a daemon's configuration at the newest accepted version."""
+
+from functools import singledispatchmethod
+
+from xxhash import xxh64_intdigest
+
+from firworks.events import LogEvent
+from firworks.kernel.configuration_reader import ConfigurationReader
+from firworks.kernel.configuration_records import (
+    NO_VERSION,
+    ConfigurationFact,
+    ConfigurationSent,
+    ConfigurationWanted,
+    name_stream,
+)
+from firworks.kernel.fleet import (
+    MEMBER_DEAD,
+    MEMBER_LEAVING,
+    TOPIC_CONFIGURATION,
+    ConfigurationAccepted,
+    FactChanged,
+    FactLearned,
+    MemberChanged,
+)
+from firworks.kernel.messages import (
+    AppendFailed,
+    AppendRecords,
+    LogCatalogued,
+    LogRead,
+    LogReadFailed,
+    PeerConnected,
+    PeerDisconnected,
+    PeerReceived,
+    ReadLog,
+    RecordsAppended,
+    SendPeer,
+    Tick,
+    VmsListed,
+)
+from firworks.kernel.node import Part
+
+FOLLOWERS_PER_DOMAIN = 2
+FAST_POLL_S = 1.0
+SLOW_POLL_S = 30.0
+READ_TIMEOUT_S = 5.0
+PULL_RETRY_S = 0.5
+CONSULT_TIMEOUT_S = 1.0
+FACT_TTL_S = 30.0
+WAITERS_LIMIT = 64
+CARRY_ENTRIES = 32
+CARRY_RETENTION_SHARE = 0.125
+CARRY_DELAY_S = 10.0
+CARRY_BACKUP_DELAY_S = 120.0
+
+
+class ConfigurationFollower(Part):
+    """Follows the log or the gossip, and puts each newer version in force.
+
+    Args:
+        settings (Settings): The daemon's settings.
+        rng (random.Random): Spreads polls and carries over time.
+
+    Attributes:
+        accepted (ConfigurationAccepted): The version in force, or None.
+    """
+
+    def __init__(self, settings, rng):
+        self.accepted = None
+        self._name = settings.name
+        self._domain = settings.failure_domain
+        self._retention_s = settings.log_retention_s
+        self._stream = name_stream(settings.environment)
+        self._rng = rng
+        self._reader = ConfigurationReader()
+        self._next_read_s = 0.0
+        self._read_until_s = None
+        self._log_failed = False
+        self._domains = {}
+        self._gone = set()
+        self._peers = {}
+        self._waiters = {}
+        self._wanted = NO_VERSION
+        self._next_pull_s = 0.0
+        self._hold_until_s = None
+        self._next_fact_s = 0.0
+        self._carry_at_s = None
+        self._carries = 0
+        self._unknown_formats = 0
+
+    @property
+    def ready(self):
+        """Whether a version is in force."""
+        return self.accepted is not None
+
+    @property
+    def version(self):
+        """The version in force, or ``NO_VERSION``."""
+        return self.accepted.version if self.ready else NO_VERSION
+
+    @property
+    def history(self):
+        """The `ConfigurationHistory` of this daemon."""
+        return self._reader.history
+
+    def follows_log(self):
+        """Return whether this daemon follows the log for its failure domain."""
+        rivals = [
+            name
+            for name, domain in self._domains.items()
+            if domain == self._domain and name not in self._gone
+        ]
+        weight = _weigh(self._name)
+        above = [n for n in rivals if n != self._name and _weigh(n) > weight]
+        return len(above) < FOLLOWERS_PER_DOMAIN
+
+    @singledispatchmethod
+    def handle(self, event, now):
+        """Take one event; see `Part.handle`."""
+        return []
+
+    @handle.register
+    def _handle_tick(self, event: Tick, now):
+        results = self._poll(now)
+        results += self._pull(now)
+        results += self._state_fact(now)
+        results += self._append_carry(event.wall_s, now)
+        if self._hold_until_s is not None and now >= self._hold_until_s:
+            results += self._put_in_force(now)
+        return results
+
+    @handle.register
+    def _handle_read(self, event: LogRead, now):
+        if event.stream != self._stream:
+            return []
+        self._read_until_s = None
+        self._log_failed = False
+        self._reader.take(event)
+        if not self._reader.at_head:
+            self._next_read_s = now
+            return self._poll(now)
+        wait_s = FAST_POLL_S if self.follows_log() else SLOW_POLL_S
+        self._next_read_s = now + wait_s * self._rng.uniform(0.75, 1.0)
+        return self._report_formats() + self._put_in_force(now)
+
+    @handle.register
+    def _handle_read_failed(self, event: LogReadFailed, now):
+        if event.stream != self._stream:
+            return []
+        self._read_until_s = None
+        self._next_read_s = now + FAST_POLL_S * self._rng.uniform(0.75, 1.25)
+        if self._log_failed:
+            return []
+        self._log_failed = True
+        fields = {"stream": self._stream, "version": self.version}
+        return [LogCatalogued(LogEvent.CONFIGURATION_LOG_UNREADABLE, fields)]
+
+    @handle.register
+    def _handle_vms(self, event: VmsListed, now):
+        entries = [vm for vm in event.vms if vm.role == "entry"]
+        self._domains = {vm.name: vm.failure_domain for vm in entries}
+        return []
+
+    @handle.register
+    def _handle_member(self, event: MemberChanged, now):
+        if event.status in (MEMBER_DEAD, MEMBER_LEAVING):
+            self._gone.add(event.member)
+        else:
+            self._gone.discard(event.member)
+        return []
+
+    @handle.register
+    def _handle_connected(self, event: PeerConnected, now):
+        self._peers[event.peer] = now
+        if self.ready:
+            return []
+        return [SendPeer(event.peer, ConfigurationWanted(0))]
+
+    @handle.register
+    def _handle_disconnected(self, event: PeerDisconnected, now):
+        self._peers.pop(event.peer, None)
+        self._waiters.pop(event.peer, None)
+        return []
+
+    @handle.register
+    def _handle_fact(self, event: FactLearned, now):
+        if event.topic != TOPIC_CONFIGURATION:
+            return []
+        if event.value.version <= max(self._wanted, self.version):
+            return []
+        self._wanted = event.value.version
+        self._next_pull_s = now
+        return self._pull(now)
+
+    @handle.register
+    def _handle_message(self, event: PeerReceived, now):
+        return self._take_message(event.message, event.peer, now)
+
+    @singledispatchmethod
+    def _take_message(self, message, peer, now):
+        return []
+
+    @_take_message.register
+    def _answer_wanted(self, message: ConfigurationWanted, peer, now):
+        state = self.history.state
+        if state is not None and state.version >= max(message.version, 0):
+            return [self._send_state(peer, now)]
+        if len(self._waiters) < WAITERS_LIMIT:
+            self._waiters[peer] = message.version
+        return []
+
+    @_take_message.register
+    def _take_sent(self, message: ConfigurationSent, peer, now):
+        carried = (message.carried_position, message.carried_s)
+        self.history.adopt(message.carry, *carried)
+        if self.ready or self._reader.at_head:
+            return self._report_formats() + self._put_in_force(now)
+        if self._hold_until_s is None:
+            self._hold_until_s = now + CONSULT_TIMEOUT_S
+        return []
+
+    def _poll(self, now):
+        if self._read_until_s is not None and now < self._read_until_s:
+            return []
+        if now < self._next_read_s:
+            return []
+        self._read_until_s = now + READ_TIMEOUT_S
+        return [ReadLog(self._stream, self._reader.offset)]
+
+    def _pull(self, now):
+        """Ask a connected peer for the version that gossip told of."""
+        if self._wanted <= self.version or now < self._next_pull_s or not self._peers:
+            return []
+        self._next_pull_s = now + PULL_RETRY_S
+        peer = self._rng.choice(list(self._peers))
+        return [SendPeer(peer, ConfigurationWanted(self._wanted))]
+
+    def _send_state(self, peer, now):
+        state = self.history.state
+        carry = state.make_carry(0.0)
+        sent = ConfigurationSent(carry, state.carried_position, state.carried_s)
+        return SendPeer(peer, sent)
+
+    def _put_in_force(self, now):
+        """Put the newest version in force; an older one never replaces a newer."""
+        state = self.history.state
+        if state is None or state.document is None or state.version <= self.version:
+            return []
+        self._hold_until_s = None
+        self._next_fact_s = now
+        self.accepted = ConfigurationAccepted(
+            state.version, state.digest, state.document
+        )
+        fields = {"version": state.version, "digest": state.digest}
+        results = [self.accepted]
+        results.append(LogCatalogued(LogEvent.CONFIGURATION_IN_FORCE, fields))
+        results += self._answer_waiters(now)
+        return results + self._state_fact(now)
+
+    def _answer_waiters(self, now):
+        served = [p for p, wanted in self._waiters.items() if wanted <= self.version]
+        for peer in served:
+            del self._waiters[peer]
+        return [self._send_state(peer, now) for peer in served]
+
+    def _state_fact(self, now):
+        """Tell the fleet the version, if this daemon follows the log."""
+        if not self.ready or now < self._next_fact_s:
+            return []
+        self._next_fact_s = now + FACT_TTL_S / 3
+        if not self.follows_log():
+            return []
+        fact = ConfigurationFact(self.version, self.accepted.digest)
+        return [FactChanged(TOPIC_CONFIGURATION, self._stream, fact, FACT_TTL_S)]
+
+    def _report_formats(self):
+        count = self.history.unknown_formats
+        if count == self._unknown_formats:
+            return []
+        self._unknown_formats = count
+        fields = {"version_kept": self.version}
+        return [LogCatalogued(LogEvent.CONFIGURATION_FORMAT_UNKNOWN, fields)]
+
+    def _append_carry(self, wall_s, now):
+        """Append a carry when the newest one is old, at a random moment."""
+        if not self._carry_due(wall_s):
+            self._carry_at_s = None
+            return []
+        if self._carry_at_s is None:
+            self._carry_at_s = now + self._choose_carry_delay()
+        if now < self._carry_at_s:
+            return []
+        self._carry_at_s = None
+        self._carries += 1
+        carry = self.history.state.make_carry(wall_s)
+        append_id = f"configuration-{self._name}-{self._carries}"
+        return [AppendRecords(append_id, self._stream, (carry,))]
+
+    def _carry_due(self, wall_s):
+        history = self.history
+        if not self._reader.at_head or not history.known:
+            return False
+        state = history.state
+        if state.version == NO_VERSION:
+            return False
+        age_s = wall_s - state.carried_s
+        entries = state.position - state.carried_position
+        due_s = self._retention_s * CARRY_RETENTION_SHARE
+        return age_s >= due_s or entries >= CARRY_ENTRIES
+
+    def _choose_carry_delay(self):
+        if self.follows_log():
+            return self._rng.uniform(0.0, CARRY_DELAY_S)
+        return CARRY_BACKUP_DELAY_S + self._rng.uniform(0.0, CARRY_BACKUP_DELAY_S)
+
+    @handle.register(RecordsAppended)
+    @handle.register(AppendFailed)
+    def _handle_append(self, event, now):
+        if event.append_id.startswith(f"configuration-{self._name}-"):
+            self._next_read_s = now
+        return []
+
+
+def _weigh(name):
+    """Return a daemon's rendezvous weight."""
+    return xxh64_intdigest(f"configuration/{name}".encode())
--- a/firworks/kernel/messages.py
+++ b/firworks/kernel/messages.py
@@ -22,7 +22,7 @@
     DEFAULTS = {}
 
     def __init__(self, *args, **kwargs):
-        names = self.fields()
+        names = self.__slots__
         if len(args) > len(names):
             raise TypeError(f"{type(self).__name__} takes {len(names)} fields")
         for name, value in zip(names, args, strict=False):
@@ -51,11 +51,11 @@
 
     def values(self):
         """Return the field values, in field order, as a tuple."""
-        return tuple(getattr(self, name) for name in self.fields())
+        return tuple(getattr(self, name) for name in self.__slots__)
 
     def replace(self, **changes):
         """Return a copy with some fields changed."""
-        current = dict(zip(self.fields(), self.values(), strict=True))
+        current = dict(zip(self.__slots__, self.values(), strict=True))
         return type(self)(**{**current, **changes})
 
     def __eq__(self, other):
@@ -67,7 +67,7 @@
         return hash((type(self).__name__, self.values()))
 
     def __repr__(self):
-        pairs = zip(self.fields(), self.values(), strict=True)
+        pairs = zip(self.__slots__, self.values(), strict=True)
         body = ", ".join(f"{name}={value!r}" for name, value in pairs)
         return f"{type(self).__name__}({body})"
 
