--- a/firworks/errors.py
+++ b/firworks/errors.py
@@ -55,3 +55,33 @@
     """The log service did not confirm; an append may still take effect, even late."""
 
     code = Code.LOG_UNAVAILABLE
+
+
+class BaseSupersededError(FirworksError):
+    """Another publication replaced the version that this one was based on.
+
+    Args:
+        base (int): The version that the publication was based on.
+        current (int): The version that is current instead.
+        digest (str): SHA-256 of the current version's document, in hexadecimal.
+    """
+
+    code = Code.BASE_SUPERSEDED
+
+    def __init__(self, base, current, digest):
+        super().__init__(f"base {base} was replaced by version {current} ({digest})")
+        self.base = base
+        self.current = current
+        self.digest = digest
+
+
+class NotPromotableError(FirworksError):
+    """The document is not the one accepted in trial."""
+
+    code = Code.NOT_PROMOTABLE
+
+
+class NotConfiguredError(FirworksError):
+    """The current version of an environment cannot be told from its log stream."""
+
+    code = Code.NOT_CONFIGURED
--- a/firworks/kernel/configuration.py
+++ b/firworks/kernel/configuration.py
@@ -28,9 +28,17 @@
         code (Code): ``OK``, ``BASE_SUPERSEDED`` or ``DOCUMENT_INVALID``.
         current (int): The version current before it.
         digest (str): Digest that the record names.
+        written_s (float): Wall time at which the log took the record.
     """
 
-    __slots__ = ("publication_id", "offset", "code", "current", "digest")
+    __slots__ = (
+        "publication_id",
+        "offset",
+        "code",
+        "current",
+        "digest",
+        "written_s",
+    )
 
     @property
     def accepted(self):
@@ -38,6 +46,12 @@
         return self.code is Code.OK
 
 
+class Candidate(Struct):
+    """A `Publish` or `Restore` `record` read at `offset` (int), to be decided."""
+
+    __slots__ = ("offset", "written_s", "record")
+
+
 class ConfigurationState(Struct):
     """The version that all entries before `position` lead to.
 
@@ -76,11 +90,6 @@
     return ConfigurationState(0, NO_VERSION, FORMAT, "", b"", None)
 
 
-def knows_format(record):
-    """Return whether this software has the checks of a record's format."""
-    return record.format in CHECKS
-
-
 def read_document(record):
     """Return the document's bytes that a record holds, or None when they are wrong."""
     data = unpack_document(record.document)
@@ -89,23 +98,16 @@
     return data
 
 
-def check_record(record):
-    """Return the `Document` of a record of known format, or None when invalid."""
-    data = read_document(record)
-    if data is None:
-        return None
-    try:
-        return CHECKS[record.format](data)
-    except SettingsError:
-        return None
-
-
 class ConfigurationHistory:
     """Folds the entries of a configuration stream; all readers decide alike.
 
     A reader may begin at any offset. What it cannot decide, for want of the entries
     before, it keeps until a carry or a peer's state settles it.
 
+    Args:
+        checks (dict of int to callable): Parser of each known format number; it
+            raises `SettingsError` for an invalid document.
+
     Attributes:
         cursor (int): Offset of the next entry to read; None before the first.
         run_start (int): Since this offset no entry was missed.
@@ -114,12 +116,13 @@
         unknown_formats (int): Publications whose format this software lacks.
     """
 
-    def __init__(self):
+    def __init__(self, checks=CHECKS):
         self.cursor = None
         self.run_start = None
         self.state = None
         self.known = False
         self.unknown_formats = 0
+        self._checks = checks
         self._undecided = []
 
     def begin(self, offset):
@@ -135,8 +138,8 @@
     def fold(self, read):
         """Take in the entries of a `LogRead` and return the new decisions.
 
-        Entries that were taken in before are skipped, and nothing is taken in
-        beyond a missing entry.
+        Entries that were taken in before are skipped, and so is all that follows
+        a missing entry.
 
         Returns:
             list of Decision: In the order of the log.
@@ -145,8 +148,6 @@
             self.begin(read.oldest)
         decisions = []
         for entry in read.entries:
-            if entry.offset > self.cursor:
-                break
             if entry.offset == self.cursor:
                 decisions += self._fold_entry(entry)
         return decisions
@@ -164,8 +165,9 @@
         """
         if not self._may_adopt(carry):
             return []
-        document = check_record(carry) if knows_format(carry) else None
-        if document is None and (knows_format(carry) or read_document(carry) is None):
+        document = self._find_document(carry)
+        known_format = carry.format in self._checks
+        if document is None and (known_format or read_document(carry) is None):
             return []
         if self.cursor is None or carry.position > self.cursor:
             self.begin(carry.position)
@@ -180,10 +182,26 @@
             carried_s,
         )
         self.known = True
-        waiting = [item for item in self._undecided if item[0] >= carry.position]
+        waiting = [c for c in self._undecided if c.offset >= carry.position]
         self._undecided = []
         return self._decide_all(waiting)
 
+    def _find_document(self, carry):
+        """Return the parsed document of a carry, or None."""
+        if self.state is not None and self.state.digest == carry.digest:
+            return self.state.document
+        return self._check(carry) if carry.format in self._checks else None
+
+    def _check(self, record):
+        """Return the `Document` of a record of known format, or None when invalid."""
+        data = read_document(record)
+        if data is None:
+            return None
+        try:
+            return self._checks[record.format](data)
+        except SettingsError:
+            return None
+
     def _may_adopt(self, carry):
         """Return whether a carry tells more than is known, with nothing missed."""
         if carry.version >= carry.position:
@@ -210,7 +228,7 @@
     @_take.register(Publish)
     @_take.register(Restore)
     def _take_publication(self, record, entry):
-        return self._decide_all([(entry.offset, record)])
+        return self._decide_all([Candidate(entry.offset, entry.written_s, record)])
 
     @_take.register
     def _take_carry(self, record: Carry, entry):
@@ -224,32 +242,37 @@
             self.state.carried_s = made_s
         return []
 
-    def _decide_all(self, publications):
+    def _decide_all(self, candidates):
         decisions = []
-        for offset, record in publications:
-            decision = self._decide(offset, record)
+        for candidate in candidates:
+            decision = self._decide(candidate)
             if decision is None:
-                self._undecided.append((offset, record))
+                self._undecided.append(candidate)
             else:
                 decisions.append(decision)
         if self.known:
             self.state.position = self.cursor
         return decisions
 
-    def _decide(self, offset, record):
-        """Return the decision on a record, or None when it cannot be decided."""
-        applies = self._applies(record, offset)
-        if applies is None:
-            return None
+    def _decide(self, candidate):
+        """Return the `Decision` on a candidate, or None when it cannot be made."""
+        offset, record = candidate.offset, candidate.record
         current = self.state.version if self.known else NO_VERSION
-        if not applies:
-            code = Code.BASE_SUPERSEDED
-        elif not knows_format(record):
+        applies = self._applies(record, offset)
+        if applies and record.format not in self._checks:
             self._lose_track(offset)
+            applies = None
+        if applies is None:
             return None
-        else:
-            code = self._accept(offset, record)
-        return Decision(record.publication_id, offset, code, current, record.digest)
+        code = self._accept(offset, record) if applies else Code.BASE_SUPERSEDED
+        return Decision(
+            record.publication_id,
+            offset,
+            code,
+            current,
+            record.digest,
+            candidate.written_s,
+        )
 
     @singledispatchmethod
     def _applies(self, record, offset):
@@ -269,7 +292,7 @@
         if self.known:
             return self.state.version < record.position
         # Undecided publications at or after the position may have been accepted.
-        newest = self._undecided[-1][0] if self._undecided else NO_VERSION
+        newest = self._undecided[-1].offset if self._undecided else NO_VERSION
         decidable = record.position >= self.run_start and newest < record.position
         return True if decidable else None
 
@@ -279,10 +302,9 @@
         if self.known:
             self.state.position = offset
         self.known = False
-        self.run_start = offset + 1
 
     def _accept(self, offset, record):
-        document = check_record(record)
+        document = self._check(record)
         if document is None:
             return Code.DOCUMENT_INVALID
         carried = (0, 0.0)
--- a/firworks/kernel/configuration_follower.py
+++ b/firworks/kernel/configuration_follower.py
@@ -5,6 +5,7 @@
 from xxhash import xxh64_intdigest
 
 from firworks.events import LogEvent
+from firworks.kernel.configuration import CHECKS
 from firworks.kernel.configuration_reader import ConfigurationReader
 from firworks.kernel.configuration_records import (
     NO_VERSION,
@@ -44,13 +45,16 @@
 SLOW_POLL_S = 30.0
 READ_TIMEOUT_S = 5.0
 PULL_RETRY_S = 0.5
+PULLS_BEFORE_READ = 4
+CONSULTED_PER_DOMAIN = 1
 CONSULT_TIMEOUT_S = 1.0
 FACT_TTL_S = 30.0
 WAITERS_LIMIT = 64
 CARRY_ENTRIES = 32
 CARRY_RETENTION_SHARE = 0.125
 CARRY_DELAY_S = 10.0
-CARRY_BACKUP_DELAY_S = 120.0
+CARRY_BACKUP_SHARE_MIN = 1 / 64
+CARRY_BACKUP_SHARE_MAX = 1 / 16
 
 
 class ConfigurationFollower(Part):
@@ -59,19 +63,20 @@
     Args:
         settings (Settings): The daemon's settings.
         rng (random.Random): Spreads polls and carries over time.
+        checks (dict of int to callable): See `ConfigurationHistory`.
 
     Attributes:
         accepted (ConfigurationAccepted): The version in force, or None.
     """
 
-    def __init__(self, settings, rng):
+    def __init__(self, settings, rng, checks=CHECKS):
         self.accepted = None
         self._name = settings.name
         self._domain = settings.failure_domain
         self._retention_s = settings.log_retention_s
         self._stream = name_stream(settings.environment)
         self._rng = rng
-        self._reader = ConfigurationReader()
+        self._reader = ConfigurationReader(checks=checks)
         self._next_read_s = 0.0
         self._read_until_s = None
         self._log_failed = False
@@ -81,6 +86,7 @@
         self._waiters = {}
         self._wanted = NO_VERSION
         self._next_pull_s = 0.0
+        self._pulls = 0
         self._hold_until_s = None
         self._next_fact_s = 0.0
         self._carry_at_s = None
@@ -134,8 +140,9 @@
             return []
         self._read_until_s = None
         self._log_failed = False
+        before = self._reader.offset
         self._reader.take(event)
-        if not self._reader.at_head:
+        if not self._reader.at_head and self._reader.offset != before:
             self._next_read_s = now
             return self._poll(now)
         wait_s = FAST_POLL_S if self.follows_log() else SLOW_POLL_S
@@ -170,8 +177,10 @@
 
     @handle.register
     def _handle_connected(self, event: PeerConnected, now):
-        self._peers[event.peer] = now
-        if self.ready:
+        self._peers[event.peer] = self._domains.get(event.peer, "")
+        domains = list(self._peers.values())
+        consulted = domains.count(self._peers[event.peer]) > CONSULTED_PER_DOMAIN
+        if self.ready or consulted:
             return []
         return [SendPeer(event.peer, ConfigurationWanted(0))]
 
@@ -185,10 +194,11 @@
     def _handle_fact(self, event: FactLearned, now):
         if event.topic != TOPIC_CONFIGURATION:
             return []
-        if event.value.version <= max(self._wanted, self.version):
+        if event.value.version <= max(self._wanted, self._known_version()):
             return []
         self._wanted = event.value.version
         self._next_pull_s = now
+        self._pulls = 0
         return self._pull(now)
 
     @handle.register
@@ -226,13 +236,23 @@
         self._read_until_s = now + READ_TIMEOUT_S
         return [ReadLog(self._stream, self._reader.offset)]
 
+    def _known_version(self):
+        state = self.history.state
+        return NO_VERSION if state is None else state.version
+
     def _pull(self, now):
-        """Ask a connected peer for the version that gossip told of."""
-        if self._wanted <= self.version or now < self._next_pull_s or not self._peers:
+        """Ask a connected peer for a version that this daemon lacks."""
+        lacking = self._wanted > self._known_version() or not self.ready
+        if not lacking or now < self._next_pull_s:
             return []
         self._next_pull_s = now + PULL_RETRY_S
+        self._pulls += 1
+        if self._pulls % PULLS_BEFORE_READ == 0:
+            self._next_read_s = min(self._next_read_s, now)
+        if not self._peers:
+            return []
         peer = self._rng.choice(list(self._peers))
-        return [SendPeer(peer, ConfigurationWanted(self._wanted))]
+        return [SendPeer(peer, ConfigurationWanted(max(self._wanted, 0)))]
 
     def _send_state(self, peer, now):
         state = self.history.state
@@ -308,9 +328,11 @@
         return age_s >= due_s or entries >= CARRY_ENTRIES
 
     def _choose_carry_delay(self):
+        earliest_s = self._retention_s * CARRY_BACKUP_SHARE_MIN
         if self.follows_log():
-            return self._rng.uniform(0.0, CARRY_DELAY_S)
-        return CARRY_BACKUP_DELAY_S + self._rng.uniform(0.0, CARRY_BACKUP_DELAY_S)
+            return self._rng.uniform(0.0, min(CARRY_DELAY_S, earliest_s))
+        latest_s = self._retention_s * CARRY_BACKUP_SHARE_MAX
+        return self._rng.uniform(earliest_s, latest_s)
 
     @handle.register(RecordsAppended)
     @handle.register(AppendFailed)
--- a/firworks/kernel/configuration_reader.py
+++ b/firworks/kernel/configuration_reader.py
@@ -1,6 +1,6 @@
 """Chooses what to read of a configuration stream, so that a short tail is enough."""
 
-from firworks.kernel.configuration import ConfigurationHistory
+from firworks.kernel.configuration import CHECKS, ConfigurationHistory
 
 TAIL_ENTRIES = 64
 
@@ -11,13 +11,15 @@
     Args:
         whole (bool): Read all that the log retains, not only the tail.
 
+        checks (dict of int to callable): See `ConfigurationHistory`.
+
     Attributes:
         history (ConfigurationHistory): What was read so far.
         at_head (bool): Every entry up to the head of the last read was taken in.
     """
 
-    def __init__(self, whole=False):
-        self.history = ConfigurationHistory()
+    def __init__(self, whole=False, checks=CHECKS):
+        self.history = ConfigurationHistory(checks)
         self.at_head = False
         self._whole = whole
 
