--- /dev/null
+++ b/firworks/plugins/peer_handshake.py
@@ -0,0 +1,123 @@
+"""Proves to both ends of a peer connection that the other knows the secret."""
+
+import asyncio
+import hmac
+import secrets
+from hashlib import sha256
+
+from firworks.codes import Code
+from firworks.errors import CodecError, FirworksError
+from firworks.kernel.codec import decode_record, encode_record, register_record
+from firworks.kernel.messages import Record
+
+HANDSHAKE_TIMEOUT_S = 5.0
+NONCE_BYTES = 16
+
+
+class PeerRefusedError(FirworksError):
+    """The other end is not the daemon that it should be."""
+
+    code = Code.PEER_REFUSED
+
+
+@register_record
+class PeerHello(Record):
+    """First message of the dialing end: its name and a fresh nonce."""
+
+    __slots__ = ("name", "nonce")
+    TYPES = (str, bytes)
+
+
+@register_record
+class PeerChallenge(Record):
+    """The accepting end's name, its nonce, and its proof over both nonces."""
+
+    __slots__ = ("name", "nonce", "proof")
+    TYPES = (str, bytes, bytes)
+
+
+@register_record
+class PeerProof(Record):
+    """The dialing end's proof over both nonces."""
+
+    __slots__ = ("proof",)
+    TYPES = (bytes,)
+
+
+@register_record
+class PeerWelcome(Record):
+    """The accepting end has checked the proof; messages may follow."""
+
+    __slots__ = ()
+    TYPES = ()
+
+
+async def dial_handshake(connection, name, peer, secret):
+    """Authenticate a connection that this daemon dialed.
+
+    Args:
+        connection (ClientConnection): Freshly opened.
+        name (str): This daemon.
+        peer (str): The daemon that must answer.
+        secret (str): The shared secret.
+
+    Raises:
+        PeerRefusedError: When the other end fails to prove itself in time.
+    """
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    await connection.send(encode_record(PeerHello(name, nonce)))
+    answer = await _receive(connection, PeerChallenge)
+    if answer.name != peer:
+        raise PeerRefusedError(f"expected {peer!r}, {answer.name!r} answered")
+    wanted = _prove(secret, "accept", name, peer, nonce, answer.nonce)
+    if not hmac.compare_digest(answer.proof, wanted):
+        raise PeerRefusedError(f"{peer!r} has another secret")
+    proof = _prove(secret, "dial", name, peer, nonce, answer.nonce)
+    await connection.send(encode_record(PeerProof(proof)))
+    await _receive(connection, PeerWelcome)
+
+
+async def accept_handshake(connection, name, secret):
+    """Authenticate a connection that another daemon dialed.
+
+    Returns:
+        str: The other daemon's name.
+
+    Raises:
+        PeerRefusedError: When the other end fails to prove itself in time.
+    """
+    hello = await _receive(connection, PeerHello)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    proof = _prove(secret, "accept", hello.name, name, hello.nonce, nonce)
+    await connection.send(encode_record(PeerChallenge(name, nonce, proof)))
+    answer = await _receive(connection, PeerProof)
+    wanted = _prove(secret, "dial", hello.name, name, hello.nonce, nonce)
+    if not hmac.compare_digest(answer.proof, wanted):
+        raise PeerRefusedError(f"{hello.name!r} has another secret")
+    await connection.send(encode_record(PeerWelcome()))
+    return hello.name
+
+
+async def _receive(connection, kind):
+    try:
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+            data = await connection.recv()
+    except TimeoutError:
+        raise PeerRefusedError("the handshake timed out") from None
+    if not isinstance(data, bytes):
+        raise PeerRefusedError("the handshake must be binary")
+    try:
+        record = decode_record(data)
+    except CodecError as error:
+        raise PeerRefusedError(str(error)) from error
+    if not isinstance(record, kind):
+        raise PeerRefusedError(f"expected {kind.__name__}")
+    return record
+
+
+def _prove(secret, role, dialer, acceptor, dialer_nonce, acceptor_nonce):
+    """Return the HMAC over the role, both names and both nonces."""
+    parts = (role.encode(), dialer.encode(), acceptor.encode())
+    text = b"".join(len(part).to_bytes(4, "big") + part for part in parts)
+    message = text + dialer_nonce.ljust(NONCE_BYTES)[:NONCE_BYTES] + acceptor_nonce
+    return hmac.new(secret.encode(), message, sha256).digest()
--- /dev/null
+++ b/firworks/plugins/peer_links.py
@@ -0,0 +1,160 @@
+"""One outgoing connection to another daemon, with a bounded send queue."""
+
+import asyncio
+from collections import deque
+
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from firworks.events import LogEvent, log_event
+from firworks.kernel.messages import PeerConnected, PeerDisconnected
+from firworks.plugins.peer_handshake import PeerRefusedError, dial_handshake
+
+MESSAGE_LIMIT_BYTES = 4_194_304
+QUEUE_LIMIT_BYTES = 4_194_304
+QUEUE_LIMIT_MESSAGES = 512
+QUEUE_AGE_LIMIT_S = 5.0
+DIAL_TIMEOUT_S = 3.0
+RETRY_FIRST_S = 0.2
+RETRY_LIMIT_S = 5.0
+IDLE_LIMIT_S = 60.0
+
+
+class PeerLink:
+    """Dials one daemon, sends what is queued, and dials again when it breaks.
+
+    Args:
+        owner (WebsocketPeers): Takes the events and counts.
+        settings (Settings): Of this daemon.
+        peer (str): The daemon to dial.
+        address (str): "ip:port".
+        kept (bool): Dial again after a failure, and stay open when idle.
+        tls (SSLContext or None): For the connection.
+    """
+
+    def __init__(self, owner, settings, peer, address, kept, tls):
+        self.peer = peer
+        self.address = address
+        self.kept = kept
+        self._owner = owner
+        self._settings = settings
+        self._tls = tls
+        self._queue = deque()
+        self._queued_bytes = 0
+        self._wake = asyncio.Event()
+        self._task = None
+        self._connection = None
+
+    def start(self):
+        """Start dialing."""
+        self._task = asyncio.create_task(self._run())
+
+    def cancel(self):
+        """Close the connection without waiting for the other end."""
+        self._task.cancel()
+
+    async def stop(self):
+        """Send what is queued, as far as possible at once, and close."""
+        if self._connection is not None and self._queue:
+            await asyncio.wait([self._task], timeout=RETRY_FIRST_S)
+        self.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    def enqueue(self, data):
+        """Queue bytes to send; returns False when the queue is full."""
+        full = self._queued_bytes + len(data) > QUEUE_LIMIT_BYTES
+        if full or len(self._queue) >= QUEUE_LIMIT_MESSAGES:
+            return False
+        self._queue.append((asyncio.get_running_loop().time(), data))
+        self._queued_bytes += len(data)
+        self._wake.set()
+        return True
+
+    async def _run(self):
+        delay_s = RETRY_FIRST_S
+        try:
+            while True:
+                if await self._dial_once():
+                    delay_s = RETRY_FIRST_S
+                if not self.kept:
+                    return
+                await asyncio.sleep(delay_s)
+                delay_s = min(2 * delay_s, RETRY_LIMIT_S)
+        finally:
+            self._owner.dropped_messages += len(self._queue)
+            self._owner.forget(self)
+
+    async def _dial_once(self):
+        """Dial, send until the connection ends, and return whether it opened."""
+        opened = False
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                self._connection = await self._dial()
+            opened = True
+            self._owner.feed(PeerConnected(self.peer))
+            await self._send_all(self._connection)
+        except PeerRefusedError as error:
+            log_event(LogEvent.PEER_REFUSED, peer=self.peer, error=str(error))
+        except (OSError, TimeoutError, WebSocketException):
+            pass  # the peer is away: dial again, or drop the link
+        finally:
+            if self._connection is not None:
+                self._connection.transport.abort()
+                self._connection = None
+            if opened:
+                self._owner.feed(PeerDisconnected(self.peer))
+        return opened
+
+    async def _dial(self):
+        scheme = "wss" if self._tls else "ws"
+        connection = await connect(
+            f"{scheme}://{self.address}/",
+            ssl=self._tls,
+            compression=None,
+            ping_interval=None,
+            max_size=MESSAGE_LIMIT_BYTES,
+            user_agent_header=None,
+            proxy=None,
+        )
+        try:
+            name, secret = self._settings.name, self._settings.peer_secret
+            await dial_handshake(connection, name, self.peer, secret)
+        except BaseException:
+            connection.transport.abort()
+            raise
+        return connection
+
+    async def _send_all(self, connection):
+        closed = asyncio.create_task(connection.wait_closed())
+        try:
+            while not closed.done():
+                await self._send_queued(connection)
+                if not await self._wait_for_work(closed):
+                    return
+        finally:
+            closed.cancel()
+
+    async def _send_queued(self, connection):
+        now = asyncio.get_running_loop().time()
+        while self._queue:
+            queued_s, data = self._queue.popleft()
+            self._queued_bytes -= len(data)
+            if now - queued_s > QUEUE_AGE_LIMIT_S:
+                self._owner.dropped_messages += 1
+                continue
+            await connection.send(data)
+            self._owner.sent_messages += 1
+            self._owner.sent_bytes += len(data)
+        self._wake.clear()
+
+    async def _wait_for_work(self, closed):
+        """Wait for messages; returns False when the link should end."""
+        woken = asyncio.create_task(self._wake.wait())
+        try:
+            tasks = (woken, closed)
+            done, _ = await asyncio.wait(
+                tasks, timeout=IDLE_LIMIT_S, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            woken.cancel()
+        return bool(done) or self.kept
--- /dev/null
+++ b/firworks/plugins/websocket_peers.py
@@ -0,0 +1,197 @@
+"""Carries records between daemons: WebSockets with CBOR.
+
+Each daemon sends on the connections that it dialed and receives on those that it
+accepted, so that a connection that went silent is replaced by its sender alone.
+"""
+
+import ssl
+from functools import singledispatchmethod
+
+from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
+
+from firworks.errors import CodecError
+from firworks.events import LogEvent, log_event
+from firworks.kernel.codec import decode_record, encode_record
+from firworks.kernel.messages import (
+    ConnectPeer,
+    DisconnectPeer,
+    PeerReceived,
+    SendPeer,
+)
+from firworks.plugins.peer_handshake import PeerRefusedError, accept_handshake
+from firworks.plugins.peer_links import MESSAGE_LIMIT_BYTES, PeerLink
+
+RECEIVE_QUEUE_FRAMES = 16
+CLOSE_TIMEOUT_S = 1.0
+STATUS_POLICY_VIOLATION = 1008
+STATUS_INVALID_DATA = 1007
+
+
+class WebsocketPeers:
+    """Carries out peer actions and feeds peer events into the kernel.
+
+    Args:
+        settings (Settings): Names the daemon, its peer address, secret and TLS files.
+        feed (callable): Takes each event.
+    """
+
+    def __init__(self, settings, feed):
+        self.port = 0
+        self.received_messages = 0
+        self.received_bytes = 0
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.dropped_messages = 0
+        self._settings = settings
+        self._feed = feed
+        self._links = {}
+        self._addresses = {}
+        self._accepted = set()
+        self._server = None
+        self._client_tls = _make_client_tls(settings)
+
+    async def start(self):
+        """Listen for other daemons; ``port`` then holds the bound port."""
+        if not self._settings.peer_secret:
+            log_event(LogEvent.PEER_SECRET_EMPTY, name=self._settings.name)
+        host, port = self._settings.peers.rsplit(":", 1)
+        self._server = await serve(
+            self._accept,
+            host,
+            int(port),
+            ssl=_make_server_tls(self._settings),
+            compression=None,
+            ping_interval=None,
+            close_timeout=CLOSE_TIMEOUT_S,
+            max_size=MESSAGE_LIMIT_BYTES,
+            max_queue=RECEIVE_QUEUE_FRAMES,
+            server_header=None,
+        )
+        self.port = next(iter(self._server.sockets)).getsockname()[1]
+
+    async def stop(self):
+        """Close all connections and stop listening."""
+        for link in list(self._links.values()):
+            await link.stop()
+        self._links.clear()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def learn_vms(self, vms):
+        """Take peers' addresses from a VM list (iterable of `VmEntry`)."""
+        for vm in vms:
+            if vm.role == "entry":
+                self._addresses[vm.name] = vm.address
+
+    @singledispatchmethod
+    def perform(self, action):
+        """Carry out a `ConnectPeer`, `DisconnectPeer` or `SendPeer`.
+
+        Raises:
+            TypeError: For any other action.
+        """
+        raise TypeError(f"not a peer action: {action!r}")
+
+    @perform.register
+    def _connect(self, action: ConnectPeer):
+        self._addresses[action.peer] = action.address
+        link = self._links.get(action.peer)
+        if link is not None and link.address == action.address:
+            link.kept = True
+            return
+        if link is not None:
+            link.cancel()
+        self._open(action.peer, action.address, kept=True)
+
+    @perform.register
+    def _disconnect(self, action: DisconnectPeer):
+        link = self._links.pop(action.peer, None)
+        if link is not None:
+            link.cancel()
+
+    @perform.register
+    def _send(self, action: SendPeer):
+        link = self._links.get(action.peer)
+        if link is None:
+            address = self._addresses.get(action.peer)
+            if address is None:
+                self.dropped_messages += 1
+                return
+            link = self._open(action.peer, address, kept=False)
+        if not link.enqueue(encode_record(action.message)):
+            self.dropped_messages += 1
+
+    def _open(self, peer, address, kept):
+        link = PeerLink(self, self._settings, peer, address, kept, self._client_tls)
+        self._links[peer] = link
+        link.start()
+        return link
+
+    def feed(self, event):
+        """Pass an event of a link on to the kernel."""
+        self._feed(event)
+
+    def forget(self, link):
+        """Drop a link that has ended by itself."""
+        if self._links.get(link.peer) is link:
+            del self._links[link.peer]
+
+    async def _accept(self, connection):
+        try:
+            name, secret = self._settings.name, self._settings.peer_secret
+            peer = await accept_handshake(connection, name, secret)
+        except PeerRefusedError as error:
+            log_event(LogEvent.PEER_REFUSED, error=str(error))
+            await connection.close(STATUS_POLICY_VIOLATION)
+            return
+        except ConnectionClosed:
+            return
+        self._accepted.add(connection)
+        try:
+            await self._receive_all(connection, peer)
+        finally:
+            self._accepted.discard(connection)
+
+    async def _receive_all(self, connection, peer):
+        try:
+            async for data in connection:
+                self.received_messages += 1
+                self.received_bytes += len(data)
+                self._feed(PeerReceived(peer, _decode(data)))
+        except CodecError as error:
+            log_event(LogEvent.PEER_MALFORMED, peer=peer, error=str(error))
+            await connection.close(STATUS_INVALID_DATA)
+        except ConnectionClosed as error:
+            log_event(LogEvent.PEER_LOST, peer=peer, error=str(error))
+
+
+def _decode(data):
+    if not isinstance(data, bytes):
+        raise CodecError("a peer message must be binary")
+    return decode_record(data)
+
+
+def _make_server_tls(settings):
+    if not settings.tls_certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+    if settings.tls_authority:
+        context.load_verify_locations(settings.tls_authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def _make_client_tls(settings):
+    if not settings.tls_certificate:
+        return None
+    context = ssl.create_default_context(cafile=settings.tls_authority or None)
+    context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+    return context
+
+
+def register(registry):
+    """Register the adapter."""
+    registry.add("peers", "websocket", WebsocketPeers)
