--- a/firworks/kernel/fleet.py
+++ b/firworks/kernel/fleet.py
@@ -77,3 +77,9 @@
     """A fingerprint (bytes) is refused fleet-wide until `until_s` (kernel time)."""
 
     __slots__ = ("fingerprint", "until_s")
+
+
+class DrainFinished(Signal):
+    """This daemon has no work left and is about to exit."""
+
+    __slots__ = ()
--- /dev/null
+++ b/firworks/kernel/topics.py
@@ -0,0 +1,38 @@
+"""How the facts of each topic travel."""
+
+from firworks.kernel.digests import TOPIC_MEMBER
+from firworks.kernel.fleet import (
+    TOPIC_CONFIGURATION,
+    TOPIC_DEMAND,
+    TOPIC_LOAD,
+    TOPIC_QUARANTINE,
+    TOPIC_TARGET_DOWN,
+    TOPIC_TARGET_LEAVING,
+)
+
+# Lower numbers leave first; topics not listed come last.
+PRIORITIES = {
+    TOPIC_CONFIGURATION: 0,
+    TOPIC_TARGET_LEAVING: 1,
+    TOPIC_TARGET_DOWN: 1,
+    TOPIC_MEMBER: 2,
+    TOPIC_QUARANTINE: 3,
+    TOPIC_DEMAND: 4,
+    TOPIC_LOAD: 5,
+}
+LAST_PRIORITY = 6
+URGENT_PRIORITY = 3  # up to here facts do not wait for the next period
+
+# Topics that stay within the cell, and those that only direct neighbours get.
+CELL_TOPICS = (TOPIC_LOAD,)
+DIRECT_TOPICS = (TOPIC_LOAD, TOPIC_DEMAND)
+
+
+def find_priority(topic):
+    """Return the priority of a topic; the lowest number is the most urgent."""
+    return PRIORITIES.get(topic, LAST_PRIORITY)
+
+
+def is_shared(topic):
+    """Whether facts of a topic reach the whole fleet."""
+    return topic not in DIRECT_TOPICS
