--- a/firworks/events.py
+++ b/firworks/events.py
@@ -1,5 +1,6 @@
 """Numbered log events, written through loguru; see docs/EVENTS.md."""
 
+import sys
 from enum import IntEnum
 
 from loguru import logger
@@ -18,12 +19,14 @@
     DAEMON_STOPPED = 103
     DAEMON_DRAIN_TIMEOUT = 104
     PART_FAILED = 105
+    ANSWER_MISMATCHED = 300
 
 
 # Levels of events that are not informational.
 LEVELS = {
     LogEvent.DAEMON_DRAIN_TIMEOUT: "WARNING",
     LogEvent.PART_FAILED: "ERROR",
+    LogEvent.ANSWER_MISMATCHED: "WARNING",
 }
 
 
@@ -38,3 +41,13 @@
     text = " ".join(f"{name}={value}" for name, value in fields.items())
     bound = logger.bind(event=int(event), event_name=event.name, **fields)
     bound.log(level, "{:03d} {} {}", int(event), event.name, text)
+
+
+def configure_logs(log_format):
+    """Send logs to standard error as text or as JSON lines.
+
+    Args:
+        log_format (str): "text" or "json".
+    """
+    logger.remove()
+    logger.add(sys.stderr, serialize=log_format == "json")
--- a/firworks/kernel/calls.py
+++ b/firworks/kernel/calls.py
@@ -56,6 +56,9 @@
         alone (bool): Suspected of crashing targets; place it where nothing else
             runs.
         fingerprint (bytes): Hash of the request's content.
+        prefer (str): A target that already holds this request's state, or "".
+        version (int): Configuration version that the request started with.
+        weight (float): The pipeline's attainment weight; 0 weighs only cost.
     """
 
     __slots__ = (
@@ -76,8 +79,14 @@
         "hedge_of",
         "alone",
         "fingerprint",
+        "prefer",
+        "version",
+        "weight",
     )
     DEFAULTS = {
+        "prefer": "",
+        "version": 0,
+        "weight": 0.5,
         "deferred": False,
         "model": "",
         "prefix": (),
@@ -220,6 +229,7 @@
         resume (tuple of str): Tokens already received, for engines.
         timeout_s (float): Bound on the whole call.
         priority (int): For engines.
+        repeatable (bool): False sends it over a new connection, once.
     """
 
     __slots__ = (
@@ -233,8 +243,9 @@
         "resume",
         "timeout_s",
         "priority",
+        "repeatable",
     )
-    DEFAULTS = {"model": "", "resume": (), "priority": 0}
+    DEFAULTS = {"model": "", "resume": (), "priority": 0, "repeatable": True}
 
 
 class CancelCall(Action):
@@ -243,12 +254,6 @@
     __slots__ = ("call_id",)
 
 
-class CallStarted(Event):
-    """The call's bytes may have reached the target: it can have begun."""
-
-    __slots__ = ("call_id",)
-
-
 class CallPart(Event):
     """A part of a streamed answer.
 
--- /dev/null
+++ b/firworks/kernel/deferrals.py
@@ -0,0 +1,126 @@
+"""Acceptance, runs and results of deferred requests."""
+
+import hashlib
+import json
+
+from firworks.codes import Code
+from firworks.kernel.answers import (
+    WholeAnswer,
+    decode_answer,
+    encode_json,
+    finish_failed,
+    finish_whole,
+)
+from firworks.kernel.arrivals import build_request, stamp_request
+from firworks.kernel.claims import (
+    DeferAccepted,
+    DeferredDone,
+    DeferRequested,
+    ResultRequested,
+)
+
+LOOKUP_RETRY_AFTER_S = 1.0
+ID_CHARACTERS = 32
+
+
+class Deferrals:
+    """Connects deferred requests with the part that keeps them in the log.
+
+    Args:
+        owner (Requests): Holds the requests in progress.
+
+    Attributes:
+        waiting (dict of str to str): Deferred request that each request in progress
+            waits to see accepted, by request id.
+    """
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.waiting = {}
+        self._runs = 0
+
+    def ask(self, request, idempotency_key):
+        """Ask for a request to be logged; a resend asks for the same one."""
+        deferral_id = request.request_id
+        if idempotency_key:
+            deferral_id = name_deferral(request, idempotency_key)
+        self.waiting[request.request_id] = deferral_id
+        return [
+            DeferRequested(
+                request_id=deferral_id,
+                account=request.account.name,
+                pipeline=request.pipeline.name,
+                body=encode_json(request.body),
+                deadline_s=request.deadline_s,
+            )
+        ]
+
+    def decide(self, decision, now):
+        """Tell the callers that wait whether the request was accepted."""
+        results = []
+        for request_id, deferral_id in list(self.waiting.items()):
+            if deferral_id != decision.request_id:
+                continue
+            request = self.owner.requests.get(request_id)
+            self.forget(request_id)
+            if request is not None:
+                ending = self._describe(decision, deferral_id, request)
+                results.extend(self.owner.finish(request, ending, now))
+        return results
+
+    def forget(self, request_id):
+        """Stop waiting on behalf of a request."""
+        self.waiting.pop(request_id, None)
+
+    def run(self, ready, now):
+        """Run an accepted deferred request in this daemon."""
+        document = self.owner.document
+        pipeline = document.pipelines.get(ready.pipeline) if document else None
+        account = document.accounts.get(ready.account) if document else None
+        if pipeline is None or account is None:
+            return [DeferredDone(ready.request_id, b"")]
+        self._runs += 1
+        run_id = f"{ready.request_id}.{self.owner.incarnation}.{self._runs}"
+        request = build_request(run_id, account, pipeline, json.loads(ready.body))
+        stamp_request(request, document, self.owner.version, now)
+        request.deferral_id = ready.request_id
+        request.caller = False
+        self.owner.add(request)
+        return self.owner.runner.start_stage(request, 0, None, now)
+
+    def look_up(self, event):
+        """Ask for the result of a deferred request on behalf of its account."""
+        document = self.owner.document
+        if document is None:
+            return [finish_failed(event.lookup_id, Code.NOT_CONFIGURED, False)]
+        account = document.find_account(event.token)
+        if account is None:
+            return [finish_failed(event.lookup_id, Code.UNAUTHENTICATED, False)]
+        return [ResultRequested(event.lookup_id, event.request_id, account.name)]
+
+    def report(self, found):
+        """Answer a lookup."""
+        if found.state == "done":
+            return [finish_whole(found.lookup_id, decode_answer(found.answer))]
+        code = Code.IN_PROGRESS if found.state == "open" else Code.UNKNOWN_RESULT
+        retry_after_s = LOOKUP_RETRY_AFTER_S if found.state == "open" else 0.0
+        ending = finish_failed(found.lookup_id, code, True, "", retry_after_s)
+        return [ending]
+
+    def _describe(self, decision, deferral_id, request):
+        if isinstance(decision, DeferAccepted):
+            answer = WholeAnswer(body={"request_id": deferral_id})
+            return finish_whole("", answer, Code.ACCEPTED)
+        return finish_failed("", Code.LEDGER_UNAVAILABLE, began=request.resent)
+
+
+def name_deferral(request, idempotency_key):
+    """Return the id that all sends of one deferred request share."""
+    parts = (
+        request.account.name,
+        request.pipeline.name,
+        idempotency_key,
+        request.fingerprint.hex(),
+    )
+    digest = hashlib.sha256("\0".join(parts).encode())
+    return digest.hexdigest()[:ID_CHARACTERS]
--- /dev/null
+++ b/firworks/kernel/requests.py
@@ -0,0 +1,376 @@
+"""The life of a request: arrival, claim, stages, and its one final answer."""
+
+from functools import singledispatchmethod
+from heapq import heappop, heappush
+
+from firworks.codes import Code
+from firworks.kernel.answers import (
+    decode_answer,
+    encode_answer,
+    finish_failed,
+    finish_whole,
+)
+from firworks.kernel.arrivals import make_request, may_be_resend, refuse_arrival
+from firworks.kernel.callers import CallerLeft, RequestArrived, ResultAsked
+from firworks.kernel.calls import (
+    CallAnswered,
+    CallEnded,
+    CallFailed,
+    CallPart,
+    CallPlaced,
+    CallRejected,
+    HedgeWanted,
+)
+from firworks.kernel.claims import (
+    CLAIM_EXPIRED,
+    CLAIM_FULL,
+    CLAIM_IN_PROGRESS,
+    CLAIM_OUTCOME,
+    CLAIM_REUSED,
+    CLAIM_UNAVAILABLE,
+    CLAIM_UNKNOWN,
+    ClaimRefused,
+    ClaimReleased,
+    ClaimRequested,
+    ClaimWon,
+    DeferAccepted,
+    DeferredDone,
+    DeferredReady,
+    DeferRefused,
+    OutcomeReached,
+    OutcomeUnknown,
+    ResultFound,
+    WorkKey,
+)
+from firworks.kernel.deferrals import Deferrals
+from firworks.kernel.fleet import ConfigurationAccepted, DrainStarted
+from firworks.kernel.messages import RequestFinished, Tick
+from firworks.kernel.node import Part
+from firworks.kernel.stages import LATE_OUTCOME_GRACE_S, StageRunner
+
+RESULT_RETRY_AFTER_S = 1.0
+DECISION_GRACE_S = 1.0
+
+DELIVERED_CODES = (Code.OK, Code.ACCEPTED, Code.REPLAYED)
+
+# States in which the ledger does not know the fate of earlier sends of the key.
+UNDECIDED_STATES = (CLAIM_UNAVAILABLE, CLAIM_EXPIRED)
+
+# What a caller is told when its claim was refused, and whether the work can have
+# begun in this or an earlier request with the same key.
+_CLAIM_ANSWERS = {
+    CLAIM_UNKNOWN: (Code.OUTCOME_UNKNOWN, True),
+    CLAIM_IN_PROGRESS: (Code.IN_PROGRESS, True),
+    CLAIM_REUSED: (Code.IDEMPOTENCY_KEY_REUSED, False),
+    CLAIM_EXPIRED: (Code.IDEMPOTENCY_KEY_EXPIRED, False),
+    CLAIM_UNAVAILABLE: (Code.LEDGER_UNAVAILABLE, False),
+    CLAIM_FULL: (Code.LEDGER_FULL, False),
+}
+
+
+class Requests(Part):
+    """Serves requests; the last part, so that others see each event before it.
+
+    Args:
+        incarnation (str): Unique name of this run of the daemon.
+        budgets (StageBudgets): Splits the remaining time over the stages.
+        ledger (Ledger): Asked again right before work that may not repeat.
+        limits (AccountLimits): Admits requests of client accounts.
+        quarantine (Quarantine): Knows requests that crash targets.
+    """
+
+    def __init__(self, incarnation, budgets, ledger, limits, quarantine):
+        self.incarnation = incarnation
+        self.budgets = budgets
+        self.ledger = ledger
+        self.limits = limits
+        self.quarantine = quarantine
+        self.runner = StageRunner(incarnation, budgets, self)
+        self.deferrals = Deferrals(self)
+        self.requests = {}
+        self.document = None
+        self.version = 0
+        self.draining = False
+        self._by_claim = {}
+        self._deadlines = []
+
+    @property
+    def ready(self):
+        """Whether new requests are taken."""
+        return self.document is not None and not self.draining
+
+    @property
+    def idle(self):
+        """Whether no request is in progress."""
+        return not self.requests
+
+    @singledispatchmethod
+    def handle(self, event, now):
+        """Take one event; see `Part`."""
+        return []
+
+    @handle.register
+    def _(self, event: ConfigurationAccepted, now):
+        self.document = event.document
+        self.version = event.version
+        return []
+
+    @handle.register
+    def _(self, event: DrainStarted, now):
+        self.draining = True
+        return []
+
+    @handle.register
+    def _(self, event: RequestArrived, now):
+        code = refuse_arrival(event, self.document, self.draining)
+        if code is not None:
+            return [self._refuse_with(event, code, 0.0)]
+        request = make_request(event, self.document, self.version, now)
+        refusal = self._refuse(event, request, now)
+        if refusal is not None:
+            return [refusal]
+        self.add(request)
+        if request.pipeline.deferred:
+            return self.deferrals.ask(request, event.idempotency_key)
+        if not request.pipeline.repeatable:
+            return self._claim(request, event)
+        return self.runner.start_stage(request, 0, None, now)
+
+    @handle.register
+    def _(self, event: DeferAccepted | DeferRefused, now):
+        return self.deferrals.decide(event, now)
+
+    @handle.register
+    def _(self, event: DeferredReady, now):
+        return self.deferrals.run(event, now)
+
+    @handle.register
+    def _(self, event: ResultAsked, now):
+        return self.deferrals.look_up(event)
+
+    @handle.register
+    def _(self, event: ResultFound, now):
+        return self.deferrals.report(event)
+
+    @handle.register
+    def _(self, event: CallerLeft, now):
+        request = self.requests.get(event.request_id)
+        if request is None:
+            return []
+        request.caller = False
+        # Work that may not repeat, and what must arrive, go on without the caller.
+        if request.pipeline.deferred or not request.pipeline.repeatable:
+            return []
+        return self.fail(request, Code.CANCELLED, now)
+
+    @handle.register
+    def _(self, event: ClaimWon, now):
+        request = self._by_claim.get(event.claim_id)
+        if request is None:
+            return [ClaimReleased(event.claim_id)]
+        request.claimed = True
+        return self.runner.start_stage(request, 0, None, now)
+
+    @handle.register
+    def _(self, event: ClaimRefused, now):
+        request = self._by_claim.pop(event.claim_id, None)
+        if request is None:
+            return []
+        request.claim_id = ""
+        if event.state == CLAIM_OUTCOME:
+            answer = decode_answer(event.answer)
+            return self.finish(request, finish_whole("", answer, Code.REPLAYED), now)
+        code, began = _CLAIM_ANSWERS[event.state]
+        if event.state in UNDECIDED_STATES:
+            began = request.resent
+        return self.finish(request, finish_failed("", code, began), now)
+
+    @handle.register
+    def _(self, event: CallPlaced, now):
+        return self.runner.place_call(event, now)
+
+    @handle.register
+    def _(self, event: CallRejected, now):
+        return self.runner.reject_call(event, now)
+
+    @handle.register
+    def _(self, event: HedgeWanted, now):
+        return self.runner.hedge_call(event, now)
+
+    @handle.register
+    def _(self, event: CallPart, now):
+        return self.runner.take_part(event, now)
+
+    @handle.register
+    def _(self, event: CallAnswered, now):
+        return self.runner.take_answer(event, now)
+
+    @handle.register
+    def _(self, event: CallFailed, now):
+        return self.runner.take_failure(event, now)
+
+    @handle.register
+    def _(self, event: CallEnded, now):
+        return self.runner.retry_or_fail(event, now)
+
+    @handle.register
+    def _(self, event: Tick, now):
+        results = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request_id = heappop(self._deadlines)
+            request = self.requests.get(request_id)
+            if request is not None:
+                results.extend(self._pass_deadline(request, now))
+        return results
+
+    # What the stage runner asks.
+
+    def may_dispatch(self, request, now):
+        """Whether the request's claim still allows work that may not repeat."""
+        return request.claimed and self.ledger.may_dispatch(request.claim_id, now)
+
+    def expire_claim(self, request, now):
+        """End a request whose key left the window before it was dispatched."""
+        return self.fail(request, Code.IDEMPOTENCY_KEY_EXPIRED, now)
+
+    def check_quarantine(self, request, now):
+        """Return the code that refuses a suspected request, or None."""
+        verdict = self.quarantine.check(request.fingerprint, now)
+        request.alone = verdict.alone
+        return Code.QUARANTINED if verdict.refused else None
+
+    def complete(self, request, answer, now):
+        """End a request with its whole answer."""
+        results = []
+        if request.claim_id:
+            results.append(OutcomeReached(request.claim_id, encode_answer(answer)))
+        if request.deferral_id:
+            results.append(DeferredDone(request.deferral_id, encode_answer(answer)))
+        return results + self.finish(request, finish_whole("", answer), now)
+
+    def fail(self, request, code, now, detail="", retry_after_s=0.0):
+        """End a request without an answer."""
+        results = self.runner.cancel_calls(request, now)
+        if request.claim_id and request.dispatched:
+            results.append(OutcomeUnknown(request.claim_id))
+            code = Code.OUTCOME_UNKNOWN
+        elif request.claim_id:
+            results.append(ClaimReleased(request.claim_id))
+        if request.deferral_id:
+            results.append(DeferredDone(request.deferral_id, b""))
+        began = request.may_have_begun
+        ending = finish_failed("", code, began, detail, retry_after_s)
+        return results + self.finish(request, ending, now)
+
+    def end_all(self, now):
+        """End all requests in progress at once, as the daemon must stop."""
+        results = []
+        for request in list(self.requests.values()):
+            results.extend(self.fail(request, Code.SHUT_DOWN, now))
+        return results
+
+    def add(self, request):
+        """Remember a request until it ends; its deadline is watched."""
+        self.requests[request.request_id] = request
+        heappush(self._deadlines, (request.deadline_s, request.request_id))
+
+    def finish(self, request, ending, now):
+        """Forget a request and send `ending` unless it was answered before."""
+        del self.requests[request.request_id]
+        self.deferrals.forget(request.request_id)
+        self._by_claim.pop(request.claim_id, None)
+        if not request.deferral_id:
+            self.limits.finish(request.account.name, now)
+        results = self._answer(request, ending)
+        results.append(self._summarize(request, now))
+        return results
+
+    # Arrival.
+
+    def _refuse(self, event, request, now):
+        """Return the action that refuses a new request, or None to admit it."""
+        verdict = self.quarantine.check(request.fingerprint, now)
+        if verdict.refused:
+            return self._refuse_with(event, Code.QUARANTINED, verdict.retry_after_s)
+        request.alone = verdict.alone
+        remaining_s = request.deadline_s - now
+        waits = request.pipeline.deferred
+        if not waits and not self.budgets.can_meet(request.pipeline, remaining_s):
+            return self._refuse_with(event, Code.DEADLINE_TOO_SHORT, 0.0)
+        admission = self.limits.try_admit(request.account.name, now)
+        if admission.code is not None:
+            return self._refuse_with(event, admission.code, admission.retry_after_s)
+        return None
+
+    def _refuse_with(self, event, code, retry_after_s):
+        return finish_failed(
+            event.request_id,
+            code,
+            began=may_be_resend(event),
+            retry_after_s=retry_after_s,
+        )
+
+    def _claim(self, request, event):
+        request.claim_id = f"{self.incarnation}/{request.request_id}"
+        self._by_claim[request.claim_id] = request
+        account = request.account.name
+        key = WorkKey(account, request.pipeline.name, event.idempotency_key)
+        claim = ClaimRequested(
+            claim_id=request.claim_id,
+            key=key,
+            fingerprint=request.fingerprint,
+            issued_s=event.issued_s,
+            deadline_s=request.deadline_s,
+        )
+        return [claim]
+
+    # Ending.
+
+    def _pass_deadline(self, request, now):
+        if request.claim_pending or request.request_id in self.deferrals.waiting:
+            return self._await_decision(request, now)
+        if request.dispatched and request.code is None:
+            return self._answer_late_work(request, now)
+        return self.fail(request, Code.DEADLINE_EXCEEDED, now)
+
+    def _await_decision(self, request, now):
+        """Let the ledger say what became of the request, but not for long."""
+        if now >= request.deadline_s + DECISION_GRACE_S:
+            request.begun.add(0)
+            return self.fail(request, Code.OUTCOME_UNKNOWN, now)
+        retry_s = request.deadline_s + DECISION_GRACE_S
+        heappush(self._deadlines, (retry_s, request.request_id))
+        return []
+
+    def _answer_late_work(self, request, now):
+        """Answer the caller now; the outcome is still awaited and will be kept."""
+        ending = finish_failed(
+            "", Code.IN_PROGRESS, began=True, retry_after_s=RESULT_RETRY_AFTER_S
+        )
+        limit_s = request.deadline_s + LATE_OUTCOME_GRACE_S
+        heappush(self._deadlines, (limit_s, request.request_id))
+        return self._answer(request, ending)
+
+    def _answer(self, request, ending):
+        if request.code is not None:
+            return []
+        request.code = ending.code
+        if not request.caller:
+            return []
+        return [ending.replace(request_id=request.request_id)]
+
+    def _summarize(self, request, now):
+        first_s = 0.0
+        if request.first_token_s:
+            first_s = request.first_token_s - request.arrived_s
+        delivered = request.code in DELIVERED_CODES and request.caller
+        return RequestFinished(
+            request_id=request.request_id,
+            pipeline=request.pipeline.name,
+            account=request.account.name,
+            code=request.code,
+            met=delivered and now <= request.deadline_s,
+            latency_s=now - request.arrived_s,
+            first_token_s=first_s,
+            costs=tuple(request.costs),
+        )
