--- /dev/null
+++ b/firworks/burn.py
@@ -0,0 +1,217 @@
+"""Error-budget burn, attainment and cost by stage of one daemon.
+
+Counts live in memory only: a restarted daemon begins anew, and each window says
+how many of its seconds the daemon has seen.
+"""
+
+from firworks.codes import Code
+from firworks.kernel.messages import Struct
+
+# Window name, bucket width in seconds, number of buckets.
+WINDOWS = (("5m", 10, 30), ("1h", 60, 60), ("6h", 300, 72), ("3d", 3600, 72))
+WINDOW_S = {name: width * count for name, width, count in WINDOWS}
+
+MAX_PIPELINES = 64
+MAX_STAGES = 16
+OTHER = "other"
+
+# Endings that say nothing about the service: the caller's own errors and limits,
+# and acceptances, whose answers are counted when they are delivered.
+EXCLUDED = frozenset(
+    {
+        Code.ACCEPTED,
+        Code.MALFORMED_REQUEST,
+        Code.UNAUTHENTICATED,
+        Code.UNKNOWN_PIPELINE,
+        Code.BODY_TOO_LARGE,
+        Code.HEADERS_TOO_LARGE,
+        Code.REQUEST_TIMEOUT,
+        Code.IDEMPOTENCY_KEY_REQUIRED,
+        Code.IDEMPOTENCY_KEY_REUSED,
+        Code.IDEMPOTENCY_KEY_EXPIRED,
+        Code.RATE_LIMITED,
+        Code.CONCURRENCY_LIMITED,
+        Code.UNKNOWN_RESULT,
+        Code.FORBIDDEN,
+        Code.CANCELLED,
+    }
+)
+
+
+class StageSum(Struct):
+    """Summed cost of a stage: `seconds` of target time and `price`."""
+
+    __slots__ = ("stage", "seconds", "price")
+    DEFAULTS = {"seconds": 0.0, "price": 0.0}
+
+
+class WindowSum(Struct):
+    """What one window counted.
+
+    Attributes:
+        window (str): Name of the window, one of ``WINDOW_S``.
+        covered_s (float): Seconds of the window that the counts cover, summed over
+            daemons when merged.
+        total (int): Requests that count towards the objective.
+        met (int): Of these, answered whole within their deadline.
+        excluded (int): Requests that ended by the caller's own doing.
+        stages (tuple of StageSum): Cost by stage.
+    """
+
+    __slots__ = ("window", "covered_s", "total", "met", "excluded", "stages")
+    DEFAULTS = {"covered_s": 0.0, "total": 0, "met": 0, "excluded": 0, "stages": ()}
+
+
+class PipelineBurn(Struct):
+    """A pipeline's `objective` (float) and `windows` (tuple of WindowSum)."""
+
+    __slots__ = ("pipeline", "objective", "windows")
+
+
+class BurnSnapshot(Struct):
+    """The counts of one daemon at one moment.
+
+    Attributes:
+        daemon (str): Name of the daemon.
+        incarnation (str): Its incarnation; a restart gives a new one.
+        version (int): Configuration version that the objectives are from.
+        taken_s (float): Wall time of the snapshot, in seconds since the epoch.
+        since_s (float): Wall time from which the daemon has counted.
+        pipelines (tuple of PipelineBurn): Sorted by name.
+    """
+
+    __slots__ = ("daemon", "incarnation", "version", "taken_s", "since_s", "pipelines")
+
+
+class _Bucket:
+    __slots__ = ("index", "total", "met", "excluded", "stages")
+
+    def __init__(self):
+        self.clear(-1)
+
+    def clear(self, index):
+        self.index = index
+        self.total = 0
+        self.met = 0
+        self.excluded = 0
+        self.stages = {}
+
+    def add(self, finished):
+        if finished.code in EXCLUDED:
+            self.excluded += 1
+        else:
+            self.total += 1
+            self.met += bool(finished.met)
+        for cost in finished.costs:
+            name = _bounded(cost.stage, self.stages, MAX_STAGES)
+            seconds, price = self.stages.get(name, (0.0, 0.0))
+            self.stages[name] = (seconds + cost.seconds, price + cost.price)
+
+
+class _Ring:
+    """Buckets of one window; the oldest is reused."""
+
+    __slots__ = ("name", "width_s", "buckets", "newest")
+
+    def __init__(self, name, width_s, count):
+        self.name = name
+        self.width_s = width_s
+        self.buckets = [_Bucket() for _ in range(count)]
+        self.newest = 0
+
+    def advance(self, wall_s):
+        # A wall clock that steps back keeps counting in the newest bucket.
+        self.newest = max(self.newest, int(wall_s // self.width_s))
+        return self.newest
+
+    def add(self, finished, wall_s):
+        index = self.advance(wall_s)
+        bucket = self.buckets[index % len(self.buckets)]
+        if bucket.index != index:
+            bucket.clear(index)
+        bucket.add(finished)
+
+    def sum(self, since_s, wall_s):
+        oldest = self.advance(wall_s) - len(self.buckets)
+        current = [bucket for bucket in self.buckets if bucket.index > oldest]
+        covered_s = min(max(wall_s - since_s, 0.0), WINDOW_S[self.name])
+        return WindowSum(
+            self.name,
+            covered_s=covered_s,
+            total=sum(bucket.total for bucket in current),
+            met=sum(bucket.met for bucket in current),
+            excluded=sum(bucket.excluded for bucket in current),
+            stages=_sum_stages(current),
+        )
+
+
+class BurnRecorder:
+    """Counts finished requests in bounded buckets per pipeline.
+
+    Args:
+        daemon (str): Name of the daemon.
+        incarnation (str): Its incarnation.
+        wall_s (float): Wall time of the start, in seconds since the epoch.
+    """
+
+    def __init__(self, daemon, incarnation, wall_s):
+        self.daemon = daemon
+        self.incarnation = incarnation
+        self.since_s = wall_s
+        self.version = 0
+        self._objectives = {}
+        self._rings = {}
+
+    def set_document(self, version, document):
+        """Take the objectives of a newly accepted configuration."""
+        self.version = version
+        self._objectives = {
+            name: pipeline.objective for name, pipeline in document.pipelines.items()
+        }
+        for name in list(self._rings):
+            if name not in self._objectives and name != OTHER:
+                del self._rings[name]
+
+    def record(self, finished, wall_s):
+        """Count one request.
+
+        Args:
+            finished (RequestFinished): Its end.
+            wall_s (float): Wall time of the end, in seconds since the epoch.
+        """
+        name = _bounded(finished.pipeline or OTHER, self._rings, MAX_PIPELINES)
+        rings = self._rings.get(name)
+        if rings is None:
+            rings = self._rings[name] = [_Ring(*window) for window in WINDOWS]
+        for ring in rings:
+            ring.add(finished, wall_s)
+
+    def take_snapshot(self, wall_s):
+        """Return the counts at `wall_s` as a `BurnSnapshot`."""
+        pipelines = tuple(
+            PipelineBurn(
+                name,
+                self._objectives.get(name, 0.0),
+                tuple(ring.sum(self.since_s, wall_s) for ring in self._rings[name]),
+            )
+            for name in sorted(self._rings)
+        )
+        return BurnSnapshot(
+            self.daemon, self.incarnation, self.version, wall_s, self.since_s, pipelines
+        )
+
+
+def _bounded(name, known, limit):
+    """Return `name`, or ``OTHER`` when it is new and the table is full."""
+    if name in known or len(known) < limit - 1:
+        return name
+    return OTHER
+
+
+def _sum_stages(buckets):
+    sums = {}
+    for bucket in buckets:
+        for name, (seconds, price) in bucket.stages.items():
+            before = sums.get(name, (0.0, 0.0))
+            sums[name] = (before[0] + seconds, before[1] + price)
+    return tuple(StageSum(name, *sums[name]) for name in sorted(sums))
--- /dev/null
+++ b/firworks/metrics.py
@@ -0,0 +1,235 @@
+"""Metrics of one daemon; docs/METRICS.md lists them.
+
+Each daemon has its own collector registry, so that several can run in one
+process. Label values are bounded: no metric is labelled by client account,
+request or target.
+"""
+
+from functools import singledispatchmethod
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+)
+
+from firworks.kernel.calls import CallAnswered, CallFailed, CancelCall, StartCall
+from firworks.kernel.messages import (
+    AppendFailed,
+    AppendRecords,
+    LogCatalogued,
+    LogReadFailed,
+    PeerConnected,
+    PeerDisconnected,
+    PeerReceived,
+    RecordsAppended,
+    RequestFinished,
+    SendPeer,
+)
+
+MAX_LABEL_VALUES = 64
+OTHER = "other"
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.2, 2, 4, 8, 16, 60)
+
+
+class LabelValues:
+    """Bounds the values of one label: names beyond the limit become ``OTHER``."""
+
+    def __init__(self, limit=MAX_LABEL_VALUES):
+        self._limit = limit
+        self._seen = set()
+
+    def bound(self, name):
+        """Return `name`, or ``OTHER`` when it is empty or one name too many."""
+        if name in self._seen:
+            return name
+        if not name or len(self._seen) >= self._limit:
+            return OTHER
+        self._seen.add(name)
+        return name
+
+
+class Metrics:
+    """The metrics of one daemon.
+
+    ``observe`` takes each event that enters the kernel and each action that leaves
+    it; gauges of the daemon's state are set by their own methods.
+
+    Attributes:
+        registry (CollectorRegistry): For exposition.
+    """
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self._pipelines = LabelValues()
+        self._stages = LabelValues()
+        self._streams = LabelValues()
+        self._add_request_metrics()
+        self._add_call_metrics()
+        self._add_log_metrics()
+        self._add_daemon_metrics()
+
+    def _counter(self, name, text, labels=()):
+        return Counter(f"firworks_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name, text, labels=()):
+        return Gauge(f"firworks_{name}", text, labels, registry=self.registry)
+
+    def _histogram(self, name, text, labels):
+        return Histogram(
+            f"firworks_{name}",
+            text,
+            labels,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+    def _add_request_metrics(self):
+        self.requests = self._counter(
+            "requests", "Requests ended, by result code.", ("pipeline", "code")
+        )
+        self.met = self._counter(
+            "requests_met", "Requests answered whole within deadline.", ("pipeline",)
+        )
+        self.latency = self._histogram(
+            "request_latency_seconds", "From arrival to the end.", ("pipeline",)
+        )
+        self.first_token = self._histogram(
+            "first_token_seconds", "From arrival to the first token.", ("pipeline",)
+        )
+        self.stage_seconds = self._counter(
+            "stage_seconds", "Target time spent.", ("pipeline", "stage")
+        )
+        self.stage_cost = self._counter(
+            "stage_cost", "Cost at the document's prices.", ("pipeline", "stage")
+        )
+
+    def _add_call_metrics(self):
+        self.calls = self._counter("calls", "Stage calls started.", ("kind",))
+        self.calls_answered = self._counter("calls_answered", "Calls answered whole.")
+        self.calls_failed = self._counter(
+            "calls_failed", "Calls without a whole answer.", ("result",)
+        )
+        self.calls_cancelled = self._counter("calls_cancelled", "Calls cancelled.")
+
+    def _add_log_metrics(self):
+        self.appends = self._counter(
+            "log_appends", "Appends sent to the log service.", ("stream",)
+        )
+        self.records = self._counter(
+            "log_records", "Records sent to the log service.", ("stream",)
+        )
+        self.appended = self._counter(
+            "log_appends_confirmed", "Appends confirmed.", ("stream",)
+        )
+        self.append_failures = self._counter(
+            "log_appends_failed", "Appends without a confirmation.", ("stream",)
+        )
+        self.read_failures = self._counter(
+            "log_reads_failed", "Reads without an answer.", ("stream",)
+        )
+
+    def _add_daemon_metrics(self):
+        self.peer_sent = self._counter(
+            "peer_messages_sent", "Messages sent to peers.", ("type",)
+        )
+        self.peer_received = self._counter(
+            "peer_messages_received", "Messages received from peers.", ("type",)
+        )
+        self.peers = self._gauge("peers_connected", "Open connections to peers.")
+        self.log_events = self._counter(
+            "log_events", "Catalogued log events written.", ("event",)
+        )
+        self.ready = self._gauge("ready", "1 while the daemon is ready, else 0.")
+        self.in_progress = self._gauge("requests_in_progress", "Requests in progress.")
+        self.version = self._gauge(
+            "configuration_version", "Configuration version in force."
+        )
+
+    @singledispatchmethod
+    def observe(self, item):
+        """Take note of an event that entered, or an action that left, the kernel."""
+
+    @observe.register
+    def _(self, item: RequestFinished):
+        pipeline = self._pipelines.bound(item.pipeline)
+        self.requests.labels(pipeline, item.code.name).inc()
+        self.latency.labels(pipeline).observe(item.latency_s)
+        if item.met:
+            self.met.labels(pipeline).inc()
+        if item.first_token_s > 0:
+            self.first_token.labels(pipeline).observe(item.first_token_s)
+        for cost in item.costs:
+            stage = self._stages.bound(cost.stage)
+            self.stage_seconds.labels(pipeline, stage).inc(cost.seconds)
+            self.stage_cost.labels(pipeline, stage).inc(cost.price)
+
+    @observe.register
+    def _(self, item: StartCall):
+        self.calls.labels(item.kind).inc()
+
+    @observe.register
+    def _(self, item: CallAnswered):
+        self.calls_answered.inc()
+
+    @observe.register
+    def _(self, item: CallFailed):
+        self.calls_failed.labels(item.result).inc()
+
+    @observe.register
+    def _(self, item: CancelCall):
+        self.calls_cancelled.inc()
+
+    @observe.register
+    def _(self, item: AppendRecords):
+        stream = self._streams.bound(item.stream)
+        self.appends.labels(stream).inc()
+        self.records.labels(stream).inc(len(item.records))
+
+    @observe.register
+    def _(self, item: RecordsAppended):
+        self.appended.labels(self._streams.bound(item.stream)).inc()
+
+    @observe.register
+    def _(self, item: AppendFailed):
+        self.append_failures.labels(self._streams.bound(item.stream)).inc()
+
+    @observe.register
+    def _(self, item: LogReadFailed):
+        self.read_failures.labels(self._streams.bound(item.stream)).inc()
+
+    @observe.register
+    def _(self, item: SendPeer):
+        self.peer_sent.labels(type(item.message).__name__).inc()
+
+    @observe.register
+    def _(self, item: PeerReceived):
+        self.peer_received.labels(type(item.message).__name__).inc()
+
+    @observe.register
+    def _(self, item: PeerConnected):
+        self.peers.inc()
+
+    @observe.register
+    def _(self, item: PeerDisconnected):
+        self.peers.dec()
+
+    @observe.register
+    def _(self, item: LogCatalogued):
+        self.log_events.labels(item.event.name).inc()
+
+    def set_state(self, ready, in_progress, version):
+        """Set the gauges of the daemon's state.
+
+        Args:
+            ready (bool): Whether the daemon is ready.
+            in_progress (int): Requests in progress.
+            version (int): Configuration version in force; 0 for none.
+        """
+        self.ready.set(1 if ready else 0)
+        self.in_progress.set(in_progress)
+        self.version.set(version)
