Add the admin listener, log formats and HTTP statuses of result codes

Cause: operators had no listener of their own, and logs one form. Change: plugins/admin.py serves readiness, metrics, burn, status, ledger and drain for an AdminView; configure_logs writes text or JSON lines; Code.http_status.

--- a/firworks/burn.py
+++ b/firworks/burn.py
@@ -1,7 +1,7 @@
 """Error-budget burn, attainment and cost by stage of one daemon.
 
-Counts live in memory only: a restarted daemon begins anew, and each window says
-how many of its seconds the daemon has seen.
+Counts live in memory only: a restarted daemon begins anew, and its snapshot says
+since when it has counted.
 """
 
 from firworks.codes import Code
@@ -50,16 +50,14 @@
 
     Attributes:
         window (str): Name of the window, one of ``WINDOW_S``.
-        covered_s (float): Seconds of the window that the counts cover, summed over
-            daemons when merged.
         total (int): Requests that count towards the objective.
         met (int): Of these, answered whole within their deadline.
         excluded (int): Requests that ended by the caller's own doing.
         stages (tuple of StageSum): Cost by stage.
     """
 
-    __slots__ = ("window", "covered_s", "total", "met", "excluded", "stages")
-    DEFAULTS = {"covered_s": 0.0, "total": 0, "met": 0, "excluded": 0, "stages": ()}
+    __slots__ = ("window", "total", "met", "excluded", "stages")
+    DEFAULTS = {"total": 0, "met": 0, "excluded": 0, "stages": ()}
 
 
 class PipelineBurn(Struct):
@@ -131,13 +129,11 @@
             bucket.clear(index)
         bucket.add(finished)
 
-    def sum(self, since_s, wall_s):
+    def sum(self, wall_s):
         oldest = self.advance(wall_s) - len(self.buckets)
         current = [bucket for bucket in self.buckets if bucket.index > oldest]
-        covered_s = min(max(wall_s - since_s, 0.0), WINDOW_S[self.name])
         return WindowSum(
             self.name,
-            covered_s=covered_s,
             total=sum(bucket.total for bucket in current),
             met=sum(bucket.met for bucket in current),
             excluded=sum(bucket.excluded for bucket in current),
@@ -192,7 +188,7 @@
             PipelineBurn(
                 name,
                 self._objectives.get(name, 0.0),
-                tuple(ring.sum(self.since_s, wall_s) for ring in self._rings[name]),
+                tuple(ring.sum(wall_s) for ring in self._rings[name]),
             )
             for name in sorted(self._rings)
         )
--- a/firworks/codes.py
+++ b/firworks/codes.py
@@ -55,3 +55,56 @@
     PEER_REFUSED = 5005
     USAGE = 5006
     DAEMON_UNREACHABLE = 5007
+
+    @property
+    def http_status(self):
+        """The HTTP status (int) that an answer with this code carries."""
+        return _HTTP_STATUS.get(self, _HTTP_STATUS_DEFAULT)
+
+
+_HTTP_STATUS_DEFAULT = 500
+
+_HTTP_STATUS = {
+    Code.OK: 200,
+    Code.ACCEPTED: 202,
+    Code.REPLAYED: 200,
+    Code.MALFORMED_REQUEST: 400,
+    Code.UNAUTHENTICATED: 401,
+    Code.UNKNOWN_PIPELINE: 404,
+    Code.BODY_TOO_LARGE: 413,
+    Code.HEADERS_TOO_LARGE: 431,
+    Code.REQUEST_TIMEOUT: 408,
+    Code.IDEMPOTENCY_KEY_REQUIRED: 400,
+    Code.IDEMPOTENCY_KEY_REUSED: 422,
+    Code.IDEMPOTENCY_KEY_EXPIRED: 400,
+    Code.RATE_LIMITED: 429,
+    Code.CONCURRENCY_LIMITED: 429,
+    Code.DEADLINE_TOO_SHORT: 503,
+    Code.OVERLOADED: 503,
+    Code.NO_TARGET: 503,
+    Code.QUARANTINED: 422,
+    Code.DRAINING: 503,
+    Code.NOT_CONFIGURED: 503,
+    Code.LEDGER_UNAVAILABLE: 503,
+    Code.LEDGER_FULL: 503,
+    Code.UNKNOWN_RESULT: 404,
+    Code.FORBIDDEN: 403,
+    Code.DEADLINE_EXCEEDED: 504,
+    Code.TARGET_FAILED: 502,
+    Code.TARGET_REFUSED: 502,
+    Code.INCOMPLETE_ANSWER: 502,
+    Code.CANCELLED: 499,
+    Code.SHUT_DOWN: 503,
+    Code.INTERNAL: 500,
+    # Not a status that clients and balancers retry on their own.
+    Code.OUTCOME_UNKNOWN: 500,
+    Code.IN_PROGRESS: 409,
+    Code.DOCUMENT_INVALID: 422,
+    Code.BASE_SUPERSEDED: 409,
+    Code.NOT_PROMOTABLE: 409,
+    Code.LOG_UNAVAILABLE: 503,
+    Code.MALFORMED_RECORD: 400,
+    Code.PEER_REFUSED: 403,
+    Code.USAGE: 400,
+    Code.DAEMON_UNREACHABLE: 502,
+}
--- a/firworks/events.py
+++ b/firworks/events.py
@@ -1,9 +1,13 @@
 """Numbered log events, written through loguru; see docs/EVENTS.md."""
 
+import json
+import sys
 from enum import IntEnum
 
 from loguru import logger
 
+TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}"
+
 
 class LogEvent(IntEnum):
     """A catalogued log event.
@@ -18,12 +22,17 @@
     DAEMON_STOPPED = 103
     DAEMON_DRAIN_TIMEOUT = 104
     PART_FAILED = 105
+    ADMIN_FAILED = 106
+    DRAIN_REQUESTED = 107
+    KEY_RESOLVED = 108
 
 
 # Levels of events that are not informational.
 LEVELS = {
     LogEvent.DAEMON_DRAIN_TIMEOUT: "WARNING",
     LogEvent.PART_FAILED: "ERROR",
+    LogEvent.ADMIN_FAILED: "ERROR",
+    LogEvent.KEY_RESOLVED: "WARNING",
 }
 
 
@@ -38,3 +47,32 @@
     text = " ".join(f"{name}={value}" for name, value in fields.items())
     bound = logger.bind(event=int(event), event_name=event.name, **fields)
     bound.log(level, "{:03d} {} {}", int(event), event.name, text)
+
+
+def configure_logs(log_format, sink=None):
+    """Send all logs to one sink, as text or as JSON lines.
+
+    Args:
+        log_format (str): "text" or "json", from settings.
+        sink (file or callable): Standard error when None.
+    """
+    sink = sys.stderr if sink is None else sink
+    logger.remove()
+    if log_format == "json":
+        logger.add(sink, format=_format_json, backtrace=False, diagnose=False)
+    else:
+        logger.add(sink, format=TEXT_FORMAT, backtrace=False, diagnose=False)
+
+
+def _format_json(record):
+    line = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "message": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    record["extra"]["_line"] = json.dumps(line, default=str)
+    # loguru formats the returned template, so the line itself goes in as a value.
+    return "{extra[_line]}\n"
--- /dev/null
+++ b/firworks/plugins/admin.py
@@ -0,0 +1,185 @@
+"""The admin listener: readiness, metrics, burn, ledger and drain, over HTTP."""
+
+import hmac
+import ipaddress
+import time
+
+from aiohttp import web
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from firworks.admin import RESOLUTION_RAN, RESOLUTIONS
+from firworks.burn_json import pack_struct
+from firworks.codes import Code
+from firworks.errors import FirworksError, RequestError
+from firworks.events import LogEvent, log_event
+from firworks.kernel.claims import WorkKey
+
+BODY_LIMIT_BYTES = 1_048_576
+SHUTDOWN_TIMEOUT_S = 1.0
+
+# Served without the admin secret, for balancers and metric collectors.
+OPEN_PATHS = frozenset({"/live", "/ready", "/metrics"})
+
+
+class HttpAdmin:
+    """Serves operators on a listener of its own.
+
+    Args:
+        settings (Settings): ``admin`` and ``admin_secret`` are used.
+        view (AdminView): The daemon.
+
+    Attributes:
+        port (int): The bound port, once started.
+    """
+
+    def __init__(self, settings, view):
+        self._host, port = settings.admin.rsplit(":", 1)
+        self.port = int(port)
+        self._secret = settings.admin_secret
+        self._view = view
+        self._runner = None
+
+    async def start(self):
+        """Open the listener.
+
+        Raises:
+            OSError: When the address cannot be bound.
+        """
+        app = web.Application(
+            middlewares=[self._answer_errors, self._authorize],
+            client_max_size=BODY_LIMIT_BYTES,
+        )
+        app.add_routes(self._routes())
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._host, self.port).start()
+        self.port = self._runner.addresses[0][1]
+
+    async def stop(self):
+        """Close the listener and its connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def _routes(self):
+        return [
+            web.get("/live", self._get_live),
+            web.get("/ready", self._get_ready),
+            web.get("/metrics", self._get_metrics),
+            web.get("/burn", self._get_burn),
+            web.get("/status", self._get_status),
+            web.get("/ledger", self._get_ledger),
+            web.post("/ledger/resolve", self._post_resolve),
+            web.post("/drain", self._post_drain),
+        ]
+
+    @web.middleware
+    async def _answer_errors(self, request, handler):
+        try:
+            return await handler(request)
+        except FirworksError as error:
+            return _answer_code(error.code, str(error))
+        except web.HTTPException as error:
+            code = _CODES_BY_STATUS.get(error.status, Code.USAGE)
+            return _answer_code(code, error.reason, error.status)
+        except Exception as error:  # one failed request must not end the listener
+            log_event(LogEvent.ADMIN_FAILED, path=request.path, error=repr(error))
+            return _answer_code(Code.INTERNAL, "see the daemon's log")
+
+    @web.middleware
+    async def _authorize(self, request, handler):
+        if request.path not in OPEN_PATHS:
+            self._check_secret(request)
+        return await handler(request)
+
+    def _check_secret(self, request):
+        if self._secret:
+            given = request.headers.get("Authorization", "").encode()
+            wanted = f"Bearer {self._secret}".encode()
+            if not hmac.compare_digest(given, wanted):
+                raise RequestError(Code.UNAUTHENTICATED, "wrong admin secret")
+        elif not ipaddress.ip_address(self._host).is_loopback:
+            detail = "without admin_secret only a loopback listener serves this"
+            raise RequestError(Code.FORBIDDEN, detail)
+
+    async def _get_live(self, request):
+        return web.json_response({"live": True})
+
+    async def _get_ready(self, request):
+        ready = self._view.is_ready()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def _get_metrics(self, request):
+        status = self._view.status()
+        metrics = self._view.metrics
+        metrics.set_state(status.ready, status.in_progress, status.version)
+        return web.Response(
+            body=generate_latest(metrics.registry),
+            headers={"Content-Type": CONTENT_TYPE_LATEST},
+        )
+
+    async def _get_burn(self, request):
+        snapshot = self._view.burn.take_snapshot(time.time())
+        return web.json_response(pack_struct(snapshot))
+
+    async def _get_status(self, request):
+        return web.json_response(pack_struct(self._view.status()))
+
+    async def _get_ledger(self, request):
+        status = await self._view.look_up_key(_read_key(request.query))
+        return web.json_response(pack_struct(status))
+
+    async def _post_resolve(self, request):
+        table = await _read_json(request)
+        key = _read_key(table)
+        resolution = _read_text(table, "resolution")
+        if resolution not in RESOLUTIONS:
+            allowed = ", ".join(RESOLUTIONS)
+            detail = f"resolution: {resolution!r}; allowed: {allowed}"
+            raise RequestError(Code.USAGE, detail)
+        answer = _read_text(table, "answer") if resolution == RESOLUTION_RAN else ""
+        status = await self._view.resolve_key(key, resolution, answer)
+        log_event(
+            LogEvent.KEY_RESOLVED,
+            account=key.account,
+            service=key.service,
+            key=key.key,
+            resolution=resolution,
+        )
+        return web.json_response(pack_struct(status))
+
+    async def _post_drain(self, request):
+        log_event(LogEvent.DRAIN_REQUESTED, remote=request.remote)
+        self._view.start_drain()
+        return web.json_response({"draining": True}, status=202)
+
+
+_CODES_BY_STATUS = {413: Code.BODY_TOO_LARGE}
+
+
+def _answer_code(code, detail, status=None):
+    body = {"code": int(code), "name": code.name, "detail": detail}
+    return web.json_response(body, status=status or code.http_status)
+
+
+async def _read_json(request):
+    try:
+        table = await request.json()
+    except ValueError as error:
+        raise RequestError(Code.USAGE, f"body is not JSON: {error}") from error
+    if not isinstance(table, dict):
+        raise RequestError(Code.USAGE, "body must be a JSON object")
+    return table
+
+
+def _read_key(table):
+    return WorkKey(*(_read_text(table, name) for name in WorkKey.fields()))
+
+
+def _read_text(table, name):
+    value = table.get(name)
+    if not isinstance(value, str) or not value:
+        raise RequestError(Code.USAGE, f"{name} is missing or not text")
+    return value
--- a/firworks/settings.py
+++ b/firworks/settings.py
@@ -21,6 +21,8 @@
     "failure_domain": "fd-1",
     "peer_secret": "",
     "peer_secret_file": "",
+    "admin_secret": "",
+    "admin_secret_file": "",
     "tls_certificate": "",
     "tls_key": "",
     "tls_authority": "",
@@ -55,6 +57,8 @@
         "failure_domain": _TEXT,
         "peer_secret": {"type": "string"},
         "peer_secret_file": {"type": "string"},
+        "admin_secret": {"type": "string"},
+        "admin_secret_file": {"type": "string"},
         "tls_certificate": {"type": "string"},
         "tls_key": {"type": "string"},
         "tls_authority": {"type": "string"},
@@ -93,7 +97,8 @@
     """
     check_table(table, SCHEMA, source)
     settings = Settings({**DEFAULTS, **table})
-    _read_secret(settings, source)
+    _read_secret(settings, "peer_secret", source)
+    _read_secret(settings, "admin_secret", source)
     _check_together(settings, source)
     return settings
 
@@ -111,14 +116,16 @@
     return make_settings(parse_toml(data, str(path)), str(path))
 
 
-def _read_secret(settings, source):
-    if settings.peer_secret_file:
+def _read_secret(settings, name, source):
+    """Take a secret from its file or, when settings hold none, the environment."""
+    path = getattr(settings, f"{name}_file")
+    if path:
         try:
-            settings.peer_secret = Path(settings.peer_secret_file).read_text().strip()
-        except OSError as error:
-            raise SettingsError(source, "peer_secret_file", error.strerror) from error
-    if not settings.peer_secret:
-        settings.peer_secret = os.environ.get("FIRWORKS_PEER_SECRET", "")
+            setattr(settings, name, Path(path).read_text().strip())
+        except (OSError, UnicodeDecodeError) as error:
+            raise SettingsError(source, f"{name}_file", str(error)) from error
+    if not getattr(settings, name):
+        setattr(settings, name, os.environ.get(f"FIRWORKS_{name.upper()}", ""))
 
 
 def _check_together(settings, source):
