--- a/firworks/kernel/flights.py
+++ b/firworks/kernel/flights.py
@@ -131,8 +131,9 @@
 
     @property
     def may_have_begun(self):
-        """Whether this or an earlier send may have begun; a won claim rules out
-        earlier ones.
+        """Whether this send, or an earlier one of its key, may have begun.
+
+        A claim that was won rules out earlier sends.
         """
         return bool(self.begun) or (self.resent and not self.claimed)
 
