--- a/firworks/errors.py
+++ b/firworks/errors.py
@@ -49,3 +49,9 @@
         super().__init__(detail)
         self.code = code
         self.detail = detail
+
+
+class LogUnavailableError(FirworksError):
+    """The log service did not confirm; an append may still take effect, even late."""
+
+    code = Code.LOG_UNAVAILABLE
--- a/firworks/events.py
+++ b/firworks/events.py
@@ -19,11 +19,22 @@
     DAEMON_DRAIN_TIMEOUT = 104
     PART_FAILED = 105
 
+    LOG_RECORD_SKIPPED = 400
+    LOG_APPEND_FAILED = 401
+    LOG_READ_FAILED = 402
+    LEDGER_GAP = 403
+    LEDGER_FULL = 404
+
 
 # Levels of events that are not informational.
 LEVELS = {
     LogEvent.DAEMON_DRAIN_TIMEOUT: "WARNING",
     LogEvent.PART_FAILED: "ERROR",
+    LogEvent.LOG_RECORD_SKIPPED: "ERROR",
+    LogEvent.LOG_APPEND_FAILED: "WARNING",
+    LogEvent.LOG_READ_FAILED: "WARNING",
+    LogEvent.LEDGER_GAP: "WARNING",
+    LogEvent.LEDGER_FULL: "WARNING",
 }
 
 
--- /dev/null
+++ b/firworks/plugins/http_log.py
@@ -0,0 +1,135 @@
+"""Adapter to the platform's log service over HTTP."""
+
+import asyncio
+
+import aiohttp
+import cbor2
+
+from firworks.errors import CodecError, LogUnavailableError
+from firworks.events import LogEvent, log_event
+from firworks.kernel.codec import decode_record, encode_record
+from firworks.kernel.messages import LogEntry, LogRead
+
+REQUEST_TIMEOUT_S = 5.0
+
+
+class HttpLog:
+    """Client of the log service.
+
+    An entry is a CBOR array of byte strings, each an encoded record.
+
+    Args:
+        url (str): Base URL of the service.
+        timeout_s (float): Bound on each request.
+    """
+
+    def __init__(self, url, timeout_s=REQUEST_TIMEOUT_S):
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session = None
+
+    async def append(self, stream, records):
+        """Append records as one entry and return its offset.
+
+        Args:
+            stream (str): Name of the stream.
+            records (iterable of Record): What to store.
+
+        Returns:
+            int: The entry's offset.
+
+        Raises:
+            LogUnavailableError: Without a confirmation; it may still take effect.
+        """
+        body = cbor2.dumps([encode_record(record) for record in records])
+        try:
+            async with self._open().post(self._path(stream), data=body) as response:
+                _check_status(response)
+                answer = await response.json()
+                return int(answer["offset"])
+        except _FAILURES as error:
+            raise LogUnavailableError(f"append to {stream}: {error!r}") from error
+
+    async def read(self, stream, offset):
+        """Read a stream.
+
+        Args:
+            stream (str): Name of the stream.
+            offset (int or None): Where to begin; None begins at the oldest entry.
+
+        Returns:
+            LogRead: Records that cannot be decoded are left out of their entries.
+
+        Raises:
+            LogUnavailableError: When the service does not answer as it should.
+        """
+        params = {} if offset is None else {"offset": str(offset)}
+        try:
+            request = self._open().get(self._path(stream), params=params)
+            async with request as response:
+                _check_status(response)
+                body = cbor2.loads(await response.read())
+                entries = tuple(_make_entry(stream, item) for item in body["entries"])
+                return LogRead(stream, offset, body["oldest"], body["head"], entries)
+        except (*_FAILURES, cbor2.CBORDecodeError) as error:
+            raise LogUnavailableError(f"read of {stream}: {error!r}") from error
+
+    async def close(self):
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    def _open(self):
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=self._timeout)
+        return self._session
+
+    def _path(self, stream):
+        return f"{self._url}/streams/{stream}"
+
+
+_FAILURES = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    OSError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
+
+
+def _check_status(response):
+    if response.status != 200:
+        raise ValueError(f"status {response.status}")
+
+
+def _make_entry(stream, item):
+    offset, written_s, data = item
+    records = tuple(_decode_records(stream, offset, data))
+    return LogEntry(offset, float(written_s), records)
+
+
+def _decode_records(stream, offset, data):
+    """Yield the entry's readable records; note each that is not."""
+    try:
+        items = cbor2.loads(data)
+    except Exception as error:  # cbor2 raises many types on malformed input
+        items = [error]
+    if not isinstance(items, list):
+        items = [items]
+    for item in items:
+        try:
+            yield decode_record(item)
+        except (CodecError, TypeError) as error:
+            log_event(
+                LogEvent.LOG_RECORD_SKIPPED,
+                stream=stream,
+                offset=offset,
+                problem=str(error),
+            )
+
+
+def register(registry):
+    """Put the adapter into the registry."""
+    registry.add("log", "http", HttpLog)
--- /dev/null
+++ b/firworks/plugins/log_driver.py
@@ -0,0 +1,82 @@
+"""Carries out the kernel's log actions and feeds the results back."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from firworks.errors import LogUnavailableError
+from firworks.events import LogEvent, log_event
+from firworks.kernel.messages import (
+    AppendFailed,
+    AppendRecords,
+    LogReadFailed,
+    ReadLog,
+    RecordsAppended,
+)
+
+
+class LogDriver:
+    """Runs `AppendRecords` and `ReadLog` against a log service.
+
+    Appends to one stream run one after another, in order; reads run beside them.
+
+    Args:
+        log (HttpLog): Or another adapter with the same methods.
+        feed (callable): Takes each resulting event.
+    """
+
+    def __init__(self, log, feed):
+        self._log = log
+        self._feed = feed
+        self._locks = {}
+        self._tasks = set()
+
+    @singledispatchmethod
+    def carry_out(self, action):
+        """Begin a log action.
+
+        Returns:
+            bool: Whether the action is one for the log service.
+        """
+        return False
+
+    @carry_out.register
+    def _(self, action: AppendRecords):
+        return self._begin(self._append(action))
+
+    @carry_out.register
+    def _(self, action: ReadLog):
+        return self._begin(self._read(action))
+
+    async def close(self):
+        """Cancel what is running and close the adapter."""
+        for task in list(self._tasks):
+            task.cancel()
+        await self._log.close()
+
+    def _begin(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
+
+    async def _append(self, action):
+        lock = self._locks.setdefault(action.stream, asyncio.Lock())
+        async with lock:
+            event = await self._try_append(action)
+        self._feed(event)
+
+    async def _try_append(self, action):
+        try:
+            offset = await self._log.append(action.stream, action.records)
+        except LogUnavailableError as error:
+            log_event(LogEvent.LOG_APPEND_FAILED, problem=str(error))
+            return AppendFailed(action.append_id, action.stream)
+        return RecordsAppended(action.append_id, action.stream, offset)
+
+    async def _read(self, action):
+        try:
+            event = await self._log.read(action.stream, action.offset)
+        except LogUnavailableError as error:
+            log_event(LogEvent.LOG_READ_FAILED, problem=str(error))
+            event = LogReadFailed(action.stream, action.offset)
+        self._feed(event)
