--- a/firworks/events.py
+++ b/firworks/events.py
@@ -27,6 +27,12 @@
     DRAIN_REQUESTED = 107
     KEY_RESOLVED = 108
 
+    LOG_RECORD_SKIPPED = 400
+    LOG_APPEND_FAILED = 401
+    LOG_READ_FAILED = 402
+    LEDGER_GAP = 403
+    LEDGER_FULL = 404
+
 
 # Levels of events that are not informational.
 LEVELS = {
@@ -35,6 +41,11 @@
     LogEvent.ANSWER_MISMATCHED: "WARNING",
     LogEvent.ADMIN_FAILED: "ERROR",
     LogEvent.KEY_RESOLVED: "WARNING",
+    LogEvent.LOG_RECORD_SKIPPED: "ERROR",
+    LogEvent.LOG_APPEND_FAILED: "WARNING",
+    LogEvent.LOG_READ_FAILED: "WARNING",
+    LogEvent.LEDGER_GAP: "WARNING",
+    LogEvent.LEDGER_FULL: "WARNING",
 }
 
 
