--- a/firworks/events.py
+++ b/firworks/events.py
@@ -33,6 +33,10 @@
     LEDGER_GAP = 403
     LEDGER_FULL = 404
 
+    CONFIGURATION_IN_FORCE = 500
+    CONFIGURATION_FORMAT_UNKNOWN = 501
+    CONFIGURATION_LOG_UNREADABLE = 502
+
 
 # Levels of events that are not informational.
 LEVELS = {
@@ -46,6 +50,8 @@
     LogEvent.LOG_READ_FAILED: "WARNING",
     LogEvent.LEDGER_GAP: "WARNING",
     LogEvent.LEDGER_FULL: "WARNING",
+    LogEvent.CONFIGURATION_FORMAT_UNKNOWN: "WARNING",
+    LogEvent.CONFIGURATION_LOG_UNREADABLE: "WARNING",
 }
 
 
