--- /dev/null
+++ b/firworks/kernel/budgets.py
@@ -0,0 +1,107 @@
+"""Time budgets of pipeline stages, from measured latency quantiles."""
+
+from math import log
+
+SMALLEST_S = 0.001
+BUCKET_RATIO = 1.15
+BUCKET_COUNT = 96
+HALVE_AT = 1000.0
+TYPICAL_QUANTILE = 0.5
+SLOW_QUANTILE = 0.9
+FEWEST_SAMPLES = 10
+
+
+class LatencyHistogram:
+    """Latencies in logarithmic buckets; old ones fade as new ones arrive."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self):
+        self.counts = [0.0] * BUCKET_COUNT
+        self.total = 0.0
+
+    def add(self, latency_s):
+        """Count one latency in seconds."""
+        ratio = max(latency_s, SMALLEST_S) / SMALLEST_S
+        index = min(int(log(ratio) / log(BUCKET_RATIO)), BUCKET_COUNT - 1)
+        self.counts[index] += 1.0
+        self.total += 1.0
+        if self.total >= HALVE_AT:
+            self.counts = [count / 2 for count in self.counts]
+            self.total /= 2
+
+    def quantile(self, share):
+        """Return the latency in seconds that `share` of the samples stay below.
+
+        Returns 0 when there are no samples.
+        """
+        if not self.total:
+            return 0.0
+        wanted = share * self.total
+        seen = 0.0
+        for index, count in enumerate(self.counts):
+            seen += count
+            if seen >= wanted:
+                return SMALLEST_S * BUCKET_RATIO ** (index + 0.5)
+        return SMALLEST_S * BUCKET_RATIO**BUCKET_COUNT
+
+
+class StageBudgets:
+    """Divides a request's remaining time among the stages that remain."""
+
+    def __init__(self):
+        self._histograms = {}
+
+    def observe(self, pipeline_name, stage_name, latency_s):
+        """Count the latency of one stage, from request to whole answer.
+
+        Args:
+            pipeline_name (str): The pipeline.
+            stage_name (str): The stage.
+            latency_s (float): Queueing included, in seconds.
+        """
+        key = (pipeline_name, stage_name)
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = self._histograms[key] = LatencyHistogram()
+        histogram.add(latency_s)
+
+    def can_meet(self, pipeline, remaining_s):
+        """Return whether a request of the pipeline can be answered in time.
+
+        Args:
+            pipeline (Pipeline): The pipeline.
+            remaining_s (float): Seconds until the deadline.
+        """
+        needed = self._sum(pipeline, pipeline.stages, TYPICAL_QUANTILE)
+        return remaining_s > needed
+
+    def stage_budget(self, pipeline, stage_index, remaining_s):
+        """Return the seconds that a stage may use.
+
+        Later stages keep what they usually need; when there is not enough for all,
+        each stage gets its proportional share.
+
+        Args:
+            pipeline (Pipeline): The pipeline.
+            stage_index (int): The stage that is about to run.
+            remaining_s (float): Seconds until the deadline.
+        """
+        later = pipeline.stages[stage_index + 1 :]
+        if not later or remaining_s <= 0:
+            return max(remaining_s, 0.0)
+        own = self._need(pipeline, pipeline.stages[stage_index], SLOW_QUANTILE)
+        reserved = self._sum(pipeline, later, SLOW_QUANTILE)
+        if own + reserved <= 0:
+            return remaining_s / (len(later) + 1)
+        proportional = remaining_s * own / (own + reserved)
+        return max(remaining_s - reserved, proportional)
+
+    def _sum(self, pipeline, stages, quantile):
+        return sum(self._need(pipeline, stage, quantile) for stage in stages)
+
+    def _need(self, pipeline, stage, quantile):
+        histogram = self._histograms.get((pipeline.name, stage.name))
+        if histogram is None or histogram.total < FEWEST_SAMPLES:
+            return 0.0
+        return histogram.quantile(quantile)
