--- a/firworks/adapter.py
+++ b/firworks/adapter.py
@@ -9,17 +9,17 @@
         incarnation (str): Unique name of this run of the daemon.
         feed (callable): ``feed(event)`` hands an event to the kernel.
         clock (callable): Returns the kernel's monotonic time, in seconds.
-        registry (Registry): Where adapters and policies are registered.
+        addresses (AddressBook): Where targets and daemons are reached.
     """
 
-    __slots__ = ("settings", "incarnation", "feed", "clock", "registry")
+    __slots__ = ("settings", "incarnation", "feed", "clock", "addresses")
 
-    def __init__(self, settings, incarnation, feed, clock, registry):
+    def __init__(self, settings, incarnation, feed, clock, addresses):
         self.settings = settings
         self.incarnation = incarnation
         self.feed = feed
         self.clock = clock
-        self.registry = registry
+        self.addresses = addresses
 
 
 class Adapter:
--- /dev/null
+++ b/firworks/plugins/caller_protocol.py
@@ -0,0 +1,101 @@
+"""HTTP server protocol that bounds slow and malformed request heads."""
+
+import asyncio
+
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web import Response, Server
+from aiohttp.web_protocol import RequestHandler
+
+from firworks.codes import Code
+from firworks.plugins.caller_answers import JSON_TYPE, make_error_text
+
+
+class BoundedRequestHandler(RequestHandler):
+    """Closes a connection whose request head does not arrive in time.
+
+    Args:
+        head_timeout_s (float): From the first byte of a head, or from the opening
+            of the connection, to the end of the head.
+    """
+
+    def __init__(self, *args, head_timeout_s, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._head_timeout_s = head_timeout_s
+        self._head_timer = None
+        self._busy = False
+
+    def connection_made(self, transport):
+        """Start the timer of the first head."""
+        super().connection_made(transport)
+        self._start_head_timer()
+
+    def data_received(self, data):
+        """Parse bytes; the first ones of a head start its timer."""
+        if self._head_timer is None and not self._busy:
+            self._start_head_timer()
+        super().data_received(data)
+
+    def connection_lost(self, exc):
+        """Forget the timer."""
+        self._cancel_head_timer()
+        super().connection_lost(exc)
+
+    def begin_request(self):
+        """Note that a head arrived whole."""
+        self._busy = True
+        self._cancel_head_timer()
+
+    def end_request(self):
+        """Note that the next bytes belong to the next head."""
+        self._busy = False
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Answer a malformed request with a numbered code."""
+        code = Code.INTERNAL if status >= 500 else Code.MALFORMED_REQUEST
+        if isinstance(exc, LineTooLong):
+            code = Code.HEADERS_TOO_LARGE
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer had begun")
+        text = make_error_text(code, "the request is not valid HTTP")
+        response = Response(status=code.http_status, text=text, content_type=JSON_TYPE)
+        response.force_close()
+        return response
+
+    def _start_head_timer(self):
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(self._head_timeout_s, self._expire_head)
+
+    def _cancel_head_timer(self):
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _expire_head(self):
+        self._head_timer = None
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class BoundedServer(Server):
+    """Makes a `BoundedRequestHandler` for each connection.
+
+    Args:
+        handler (callable): Coroutine that answers one request.
+        head_timeout_s (float): Bound on the arrival of a request head.
+        **limits: Size limits of the HTTP parser.
+    """
+
+    def __init__(self, handler, *, head_timeout_s, **limits):
+        super().__init__(handler, handler_cancellation=True)
+        self._head_timeout_s = head_timeout_s
+        self._limits = limits
+
+    def __call__(self):
+        """Return the protocol of a new connection."""
+        return BoundedRequestHandler(
+            self,
+            loop=asyncio.get_running_loop(),
+            head_timeout_s=self._head_timeout_s,
+            access_log=None,
+            **self._limits,
+        )
--- /dev/null
+++ b/firworks/plugins/http_engines.py
@@ -0,0 +1,119 @@
+"""Adapter to model engines over HTTP with server-sent events."""
+
+import json
+
+from firworks.kernel.calls import CallAnswered, CallPart
+from firworks.plugins.target_calls import (
+    IDENTITY_HEADER,
+    CallBrokenError,
+    TargetAdapter,
+    check_status,
+)
+
+EVENT_LIMIT_BYTES = 1_048_576
+
+
+class EngineCalls(TargetAdapter):
+    """Streams tokens; those that arrive together are fed together."""
+
+    async def run_call(self, action, session, address):
+        """Carry out a call; see `TargetAdapter.run_call`."""
+        request = session.post(
+            f"http://{address}/v1/generate",
+            json=_make_body(action),
+            headers={IDENTITY_HEADER: action.identity.encode()},
+        )
+        async with request as response:
+            check_status(response)
+            await self._read_stream(action, response)
+
+    async def _read_stream(self, action, response):
+        buffer = b""
+        async for chunk in response.content.iter_any():
+            *lines, buffer = (buffer + chunk).split(b"\n")
+            if len(buffer) > EVENT_LIMIT_BYTES:
+                raise CallBrokenError("an event is too large")
+            if self._feed_lines(action, lines):
+                return
+        raise CallBrokenError("the stream ended early")
+
+    def _feed_lines(self, action, lines):
+        """Feed the events in some lines; return whether the stream is whole."""
+        parts = PartMerger(action)
+        for line in lines:
+            if not line.startswith(b"data:"):
+                continue
+            event = _parse_event(line[len(b"data:") :])
+            identity = event.get("call", action.identity.encode())
+            if event.get("done"):
+                self._feed_all(parts.take())
+                count = event["count"]
+                self.context.feed(
+                    CallAnswered(action.call_id, identity, None, count=count)
+                )
+                return True
+            parts.add(identity, event["offset"], event["tokens"])
+        self._feed_all(parts.take())
+        return False
+
+    def _feed_all(self, parts):
+        for part in parts:
+            self.context.feed(part)
+
+
+class PartMerger:
+    """Joins contiguous parts, so that one event carries many tokens.
+
+    Args:
+        action (StartCall): The call that they belong to.
+    """
+
+    def __init__(self, action):
+        self._call_id = action.call_id
+        self._parts = []
+
+    def add(self, identity, offset, tokens):
+        """Add a part: `identity` (str), `offset` (int) and `tokens` (list of str)."""
+        last = self._parts[-1] if self._parts else None
+        contiguous = last is not None and last.offset + len(last.tokens) == offset
+        if contiguous and last.identity == identity:
+            last.tokens += tuple(tokens)
+        else:
+            part = CallPart(self._call_id, identity, offset, tuple(tokens))
+            self._parts.append(part)
+
+    def take(self):
+        """Return the joined parts (list of CallPart) and forget them."""
+        parts, self._parts = self._parts, []
+        return parts
+
+
+def _make_body(action):
+    return {
+        "model": action.model,
+        "operation": action.operation,
+        "prompt": action.body,
+        "resume": list(action.resume),
+        "priority": action.priority,
+        "call": action.identity.encode(),
+    }
+
+
+def _parse_event(data):
+    event = json.loads(data)
+    if not isinstance(event, dict):
+        raise CallBrokenError("an event is not a JSON object")
+    if event.get("done"):
+        if not isinstance(event.get("count"), int):
+            raise CallBrokenError("the last event has no count")
+        return event
+    tokens = event.get("tokens")
+    well_formed = isinstance(event.get("offset"), int) and isinstance(tokens, list)
+    if not well_formed or not all(isinstance(token, str) for token in tokens):
+        raise CallBrokenError("an event has no offset or no tokens")
+    return event
+
+
+def register(registry):
+    """Put the adapter into the registry."""
+    registry.add("targets", "engine", EngineCalls)
--- /dev/null
+++ b/firworks/standins/engine.py
@@ -0,0 +1,114 @@
+"""A small stand-in for a model engine: streams tokens derived from the prompt."""
+
+import asyncio
+import json
+
+from aiohttp.web import StreamResponse, get, json_response, post
+from xxhash import xxh3_64_intdigest
+
+from firworks.standins.web import TargetFaults, WebStandin, wait_for_ever
+
+IDENTITY_HEADER = "Firworks-Call"
+VOCABULARY = 50_000
+KEEPALIVE_S = 0.25
+
+
+class StandinEngine(WebStandin):
+    """Streams ``tokens`` tokens; the same prompt gives the same ones everywhere.
+
+    Args:
+        name (str): The engine's name.
+        port (int): 0 for any free one.
+        tokens (int): Length of each whole answer.
+        interval_s (float): Between tokens.
+
+    Attributes:
+        faults (TargetFaults): Faults to show.
+        runs (list of str): Identity of each call begun.
+        cancelled (list of str): Identity of each call whose caller went away.
+    """
+
+    def __init__(self, name, port=0, tokens=24, interval_s=0.0):
+        super().__init__(port)
+        self.name = name
+        self.tokens = tokens
+        self.interval_s = interval_s
+        self.faults = TargetFaults()
+        self.runs = []
+        self.cancelled = []
+        self.running = 0
+
+    def make_routes(self):
+        """Return the routes."""
+        return [
+            get("/load", self._get_load),
+            post("/v1/generate", self._post_generate),
+        ]
+
+    async def _get_load(self, request):
+        return json_response({"running": self.running, "queued": 0})
+
+    async def _post_generate(self, request):
+        if self.faults.take("refuse"):
+            return json_response({"error": "busy"}, status=429)
+        body = await request.json()
+        identity = request.headers.get(IDENTITY_HEADER, "")
+        self.runs.append(identity)
+        self.running += 1
+        try:
+            return await self._stream(request, body, identity)
+        except (asyncio.CancelledError, ConnectionError):
+            self.cancelled.append(identity)
+            raise
+        finally:
+            self.running -= 1
+
+    async def _stream(self, request, body, identity):
+        response = StreamResponse(headers={"Content-Type": "text/event-stream"})
+        if self.faults.take("mismatch"):
+            identity = "another/call/0/1"
+        await response.prepare(request)
+        if self.faults.take("stall"):
+            await wait_for_ever()
+        await self._delay(response)
+        start = len(body.get("resume", []))
+        gap_at = self.faults.take_value("gap_at")
+        cut_after = self.faults.take_value("cut_after") or self.tokens + 1
+        for offset in range(start, self.tokens):
+            if offset - start >= cut_after:
+                request.transport.abort()
+                raise ConnectionError("the stream was cut")
+            if gap_at and offset == gap_at:
+                continue
+            token = make_token(body["prompt"], offset)
+            await self._send(
+                response, {"call": identity, "offset": offset, "tokens": [token]}
+            )
+            if self.interval_s:
+                await asyncio.sleep(self.interval_s)
+        if self.faults.take("reset"):
+            request.transport.abort()
+            raise ConnectionError("the stream was reset")
+        await self._send(
+            response, {"call": identity, "done": True, "count": self.tokens}
+        )
+        await response.write_eof()
+        return response
+
+    async def _delay(self, response):
+        """Wait as a queued request would, with comments that show it is alive."""
+        left_s = self.faults.delay_s
+        while left_s > 0:
+            await asyncio.sleep(min(left_s, KEEPALIVE_S))
+            left_s -= KEEPALIVE_S
+            await response.write(b": queued\n")
+
+    async def _send(self, response, event):
+        data = f"data: {json.dumps(event)}\n\n".encode()
+        await response.write(data * 2 if self.faults.repeat else data)
+
+
+def make_token(prompt, offset):
+    """Return the token at an offset of the answer to a prompt."""
+    number = xxh3_64_intdigest(f"{prompt}\0{offset}".encode()) % VOCABULARY
+    return f"w{number} "
--- /dev/null
+++ b/firworks/standins/web.py
@@ -0,0 +1,104 @@
+"""What the HTTP stand-ins have in common: a loopback listener and its faults."""
+
+import asyncio
+
+from aiohttp.web import Application, AppRunner, TCPSite
+
+from firworks.kernel.messages import Struct
+
+LOOPBACK = "127.0.0.1"
+SHUTDOWN_TIMEOUT_S = 0.2
+
+
+class TargetFaults(Struct):
+    """Faults that a stand-in target shows.
+
+    Attributes:
+        delay_s (float): Added before each answer.
+        stall (int): Number of next calls that never get an answer.
+        reset (int): Number of next calls whose connection is reset after the work.
+        refuse (int): Number of next calls answered 429, without any work.
+        mismatch (int): Number of next answers that carry another call's identity.
+        cut_after (int): Streams: end the next stream after so many tokens.
+        gap_at (int): Streams: leave out the token at this offset, once.
+        repeat (bool): Streams: send every part twice, and the end too.
+    """
+
+    __slots__ = (
+        "delay_s",
+        "stall",
+        "reset",
+        "refuse",
+        "mismatch",
+        "cut_after",
+        "gap_at",
+        "repeat",
+    )
+    DEFAULTS = {
+        "delay_s": 0.0,
+        "stall": 0,
+        "reset": 0,
+        "refuse": 0,
+        "mismatch": 0,
+        "cut_after": 0,
+        "gap_at": 0,
+        "repeat": False,
+    }
+
+    def take(self, name):
+        """Use up one of a counted fault and return whether there was one."""
+        left = getattr(self, name)
+        setattr(self, name, max(0, left - 1))
+        return left > 0
+
+    def take_value(self, name):
+        """Return a fault's value and set it to zero."""
+        value = getattr(self, name)
+        setattr(self, name, 0)
+        return value
+
+
+class WebStandin:
+    """A small HTTP server on loopback.
+
+    Args:
+        port (int): 0 for any free one.
+
+    Attributes:
+        address (str): "127.0.0.1:port", once started.
+    """
+
+    def __init__(self, port=0):
+        self.address = f"{LOOPBACK}:{port}"
+        self._port = port
+        self._runner = None
+
+    def make_routes(self):
+        """Return the routes (list of aiohttp.web.RouteDef)."""
+        raise NotImplementedError
+
+    async def start(self):
+        """Open the listener."""
+        app = Application()
+        app.add_routes(self.make_routes())
+        self._runner = AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        await TCPSite(self._runner, LOOPBACK, self._port).start()
+        self._port = self._runner.addresses[0][1]
+        self.address = f"{LOOPBACK}:{self._port}"
+
+    async def stop(self):
+        """Close the listener and its connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+
+async def wait_for_ever():
+    """Never return; the caller's connection stays open and silent."""
+    await asyncio.Event().wait()
