Route by adaptive score, eject outliers, queue in fair shares, bound retries

Cause: the thin scheduler knew only least in flight. Change: routing policies by name, health, fair queues with early refusal, learned limits, retry and hedge budgets, prefix index; knobs in the document.

--- a/firworks/document.py
+++ b/firworks/document.py
@@ -76,6 +76,10 @@
         "checks_fencing": {"type": "boolean"},
         "models": {"type": "array", "items": {"type": "string"}},
         "routing": _NAME,
+        "queue": {"enum": ["fair", "fifo"]},
+        "ejection_share": {"type": "number", "minimum": 0, "maximum": 0.5},
+        "retry_share": {"type": "number", "minimum": 0, "maximum": 0.1},
+        "hedge_share": {"type": "number", "minimum": 0, "maximum": 0.1},
     },
     ("kind", "targets"),
 )
@@ -162,6 +166,12 @@
         checks_fencing (bool): Its engines refuse orders with an old fencing number.
         models (tuple of str): Models that its engines should serve.
         routing (str): Name of the routing policy.
+        queue (str): "fair" (earliest deadline in fair shares by client account,
+            early refusal) or "fifo".
+        ejection_share (float): Largest share of targets ejected at once; at least
+            one of a pool of several unless 0, which turns ejection off.
+        retry_share (float): Retries allowed per first attempt.
+        hedge_share (float): Hedges allowed per first attempt.
     """
 
     __slots__ = (
@@ -174,6 +184,10 @@
         "checks_fencing",
         "models",
         "routing",
+        "queue",
+        "ejection_share",
+        "retry_share",
+        "hedge_share",
     )
     DEFAULTS = {
         "reports_load": False,
@@ -182,6 +196,10 @@
         "checks_fencing": False,
         "models": (),
         "routing": "adaptive",
+        "queue": "fair",
+        "ejection_share": 0.4,
+        "retry_share": 0.1,
+        "hedge_share": 0.05,
     }
 
 
--- /dev/null
+++ b/firworks/kernel/prefixes.py
@@ -0,0 +1,88 @@
+"""Which targets probably hold which prompt prefixes in their caches."""
+
+from collections import OrderedDict
+
+from xxhash import xxh64_intdigest
+
+BLOCK_LIMIT = 20_000
+LONGEST_CHAIN = 64
+TRUST_S = 120.0
+GAP_DISCOUNT = 0.5
+
+
+class PrefixIndex:
+    """Prompt blocks by target, from late and gappy cache events and own placements.
+
+    A block hash stands for its block and all before it, so that holding one means
+    holding the chain up to it.
+    """
+
+    def __init__(self):
+        self._holders = OrderedDict()
+        self._sequences = {}
+        self._gaps = {}
+
+    def record_placement(self, target_name, prefix, now):
+        """Note that a target is about to compute a prompt's blocks."""
+        for block in prefix[:LONGEST_CHAIN]:
+            self._add(block, target_name, now)
+
+    def record_events(self, report, now):
+        """Apply the cache events of a `TargetReported`.
+
+        A gap in the sequence numbers means that evictions may be lost: what is
+        known of the target so far is then trusted less.
+        """
+        last = self._sequences.get(report.target)
+        if report.sequence:
+            if last is not None and report.sequence > last + 1:
+                self._gaps[report.target] = now
+            self._sequences[report.target] = report.sequence
+        for block in report.cached:
+            self._add(block, report.target, now)
+        for block in report.evicted:
+            holders = self._holders.get(block)
+            if holders is not None:
+                holders.pop(report.target, None)
+
+    def forget_target(self, target_name):
+        """Drop what is known of a target that restarted."""
+        for holders in self._holders.values():
+            holders.pop(target_name, None)
+
+    def find_matches(self, prefix, now):
+        """Return the cached share of a prompt by target.
+
+        Args:
+            prefix (tuple of bytes): Block hashes, first block first.
+            now (float): Kernel time.
+
+        Returns:
+            dict of str to float: From above 0 to 1.
+        """
+        chain = prefix[:LONGEST_CHAIN]
+        shares = {}
+        for depth, block in enumerate(chain, start=1):
+            holders = self._holders.get(block)
+            if not holders:
+                break
+            for name, seen_s in holders.items():
+                if now - seen_s <= TRUST_S:
+                    trust = GAP_DISCOUNT if seen_s < self._gaps.get(name, 0) else 1.0
+                    shares[name] = trust * depth / len(chain)
+        return shares
+
+    def _add(self, block, target_name, now):
+        holders = self._holders.get(block)
+        if holders is None:
+            holders = self._holders[block] = {}
+            if len(self._holders) > BLOCK_LIMIT:
+                self._holders.popitem(last=False)
+        else:
+            self._holders.move_to_end(block)
+        holders[target_name] = now
+
+
+def rank_target(key, target_name):
+    """Return the rendezvous weight (int) of a target for a key (bytes)."""
+    return xxh64_intdigest(key + target_name.encode())
--- /dev/null
+++ b/firworks/kernel/routing.py
@@ -0,0 +1,97 @@
+"""Routing policies: which of the usable targets gets a call."""
+
+from firworks.kernel.routing_adaptive import AdaptiveRouting
+
+
+def has_room(target):
+    """Return whether this daemon's own calls leave room at a target."""
+    return len(target.calls) < target.capacity
+
+
+class RandomRouting:
+    """Any target with room.
+
+    Args:
+        random (random.Random): Source of choices.
+    """
+
+    def __init__(self, random):
+        self._random = random
+
+    def choose(self, pool, call, candidates, now):
+        """Return the target for a call, or None to let it wait.
+
+        Args:
+            pool (PoolState): The pool.
+            call (CallRequested): The call.
+            candidates (list of TargetState): Targets that may get it; not empty.
+            now (float): Kernel time.
+        """
+        free = [target for target in candidates if has_room(target)]
+        return self._random.choice(free) if free else None
+
+
+class RoundRobinRouting:
+    """Targets with room in turn.
+
+    Args:
+        random (random.Random): Chooses where the turn begins.
+    """
+
+    def __init__(self, random):
+        self._next = random.randrange(1 << 16)
+
+    def choose(self, pool, call, candidates, now):
+        """Return the target for a call; see `RandomRouting.choose`."""
+        for _ in range(len(candidates)):
+            target = candidates[self._next % len(candidates)]
+            self._next += 1
+            if has_room(target):
+                return target
+        return None
+
+
+class LeastInFlightRouting:
+    """The target with the fewest of this daemon's calls, ties at random.
+
+    Args:
+        random (random.Random): Source of tie breaks.
+    """
+
+    def __init__(self, random):
+        self._random = random
+
+    def choose(self, pool, call, candidates, now):
+        """Return the target for a call; see `RandomRouting.choose`."""
+        fewest = min(len(target.calls) for target in candidates)
+        tied = [target for target in candidates if len(target.calls) == fewest]
+        target = self._random.choice(tied)
+        return target if has_room(target) else None
+
+
+class TwoChoicesRouting:
+    """The less loaded of two targets drawn at random, by this daemon's calls.
+
+    Args:
+        random (random.Random): Source of draws.
+    """
+
+    def __init__(self, random):
+        self._random = random
+
+    def choose(self, pool, call, candidates, now):
+        """Return the target for a call; see `RandomRouting.choose`."""
+        free = [target for target in candidates if has_room(target)]
+        if not free:
+            return None
+        drawn = self._random.sample(free, min(2, len(free)))
+        return min(drawn, key=lambda target: len(target.calls))
+
+
+def register(registry):
+    """Register the routing policies."""
+    registry.add("routing", "random", RandomRouting)
+    registry.add("routing", "round-robin", RoundRobinRouting)
+    registry.add("routing", "least-in-flight", LeastInFlightRouting)
+    registry.add("routing", "two-choices", TwoChoicesRouting)
+    registry.add("routing", "adaptive", AdaptiveRouting)
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -1,38 +1,84 @@
-"""Places stage calls on targets: queues, routing and refusal."""
+"""Places stage calls on targets: queues, routing, refusal, retries and hedges."""
 
 from functools import singledispatchmethod
 
 from firworks.codes import Code
+from firworks.kernel.admission import (
+    SHORTEST_RETRY_AFTER_S,
+    QueuedCall,
+    estimate_wait,
+)
 from firworks.kernel.calls import (
+    RESULT_CANCELLED,
+    RESULT_CRASHED,
+    RESULT_OK,
+    RESULT_REFUSED,
     CallEnded,
+    CallPart,
     CallPlaced,
     CallRejected,
     CallRequested,
     CallWithdrawn,
     TargetDown,
     TargetLeaving,
+    TargetReported,
+)
+from firworks.kernel.fleet import (
+    TOPIC_LOAD,
+    ConfigurationAccepted,
+    FactChanged,
+    FactLearned,
 )
-from firworks.kernel.fleet import ConfigurationAccepted
-from firworks.kernel.messages import Tick
+from firworks.kernel.messages import Tick, VmsListed
 from firworks.kernel.node import Part
+from firworks.kernel.registry import Registry
+from firworks.kernel.retries import AttemptBudgets
+from firworks.kernel.routing import register
+from firworks.kernel.scheduling_hedges import HedgeWatch
+from firworks.kernel.scheduling_state import (
+    WHOLE_POOL_SIZE,
+    PlacedCall,
+    PoolLoad,
+    PoolState,
+)
+
+LOAD_PERIOD_S = 0.5
+LARGE_POOL_LOAD_PERIOD_S = 2.0
+LOAD_TTL_S = 3.0
+SKIPS_PER_ROUND = 8
+SPARE_SHARE = 0.7
+DOWN_RETRY_S = 10.0
+DEFERRED_PRIORITY = 9
+RELAXED_PRIORITY = 1
 
 
 class Scheduler(Part):
     """Chooses a target for each call, or refuses the call.
 
     Args:
-        random (random.Random): Source of tie breaks.
-        name (str): This daemon's name.
+        random (random.Random): Source of tie breaks and jitter.
+        name (str): This daemon's name; decides its subset of large pools.
+        registry (Registry or None): Holds the routing policies; None takes the
+            built-in ones.
     """
 
-    def __init__(self, random, name=""):
+    def __init__(self, random, name="", registry=None):
         self._random = random
         self._name = name
+        self._registry = registry or _make_registry()
+        self._document = None
         self._pools = {}
-        self._queues = {}
         self._placed = {}
-        self._in_flight = {}
-        self._unusable = set()
+        self._held = []
+        self._domains = {}
+        self._gone = {}
+        self._budgets = AttemptBudgets()
+        self._hedges = HedgeWatch(self._budgets)
+        self._told = {}
+
+    def watched_targets(self, pool_name):
+        """Return the names of the targets whose reports matter to this daemon."""
+        return [target.name for target in self._pools[pool_name].subset]
 
     @singledispatchmethod
     def handle(self, event, now):
@@ -41,84 +87,350 @@
 
     @handle.register
     def _(self, event: ConfigurationAccepted, now):
-        self._pools = event.document.pools
-        return self._place_all(now)
+        self._document = event.document
+        old = self._pools
+        self._pools = {}
+        for name, pool in event.document.pools.items():
+            self._pools[name] = self._make_pool(pool, old.get(name))
+        return self._move_queues(old, now) + self._place_all(now)
+
+    @handle.register
+    def _(self, event: VmsListed, now):
+        self._domains = {vm.name: vm.failure_domain for vm in event.vms}
+        for target in self._all_targets():
+            target.failure_domain = self._domains.get(target.name, "")
+        return []
 
     @handle.register
     def _(self, event: CallRequested, now):
-        if event.pool not in self._pools:
+        pool = self._pools.get(event.pool)
+        if pool is None or not _has_any_target(pool, now):
             return [CallRejected(event.call_id, Code.NO_TARGET)]
-        if now >= event.deadline_s:
-            return [CallRejected(event.call_id, Code.OVERLOADED)]
-        self._queues.setdefault(event.pool, []).append(event)
-        return self._place_pool(event.pool, now)
+        if event.hedge_of:
+            return self._place_hedge(pool, event, now)
+        if event.identity.attempt > 1:
+            return self._take_retry(pool, event, now)
+        refusal = self._refuse_early(pool, event, now)
+        if refusal:
+            return [refusal]
+        return self._enqueue(pool, event, now)
 
     @handle.register
     def _(self, event: CallWithdrawn, now):
-        for queue in self._queues.values():
-            queue[:] = [call for call in queue if call.call_id != event.call_id]
+        self._held = [e for e in self._held if e.call.call_id != event.call_id]
+        for pool in self._pools.values():
+            pool.queue.discard(lambda entry: entry.call.call_id == event.call_id)
+        return []
+
+    @handle.register
+    def _(self, event: CallPart, now):
+        placed = self._placed.get(event.call_id)
+        if placed is not None:
+            placed.streaming = True
+            placed.progress_s = now
+            placed.target.health.answered_s = now
         return []
 
     @handle.register
     def _(self, event: CallEnded, now):
-        call = self._placed.pop(event.call_id, None)
-        if call is None:
+        placed = self._placed.pop(event.call_id, None)
+        if placed is None:
+            return []
+        placed.target.record_end(placed, now)
+        pool = self._pools.get(placed.call.pool)
+        if pool is None:
             return []
-        self._in_flight[event.target] -= 1
-        return self._place_pool(call.pool, now)
+        pool.in_flight -= 1
+        _judge(pool, placed, event, now)
+        return self._place_pool(pool, now)
+
+    @handle.register
+    def _(self, event: TargetReported, now):
+        results = []
+        for pool in self._pools.values():
+            target = pool.by_name.get(event.target)
+            if target is None:
+                continue
+            pool.record_report(target, event)
+            pool.prefixes.record_events(event, now)
+            if pool.queue:
+                results.extend(self._place_pool(pool, now))
+        return results
 
     @handle.register
     def _(self, event: TargetLeaving, now):
-        self._unusable.add(event.target)
+        self._gone[event.target] = float("-inf")
+        for target in self._find_targets(event.target):
+            target.leaving = True
         return []
 
     @handle.register
     def _(self, event: TargetDown, now):
-        self._unusable.add(event.target)
+        for target in self._find_targets(event.target):
+            target.down_s = now
+        for pool in self._pools.values():
+            pool.prefixes.forget_target(event.target)
+        return []
+
+    @handle.register
+    def _(self, event: FactLearned, now):
+        if event.topic == TOPIC_LOAD and isinstance(event.value, PoolLoad):
+            pool = self._pools.get(event.key)
+            if pool is not None:
+                pool.record_peer_load(event.value, event.origin, now)
         return []
 
     @handle.register
     def _(self, event: Tick, now):
-        return self._place_all(now)
+        results = self._retry_held(now)
+        for pool in self._pools.values():
+            pool.expire_peer_loads(now)
+            pool.check_reports(now)
+        results.extend(self._place_all(now))
+        results.extend(self._hedges.check(self._placed, self._pools, self._weight, now))
+        results.extend(self._tell_loads(now))
+        return results
 
-    def _place_all(self, now):
+    def _make_pool(self, pool, old):
+        if old is not None and old.pool == pool:
+            return old
+        routing = self._find_routing(pool.routing)
+        state = PoolState(pool, routing, self._name)
+        if old is not None:
+            state.adopt(old)
+        for target in state.targets:
+            target.failure_domain = self._domains.get(target.name, "")
+            target.leaving = target.name in self._gone
+        return state
+
+    def _find_routing(self, name):
+        if name not in self._registry.names("routing"):
+            name = "adaptive"
+        return self._registry.get("routing", name)(self._random)
+
+    def _move_queues(self, old_pools, now):
+        """Move waiting calls to the pools of the new document."""
         results = []
-        for pool in self._queues:
-            results.extend(self._place_pool(pool, now))
+        for name, old in old_pools.items():
+            new = self._pools.get(name)
+            if new is old:
+                continue
+            for entry in old.queue.discard(lambda entry: True):
+                if new is None:
+                    code = Code.NO_TARGET
+                    results.append(CallRejected(entry.call.call_id, code))
+                else:
+                    new.queue.push(entry)
         return results
 
-    def _place_pool(self, pool_name, now):
-        queue = self._queues.get(pool_name, [])
+    def _all_targets(self):
+        for pool in self._pools.values():
+            yield from pool.targets
+
+    def _find_targets(self, name):
+        found = [pool.by_name.get(name) for pool in self._pools.values()]
+        return [target for target in found if target is not None]
+
+    def _weight(self, call):
+        pipeline = self._document.pipelines.get(call.pipeline)
+        return pipeline.attainment_weight if pipeline else 0.5
+
+    def _enqueue(self, pool, call, now):
+        account = self._document.accounts.get(call.account)
+        weight = account.weight if account else 1.0
+        due = min(call.deadline_s, now + call.budget_s)
+        pool.queue.push(QueuedCall(call, due, now, weight))
+        return self._place_pool(pool, now)
+
+    def _refuse_early(self, pool, call, now):
+        """Return a refusal when the call cannot be answered in time, else None."""
+        due = min(call.deadline_s, now + call.budget_s)
+        if now >= due:
+            return CallRejected(call.call_id, Code.OVERLOADED, SHORTEST_RETRY_AFTER_S)
+        if not pool.queue.fair or call.deferred or not pool.queue.urgent:
+            return None
+        typical = pool.typical(call)
+        ahead = pool.queue.urgent.count_ahead(call.account)
+        wait = estimate_wait(ahead, pool.in_flight, typical)
+        if now + wait + typical <= due:
+            return None
+        retry_after = max(SHORTEST_RETRY_AFTER_S, wait)
+        return CallRejected(call.call_id, Code.OVERLOADED, retry_after)
+
+    def _take_retry(self, pool, call, now):
+        if not call.repeatable:
+            return [CallRejected(call.call_id, Code.TARGET_FAILED)]
+        if self._budgets.spend_retry():
+            return self._enqueue(pool, call, now)
+        if not pool.queue.fair:
+            return [CallRejected(call.call_id, Code.TARGET_FAILED)]
+        due = min(call.deadline_s, now + call.budget_s)
+        self._held.append(QueuedCall(call, due, now, 1.0))
+        return []
+
+    def _retry_held(self, now):
+        """Queue retries that the budget allows by now; refuse those too late."""
         results = []
         waiting = []
-        for call in queue:
-            if now >= call.deadline_s:
-                results.append(CallRejected(call.call_id, Code.OVERLOADED))
-                continue
-            target = self._choose(call)
+        for entry in self._held:
+            call = entry.call
+            pool = self._pools.get(call.pool)
+            if pool is None or now + pool.typical(call) > entry.due_s:
+                results.append(CallRejected(call.call_id, Code.TARGET_FAILED))
+            elif self._budgets.spend_retry():
+                results.extend(self._enqueue(pool, call, now))
+            else:
+                waiting.append(entry)
+        self._held = waiting
+        return results
+
+    def _place_hedge(self, pool, call, now):
+        original = self._placed.get(call.hedge_of)
+        if original is None or not original.hedged or not call.repeatable:
+            return [CallRejected(call.call_id, Code.OVERLOADED)]
+        avoid = (*call.avoid, original.target.name)
+        target = self._choose(pool, call, avoid, now)
+        if target is None or target is original.target:
+            return [CallRejected(call.call_id, Code.OVERLOADED)]
+        due = min(call.deadline_s, now + call.budget_s)
+        return [self._place(pool, QueuedCall(call, due, now, 1.0), target, now)]
+
+    def _place_all(self, now):
+        results = []
+        for pool in self._pools.values():
+            if pool.queue:
+                results.extend(self._place_pool(pool, now))
+        return results
+
+    def _place_pool(self, pool, now):
+        results = self._refuse_late(pool, now)
+        skipped = []
+        while len(skipped) < SKIPS_PER_ROUND:
+            spare = bool(pool.queue.deferred) and pool.has_spare(SPARE_SHARE, now)
+            line = pool.queue.next_line(spare)
+            if line is None:
+                break
+            entry = line.pop()
+            target = self._choose(pool, entry.call, entry.call.avoid, now)
             if target is None:
-                waiting.append(call)
+                skipped.append((line, entry))
+                if not (entry.call.alone or entry.call.avoid):
+                    break
                 continue
-            results.append(self._place(call, target, now))
-        queue[:] = waiting
+            pool.queue.count_placed(line)
+            results.append(self._place(pool, entry, target, now))
+        for line, entry in reversed(skipped):
+            line.put_back(entry)
         return results
 
-    def _choose(self, call):
-        pool = self._pools[call.pool]
-        usable = [t for t in pool.targets if t not in self._unusable]
-        fresh = [t for t in usable if t not in call.avoid] or usable
-        free = [t for t in fresh if self._in_flight.get(t, 0) < pool.concurrency]
-        if not free:
-            return None
-        fewest = min(self._in_flight.get(t, 0) for t in free)
-        return self._random.choice(
-            [t for t in free if self._in_flight.get(t, 0) == fewest]
+    def _refuse_late(self, pool, now):
+        """Refuse waiting calls that can no longer be answered in time."""
+        if not pool.queue:
+            return []
+        fair = pool.queue.fair
+        late = pool.queue.discard(
+            lambda entry: now + (pool.typical(entry.call) if fair else 0) > entry.due_s
         )
+        results = []
+        for entry in late:
+            wait = estimate_wait(
+                len(pool.queue), pool.in_flight, pool.typical(entry.call)
+            )
+            retry_after = max(SHORTEST_RETRY_AFTER_S, wait)
+            call_id = entry.call.call_id
+            results.append(CallRejected(call_id, Code.OVERLOADED, retry_after))
+        return results
+
+    def _choose(self, pool, call, avoid, now):
+        usable = [t for t in pool.targets if _is_usable(t, now)]
+        fresh = [t for t in usable if t.name not in avoid] or usable
+        if avoid:
+            fresh = _prefer_other_domains(pool, fresh, avoid)
+        if call.alone:
+            fresh = [t for t in fresh if pool.load(t, now) < 0.5]
+        if not fresh:
+            return None
+        return pool.routing.choose(pool, call, fresh, now)
+
+    def _place(self, pool, entry, target, now):
+        call = entry.call
+        placed = PlacedCall(call, target, now)
+        self._placed[call.call_id] = placed
+        target.calls[call.call_id] = placed
+        pool.in_flight += 1
+        if target.health.ejected:
+            target.health.probe = call.call_id
+        if call.prefix:
+            pool.prefixes.record_placement(target.name, call.prefix, now)
+        if call.identity.attempt == 1:
+            self._budgets.earn(pool.pool)
+        due = entry.due_s if call.repeatable else call.deadline_s
+        priority = self._priority(pool, call, due, now)
+        return CallPlaced(call.call_id, target.name, due - now, priority)
+
+    def _priority(self, pool, call, due, now):
+        if call.deferred:
+            return DEFERRED_PRIORITY
+        tight = due - now < 2 * pool.typical(call)
+        return 0 if tight else RELAXED_PRIORITY
+
+    def _tell_loads(self, now):
+        results = []
+        for name, pool in self._pools.items():
+            large = len(pool.targets) > WHOLE_POOL_SIZE
+            period = LARGE_POOL_LOAD_PERIOD_S if large else LOAD_PERIOD_S
+            told_s, told = self._told.get(name, (float("-inf"), None))
+            if now - told_s < period:
+                continue
+            load = pool.make_load()
+            if load != told or load.indexes:
+                results.append(FactChanged(TOPIC_LOAD, name, load, LOAD_TTL_S))
+            self._told[name] = (now, load)
+        return results
+
+
+def _make_registry():
+    registry = Registry()
+    register(registry)
+    return registry
+
+
+def _is_usable(target, now):
+    if target.leaving or target.is_down(now, DOWN_RETRY_S):
+        return False
+    return target.health.is_usable(now)
+
+
+def _has_any_target(pool, now):
+    return any(
+        not target.leaving and not target.is_down(now, DOWN_RETRY_S)
+        for target in pool.targets
+    )
+
+
+def _prefer_other_domains(pool, targets, avoid):
+    """Return the targets outside the failure domains of those to avoid, if any."""
+    tried = [pool.by_name[name] for name in avoid if name in pool.by_name]
+    domains = {target.failure_domain for target in tried} - {""}
+    return [t for t in targets if t.failure_domain not in domains] or targets
+
 
-    def _place(self, call, target, now):
-        self._placed[call.call_id] = call
-        self._in_flight[target] = self._in_flight.get(target, 0) + 1
-        timeout = call.deadline_s - now
-        if call.repeatable:
-            timeout = min(timeout, call.budget_s)
-        return CallPlaced(call.call_id, target, timeout)
+def _judge(pool, placed, ended, now):
+    """Count a call's end for latency, health and learned concurrency."""
+    target = placed.target
+    call = placed.call
+    ratio = ended.latency_s / pool.typical(call) if pool.knows(call) else 1.0
+    if ended.result == RESULT_OK:
+        pool.observe(call, ended.latency_s, ended.first_token_s)
+        load = pool.load(target, now) + 1
+        target.limit.observe(ratio, load, ended.latency_s, now)
+        pool.health.record_success(target.health, call.call_id, ratio, now)
+    elif ended.result == RESULT_REFUSED:
+        target.limit.back_off(now)
+        pool.health.record_refused(target.health, call.call_id)
+    elif ended.result == RESULT_CANCELLED:
+        pool.health.record_cancelled(target.health, call.call_id, ratio, now)
+    else:
+        if ended.result == RESULT_CRASHED:
+            pool.prefixes.forget_target(target.name)
+        pool.health.record_failure(target.health, call.call_id, now)
--- /dev/null
+++ b/firworks/kernel/scheduling_hedges.py
@@ -0,0 +1,68 @@
+"""Watches placed calls: advises hedges and notices targets gone silent."""
+
+from firworks.kernel.calls import HedgeWanted
+
+HEDGE_QUANTILE = 0.95
+SILENCE_FACTOR = 3.0
+SHORTEST_SILENCE_S = 0.5
+STREAM_SILENCE_S = 1.0
+
+
+class HedgeWatch:
+    """Finds calls that take too long.
+
+    Args:
+        budgets (AttemptBudgets): Bounds the hedges.
+    """
+
+    def __init__(self, budgets):
+        self._budgets = budgets
+
+    def check(self, placed_calls, pools, weigh, now):
+        """Return the `HedgeWanted` signals due now.
+
+        Args:
+            placed_calls (dict of int to PlacedCall): All calls at targets.
+            pools (dict of str to PoolState): By name.
+            weigh (callable): Returns a call's weight of attainment against cost.
+            now (float): Kernel time.
+        """
+        results = []
+        for placed in placed_calls.values():
+            pool = pools.get(placed.call.pool)
+            if pool is None or not pool.pool.hedge_share:
+                continue
+            if self._is_due(placed, pool, weigh(placed.call), now):
+                placed.hedged = True
+                results.append(HedgeWanted(placed.call.call_id))
+        return results
+
+    def _is_due(self, placed, pool, weight, now):
+        """Return whether to hedge; the budget is charged when so."""
+        silent = now - placed.progress_s
+        usual = self._usual(placed, pool)
+        self._check_silence(placed, pool, usual, silent, now)
+        call = placed.call
+        if placed.hedged or not call.repeatable or call.hedge_of or call.deferred:
+            return False
+        if now + pool.typical(call) > call.deadline_s or not pool.knows(call):
+            return False
+        if placed.target.health.ejected and placed.target.health.probe != call.call_id:
+            return self._budgets.spend_hedge()
+        if not weight or silent <= usual * (2.0 - weight):
+            return False
+        return pool.has_spare(1.0, now) and self._budgets.spend_hedge()
+
+    def _usual(self, placed, pool):
+        """Return how long a call may show no progress before it is slow."""
+        if placed.streaming:
+            return STREAM_SILENCE_S
+        first_token = pool.typical_first_token(placed.call, HEDGE_QUANTILE)
+        return first_token or pool.typical(placed.call, HEDGE_QUANTILE)
+
+    def _check_silence(self, placed, pool, usual, silent, now):
+        if not pool.knows(placed.call) or placed.target.health.ejected:
+            return
+        if silent > max(SILENCE_FACTOR * usual, SHORTEST_SILENCE_S):
+            health = placed.target.health
+            pool.health.record_silence(health, placed.progress_s, now)
