Keep a daemon's own calls within a target's concurrency

Cause: with one slot a second call was placed on the same target, and idle targets lost to jitter. Change: own calls are bounded by the concurrency; the score weighs load more.

--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -3,8 +3,8 @@
 from firworks.kernel.prefixes import rank_target
 
 QUEUE_FACTOR = 2.0
-CONTENTION = 0.5
-JITTER = 0.2
+CONTENTION = 1.0
+JITTER = 0.1
 AFFINITY_BOUND = 1.25
 AFFINITY_SLACK = 1.0
 UNKNOWN_HOLDER_SHARE = 0.5
@@ -50,9 +50,7 @@
     def _choose_among(self, pool, call, targets, now):
         loads = {target.name: pool.load(target, now) for target in targets}
         open_targets = [
-            target
-            for target in targets
-            if loads[target.name] < QUEUE_FACTOR * target.capacity
+            target for target in targets if _is_open(target, loads[target.name])
         ]
         if not open_targets:
             return None
@@ -97,3 +95,10 @@
             home = max(near, key=lambda name: rank_target(call.prefix[0], name))
             savings[home] = UNKNOWN_HOLDER_SHARE * prefill
         return savings
+
+
+def _is_open(target, load):
+    """Return whether a target may get a call: its own share and the total allow."""
+    if len(target.calls) >= target.capacity:
+        return False
+    return load < QUEUE_FACTOR * target.capacity
