Merge daemons' burn counts into one service-level report

Cause: each daemon sees a share of the requests, and keeps its counts in memory. Conclusion: tests show restarts and silent daemons in the coverage.

--- a/firworks/errors.py
+++ b/firworks/errors.py
@@ -49,3 +49,39 @@
         super().__init__(detail)
         self.code = code
         self.detail = detail
+
+
+class UnreachableError(FirworksError):
+    """A daemon's admin listener gave no usable answer.
+
+    Args:
+        address (str): "ip:port" that was asked.
+        problem (str): What went wrong.
+    """
+
+    code = Code.DAEMON_UNREACHABLE
+
+    def __init__(self, address, problem):
+        super().__init__(f"{address}: {problem}")
+        self.address = address
+        self.problem = problem
+
+
+class AnsweredError(FirworksError):
+    """A daemon answered an operator's request with a result code.
+
+    Args:
+        address (str): "ip:port" that was asked.
+        code (Code): The code that it gave.
+        detail (str): Its words.
+    """
+
+    def __init__(self, address, code, detail):
+        super().__init__(f"{address}: {detail}")
+        self.code = code
+
+
+class UsageError(FirworksError):
+    """A command was called in a way that it does not support."""
+
+    code = Code.USAGE
--- a/firworks/tests/test_burn.py
+++ b/firworks/tests/test_burn.py
@@ -1,6 +1,8 @@
 """Tests of burn counts, their JSON form and the fleet's report."""
 
+import asyncio
 import json
+import socket
 
 import pytest
 from hypothesis import given
@@ -8,11 +10,16 @@
 
 from firworks.burn import MAX_PIPELINES, WINDOW_S, BurnRecorder
 from firworks.burn_json import pack_struct, parse_snapshot
+from firworks.burn_report import Unreachable, merge_snapshots
 from firworks.codes import Code
+from firworks.document import Document, Pipeline
 from firworks.errors import SettingsError
 from firworks.kernel.messages import RequestFinished, StageCost
+from firworks.tests.test_admin import FakeView, run_admin
+from firworks.tools.burn import collect_report, format_report
 
 START_S = 1_000_000.0
+SECRET = {"admin_secret": "s3cret"}
 
 
 def make_finished(pipeline="ask", code=Code.OK, met=True, price=0.5):
@@ -96,3 +103,65 @@
     def test_other_json_is_refused(self, table):
         with pytest.raises(SettingsError):
             parse_snapshot(table, "d1")
+
+
+def make_snapshot(daemon="d1", incarnation="a", version=1, objective=0.9, met=(True,)):
+    recorder = BurnRecorder(daemon, incarnation, START_S)
+    pipelines = {
+        "ask": Pipeline(name="ask", deadline_ms=1, objective=objective, stages=())
+    }
+    recorder.set_document(version, Document("", pipelines, {}, {}))
+    for one in met:
+        recorder.record(make_finished(met=one), START_S)
+    return recorder.take_snapshot(START_S + 150)
+
+
+class TestMergeSnapshots:
+    def test_counts_add_up_and_the_newest_objective_holds(self):
+        first = make_snapshot("d1", version=2, objective=0.5, met=(True, False))
+        second = make_snapshot("d2", version=1, objective=0.9, met=(True, True))
+        (pipeline,) = merge_snapshots([first, second]).pipelines
+        window = pipeline.windows[0]
+        assert (window.total, window.met) == (4, 3)
+        assert window.attainment == pytest.approx(0.75)
+        assert window.burn == pytest.approx(0.5)
+        assert window.stages[0].price == pytest.approx(2.0)
+
+    def test_the_same_daemon_counts_once(self):
+        snapshot = make_snapshot(met=(True, True))
+        (pipeline,) = merge_snapshots([snapshot, snapshot]).pipelines
+        assert pipeline.windows[0].total == 2
+
+    def test_restarts_and_silence_lower_the_coverage(self):
+        report = merge_snapshots([make_snapshot()], [Unreachable("10.0.0.2:1", "x")])
+        coverage = {item.window: item.share for item in report.coverage}
+        assert coverage["5m"] == pytest.approx(150 / 600)
+
+    @pytest.mark.parametrize(
+        ("objective", "missed", "alert"),
+        [(0.99, 0, "none"), (0.99, 2, "ticket"), (0.99, 20, "page"), (0.5, 20, "none")],
+    )
+    def test_alerts(self, objective, missed, alert):
+        met = [True] * (100 - missed) + [False] * missed
+        snapshot = make_snapshot(objective=objective, met=met)
+        assert merge_snapshots([snapshot]).pipelines[0].alert == alert
+
+
+class TestCollectReport:
+    def test_daemons_that_fail_are_named(self):
+        async def run():
+            view = FakeView("d1")
+            view.burn.record(make_finished(), view.burn.since_s)
+            with socket.socket() as taken:
+                taken.bind(("127.0.0.1", 0))
+                closed = f"127.0.0.1:{taken.getsockname()[1]}"
+                async with run_admin(view) as good, run_admin(view, **SECRET) as shut:
+                    addresses = [f"127.0.0.1:{good.port}", f"127.0.0.1:{shut.port}"]
+                    return await collect_report([*addresses, closed]), addresses, closed
+
+        report, addresses, closed = asyncio.run(run())
+        assert report.daemons == ("d1",)
+        assert {item.address for item in report.unreachable} == {addresses[1], closed}
+        text = "\n".join(format_report(report))
+        assert f"UNREACHABLE {closed}" in text
+        assert "ask: objective none" in text
