--- a/firworks/errors.py
+++ b/firworks/errors.py
@@ -85,3 +85,9 @@
     """A command was called in a way that it does not support."""
 
     code = Code.USAGE
+
+
+class LogUnavailableError(FirworksError):
+    """The log service did not confirm; an append may still take effect, even late."""
+
+    code = Code.LOG_UNAVAILABLE
--- a/firworks/tools/admin_client.py
+++ b/firworks/tools/admin_client.py
@@ -1,6 +1,5 @@
 """Asks daemons' admin listeners over HTTP, on behalf of operators' tools."""
 
-
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from firworks.codes import Code
