--- a/firworks/admin.py
+++ b/firworks/admin.py
@@ -2,13 +2,6 @@
 
 from firworks.kernel.messages import Struct
 
-# Values of `KeyStatus.state`.
-KEY_ABSENT = "absent"
-KEY_IN_PROGRESS = "in_progress"
-KEY_OUTCOME = "outcome"
-KEY_UNKNOWN = "unknown"
-KEY_RELEASED = "released"
-
 # Values of `resolution` in `AdminView.resolve_key`.
 RESOLUTION_RAN = "ran"
 RESOLUTION_NOT_RUN = "not-run"
@@ -58,13 +51,12 @@
     """What the ledger knows of a key.
 
     Attributes:
-        state (str): One of the ``KEY_`` constants.
-        claim_id (str): The claim that holds it, or "".
-        answer (str): With ``KEY_OUTCOME``, the kept answer, else "".
+        state (str): A ``CLAIM_`` constant of `firworks.kernel.claims`, or "free".
+        answer (str): The kept answer of work that ran, else "".
     """
 
-    __slots__ = ("state", "claim_id", "answer")
-    DEFAULTS = {"claim_id": "", "answer": ""}
+    __slots__ = ("state", "answer")
+    DEFAULTS = {"answer": ""}
 
 
 class AdminView:
--- a/firworks/tests/test_admin.py
+++ b/firworks/tests/test_admin.py
@@ -39,11 +39,11 @@
             raise ZeroDivisionError
         if key.key == "down":
             raise RequestError(Code.LEDGER_UNAVAILABLE, "the log does not answer")
-        return KeyStatus("unknown", claim_id="c1")
+        return KeyStatus("unknown")
 
     async def resolve_key(self, key, resolution, answer):
         self.resolved.append((key.key, resolution, answer))
-        return KeyStatus("outcome", claim_id="c1", answer=answer)
+        return KeyStatus("outcome", answer=answer)
 
     def start_drain(self):
         self.drained = True
