--- a/firworks/kernel/cells.py
+++ b/firworks/kernel/cells.py
@@ -65,8 +65,8 @@
 
 
 def _hash(name):
-    return xxh64_intdigest(name)
+    return xxh64_intdigest(name.encode())
 
 
 def _weigh(name, other):
-    return xxh64_intdigest(f"{len(name)}:{name}{other}")
+    return xxh64_intdigest(f"{len(name)}:{name}{other}".encode())
--- a/firworks/kernel/dissemination.py
+++ b/firworks/kernel/dissemination.py
@@ -25,6 +25,7 @@
 URGENT_GAP_S = 0.2
 BUDGET_BYTES_PER_S = 8_000.0
 BUDGET_DEPTH_S = 2.0
+HURRY_RESERVE_S = 0.5
 MESSAGE_OVERHEAD_BYTES = 140
 DIGEST_BYTES = 45
 MISMATCH_LIMIT = 2
@@ -190,8 +191,8 @@
         due = self._list_due(now)
         if not due:
             return []
-        self._tokens -= len(due) * (MESSAGE_OVERHEAD_BYTES + DIGEST_BYTES)
         batches = self._take_facts(due, now)
+        self._tokens -= len(due) * (MESSAGE_OVERHEAD_BYTES + DIGEST_BYTES)
         make_digest = self._membership.make_digest
         digest = self.table.digest
         return [
@@ -203,9 +204,8 @@
         urgent = set(self._membership.take_urgent())
         due = []
         for peer in self._membership.list_neighbours(now):
-            hurried = self._tokens > 0 and self._outboxes.is_hurried(
-                peer, URGENT_PRIORITY
-            )
+            hurried = self._tokens > HURRY_RESERVE_S * self._budget_bytes_per_s
+            hurried = hurried and self._outboxes.is_hurried(peer, URGENT_PRIORITY)
             period_s = URGENT_GAP_S if hurried else PERIOD_S
             if peer in urgent or self._membership.is_due(peer, period_s, now):
                 due.append(peer)
--- a/firworks/kernel/fact_table.py
+++ b/firworks/kernel/fact_table.py
@@ -97,4 +97,4 @@
 
 def _hash_fact(fact):
     parts = (*fact.identity, *(str(number) for number in fact.version))
-    return xxh64_intdigest("\0".join(parts))
+    return xxh64_intdigest("\0".join(parts).encode())
