Test the request part with a virtual clock; resume a stream only once per target

Cause: a test of broken streams showed that an engine that breaks each resumed stream was asked again for ever, because its failure was taken off the list of failed targets each time. A forced end also returned signals past the kernel. Change: targets at which a stream was resumed are remembered per stage; the end of a drain is an event. Conclusion: a broken stream gets one more chance at its engine, then moves on.

--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -10,7 +10,7 @@
 from firworks.assembly import BUILTIN_PLUGINS, build_kernel
 from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event
-from firworks.kernel.fleet import DrainStarted
+from firworks.kernel.fleet import DrainExpired, DrainStarted
 from firworks.kernel.messages import LogCatalogued, RequestFinished, Tick
 from firworks.kernel.registry import KINDS, Registry, load_plugins
 from firworks.settings import load_settings
@@ -76,7 +76,7 @@
         while not self.parts.idle:
             if self.clock() >= limit or self._stopped.is_set():
                 log_event(LogEvent.DAEMON_DRAIN_TIMEOUT, name=self.settings.name)
-                self._end_requests()
+                self.feed(DrainExpired())
                 await self.stop()
                 return False
             await asyncio.sleep(DRAIN_POLL_S)
@@ -128,11 +128,6 @@
             self.feed(Tick(time.time()))
             await asyncio.sleep(TICK_INTERVAL_S)
 
-    def _end_requests(self):
-        now = self.clock()
-        for action in self.parts.requests.end_all(now):
-            self._carry_out(action)
-
 
 async def run_daemon(settings):
     """Run a daemon until SIGTERM or SIGINT has drained it.
--- a/firworks/kernel/fleet.py
+++ b/firworks/kernel/fleet.py
@@ -1,6 +1,6 @@
 """Signals between the fleet's parts and the rest of the kernel."""
 
-from firworks.kernel.messages import Signal
+from firworks.kernel.messages import Event, Signal
 
 # Values of `MemberChanged.status`.
 MEMBER_ALIVE = "alive"
@@ -73,6 +73,12 @@
     __slots__ = ()
 
 
+class DrainExpired(Event):
+    """The time for a drain is over; requests in progress end now."""
+
+    __slots__ = ()
+
+
 class RequestQuarantined(Signal):
     """A fingerprint (bytes) is refused fleet-wide until `until_s` (kernel time)."""
 
--- a/firworks/kernel/flights.py
+++ b/firworks/kernel/flights.py
@@ -63,6 +63,8 @@
         calls (dict of int to Call): Calls of the stage in progress, by call_id.
         attempts (int): Attempts of the stage in progress.
         failed_targets (list of str): Targets that failed the stage in progress.
+        resumed_targets (list of str): Targets at which a broken stream of the stage
+            in progress was resumed.
         begun (set of int): Calls, of any stage, that a target can have begun.
         dispatched (set of int): Those of them that may not be repeated.
         code (Code): The final answer's code, or None before it.
@@ -92,6 +94,7 @@
         "calls",
         "attempts",
         "failed_targets",
+        "resumed_targets",
         "begun",
         "dispatched",
         "code",
@@ -165,6 +168,7 @@
         self.calls = {}
         self.attempts = 0
         self.failed_targets = []
+        self.resumed_targets = []
 
     def make_stage_body(self):
         """Return the JSON value that the stage's target gets."""
--- a/firworks/kernel/requests.py
+++ b/firworks/kernel/requests.py
@@ -43,7 +43,7 @@
     WorkKey,
 )
 from firworks.kernel.deferrals import Deferrals
-from firworks.kernel.fleet import ConfigurationAccepted, DrainStarted
+from firworks.kernel.fleet import ConfigurationAccepted, DrainExpired, DrainStarted
 from firworks.kernel.messages import RequestFinished, Tick
 from firworks.kernel.node import Part
 from firworks.kernel.stages import LATE_OUTCOME_GRACE_S, StageRunner
@@ -120,6 +120,13 @@
         self.draining = True
         return []
 
+    @handle.register
+    def _(self, event: DrainExpired, now):
+        results = []
+        for request in list(self.requests.values()):
+            results.extend(self.fail(request, Code.SHUT_DOWN, now))
+        return results
+
     @handle.register
     def _(self, event: RequestArrived, now):
         code = refuse_arrival(event, self.document, self.draining)
@@ -262,13 +269,6 @@
         ending = finish_failed("", code, began, detail, retry_after_s)
         return results + self.finish(request, ending, now)
 
-    def end_all(self, now):
-        """End all requests in progress at once, as the daemon must stop."""
-        results = []
-        for request in list(self.requests.values()):
-            results.extend(self.fail(request, Code.SHUT_DOWN, now))
-        return results
-
     def add(self, request):
         """Remember a request until it ends; its deadline is watched."""
         self.requests[request.request_id] = request
--- a/firworks/kernel/stages.py
+++ b/firworks/kernel/stages.py
@@ -258,11 +258,12 @@
 
     def _choose_resume(self, call):
         """Return the target whose broken stream may resume there, or ""."""
+        request = call.request
         broke = call.failure.result == RESULT_FAILED and call.tokens > 0
-        failed_before = call.request.failed_targets.count(call.target) > 1
-        if not broke or failed_before:
+        if not broke or call.target in request.resumed_targets:
             return ""
-        call.request.failed_targets.remove(call.target)
+        request.resumed_targets.append(call.target)
+        request.failed_targets.remove(call.target)
         return call.target
 
     def cancel_calls(self, request, now, keep=None):
--- a/firworks/plugins/http_log.py
+++ b/firworks/plugins/http_log.py
@@ -128,8 +128,3 @@
                 offset=offset,
                 problem=str(error),
             )
-
-
-def register(registry):
-    """Put the adapter into the registry."""
-    registry.add("log", "http", HttpLog)
--- a/firworks/plugins/http_vms.py
+++ b/firworks/plugins/http_vms.py
@@ -4,6 +4,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from firworks.adapter import Adapter
 from firworks.events import LogEvent, log_event
 from firworks.kernel.messages import VmEntry, VmsListed
 
@@ -93,6 +94,22 @@
     return VmEntry(**values, leaving=item.get("leaving") is True)
 
 
+class VmsAdapter(Adapter):
+    """Connects `HttpVms` with the daemon."""
+
+    def __init__(self, context):
+        super().__init__(context)
+        self._vms = HttpVms(context.settings, context.feed)
+
+    async def start(self):
+        """Start polling."""
+        await self._vms.start()
+
+    async def stop(self):
+        """Stop polling."""
+        await self._vms.stop()
+
+
 def register(registry):
     """Register the adapter."""
-    registry.add("vms", "http", HttpVms)
+    registry.add("vms", "http", VmsAdapter)
--- a/firworks/plugins/log_driver.py
+++ b/firworks/plugins/log_driver.py
@@ -3,6 +3,7 @@
 import asyncio
 from functools import singledispatchmethod
 
+from firworks.adapter import Adapter
 from firworks.errors import LogUnavailableError
 from firworks.events import LogEvent, log_event
 from firworks.kernel.messages import (
@@ -12,6 +13,7 @@
     ReadLog,
     RecordsAppended,
 )
+from firworks.plugins.http_log import HttpLog
 
 
 class LogDriver:
@@ -80,3 +82,27 @@
             log_event(LogEvent.LOG_READ_FAILED, problem=str(error))
             event = LogReadFailed(action.stream, action.offset)
         self._feed(event)
+
+
+class LogAdapter(Adapter):
+    """Connects the log service with the daemon."""
+
+    ACTIONS = (AppendRecords, ReadLog)
+
+    def __init__(self, context):
+        super().__init__(context)
+        log = HttpLog(context.settings.log_url)
+        self._driver = LogDriver(log, context.feed)
+
+    async def stop(self):
+        """Cancel what is running and close the connections."""
+        await self._driver.close()
+
+    def carry_out(self, action):
+        """Carry out a log action."""
+        self._driver.carry_out(action)
+
+
+def register(registry):
+    """Put the adapter into the registry."""
+    registry.add("log", "http", LogAdapter)
--- /dev/null
+++ b/firworks/tests/test_requests.py
@@ -0,0 +1,438 @@
+"""Tests of the request part: identities, streams, deadlines, claims, shutdown."""
+
+import random
+
+import pytest
+
+from firworks.codes import Code
+from firworks.kernel.answers import WholeAnswer, encode_answer
+from firworks.kernel.callers import CallerLeft, FinishAnswer, ResultAsked, SendPart
+from firworks.kernel.calls import (
+    RESULT_CRASHED,
+    RESULT_FAILED,
+    CallAnswered,
+    CallFailed,
+    CallPart,
+    CallRejected,
+    CallRequested,
+    CancelCall,
+    HedgeWanted,
+    StartCall,
+)
+from firworks.kernel.claims import (
+    CLAIM_OUTCOME,
+    CLAIM_UNAVAILABLE,
+    ClaimRefused,
+    ClaimReleased,
+    ClaimRequested,
+    ClaimWon,
+    DeferAccepted,
+    DeferredDone,
+    DeferredReady,
+    DeferRequested,
+    OutcomeReached,
+    OutcomeUnknown,
+    ResultFound,
+    ResultRequested,
+)
+from firworks.kernel.fleet import DrainExpired, DrainStarted
+from firworks.kernel.messages import Tick
+from firworks.tests.kit import OTHER_TOKEN, RequestHarness, Verdict
+
+
+@pytest.fixture
+def harness():
+    return RequestHarness()
+
+
+def answer(harness, call, body=None, count=-1):
+    return harness.feed(CallAnswered(call.call_id, call.identity.encode(), body, count))
+
+
+def send_part(harness, call, offset, *tokens):
+    return harness.feed(CallPart(call.call_id, call.identity.encode(), offset, tokens))
+
+
+def fail(harness, call, result=RESULT_FAILED, began=True):
+    return harness.feed(CallFailed(call.call_id, result, began))
+
+
+def start_generate(harness, request_id="r1"):
+    harness.arrive(request_id, "ask")
+    answer(harness, harness.started()[-1], {"vector": 1})
+    return harness.started()[-1]
+
+
+class TestPipeline:
+    def test_stages_run_in_order_and_the_answer_is_streamed(self, harness):
+        call = start_generate(harness)
+        assert call.kind == "engine"
+        send_part(harness, call, 0, "a", "b")
+        send_part(harness, call, 2, "c")
+        answer(harness, call, count=3)
+        assert harness.tokens("r1") == ["a", "b", "c"]
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran) == (Code.OK, "yes")
+        assert ending.tokens == ("a", "b", "c")
+        assert harness.requests.idle and harness.gates.in_progress == 0
+
+    def test_answers_that_come_back_swapped_go_to_their_own_requests(self, harness):
+        harness.arrive("r1", "look", body=1)
+        harness.arrive("r2", "look", body=2, token=OTHER_TOKEN)
+        first, second = harness.started()
+        harness.feed(CallAnswered(first.call_id, second.identity.encode(), "two"))
+        answer(harness, second, "two")
+        assert harness.endings("r2")[0].body == "two"
+        assert harness.endings("r1") == []
+        retried = harness.started()[2]
+        assert retried.identity.request_id == "r1"
+        answer(harness, retried, "one")
+        assert harness.endings("r1")[0].body == "one"
+
+    def test_late_answer_of_a_superseded_attempt_is_dropped(self, harness):
+        harness.arrive("r1", "look")
+        first = harness.started()[0]
+        fail(harness, first)
+        answer(harness, first, "late")
+        assert harness.endings("r1") == []
+        answer(harness, harness.started()[1], "right")
+        assert harness.endings("r1")[0].body == "right"
+
+    def test_second_answer_of_a_target_is_dropped(self, harness):
+        harness.arrive("r1", "look")
+        call = harness.started()[0]
+        answer(harness, call, "first")
+        answer(harness, call, "second")
+        assert [ending.body for ending in harness.endings("r1")] == ["first"]
+
+    def test_version_of_the_start_is_kept(self, harness):
+        harness.arrive("r1", "ask")
+        harness.requests.version = 9
+        answer(harness, harness.started()[0], 1)
+        assert {call.version for call in harness.tap.find(CallRequested)} == {1}
+
+
+class TestStream:
+    def test_repeated_parts_are_dropped(self, harness):
+        call = start_generate(harness)
+        send_part(harness, call, 0, "a", "b")
+        send_part(harness, call, 0, "a", "b")
+        send_part(harness, call, 1, "b", "c")
+        answer(harness, call, count=3)
+        assert harness.tokens("r1") == ["a", "b", "c"]
+
+    def test_gap_fails_the_attempt_and_the_next_resumes(self, harness):
+        call = start_generate(harness)
+        send_part(harness, call, 0, "a")
+        actions = send_part(harness, call, 5, "f")
+        assert CancelCall(call.call_id) in actions
+        resumed = harness.started()[-1]
+        assert resumed.resume == ("a",)
+        send_part(harness, resumed, 1, "b")
+        answer(harness, resumed, count=2)
+        assert harness.tokens("r1") == ["a", "b"]
+
+    def test_short_answer_is_not_whole(self, harness):
+        call = start_generate(harness)
+        send_part(harness, call, 0, "a")
+        answer(harness, call, count=2)
+        assert harness.endings("r1") == []
+        assert harness.started()[-1].resume == ("a",)
+
+    def test_broken_stream_resumes_at_the_same_engine_once(self, harness):
+        call = start_generate(harness)
+        send_part(harness, call, 0, "a")
+        fail(harness, call)
+        resumed = harness.started()[-1]
+        assert resumed.target == call.target
+        send_part(harness, resumed, 1, "b")
+        fail(harness, resumed)
+        assert harness.started()[-1].target != call.target
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_any_order_of_cuts_and_repeats_gives_the_whole_once(self, harness, seed):
+        rng = random.Random(seed)
+        whole = [f"t{i}" for i in range(12)]
+        start_generate(harness)
+        for _ in range(3):
+            call = harness.started()[-1]
+            position = len(call.resume)
+            cut = rng.randrange(position, len(whole) + 1)
+            while position < cut:
+                step = rng.randrange(1, 4)
+                back = rng.randrange(0, 2) if position > len(call.resume) else 0
+                part = whole[position - back : min(position + step, cut)]
+                send_part(harness, call, position - back, *part)
+                position = min(position + step, cut)
+            fail(harness, call)
+        call = harness.started()[-1]
+        send_part(harness, call, len(call.resume), *whole[len(call.resume) :])
+        answer(harness, call, count=len(whole))
+        assert harness.tokens("r1") == whole
+        assert harness.endings("r1")[0].tokens == tuple(whole)
+
+
+class TestHedge:
+    def test_first_whole_answer_wins_and_the_other_is_cancelled(self, harness):
+        harness.arrive("r1", "look")
+        first = harness.started()[0]
+        harness.feed(HedgeWanted(first.call_id))
+        second = harness.started()[1]
+        assert second.target != first.target
+        actions = answer(harness, second, "fast")
+        assert CancelCall(first.call_id) in actions
+        answer(harness, first, "slow")
+        assert [ending.body for ending in harness.endings("r1")] == ["fast"]
+
+    def test_work_that_may_not_repeat_is_not_hedged(self, harness):
+        harness.arrive("r1", "lend", idempotency_key="k", issued_s=1.0)
+        harness.feed(ClaimWon(harness.tap.find(ClaimRequested)[0].claim_id))
+        harness.feed(HedgeWanted(harness.started()[0].call_id))
+        assert len(harness.started()) == 1
+
+
+class TestRefusal:
+    @pytest.mark.parametrize(
+        ("fields", "code"),
+        [
+            ({"token": "wrong"}, Code.UNAUTHENTICATED),
+            ({"pipeline": "none"}, Code.UNKNOWN_PIPELINE),
+            ({"pipeline": "lend"}, Code.IDEMPOTENCY_KEY_REQUIRED),
+        ],
+    )
+    def test_bad_requests_are_refused_as_not_run(self, harness, fields, code):
+        fields = {"pipeline": "look", **fields}
+        (ending,) = harness.arrive("r1", **fields)
+        assert (ending.code, ending.ran) == (code, "no")
+
+    def test_limits_refuse_with_the_time_to_come_back(self, harness):
+        harness.gates.admission = Verdict(code=Code.RATE_LIMITED, retry_after_s=2.0)
+        (ending,) = harness.arrive("r1", "look")
+        assert (ending.code, ending.retry_after_s) == (Code.RATE_LIMITED, 2.0)
+
+    def test_refused_resend_does_not_say_not_run(self, harness):
+        harness.gates.admission = Verdict(code=Code.RATE_LIMITED)
+        key = {"idempotency_key": "k", "issued_s": 1.0}
+        assert harness.arrive("r1", "lend", **key)[0].ran == "unknown"
+        key["first_send"] = True
+        assert harness.arrive("r2", "lend", **key)[0].ran == "no"
+
+    def test_rejected_call_is_answered_at_once(self, harness):
+        harness.tap.placing = False
+        harness.arrive("r1", "look")
+        call = harness.tap.find(CallRequested)[0]
+        harness.feed(CallRejected(call.call_id, Code.OVERLOADED, 1.5))
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran) == (Code.OVERLOADED, "no")
+        assert ending.retry_after_s == 1.5
+
+
+class TestDeadline:
+    def test_late_work_is_cancelled_at_the_target(self, harness):
+        harness.arrive("r1", "look")
+        harness.now += 2.5
+        actions = harness.feed(Tick(0.0))
+        assert CancelCall(harness.started()[0].call_id) in actions
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran) == (Code.DEADLINE_EXCEEDED, "unknown")
+
+    def test_queued_work_that_runs_out_of_time_was_not_run(self, harness):
+        harness.tap.placing = False
+        harness.arrive("r1", "look", deadline_ms=500)
+        harness.now += 0.6
+        harness.feed(Tick(0.0))
+        assert harness.endings("r1")[0].ran == "no"
+
+    def test_attempts_are_bounded(self, harness):
+        harness.arrive("r1", "look")
+        for _ in range(10):
+            fail(harness, harness.started()[-1], RESULT_CRASHED)
+        assert len(harness.started()) == 4
+        assert harness.endings("r1")[0].code is Code.TARGET_FAILED
+
+    def test_suspect_is_refused_before_a_retry(self, harness):
+        harness.arrive("r1", "look")
+        harness.gates.verdict = Verdict(refused=True)
+        fail(harness, harness.started()[0], RESULT_CRASHED)
+        assert harness.endings("r1")[0].code is Code.QUARANTINED
+
+
+class TestClaim:
+    KEY = {"idempotency_key": "k", "issued_s": 1.0}
+
+    def begin(self, harness, request_id="r1"):
+        harness.arrive(request_id, "lend", **self.KEY)
+        claim = harness.tap.find(ClaimRequested)[-1]
+        assert not harness.started()
+        harness.feed(ClaimWon(claim.claim_id))
+        return claim.claim_id
+
+    def test_work_waits_for_the_claim_and_its_outcome_is_kept(self, harness):
+        claim_id = self.begin(harness)
+        (call,) = harness.started()
+        assert not call.repeatable
+        answer(harness, call, "lent")
+        kept = encode_answer(WholeAnswer(body="lent"))
+        assert harness.tap.find(OutcomeReached) == [OutcomeReached(claim_id, kept)]
+        assert harness.endings("r1")[0].code is Code.OK
+
+    def test_resend_gets_the_same_answer(self, harness):
+        harness.arrive("r1", "lend", **self.KEY)
+        claim_id = harness.tap.find(ClaimRequested)[0].claim_id
+        kept = encode_answer(WholeAnswer(body="lent"))
+        harness.feed(ClaimRefused(claim_id, CLAIM_OUTCOME, kept))
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran, ending.body) == (Code.REPLAYED, "yes", "lent")
+        assert harness.started() == []
+
+    def test_dispatched_work_is_never_sent_again(self, harness):
+        claim_id = self.begin(harness)
+        fail(harness, harness.started()[0], RESULT_FAILED)
+        assert len(harness.started()) == 1
+        assert harness.tap.find(OutcomeUnknown) == [OutcomeUnknown(claim_id)]
+        assert harness.tap.find(ClaimReleased) == []
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran) == (Code.OUTCOME_UNKNOWN, "unknown")
+
+    def test_work_that_never_left_is_released_as_not_run(self, harness):
+        claim_id = self.begin(harness)
+        for _ in range(4):
+            fail(harness, harness.started()[-1], began=False)
+        assert harness.tap.find(ClaimReleased) == [ClaimReleased(claim_id)]
+        assert harness.endings("r1")[0].ran == "no"
+
+    def test_key_that_left_the_window_is_not_dispatched(self, harness):
+        harness.gates.dispatch = False
+        claim_id = self.begin(harness)
+        assert harness.started() == []
+        assert harness.tap.find(ClaimReleased) == [ClaimReleased(claim_id)]
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran) == (Code.IDEMPOTENCY_KEY_EXPIRED, "no")
+
+    def test_caller_is_answered_at_the_deadline_and_the_late_outcome_kept(
+        self, harness
+    ):
+        claim_id = self.begin(harness)
+        harness.now += 4.5
+        harness.feed(Tick(0.0))
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran) == (Code.IN_PROGRESS, "unknown")
+        answer(harness, harness.started()[0], "late")
+        assert harness.tap.find(OutcomeReached)[0].claim_id == claim_id
+        assert len(harness.endings("r1")) == 1 and harness.requests.idle
+
+    def test_outcome_that_never_comes_is_unknown(self, harness):
+        claim_id = self.begin(harness)
+        for _ in range(2):
+            harness.now += 61.0
+            harness.feed(Tick(0.0))
+        assert harness.tap.find(OutcomeUnknown) == [OutcomeUnknown(claim_id)]
+        assert harness.requests.idle
+
+    def test_caller_that_left_does_not_end_the_work(self, harness):
+        self.begin(harness)
+        harness.feed(CallerLeft("r1"))
+        answer(harness, harness.started()[0], "lent")
+        assert len(harness.tap.find(OutcomeReached)) == 1
+        assert harness.endings("r1") == []
+
+    def test_claim_won_after_the_end_is_released(self, harness):
+        harness.feed(ClaimWon("d1.1/gone"))
+        assert harness.tap.find(ClaimReleased) == [ClaimReleased("d1.1/gone")]
+
+    def test_undecided_claim_of_a_first_send_was_not_run(self, harness):
+        harness.arrive("r1", "lend", first_send=True, **self.KEY)
+        claim_id = harness.tap.find(ClaimRequested)[0].claim_id
+        harness.feed(ClaimRefused(claim_id, CLAIM_UNAVAILABLE))
+        assert harness.endings("r1")[0].ran == "no"
+
+    def test_silent_ledger_ends_as_unknown(self, harness):
+        harness.arrive("r1", "lend", **self.KEY)
+        for _ in range(2):
+            harness.now += 4.5
+            harness.feed(Tick(0.0))
+        assert harness.endings("r1")[0].ran == "unknown"
+        assert len(harness.tap.find(ClaimReleased)) == 1
+
+
+class TestCallerLeft:
+    def test_repeatable_work_is_cancelled(self, harness):
+        harness.arrive("r1", "look")
+        actions = harness.feed(CallerLeft("r1"))
+        assert CancelCall(harness.started()[0].call_id) in actions
+        assert harness.requests.idle and harness.gates.in_progress == 0
+
+
+class TestDeferral:
+    def test_acceptance_follows_the_log(self, harness):
+        harness.arrive("r1", "quote", idempotency_key="k")
+        harness.arrive("r2", "quote", body={"q": "r1"}, idempotency_key="k")
+        first, second = harness.tap.find(DeferRequested)
+        assert first.request_id == second.request_id
+        assert harness.endings("r1") == []
+        harness.feed(DeferAccepted(first.request_id))
+        for request_id in ("r1", "r2"):
+            (ending,) = harness.endings(request_id)
+            assert ending.code is Code.ACCEPTED
+            assert ending.body == {"request_id": first.request_id}
+
+    def test_run_has_no_caller_and_reports_its_outcome(self, harness):
+        harness.feed(DeferredReady("q1", "club", "quote", b'{"plaque": 1}'))
+        (call,) = harness.started()
+        send_part(harness, call, 0, "x")
+        answer(harness, call, count=1)
+        (done,) = harness.tap.find(DeferredDone)
+        assert done == DeferredDone("q1", encode_answer(WholeAnswer(tokens=("x",))))
+        assert harness.gates.in_progress == 0
+
+    def test_failed_run_is_given_back(self, harness):
+        harness.feed(DeferredReady("q1", "club", "quote", b"1"))
+        harness.now += 60.0
+        harness.feed(Tick(0.0))
+        assert harness.tap.find(DeferredDone) == [DeferredDone("q1", b"")]
+
+    def test_result_is_looked_up_for_its_account(self, harness):
+        harness.feed(ResultAsked("l1", OTHER_TOKEN, "q1"))
+        assert harness.tap.find(ResultRequested) == [
+            ResultRequested("l1", "q1", "school")
+        ]
+        harness.feed(ResultFound("l1", "open"))
+        assert harness.endings("l1")[0].code is Code.IN_PROGRESS
+
+
+class TestDrain:
+    def test_streams_in_progress_end_whole_and_new_requests_are_refused(self, harness):
+        call = start_generate(harness)
+        harness.feed(DrainStarted())
+        assert not harness.requests.ready
+        (ending,) = harness.arrive("r2", "look")
+        assert (ending.code, ending.ran) == (Code.DRAINING, "no")
+        send_part(harness, call, 0, "a")
+        answer(harness, call, count=1)
+        assert harness.endings("r1")[0].code is Code.OK and harness.requests.idle
+
+    def test_forced_end_answers_every_caller_once(self, harness):
+        harness.arrive("r1", "look")
+        harness.tap.placing = False
+        harness.arrive("r2", "look")
+        actions = harness.feed(DrainExpired())
+        endings = [action for action in actions if isinstance(action, FinishAnswer)]
+        told = {ending.request_id: (ending.code, ending.ran) for ending in endings}
+        assert told == {
+            "r1": (Code.SHUT_DOWN, "unknown"),
+            "r2": (Code.SHUT_DOWN, "no"),
+        }
+
+
+class TestIsolation:
+    def test_parts_go_to_their_own_caller(self, harness):
+        first = start_generate(harness, "r1")
+        second = start_generate(harness, "r2")
+        send_part(harness, second, 0, "two")
+        send_part(harness, first, 0, "one")
+        sent = [a for a in harness.actions if isinstance(a, SendPart)]
+        assert {part.request_id: part.tokens for part in sent} == {
+            "r1": ("one",),
+            "r2": ("two",),
+        }
+        assert all(isinstance(call, StartCall) for call in harness.started())
