Add the ledger: claims decided by the log's order

Cause: work that may not repeat must run at most once although every daemon may die, pause, or lose the log's answers. Change: claims, releases, outcomes and operators' resolutions as records in ledger streams; a stream's usual writer by rendezvous hash, other peers and a direct write when it is silent or cut off; decisions from a gap-free prefix alone.

--- /dev/null
+++ b/firworks/kernel/appends.py
@@ -0,0 +1,78 @@
+"""Batched appends to one log stream, within the fleet's append budget."""
+
+from firworks.kernel.messages import AppendRecords
+
+BATCH_LIMIT_RECORDS = 500
+BUDGET_SHARE = 0.8  # of the fleet's budget; configuration and orders take the rest
+
+
+def compute_interval_s(budget_per_s, streams, writers=1):
+    """Return the least time between two appends of one writer to one stream.
+
+    Args:
+        budget_per_s (float): Appends a second that the whole fleet may make.
+        streams (int): Streams that share the budget.
+        writers (int): Daemons that usually write each stream.
+    """
+    return streams * writers / (budget_per_s * BUDGET_SHARE)
+
+
+class Appender:
+    """Queue of records for one stream; one append is in flight at a time.
+
+    Whatever is queued when the previous append ends, and the interval has passed,
+    forms the next batch.
+
+    Args:
+        owner (str): Name of the part; begins each append id.
+        stream (str): Name of the stream.
+        interval_s (float): Least time between two appends.
+    """
+
+    def __init__(self, owner, stream, interval_s):
+        self._owner = owner
+        self._stream = stream
+        self._interval_s = interval_s
+        self._queue = []
+        self._in_flight = ()
+        self._append_id = ""
+        self._count = 0
+        self._next_s = 0.0
+
+    def __len__(self):
+        return len(self._queue) + len(self._in_flight)
+
+    def add(self, record):
+        """Queue a record."""
+        self._queue.append(record)
+
+    def poll(self, now):
+        """Return the append to make now, as a list of at most one action."""
+        if self._append_id or not self._queue or now < self._next_s:
+            return []
+        self._in_flight = tuple(self._queue[:BATCH_LIMIT_RECORDS])
+        del self._queue[:BATCH_LIMIT_RECORDS]
+        self._count += 1
+        self._append_id = f"{self._owner}/{self._stream}/{self._count}"
+        self._next_s = now + self._interval_s
+        return [AppendRecords(self._append_id, self._stream, self._in_flight)]
+
+    def finish(self, event):
+        """Take the end of an append and return its records.
+
+        Args:
+            event (RecordsAppended or AppendFailed): Others' appends are ignored.
+
+        Returns:
+            tuple of Record: The records that were in flight, or empty.
+        """
+        if not self._append_id or event.append_id != self._append_id:
+            return ()
+        records, self._in_flight = self._in_flight, ()
+        self._append_id = ""
+        return records
+
+    def clear(self):
+        """Drop what is queued and return it."""
+        records, self._queue = tuple(self._queue), []
+        return records
--- a/firworks/kernel/claims.py
+++ b/firworks/kernel/claims.py
@@ -11,6 +11,7 @@
 CLAIM_EXPIRED = "expired"  # the key is too old or from the future
 CLAIM_UNAVAILABLE = "unavailable"  # not decided in time; released, never dispatched
 CLAIM_FULL = "full"  # the ledger can hold no more keys
+CLAIM_NOT_RUN = "not_run"  # an operator found that it did not run; the key is closed
 
 
 @register_record
--- /dev/null
+++ b/firworks/kernel/ledger.py
@@ -0,0 +1,301 @@
+"""The ledger: at most one run of non-repeatable work per idempotency key."""
+
+from functools import singledispatchmethod
+
+from xxhash import xxh64_intdigest
+
+from firworks.events import LogEvent
+from firworks.kernel.appends import compute_interval_s
+from firworks.kernel.claims import (
+    CLAIM_EXPIRED,
+    CLAIM_UNAVAILABLE,
+    ClaimRefused,
+    ClaimReleased,
+    ClaimRequested,
+    OutcomeReached,
+    OutcomeUnknown,
+)
+from firworks.kernel.codec import encode_record
+from firworks.kernel.fleet import MemberChanged
+from firworks.kernel.ledger_holder import ClaimHolder, Outbox
+from firworks.kernel.ledger_lookups import Lookups
+from firworks.kernel.ledger_members import WriterChoice
+from firworks.kernel.ledger_records import (
+    LEDGER_RECORDS,
+    LedgerDecision,
+    LedgerHeard,
+    LedgerStalled,
+    LedgerStored,
+    LedgerSubmit,
+    LookupRequested,
+    ResolutionRequested,
+    name_record,
+)
+from firworks.kernel.ledger_state import LedgerState
+from firworks.kernel.ledger_stream import LedgerStream
+from firworks.kernel.messages import (
+    AppendFailed,
+    LogCatalogued,
+    LogRead,
+    LogReadFailed,
+    PeerDisconnected,
+    PeerReceived,
+    RecordsAppended,
+    SendPeer,
+    Tick,
+)
+from firworks.kernel.node import Part
+
+IDLE_S = 60.0
+WARM_AFTER_S = 2.0
+SHARED_STREAMS = 1  # the deferred stream draws on the same budget
+STREAM_PREFIX = "ledger-"
+
+
+class Ledger(Part):
+    """Decides claims through the log's order and keeps their outcomes.
+
+    Args:
+        settings (Settings): Uses name, ledger_streams, ledger_memory_limit_bytes,
+            append_budget_per_s, dedupe_window_s and clock_skew_s.
+        writers (int): Daemons that usually write each stream.
+        relay (bool): Whether records may go through peers that are not the usual
+            writer.
+    """
+
+    def __init__(self, settings, writers=1, relay=True):
+        self._name = settings.name
+        self._streams_count = settings.ledger_streams
+        self._limit_bytes = settings.ledger_memory_limit_bytes
+        self._window_s = settings.dedupe_window_s
+        self._skew_s = settings.clock_skew_s
+        self._interval_s = compute_interval_s(
+            settings.append_budget_per_s,
+            settings.ledger_streams + SHARED_STREAMS,
+            writers,
+        )
+        self._choice = WriterChoice(settings.name, relay)
+        self._outbox = Outbox(self._choice)
+        self._holder = ClaimHolder(self._outbox)
+        self._streams = {}
+        self._lookups = Lookups(self._outbox)
+        self._was_full = False
+        self._wall_s = None
+        self._ticked_s = 0.0
+        self._started_s = None
+
+    def may_dispatch(self, claim_id, now):
+        """Return whether the holder of a won claim may dispatch at this moment.
+
+        Args:
+            claim_id (str): From `ClaimRequested`.
+            now (float): Kernel time.
+
+        Returns:
+            bool: False also when the claim was released or its work has ended.
+        """
+        request = self._holder.get_won(claim_id)
+        return request is not None and self._in_window(request.issued_s, now)
+
+    @property
+    def size_bytes(self):
+        """Estimate of the memory that remembered claims take."""
+        return sum(stream.state.size_bytes for stream in self._streams.values())
+
+    def handle(self, event, now):
+        """Take one event; see `Part.handle`."""
+        results = self._take(event, now)
+        return results + self._settle(now)
+
+    @singledispatchmethod
+    def _take(self, event, now):
+        return []
+
+    @_take.register
+    def _(self, event: Tick, now):
+        self._wall_s = event.wall_s
+        self._ticked_s = now
+        self._outbox.wake()
+        if self._started_s is None:
+            self._started_s = now
+        self._drop_idle_streams(now)
+        if now >= self._started_s + WARM_AFTER_S:
+            self._warm_streams(now)
+        results = self._holder.expire(now) + self._lookups.expire(now)
+        return results + self._note_full()
+
+    @_take.register
+    def _(self, event: ClaimRequested, now):
+        if self._wall_s is None:
+            return [ClaimRefused(event.claim_id, CLAIM_UNAVAILABLE)]
+        if not self._in_window(event.issued_s, now):
+            return [ClaimRefused(event.claim_id, CLAIM_EXPIRED)]
+        return self._holder.request(event, self.name_stream(event.key))
+
+    @_take.register
+    def _(self, event: ClaimReleased, now):
+        self._holder.release(event)
+        return []
+
+    @_take.register
+    def _(self, event: OutcomeReached, now):
+        self._holder.report_outcome(event)
+        return []
+
+    @_take.register
+    def _(self, event: OutcomeUnknown, now):
+        self._holder.report_unknown(event)
+        return []
+
+    @_take.register
+    def _(self, event: MemberChanged, now):
+        self._choice.change_member(event)
+        return []
+
+    @_take.register
+    def _(self, event: PeerDisconnected, now):
+        self._outbox.note_gone(event.peer, now)
+        return []
+
+    @_take.register
+    def _(self, event: PeerReceived, now):
+        return self._hear(event.message, event.peer, now)
+
+    @_take.register(RecordsAppended)
+    @_take.register(AppendFailed)
+    @_take.register(LogRead)
+    @_take.register(LogReadFailed)
+    def _(self, event, now):
+        stream = self._streams.get(event.stream)
+        if stream is None:
+            return []
+        gaps = stream.gaps
+        results = self._deliver(stream.take(event, now), now)
+        if stream.gaps > gaps:
+            fields = {"stream": stream.stream}
+            results.append(LogCatalogued(LogEvent.LEDGER_GAP, fields))
+        if isinstance(event, LogRead):
+            results += self._lookups.answer(stream)
+        return results
+
+    @_take.register
+    def _(self, event: LookupRequested, now):
+        stream = self._open_stream(self.name_stream(event.key), now)
+        self._lookups.ask(event, stream.stream, now)
+        return []
+
+    @_take.register
+    def _(self, event: ResolutionRequested, now):
+        stream = self._open_stream(self.name_stream(event.key), now)
+        self._lookups.resolve(event, stream.stream, now)
+        return []
+
+    @singledispatchmethod
+    def _hear(self, message, peer, now):
+        """Take a peer's message; `peer` is this daemon's name for its own."""
+        return []
+
+    @_hear.register
+    def _(self, message: LedgerSubmit, peer, now):
+        if not self._is_stream(message.stream):
+            return []
+        records = [r for r in message.records if isinstance(r, LEDGER_RECORDS)]
+        results = []
+        if peer != self._name:
+            names = tuple(name_record(record) for record in records)
+            results.append(SendPeer(peer, LedgerHeard(names)))
+        stream = self._open_stream(message.stream, now)
+        for record in records:
+            results += self._deliver(stream.submit(record, peer, now), now)
+        return results
+
+    @_hear.register
+    def _(self, message: LedgerHeard, peer, now):
+        self._outbox.note_heard(peer, message.ids)
+        return []
+
+    @_hear.register
+    def _(self, message: LedgerStalled, peer, now):
+        self._outbox.note_stalled(peer, message.stream, now)
+        return []
+
+    @_hear.register
+    def _(self, message: LedgerStored, peer, now):
+        self._outbox.drop(message.id)
+        return []
+
+    @_hear.register
+    def _(self, message: LedgerDecision, peer, now):
+        return self._holder.take_decision(message, now)
+
+    def _deliver(self, replies, now):
+        """Send replies to peers and take this daemon's own at once."""
+        results = []
+        for reply in replies:
+            if reply.origin == self._name:
+                results += self._hear(reply.message, self._name, now)
+            else:
+                results.append(SendPeer(reply.origin, reply.message))
+        return results
+
+    def _settle(self, now):
+        """Act on what is due until nothing more is."""
+        results = []
+        submissions = self._outbox.poll(now)
+        while submissions:
+            for action in submissions:
+                if action.peer == self._name:
+                    results += self._hear(action.message, self._name, now)
+                else:
+                    results.append(action)
+            submissions = self._outbox.poll(now)
+        for stream in self._streams.values():
+            results += stream.poll(now)
+        return results
+
+    def name_stream(self, key):
+        """Return the stream of a `WorkKey`."""
+        number = xxh64_intdigest(encode_record(key)) % self._streams_count
+        return f"{STREAM_PREFIX}{number}"
+
+    def _is_stream(self, name):
+        numbers = range(self._streams_count)
+        return name in [f"{STREAM_PREFIX}{number}" for number in numbers]
+
+    def _in_window(self, issued_s, now):
+        age_s = self._wall_s + (now - self._ticked_s) - issued_s
+        return -self._skew_s <= age_s <= self._window_s
+
+    def _is_full(self):
+        return self.size_bytes >= self._limit_bytes
+
+    def _note_full(self):
+        """Log once when the memory limit is reached."""
+        was_full, self._was_full = self._was_full, self._is_full()
+        if was_full or not self._was_full:
+            return []
+        fields = {"size_bytes": self.size_bytes}
+        return [LogCatalogued(LogEvent.LEDGER_FULL, fields)]
+
+    def _open_stream(self, name, now):
+        if name not in self._streams:
+            self._streams[name] = LedgerStream(
+                name, self._make_state, self._interval_s, self._is_full
+            )
+        self._streams[name].used_s = now
+        return self._streams[name]
+
+    def _make_state(self):
+        return LedgerState(self._window_s, self._skew_s)
+
+    def _warm_streams(self, now):
+        """Follow the streams that this daemon usually writes."""
+        for number in range(self._streams_count):
+            name = f"{STREAM_PREFIX}{number}"
+            if self._choice.get_writer(name) == self._name:
+                self._open_stream(name, now)
+
+    def _drop_idle_streams(self, now):
+        for name, stream in list(self._streams.items()):
+            if stream.idle and now > stream.used_s + IDLE_S:
+                del self._streams[name]
--- /dev/null
+++ b/firworks/kernel/ledger_members.py
@@ -0,0 +1,74 @@
+"""Which daemon usually writes a stream: rendezvous hash over live members."""
+
+from xxhash import xxh64_intdigest
+
+from firworks.kernel.fleet import MEMBER_DEAD, MEMBER_LEAVING
+
+PEERS_BEFORE_DIRECT = 3
+AVOID_S = 2.0
+
+
+def rank_members(stream, members):
+    """Return member names, highest rendezvous weight first."""
+    return sorted(
+        members, key=lambda name: -xxh64_intdigest(f"{stream}/{name}".encode())
+    )
+
+
+class WriterChoice:
+    """Chooses where this daemon submits the records of each stream.
+
+    Views of membership may differ between daemons; that costs appends, not safety.
+
+    Args:
+        name (str): This daemon's name.
+        relay (bool): Whether peers other than the usual writer may be asked.
+    """
+
+    def __init__(self, name, relay=True):
+        self.name = name
+        self._relay = relay
+        self._members = {name: True}
+        self._avoided_s = {}
+        self._ranks = {}
+
+    def change_member(self, event):
+        """Take a `MemberChanged`."""
+        if event.member == self.name:
+            return
+        if event.status in (MEMBER_DEAD, MEMBER_LEAVING):
+            self._members.pop(event.member, None)
+        else:
+            self._members[event.member] = True
+        self._ranks.clear()
+
+    def avoid(self, member, stream, now):
+        """Leave out a member for a while that is silent or cut off from the log."""
+        self._avoided_s[member, stream] = now + AVOID_S
+
+    def forgive(self, member, stream):
+        """Consider a member again that has answered."""
+        self._avoided_s.pop((member, stream), None)
+
+    def get_writer(self, stream):
+        """Return the usual writer of a stream."""
+        return self._rank(stream)[0]
+
+    def choose(self, stream, now):
+        """Return where to submit now, or None when all were tried just now."""
+        for member in self._candidates(stream):
+            if now >= self._avoided_s.get((member, stream), 0.0):
+                return member
+        return None
+
+    def _rank(self, stream):
+        if stream not in self._ranks:
+            self._ranks[stream] = rank_members(stream, self._members)
+        return self._ranks[stream]
+
+    def _candidates(self, stream):
+        ranked = self._rank(stream)
+        if not self._relay:
+            return ranked[:1] + [self.name]
+        first = ranked[:PEERS_BEFORE_DIRECT]
+        return first + [self.name] + ranked[PEERS_BEFORE_DIRECT:]
--- /dev/null
+++ b/firworks/kernel/ledger_state.py
@@ -0,0 +1,284 @@
+"""State of one ledger stream: a function of its entries in offset order."""
+
+from functools import singledispatchmethod
+from hashlib import blake2b
+
+from firworks.kernel.claims import (
+    CLAIM_EXPIRED,
+    CLAIM_IN_PROGRESS,
+    CLAIM_NOT_RUN,
+    CLAIM_OUTCOME,
+    CLAIM_REUSED,
+    CLAIM_UNKNOWN,
+)
+from firworks.kernel.codec import encode_record
+from firworks.kernel.ledger_records import (
+    DECISION_FREE,
+    DECISION_VOID,
+    DECISION_WON,
+    ClaimRecord,
+    LedgerDecision,
+    OutcomeRecord,
+    ReleaseRecord,
+    ResolutionRecord,
+    UnknownRecord,
+)
+from firworks.kernel.messages import Struct
+
+DIGEST_BYTES = 16
+BUCKET_S = 60.0
+CLAIM_BYTES = 200
+KEY_BYTES = 400
+
+_CLOSED_STATES = (CLAIM_OUTCOME, CLAIM_NOT_RUN)
+
+
+class KeyEntry(Struct):
+    """What is known of one key.
+
+    Attributes:
+        fingerprint (bytes): Of the claim that won last.
+        issued_s (float): Wall time of issue of the key.
+        winner (bytes): Digest of the winning claim's id; empty when free.
+        state (str): A ``CLAIM_`` constant or "free".
+        answer (bytes): With ``CLAIM_OUTCOME``.
+    """
+
+    __slots__ = ("fingerprint", "issued_s", "winner", "state", "answer")
+
+
+class _Fate:
+    """A final refusal that is the same for all claims that share it."""
+
+    __slots__ = ("state",)
+
+    def __init__(self, state):
+        self.state = state
+
+
+_VOID = _Fate(DECISION_VOID)
+_EXPIRED = _Fate(CLAIM_EXPIRED)
+_REUSED = _Fate(CLAIM_REUSED)
+
+
+def digest_text(text):
+    """Return the fixed-size digest under which an id is remembered."""
+    return blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def digest_key(key):
+    """Return the fixed-size digest under which a `WorkKey` is remembered."""
+    return blake2b(encode_record(key), digest_size=DIGEST_BYTES).digest()
+
+
+class LedgerState:
+    """Decides claims by the entries before them.
+
+    A claim wins when its id is new, its key is free and the key's age at the time
+    of writing is within the window. Keys and ids are forgotten only when no claim of
+    theirs can win any more.
+
+    Args:
+        window_s (float): Age up to which a key may be claimed.
+        skew_s (float): Allowed difference between wall clocks.
+
+    Attributes:
+        size_bytes (int): Estimate of the memory held.
+    """
+
+    def __init__(self, window_s, skew_s):
+        self._window_s = window_s
+        self._skew_s = skew_s
+        self._keys = {}
+        self._claims = {}
+        self._buckets = {}
+        self._written_s = 0.0
+        self._swept = None
+        self.size_bytes = 0
+
+    def __len__(self):
+        return len(self._claims)
+
+    def apply_entry(self, entry):
+        """Apply the records of a `LogEntry`; entries come in offset order."""
+        self._written_s = max(self._written_s, entry.written_s)
+        for record in entry.records:
+            self.apply(record, entry.written_s)
+        self._forget_expired()
+
+    @singledispatchmethod
+    def apply(self, record, written_s):
+        """Apply one record; kinds that belong to other parts change nothing."""
+
+    @apply.register
+    def _(self, record: ClaimRecord, written_s):
+        claim = digest_text(record.claim_id)
+        if claim in self._claims:
+            return
+        self._remember(claim, record.issued_s, self._decide(claim, record, written_s))
+
+    @apply.register
+    def _(self, record: ReleaseRecord, written_s):
+        claim = digest_text(record.claim_id)
+        entry = self._claims.get(claim)
+        if entry is None:
+            self._remember(claim, record.issued_s, _VOID)
+            return
+        if isinstance(entry, KeyEntry):
+            if entry.winner == claim:
+                if entry.state != CLAIM_IN_PROGRESS:
+                    return
+                entry.winner = b""
+                entry.state = DECISION_FREE
+            self._claims[claim] = _VOID
+
+    @apply.register
+    def _(self, record: OutcomeRecord, written_s):
+        entry = self._find_won(record.claim_id)
+        if entry is not None and entry.state in (CLAIM_IN_PROGRESS, CLAIM_UNKNOWN):
+            self._close(entry, CLAIM_OUTCOME, record.answer)
+
+    @apply.register
+    def _(self, record: UnknownRecord, written_s):
+        entry = self._find_won(record.claim_id)
+        if entry is not None and entry.state == CLAIM_IN_PROGRESS:
+            entry.state = CLAIM_UNKNOWN
+
+    @apply.register
+    def _(self, record: ResolutionRecord, written_s):
+        entry = self._keys.get(digest_key(record.key))
+        if entry is None or entry.state != CLAIM_UNKNOWN:
+            return
+        state = CLAIM_OUTCOME if record.ran else CLAIM_NOT_RUN
+        self._close(entry, state, record.answer if record.ran else b"")
+
+    def judge(self, record):
+        """Return the `LedgerDecision` on a `ClaimRecord`; None if it has not landed."""
+        claim = digest_text(record.claim_id)
+        entry = self._claims.get(claim)
+        if entry is None:
+            return None
+        if isinstance(entry, _Fate):
+            return LedgerDecision(record.claim_id, entry.state)
+        if entry.winner == claim and entry.state == CLAIM_IN_PROGRESS:
+            return LedgerDecision(record.claim_id, DECISION_WON)
+        if not self._matches(entry, record):
+            return LedgerDecision(record.claim_id, CLAIM_REUSED)
+        return LedgerDecision(record.claim_id, entry.state, entry.answer)
+
+    def foresee(self, record):
+        """Return the decision on a claim that need not be appended, or None.
+
+        Args:
+            record (ClaimRecord): A claim that has not landed.
+        """
+        entry = self._keys.get(digest_key(record.key))
+        if entry is None or entry.state == DECISION_FREE:
+            return None
+        if not self._matches(entry, record):
+            return LedgerDecision(record.claim_id, CLAIM_REUSED)
+        return LedgerDecision(record.claim_id, entry.state, entry.answer)
+
+    def look_up(self, key):
+        """Return the `KeyEntry` of a `WorkKey`, or None."""
+        return self._keys.get(digest_key(key))
+
+    def reflects(self, record):
+        """Return whether a record can change nothing any more.
+
+        Args:
+            record (Record): A release, outcome, unknown or resolution.
+        """
+        if isinstance(record, ResolutionRecord):
+            entry = self._keys.get(digest_key(record.key))
+            return entry is None or entry.state != CLAIM_UNKNOWN
+        entry = self._claims.get(digest_text(record.claim_id))
+        if isinstance(record, ReleaseRecord):
+            return entry is _VOID
+        if not isinstance(entry, KeyEntry):
+            return False
+        if isinstance(record, UnknownRecord):
+            return entry.state != CLAIM_IN_PROGRESS
+        return entry.state in _CLOSED_STATES
+
+    def _decide(self, claim, record, written_s):
+        """Return what is remembered of a claim that lands now."""
+        if not self._in_window(record.issued_s, written_s):
+            return _EXPIRED
+        name = digest_key(record.key)
+        entry = self._keys.get(name)
+        if entry is None:
+            entry = self._make_entry(name, record)
+        elif entry.state == DECISION_FREE:
+            self._renew_entry(entry, name, record)
+        else:
+            return entry if self._matches(entry, record) else _REUSED
+        entry.winner = claim
+        entry.state = CLAIM_IN_PROGRESS
+        return entry
+
+    def _in_window(self, issued_s, written_s):
+        age_s = written_s - issued_s
+        return -self._skew_s <= age_s <= self._window_s
+
+    def _matches(self, entry, record):
+        same_work = entry.fingerprint == record.fingerprint
+        return same_work and entry.issued_s == record.issued_s
+
+    def _make_entry(self, name, record):
+        entry = KeyEntry(record.fingerprint, record.issued_s, b"", DECISION_FREE, b"")
+        self._keys[name] = entry
+        self._bucket(record.issued_s)[1].append(name)
+        self.size_bytes += KEY_BYTES
+        return entry
+
+    def _renew_entry(self, entry, name, record):
+        entry.fingerprint = record.fingerprint
+        if entry.issued_s != record.issued_s:
+            entry.issued_s = record.issued_s
+            self._bucket(record.issued_s)[1].append(name)
+
+    def _find_won(self, claim_id):
+        claim = digest_text(claim_id)
+        entry = self._claims.get(claim)
+        if isinstance(entry, KeyEntry) and entry.winner == claim:
+            return entry
+        return None
+
+    def _close(self, entry, state, answer):
+        entry.state = state
+        entry.answer = answer
+        self.size_bytes += len(answer)
+
+    def _remember(self, claim, issued_s, entry):
+        self._claims[claim] = entry
+        self._bucket(issued_s)[0].append(claim)
+        self.size_bytes += CLAIM_BYTES
+
+    def _bucket(self, issued_s):
+        """Return the lists of claim and key digests issued in the same minute."""
+        newest_s = self._written_s + self._skew_s
+        if not 0 <= issued_s <= newest_s:
+            issued_s = newest_s
+        return self._buckets.setdefault(int(issued_s // BUCKET_S), ([], []))
+
+    def _forget_expired(self):
+        horizon_s = self._written_s - self._window_s - 2 * self._skew_s
+        last = int(horizon_s // BUCKET_S) - 1
+        if last == self._swept:
+            return
+        self._swept = last
+        for number in sorted(n for n in self._buckets if n <= last):
+            claims, keys = self._buckets.pop(number)
+            self._forget(claims, keys, number)
+
+    def _forget(self, claims, keys, number):
+        for claim in claims:
+            del self._claims[claim]
+        self.size_bytes -= CLAIM_BYTES * len(claims)
+        for name in keys:
+            entry = self._keys.get(name)
+            if entry is None or int(entry.issued_s // BUCKET_S) != number:
+                continue
+            del self._keys[name]
+            self.size_bytes -= KEY_BYTES + len(entry.answer)
--- a/firworks/plugins/http_log.py
+++ b/firworks/plugins/http_log.py
@@ -10,7 +10,7 @@
 from firworks.kernel.codec import decode_record, encode_record
 from firworks.kernel.messages import LogEntry, LogRead
 
-REQUEST_TIMEOUT_S = 5.0
+REQUEST_TIMEOUT_S = 2.0
 
 
 class HttpLog:
--- /dev/null
+++ b/firworks/tests/ledger_world.py
@@ -0,0 +1,241 @@
+"""Several real kernels around a log model that shows every fault; virtual time."""
+
+from firworks.kernel.claims import ClaimReleased, ClaimWon, OutcomeReached
+from firworks.kernel.fleet import MEMBER_ALIVE, MemberChanged
+from firworks.kernel.ledger import Ledger
+from firworks.kernel.messages import (
+    AppendFailed,
+    AppendRecords,
+    LogEntry,
+    LogRead,
+    LogReadFailed,
+    PeerReceived,
+    ReadLog,
+    RecordsAppended,
+    SendPeer,
+    Tick,
+)
+from firworks.kernel.node import Kernel, Part
+from firworks.settings import make_settings
+
+WINDOW_S = 100.0
+SKEW_S = 1.0
+RETENTION_S = 110.0
+READ_LIMIT = 4
+EPOCH_S = 1_000_000.0
+
+
+def settings_for(name, **changes):
+    table = {
+        "name": name,
+        "log_url": "http://127.0.0.1:1",
+        "vms_url": "http://127.0.0.1:1",
+        "dedupe_window_s": WINDOW_S,
+        "clock_skew_s": SKEW_S,
+        "log_retention_s": RETENTION_S,
+        "ledger_streams": 1,
+    }
+    return make_settings({**table, **changes})
+
+
+class LogModel:
+    """Streams whose appends can land late or twice and whose old entries go."""
+
+    def __init__(self):
+        self.streams = {}
+        self.late = []
+
+    def append(self, stream, records, now):
+        entries = self.streams.setdefault(stream, [[], 0])
+        entry = LogEntry(entries[1], EPOCH_S + now, records)
+        entries[0].append(entry)
+        entries[1] += 1
+        return entry.offset
+
+    def read(self, action, now):
+        entries = self.streams.setdefault(action.stream, [[], 0])
+        horizon_s = EPOCH_S + now - RETENTION_S
+        kept = entries[0] = [e for e in entries[0] if e.written_s >= horizon_s]
+        oldest = kept[0].offset if kept else entries[1]
+        start = oldest if action.offset is None else action.offset
+        found = tuple(e for e in kept if e.offset >= start)[:READ_LIMIT]
+        return LogRead(action.stream, action.offset, oldest, entries[1], found)
+
+
+class Caller(Part):
+    """Stands for the request part: notes every word and dispatch."""
+
+    def __init__(self, world, ledger):
+        self.world = world
+        self.ledger = ledger
+        self.won = []
+
+    def handle(self, event, now):
+        self.world.note(event)
+        if isinstance(event, ClaimWon):
+            self.won.append(event.claim_id)
+        return []
+
+
+class Daemon:
+    """One daemon: its kernel and what the world knows of it."""
+
+    def __init__(self, world, name, offset_s, make_parts):
+        self.name = name
+        self.offset_s = offset_s
+        self.paused = False
+        self.parts = make_parts(world, name)
+        self.kernel = Kernel(self.parts)
+
+
+def make_ledger_parts(world, name):
+    ledger = Ledger(settings_for(name, **world.settings))
+    return [ledger, Caller(world, ledger)]
+
+
+class World:
+    """Daemons, network and log; `pending` holds what is under way, oldest first."""
+
+    def __init__(self, names=("a", "b", "c"), make_parts=make_ledger_parts, **settings):
+        self.settings = settings
+        self.make_parts = make_parts
+        self.now = 0.0
+        self.log = LogModel()
+        self.log_down = False
+        self.cut = {}
+        self.pending = []
+        self.words = {}
+        self.dispatched = {}
+        self.requests = {}
+        self.answers = {}
+        self.events = []
+        self.daemons = {}
+        self.names = names
+        for number, name in enumerate(names):
+            self.start(name, (0.0, 0.45, -0.45)[number % 3])
+
+    def start(self, name, offset_s=0.0):
+        """Start or replace a daemon; nothing of an earlier one remains."""
+        self.pending = [p for p in self.pending if p[0] is not self.daemons.get(name)]
+        daemon = Daemon(self, name, offset_s, self.make_parts)
+        self.daemons[name] = daemon
+        for other in self.names:
+            self.feed(daemon, MemberChanged(other, f"{other}/1", MEMBER_ALIVE))
+        self.tick(daemon)
+        return daemon
+
+    def feed(self, daemon, event):
+        for action in daemon.kernel.handle(event, self.now):
+            self.pending.append((daemon, action))
+
+    def tick(self, daemon):
+        self.feed(daemon, Tick(EPOCH_S + self.now + daemon.offset_s))
+
+    def advance(self, seconds):
+        self.now += seconds
+        for daemon in list(self.daemons.values()):
+            if not daemon.paused:
+                self.tick(daemon)
+
+    def note(self, event):
+        self.events.append(event)
+        if hasattr(event, "state"):
+            self.words.setdefault(getattr(event, "claim_id", ""), []).append(event)
+
+    # What the request part does.
+
+    def claim(self, name, request):
+        self.requests[request.claim_id] = request
+        self.feed(self.daemons[name], request)
+
+    def dispatch(self, name, claim_id):
+        daemon = self.daemons[name]
+        caller = daemon.parts[-1]
+        caller.won.remove(claim_id)
+        if not caller.ledger.may_dispatch(claim_id, self.now):
+            self.feed(daemon, ClaimReleased(claim_id))
+            return False
+        key = self.requests[claim_id].key
+        self.dispatched.setdefault(key, []).append(claim_id)
+        return True
+
+    def finish(self, name, claim_id, answer):
+        self.answers.setdefault(self.requests[claim_id].key, answer)
+        self.feed(self.daemons[name], OutcomeReached(claim_id, answer))
+
+    # What the network and the log do.
+
+    def step(self, index=0, fate="ok"):
+        """Carry out one pending action; a paused daemon's wait with it."""
+        ready = [p for p in self.pending if not p[0].paused]
+        if not ready:
+            return False
+        daemon, action = ready[index % len(ready)]
+        self.pending.remove((daemon, action))
+        if isinstance(action, SendPeer):
+            self._send(daemon, action, fate)
+        elif isinstance(action, ReadLog):
+            self._read(daemon, action, fate)
+        elif isinstance(action, AppendRecords):
+            self._append(daemon, action, fate)
+        return True
+
+    def _send(self, daemon, action, fate):
+        target = self.daemons.get(action.peer)
+        if target is None or fate in ("lose", "fail"):
+            return
+        if self.cut.get((daemon.name, action.peer)):
+            return
+        if target.paused:
+            self.pending.append((daemon, action))
+            return
+        for _ in range(2 if fate == "double" else 1):
+            self.feed(target, PeerReceived(daemon.name, action.message))
+
+    def _cut_off(self, daemon):
+        return self.log_down or self.cut.get((daemon.name, "log"))
+
+    def _read(self, daemon, action, fate):
+        if fate == "fail" or self._cut_off(daemon):
+            self.feed(daemon, LogReadFailed(action.stream, action.offset))
+        else:
+            self.feed(daemon, self.log.read(action, self.now))
+
+    def _append(self, daemon, action, fate):
+        failed = AppendFailed(action.append_id, action.stream)
+        if fate == "fail" or self._cut_off(daemon):
+            self.feed(daemon, failed)
+        elif fate == "late":
+            self.log.late.append((action.stream, action.records))
+            self.feed(daemon, failed)
+        else:
+            offset = self.log.append(action.stream, action.records, self.now)
+            if fate == "double":
+                self.log.late.append((action.stream, action.records))
+            event = RecordsAppended(action.append_id, action.stream, offset)
+            self.feed(daemon, failed if fate == "lose" else event)
+
+    def land_late(self, index=0):
+        if self.log.late:
+            stream, records = self.log.late.pop(index % len(self.log.late))
+            self.log.append(stream, records, self.now)
+
+    def run(self, seconds, step_s=0.05):
+        """Let everything work without faults for a while."""
+        end_s = self.now + seconds
+        while self.now < end_s:
+            self.drain()
+            self.advance(step_s)
+        self.drain()
+
+    def drain(self, limit=2_000):
+        for _ in range(limit):
+            if not self.step():
+                return
+            if all(self._waits(p) for p in self.pending):
+                return
+
+    def _waits(self, pending):
+        daemon, action = pending
+        target = self.daemons.get(getattr(action, "peer", ""))
+        return daemon.paused or (target is not None and target.paused)
