Refuse documents and settings whose parts do not fit together

Cause: TOML's nan, inf and 8.0 passed the schema as numbers, and a document could send idempotent work to engines, defer it, or use a target as two kinds. Change: stricter number types, reference checks in document_references.py, size limits, address checks; errors name file, key path, value and what is allowed, and do not show secrets.

--- a/firworks/checks.py
+++ b/firworks/checks.py
@@ -1,11 +1,31 @@
 """Reads TOML and checks it against a JSON schema, with errors that name the place."""
 
+import math
 import tomllib
 
 from jsonschema import Draft202012Validator
+from jsonschema.validators import extend
 
 from firworks.errors import SettingsError
 
+SHOWN_LENGTH = 200
+SECRET_WORDS = ("secret", "token")
+
+
+def _is_finite_number(checker, value):
+    return type(value) is int or (type(value) is float and math.isfinite(value))
+
+
+def _is_integer(checker, value):
+    return type(value) is int
+
+
+# TOML has nan, inf and 8.0, which JSON schema takes for numbers and an integer.
+_TYPES = Draft202012Validator.TYPE_CHECKER.redefine_many(
+    {"number": _is_finite_number, "integer": _is_integer}
+)
+_Validator = extend(Draft202012Validator, type_checker=_TYPES)
+
 
 def parse_toml(data, source):
     """Return the table held in TOML bytes.
@@ -25,19 +45,53 @@
     Raises:
         SettingsError: For the first violation in key order.
     """
-    validator = Draft202012Validator(schema)
+    validator = _Validator(schema)
     errors = sorted(validator.iter_errors(table), key=lambda e: list(map(str, e.path)))
     if errors:
         error = errors[0]
         path = ".".join(str(part) for part in error.path) or "(top)"
-        raise SettingsError(source, path, _describe(error))
+        raise SettingsError(source, path, _describe(error, path))
 
 
-def _describe(error):
+def _describe(error, path):
+    """Return what is wrong and what is allowed, without showing secrets."""
     if error.validator == "additionalProperties":
         allowed = ", ".join(sorted(error.schema.get("properties", {})))
-        return f"{error.message}; allowed keys: {allowed}"
+        return f"{_shorten(error.message)}; allowed keys: {allowed}"
+    if error.validator == "required":
+        required = ", ".join(error.validator_value)
+        return f"{_shorten(error.message)}; allowed: with all of {required}"
+    value = _show(error.instance, path)
     if error.validator == "enum":
-        allowed = ", ".join(repr(value) for value in error.validator_value)
-        return f"{error.instance!r} is not allowed; allowed: {allowed}"
-    return f"{error.message} ({error.validator}: {error.validator_value!r})"
+        allowed = ", ".join(repr(item) for item in error.validator_value)
+        return f"{value} is not allowed; allowed: {allowed}"
+    rule = _RULES.get(error.validator, error.validator)
+    return f"{value} is not allowed; allowed: {rule} {error.validator_value!r}"
+
+
+_RULES = {
+    "type": "of type",
+    "const": "only",
+    "pattern": "text that matches",
+    "minimum": "at least",
+    "maximum": "at most",
+    "exclusiveMinimum": "more than",
+    "exclusiveMaximum": "less than",
+    "minLength": "length at least",
+    "maxLength": "length at most",
+    "minItems": "number of items at least",
+    "maxItems": "number of items at most",
+    "maxProperties": "number of keys at most",
+    "uniqueItems": "items that differ:",
+}
+
+
+def _show(value, path):
+    key = path.rpartition(".")[2]
+    if any(word in key or f"{word}_" in path for word in SECRET_WORDS):
+        return f"a value of type {type(value).__name__}"
+    return _shorten(repr(value))
+
+
+def _shorten(text):
+    return text if len(text) <= SHOWN_LENGTH else text[:SHOWN_LENGTH] + "..."
--- a/firworks/document.py
+++ b/firworks/document.py
@@ -7,10 +7,16 @@
 import hashlib
 
 from firworks.checks import check_table, parse_toml
+from firworks.document_references import check_references
 from firworks.errors import SettingsError
 from firworks.kernel.messages import Struct
 
 FORMAT = 1
+LIMIT_BYTES = 4_194_304
+MAX_PIPELINES = 63
+MAX_POOLS = 256
+MAX_TARGETS = 10_000
+MAX_ACCOUNTS = 10_000
 
 _NAME = {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"}
 _SHARE = {"type": "number", "minimum": 0, "maximum": 1}
@@ -25,9 +31,10 @@
     }
 
 
-def _named(item):
+def _named(item, limit):
     return {
         "type": "object",
+        "maxProperties": limit,
         "propertyNames": _NAME,
         "additionalProperties": item,
     }
@@ -68,6 +75,7 @@
             "type": "array",
             "items": _NAME,
             "minItems": 1,
+            "maxItems": MAX_TARGETS,
             "uniqueItems": True,
         },
         "reports_load": {"type": "boolean"},
@@ -86,6 +94,7 @@
             "type": "array",
             "items": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
             "minItems": 1,
+            "uniqueItems": True,
         },
         "rate_per_s": {"type": "number", "exclusiveMinimum": 0},
         "concurrency": {"type": "integer", "minimum": 1},
@@ -97,9 +106,9 @@
 SCHEMA = _table(
     {
         "format": {"const": FORMAT},
-        "pipelines": _named(_PIPELINE),
-        "pools": _named(_POOL),
-        "accounts": _named(_ACCOUNT),
+        "pipelines": _named(_PIPELINE, MAX_PIPELINES),
+        "pools": _named(_POOL, MAX_POOLS),
+        "accounts": _named(_ACCOUNT, MAX_ACCOUNTS),
     },
     ("format", "pipelines", "pools", "accounts"),
 )
@@ -239,7 +248,24 @@
         SettingsError: When it is malformed, has unknown keys, or refers to what it
             does not define.
     """
+    if len(data) > LIMIT_BYTES:
+        problem = f"{len(data)} bytes; allowed: at most {LIMIT_BYTES}"
+        raise SettingsError(source, "(file)", problem)
     table = parse_toml(data, source)
+    return make_document(table, hashlib.sha256(data).hexdigest(), source)
+
+
+def make_document(table, digest, source="document"):
+    """Check a parsed table and return its `Document`.
+
+    Args:
+        table (dict): The parsed TOML.
+        digest (str): SHA-256 of the document's bytes, in hexadecimal.
+        source (str): Named in errors.
+
+    Raises:
+        SettingsError: As `parse_document`.
+    """
     check_table(table, SCHEMA, source)
     pools = {name: _make(Pool, name, item) for name, item in table["pools"].items()}
     pipelines = {
@@ -248,8 +274,8 @@
     accounts = {
         name: _make(Account, name, item) for name, item in table["accounts"].items()
     }
-    document = Document(hashlib.sha256(data).hexdigest(), pipelines, pools, accounts)
-    _check_references(document, source)
+    document = Document(digest, pipelines, pools, accounts)
+    check_references(document, source)
     return document
 
 
@@ -264,30 +290,3 @@
 def _make_pipeline(name, item):
     stages = tuple(Stage(**stage) for stage in item["stages"])
     return Pipeline(name=name, **{**item, "stages": stages})
-
-
-def _check_references(document, source):
-    for pipeline in document.pipelines.values():
-        seen = set()
-        for index, stage in enumerate(pipeline.stages):
-            path = f"pipelines.{pipeline.name}.stages.{index}"
-            if stage.pool not in document.pools:
-                allowed = ", ".join(sorted(document.pools))
-                problem = f"no pool {stage.pool!r}; allowed: {allowed}"
-                raise SettingsError(source, f"{path}.pool", problem)
-            if stage.name in seen:
-                problem = f"{stage.name!r} names two stages"
-                raise SettingsError(source, f"{path}.name", problem)
-            seen.add(stage.name)
-    _check_tokens(document, source)
-
-
-def _check_tokens(document, source):
-    owners = {}
-    for account in document.accounts.values():
-        for token in account.token_sha256:
-            owner = owners.setdefault(token, account.name)
-            if owner != account.name:
-                problem = f"the same token belongs to account {owner!r}"
-                path = f"accounts.{account.name}.token_sha256"
-                raise SettingsError(source, path, problem)
--- /dev/null
+++ b/firworks/document_references.py
@@ -0,0 +1,109 @@
+"""Checks that the parts of an environment document fit together."""
+
+import hashlib
+
+from firworks.errors import SettingsError
+
+KIND_ENGINE = "engine"
+
+_EMPTY_TOKEN_SHA256 = hashlib.sha256(b"").hexdigest()
+
+
+def check_references(document, source):
+    """Check what a schema cannot express.
+
+    Args:
+        document (Document): Each of its tables fits the schema.
+        source (str): Named in errors.
+
+    Raises:
+        SettingsError: For the first part that does not fit.
+    """
+    for pool in document.pools.values():
+        _check_pool(pool, source)
+    _check_targets(document, source)
+    for pipeline in document.pipelines.values():
+        _check_pipeline(pipeline, document.pools, source)
+    _check_tokens(document, source)
+
+
+def _check_pool(pool, source):
+    if pool.kind == KIND_ENGINE:
+        return
+    for name in ("models", "checks_fencing"):
+        if getattr(pool, name):
+            problem = f"{getattr(pool, name)!r}; allowed: only in pools of kind engine"
+            raise SettingsError(source, f"pools.{pool.name}.{name}", problem)
+
+
+def _check_targets(document, source):
+    """Refuse a target that two pools use in different ways."""
+    users = {}
+    for pool in document.pools.values():
+        for target in pool.targets:
+            user = users.setdefault(target, pool)
+            if user.kind != pool.kind:
+                problem = f"{target!r} is of kind {user.kind!r} in pool {user.name!r}"
+                path = f"pools.{pool.name}.targets"
+                raise SettingsError(source, path, f"{problem}; allowed: one kind")
+
+
+def _check_pipeline(pipeline, pools, source):
+    path = f"pipelines.{pipeline.name}"
+    seen = set()
+    for index, stage in enumerate(pipeline.stages):
+        stage_path = f"{path}.stages.{index}"
+        if stage.name in seen:
+            problem = f"{stage.name!r} names two stages; allowed: a name for each"
+            raise SettingsError(source, f"{stage_path}.name", problem)
+        seen.add(stage.name)
+        if stage.pool not in pools:
+            allowed = ", ".join(sorted(pools))
+            problem = f"no pool {stage.pool!r}; allowed: {allowed}"
+            raise SettingsError(source, f"{stage_path}.pool", problem)
+        _check_stage(stage, pools[stage.pool], stage_path, source)
+    _check_idempotency(pipeline, path, source)
+
+
+def _check_stage(stage, pool, path, source):
+    if pool.kind == KIND_ENGINE:
+        if pool.models and stage.model not in pool.models:
+            allowed = ", ".join(pool.models)
+            problem = f"pool {pool.name!r} has no model {stage.model!r}"
+            raise SettingsError(
+                source, f"{path}.model", f"{problem}; allowed: {allowed}"
+            )
+        if not stage.repeatable:
+            # A broken stream continues elsewhere, which is a second run.
+            problem = "false; allowed: true, for a stage of an engine pool"
+            raise SettingsError(source, f"{path}.repeatable", problem)
+        return
+    for name in ("model", "expected_tokens"):
+        if getattr(stage, name):
+            problem = f"{getattr(stage, name)!r}; allowed: only for engine pools"
+            raise SettingsError(source, f"{path}.{name}", problem)
+
+
+def _check_idempotency(pipeline, path, source):
+    once = [stage.name for stage in pipeline.stages if not stage.repeatable]
+    if len(once) > 1:
+        # A failure between the two would leave work that neither ran nor did not.
+        problem = f"stages {', '.join(once)} are not repeatable; allowed: one of them"
+        raise SettingsError(source, f"{path}.stages", problem)
+    if pipeline.deferred and once:
+        problem = f"true, but stage {once[0]} is not repeatable; allowed: false"
+        raise SettingsError(source, f"{path}.deferred", problem)
+
+
+def _check_tokens(document, source):
+    owners = {}
+    for account in document.accounts.values():
+        path = f"accounts.{account.name}.token_sha256"
+        for token in account.token_sha256:
+            if token == _EMPTY_TOKEN_SHA256:
+                problem = "the digest of an empty token; allowed: any other token"
+                raise SettingsError(source, path, problem)
+            owner = owners.setdefault(token, account.name)
+            if owner != account.name:
+                problem = f"account {owner!r} has the same token; allowed: its own"
+                raise SettingsError(source, path, problem)
--- a/firworks/settings.py
+++ b/firworks/settings.py
@@ -1,17 +1,20 @@
 """Settings of one process: defaults and checks."""
 
+import ipaddress
 import os
 from pathlib import Path
 
 from firworks.checks import check_table, parse_toml
 from firworks.errors import SettingsError
 
-_TEXT = {"type": "string", "minLength": 1}
+_TEXT = {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"}
 _ADDRESS = {"type": "string", "pattern": r"^([0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$"}
 _URL = {"type": "string", "pattern": r"^https?://[0-9.]+:[0-9]+(/.*)?$"}
 _SECONDS = {"type": "number", "exclusiveMinimum": 0}
 _BYTES = {"type": "integer", "minimum": 1}
 
+MAX_PORT = 65_535
+
 DEFAULTS = {
     "environment": "production",
     "callers": "127.0.0.1:8080",
@@ -129,12 +132,37 @@
 
 
 def _check_together(settings, source):
+    _check_addresses(settings, source)
     if settings.dedupe_window_s + 2 * settings.clock_skew_s >= settings.log_retention_s:
         problem = (
-            f"{settings.dedupe_window_s} with twice clock_skew_s must be below "
+            f"{settings.dedupe_window_s}; allowed: with twice clock_skew_s, below "
             f"log_retention_s ({settings.log_retention_s})"
         )
         raise SettingsError(source, "dedupe_window_s", problem)
     if bool(settings.tls_certificate) != bool(settings.tls_key):
-        problem = "tls_certificate and tls_key go together"
+        problem = "allowed: tls_certificate and tls_key together"
         raise SettingsError(source, "tls_certificate", problem)
+
+
+def _check_addresses(settings, source):
+    used = {}
+    for name in ("callers", "admin", "peers"):
+        address = getattr(settings, name)
+        _check_address(address, name, source)
+        if not address.endswith(":0") and address in used:
+            problem = f"{address!r} is also {used[address]}; allowed: one listener each"
+            raise SettingsError(source, name, problem)
+        used[address] = name
+    for target, address in settings.addresses.items():
+        _check_address(address, f"addresses.{target}", source)
+
+
+def _check_address(address, path, source):
+    host, port = address.rsplit(":", 1)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise SettingsError(source, path, f"{address!r}: {error}") from error
+    if int(port) > MAX_PORT:
+        problem = f"{address!r}; allowed: ports up to {MAX_PORT}"
+        raise SettingsError(source, path, problem)
