--- a/firworks/plugins/http_log.py
+++ b/firworks/plugins/http_log.py
@@ -10,7 +10,7 @@
 from firworks.kernel.codec import decode_record, encode_record
 from firworks.kernel.messages import LogEntry, LogRead
 
-REQUEST_TIMEOUT_S = 5.0
+REQUEST_TIMEOUT_S = 2.0
 
 
 class HttpLog:
@@ -128,8 +128,3 @@
                 offset=offset,
                 problem=str(error),
             )
-
-
-def register(registry):
-    """Put the adapter into the registry."""
-    registry.add("log", "http", HttpLog)
