--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -5,18 +5,35 @@
 import sys
 import time
 import uuid
+from functools import singledispatchmethod
 
 from firworks.adapter import AdapterContext
+from firworks.addresses import AddressBook
 from firworks.assembly import BUILTIN_PLUGINS, build_kernel
+from firworks.burn import BurnRecorder
 from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event
+from firworks.kernel.calls import CancelCall, StartCall
 from firworks.kernel.fleet import DrainExpired, DrainStarted
-from firworks.kernel.messages import LogCatalogued, RequestFinished, Tick
-from firworks.kernel.registry import KINDS, Registry, load_plugins
+from firworks.kernel.messages import (
+    LogCatalogued,
+    PeerConnected,
+    PeerDisconnected,
+    RequestFinished,
+    Tick,
+    VmsListed,
+)
+from firworks.kernel.operators import AnswerOperator
+from firworks.kernel.registry import Registry, load_plugins
+from firworks.kernel.reports import PollTarget
+from firworks.metrics import Metrics
+from firworks.plugins.admin import HttpAdmin
 from firworks.settings import load_settings
+from firworks.view import DaemonView
 
 TICK_INTERVAL_S = 0.05
 DRAIN_POLL_S = 0.02
+ADAPTER_KINDS = ("log", "vms", "peers", "targets", "callers")
 
 
 class Daemon:
@@ -24,19 +41,35 @@
 
     Args:
         settings (Settings): Settings of this daemon.
+
+    Attributes:
+        incarnation (str): Unique name of this run.
+        parts (KernelParts): The kernel.
+        burn (BurnRecorder): Counts for the service-level report.
+        metrics (Metrics): Counters for the metrics endpoint.
+        connected_peers (set of str): Peers with an open connection.
+        draining (asyncio.Event): Set when a drain is asked for.
     """
 
     def __init__(self, settings):
         self.settings = settings
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:12]}"
-        self.registry = Registry()
-        load_plugins(self.registry, BUILTIN_PLUGINS)
-        self.parts = build_kernel(settings, self.incarnation, self.registry)
-        self.kernel = self.parts.kernel
-        self.adapters = []
+        self.burn = BurnRecorder(settings.name, self.incarnation, time.time())
+        self.metrics = Metrics()
+        self.draining = asyncio.Event()
+        self.adapters = {}
+        self.connected_peers = set()
+        self._registry = Registry()
+        load_plugins(self._registry, BUILTIN_PLUGINS)
+        self.parts = build_kernel(settings, self.incarnation, self._registry)
+        self.view = DaemonView(self)
+        self._admin = HttpAdmin(settings, self.view)
+        self._addresses = AddressBook(settings.addresses)
         self._carriers = {}
+        self._interrupted = asyncio.Event()
         self._tick_task = None
-        self._stopped = asyncio.Event()
+        self._was_ready = False
+        self._version = None
 
     async def start(self):
         """Start the adapters and the kernel's clock.
@@ -46,35 +79,65 @@
         """
         log_event(LogEvent.DAEMON_STARTED, name=self.settings.name)
         self._build_adapters()
-        for adapter in self.adapters:
+        for adapter in self.adapters.values():
             await adapter.start()
+        await self._admin.start()
         self._tick_task = asyncio.create_task(self._tick())
 
+    def clock(self):
+        """Return the kernel's monotonic time, in seconds."""
+        return time.monotonic()
+
     def feed(self, event):
         """Hand an event to the kernel and carry out what follows."""
-        for action in self.kernel.handle(event, self.clock()):
+        self.metrics.observe(event)
+        self._note_peers(event)
+        if isinstance(event, VmsListed):
+            self._learn_vms(event.vms)
+        for action in self.parts.kernel.handle(event, self.clock()):
+            self.metrics.observe(action)
             self._carry_out(action)
 
-    def clock(self):
-        """Return the kernel's monotonic time, in seconds."""
-        return time.monotonic()
+    @singledispatchmethod
+    def _note_peers(self, event):
+        """Keep track of the connections that are open."""
+
+    @_note_peers.register
+    def _(self, event: PeerConnected):
+        self.connected_peers.add(event.peer)
+
+    @_note_peers.register
+    def _(self, event: PeerDisconnected):
+        self.connected_peers.discard(event.peer)
 
     @property
     def ready(self):
         """Whether a configuration is in force and the daemon is not draining."""
         return self.parts.requests.ready
 
+    @property
+    def caller_port(self):
+        """The bound port of the callers' listener."""
+        return self.adapters["callers", "http"].port
+
+    @property
+    def admin_port(self):
+        """The bound port of the admin listener."""
+        return self._admin.port
+
     async def drain(self):
         """Refuse new requests, let those in progress end, then stop.
 
         Returns:
-            bool: False when the limit from settings ended requests in progress.
+            bool: False when the limit from settings, or an interrupt, ended
+            requests in progress.
         """
+        self.draining.set()
         log_event(LogEvent.DAEMON_DRAINING, name=self.settings.name)
         self.feed(DrainStarted())
-        limit = self.clock() + self.settings.drain_timeout_s
+        limit_s = self.clock() + self.settings.drain_timeout_s
         while not self.parts.idle:
-            if self.clock() >= limit or self._stopped.is_set():
+            if self.clock() >= limit_s or self._interrupted.is_set():
                 log_event(LogEvent.DAEMON_DRAIN_TIMEOUT, name=self.settings.name)
                 self.feed(DrainExpired())
                 await self.stop()
@@ -85,79 +148,110 @@
 
     def interrupt(self):
         """End a drain in progress at once."""
-        self._stopped.set()
+        self._interrupted.set()
 
     async def stop(self):
-        """Stop the clock and close the adapters."""
+        """Stop the adapters, callers first, and the clock."""
+        for adapter in reversed(self.adapters.values()):
+            await adapter.stop()
         if self._tick_task is not None:
             self._tick_task.cancel()
-            self._tick_task = None
-        for adapter in reversed(self.adapters):
-            await adapter.stop()
+        await self._admin.stop()
         log_event(LogEvent.DAEMON_STOPPED, name=self.settings.name)
 
-    def find_adapter(self, kind, name):
-        """Return a running adapter by its kind and registered name."""
-        return self._by_name[kind, name]
-
     def _build_adapters(self):
         context = AdapterContext(
-            self.settings, self.incarnation, self.feed, self.clock, self.registry
+            self.settings, self.incarnation, self.feed, self.clock, self._addresses
         )
-        self._by_name = {}
-        for kind in KINDS:
-            if kind == "routing":
-                continue
-            for name in self.registry.names(kind):
-                adapter = self.registry.get(kind, name)(context)
-                self._by_name[kind, name] = adapter
-                self.adapters.append(adapter)
+        for kind in ADAPTER_KINDS:
+            for name in self._registry.names(kind):
+                adapter = self._registry.get(kind, name)(context)
+                self.adapters[kind, name] = adapter
                 for action_type in adapter.ACTIONS:
                     self._carriers[action_type] = adapter
 
+    def _learn_vms(self, vms):
+        self._addresses.update(vms)
+        for adapter in self.adapters.values():
+            adapter.learn_vms(vms)
+
+    @singledispatchmethod
     def _carry_out(self, action):
-        if isinstance(action, LogCatalogued):
-            log_event(action.event, **action.fields)
-            return
-        if isinstance(action, RequestFinished):
-            return
         self._carriers[type(action)].carry_out(action)
 
+    @_carry_out.register
+    def _(self, action: LogCatalogued):
+        log_event(action.event, **action.fields)
+
+    @_carry_out.register
+    def _(self, action: RequestFinished):
+        self.burn.record(action, time.time())
+
+    @_carry_out.register
+    def _(self, action: AnswerOperator):
+        self.view.take_answer(action)
+
+    @_carry_out.register
+    def _(self, action: StartCall):
+        self.adapters["targets", action.kind].start_call(action)
+
+    @_carry_out.register
+    def _(self, action: PollTarget):
+        self.adapters["targets", action.kind].poll_load(action)
+
+    @_carry_out.register
+    def _(self, action: CancelCall):
+        for (kind, _), adapter in self.adapters.items():
+            if kind == "targets":
+                adapter.cancel_call(action.call_id)
+
     async def _tick(self):
         while True:
             self.feed(Tick(time.time()))
+            self._note_state()
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    def _note_state(self):
+        requests = self.parts.requests
+        if requests.version != self._version and requests.document is not None:
+            self._version = requests.version
+            self.burn.set_document(requests.version, requests.document)
+        if self.ready and not self._was_ready:
+            log_event(LogEvent.DAEMON_READY, name=self.settings.name)
+        self._was_ready = self.ready
+
 
 async def run_daemon(settings):
-    """Run a daemon until SIGTERM or SIGINT has drained it.
+    """Run a daemon until a signal or an operator has drained it.
+
+    A second signal ends the drain at once.
 
     Returns:
         int: Exit code; 0 after a drain that interrupted nothing.
     """
     daemon = Daemon(settings)
-    loop = asyncio.get_running_loop()
-    told = asyncio.Event()
 
-    def stop_once_or_now():
-        if told.is_set():
+    def drain_or_interrupt():
+        if daemon.draining.is_set():
             daemon.interrupt()
-        told.set()
+        daemon.draining.set()
 
+    loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_once_or_now)
+        loop.add_signal_handler(number, drain_or_interrupt)
     await daemon.start()
-    await told.wait()
+    await daemon.draining.wait()
     return 0 if await daemon.drain() else 1
 
 
 def main():
     """Entry point of ``firworksd SETTINGS``."""
-    if len(sys.argv) != 2 or sys.argv[1] in ("-h", "--help"):
+    arguments = sys.argv[1:]
+    if len(arguments) != 1 or arguments[0] in ("-h", "--help"):
         print("usage: firworksd SETTINGS.toml", file=sys.stderr)
-        sys.exit(0 if "-h" in sys.argv[1:] or "--help" in sys.argv[1:] else 2)
+        sys.exit(0 if arguments and arguments[0] in ("-h", "--help") else 2)
     try:
-        settings = load_settings(sys.argv[1])
+        settings = load_settings(arguments[0])
     except FirworksError as error:
         print(f"{int(error.code)} {error.code.name}: {error}", file=sys.stderr)
         sys.exit(2)
--- a/firworks/kernel/calls.py
+++ b/firworks/kernel/calls.py
@@ -44,7 +44,7 @@
         stage (str): The stage's name.
         pool (str): The pool that the call may go to.
         deadline_s (float): Kernel time at which the request's answer is due.
-        budget_s (float): Kernel time that this stage may use.
+        budget_s (float): Time that this stage may use, from now on.
         repeatable (bool): The work may run more than once.
         deferred (bool): The work may wait for spare capacity.
         model (str): The model an engine must serve; empty for services.
--- /dev/null
+++ b/firworks/kernel/operators.py
@@ -0,0 +1,32 @@
+"""Passes the ledger's answers on to the operators who asked."""
+
+from functools import singledispatchmethod
+
+from firworks.kernel.ledger_records import LookupAnswered
+from firworks.kernel.messages import Action
+from firworks.kernel.node import Part
+
+
+class AnswerOperator(Action):
+    """Answer an operator's lookup or resolution.
+
+    Attributes:
+        lookup_id (str): The lookup.
+        state (str): As in `LookupAnswered`.
+        answer (bytes): The kept answer, when there is one.
+    """
+
+    __slots__ = ("lookup_id", "state", "answer")
+
+
+class Operators(Part):
+    """Turns signals for operators into actions."""
+
+    @singledispatchmethod
+    def handle(self, event, now):
+        """Take one event; see `Part`."""
+        return []
+
+    @handle.register
+    def _(self, event: LookupAnswered, now):
+        return [AnswerOperator(event.lookup_id, event.state, event.answer)]
--- a/firworks/kernel/requests.py
+++ b/firworks/kernel/requests.py
@@ -25,6 +25,7 @@
     CLAIM_EXPIRED,
     CLAIM_FULL,
     CLAIM_IN_PROGRESS,
+    CLAIM_NOT_RUN,
     CLAIM_OUTCOME,
     CLAIM_REUSED,
     CLAIM_UNAVAILABLE,
@@ -60,6 +61,7 @@
 # begun in this or an earlier request with the same key.
 _CLAIM_ANSWERS = {
     CLAIM_UNKNOWN: (Code.OUTCOME_UNKNOWN, True),
+    CLAIM_NOT_RUN: (Code.RESOLVED_NOT_RUN, False),
     CLAIM_IN_PROGRESS: (Code.IN_PROGRESS, True),
     CLAIM_REUSED: (Code.IDEMPOTENCY_KEY_REUSED, False),
     CLAIM_EXPIRED: (Code.IDEMPOTENCY_KEY_EXPIRED, False),
--- a/firworks/kernel/stages.py
+++ b/firworks/kernel/stages.py
@@ -88,7 +88,7 @@
             stage=stage.name,
             pool=stage.pool,
             deadline_s=request.deadline_s,
-            budget_s=now + budget_s,
+            budget_s=budget_s,
             repeatable=stage.repeatable,
             deferred=bool(request.deferral_id),
             model=stage.model,
--- a/firworks/plugins/target_calls.py
+++ b/firworks/plugins/target_calls.py
@@ -6,18 +6,22 @@
 
 from firworks.adapter import Adapter
 from firworks.errors import CodecError
+from firworks.events import LogEvent, log_event
 from firworks.kernel.calls import (
     RESULT_CRASHED,
     RESULT_FAILED,
     RESULT_REFUSED,
     RESULT_TIMEOUT,
     CallFailed,
+    TargetReported,
 )
 
 IDENTITY_HEADER = "Firworks-Call"
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_S = 10.0
 PROBE_TIMEOUT_S = 0.5
+POLL_TIMEOUT_S = 1.0
+MILLISECONDS_PER_S = 1000.0
 TOO_MANY_REQUESTS = 429
 
 
@@ -99,6 +103,7 @@
         super().__init__(context)
         self.sessions = TargetSessions(context.settings.idle_timeout_s)
         self._tasks = {}
+        self._polls = {}
 
     async def run_call(self, action, session, address):
         """Carry out a call and feed its parts and answer.
@@ -116,7 +121,7 @@
 
     async def stop(self):
         """Cancel all calls and close the connections."""
-        for task in list(self._tasks.values()):
+        for task in [*self._tasks.values(), *self._polls.values()]:
             task.cancel()
         await self.sessions.close()
 
@@ -132,6 +137,31 @@
         if task is not None:
             task.cancel()
 
+    def poll_load(self, action):
+        """Begin to ask a target for its load (PollTarget)."""
+        address = self.context.addresses.find(action.target)
+        if address is None or action.target in self._polls:
+            return
+        task = asyncio.ensure_future(self._poll(action.target, address))
+        self._polls[action.target] = task
+        task.add_done_callback(lambda _: self._polls.pop(action.target, None))
+
+    async def _poll(self, target, address):
+        session = self.sessions.get(address)
+        try:
+            async with asyncio.timeout(POLL_TIMEOUT_S):
+                async with session.get(f"http://{address}/load") as response:
+                    check_status(response)
+                    table = await response.json()
+            event = parse_load(table, target, self.context.clock())
+        except (CallBrokenError, CallRefusedError, ValueError, OSError) as error:
+            log_event(LogEvent.LOAD_UNREADABLE, target=target, error=repr(error))
+            return
+        except (aiohttp.ClientError, TimeoutError):
+            self.sessions.retire(address)
+            return
+        self.context.feed(event)
+
     async def _guard_call(self, action):
         address = self.context.addresses.find(action.target)
         if address is None:
@@ -183,6 +213,41 @@
         self.context.feed(CallFailed(action.call_id, result, began, detail))
 
 
+def parse_load(table, target, now):
+    """Return the `TargetReported` held in a load report's JSON value.
+
+    Args:
+        table (object): The JSON value.
+        target (str): Name of the target.
+        now (float): Kernel time; the report's ``age_ms`` goes off it.
+
+    Raises:
+        ValueError: When the value is not a load report.
+    """
+    if not isinstance(table, dict):
+        raise ValueError("a load report must be a JSON object")
+    names = ("running", "queued", "capacity", "sequence", "age_ms")
+    counts = {name: table.get(name, 0) for name in names}
+    for name, value in counts.items():
+        if not isinstance(value, int) or value < 0:
+            raise ValueError(f"{name} must be a number from 0 on")
+    age_s = counts.pop("age_ms") / MILLISECONDS_PER_S
+    return TargetReported(
+        target=target,
+        measured_s=now - age_s,
+        cached=_parse_blocks(table.get("cached", [])),
+        evicted=_parse_blocks(table.get("evicted", [])),
+        **counts,
+    )
+
+
+def _parse_blocks(items):
+    """Return block hashes (tuple of bytes) from their hexadecimal form."""
+    if not isinstance(items, list) or not all(isinstance(i, str) for i in items):
+        raise ValueError("block hashes must be an array of texts")
+    return tuple(bytes.fromhex(item) for item in items)
+
+
 def check_status(response):
     """Raise unless a target answered with status 200.
 
