Make the fleet's adapters carry out actions; tell incarnations apart by a tag

Cause: a restarted daemon could be taken for its predecessor when it got an acknowledgement of the predecessor's digests before its first introduction landed. Change: each digest carries a hash of the incarnation; the VM list is read with entity tags and less often when it is large; neighbours are computed on change.

--- a/firworks/kernel/detector.py
+++ b/firworks/kernel/detector.py
@@ -39,7 +39,7 @@
             rank) to be applied.
         """
         self._forgive_pause(now)
-        watched = self._neighbours.list_names(now)
+        watched = self._neighbours.list_names()
         actions = []
         verdicts = []
         for name in watched:
--- a/firworks/kernel/digests.py
+++ b/firworks/kernel/digests.py
@@ -1,5 +1,7 @@
 """Records that daemons exchange about each other and about shared facts."""
 
+from xxhash import xxh32_intdigest
+
 from firworks.kernel.codec import register_record
 from firworks.kernel.fleet import (
     MEMBER_ALIVE,
@@ -26,10 +28,17 @@
     RANK_DRAINED: MEMBER_DEAD,
 }
 
+TAG_MASK = 0xFFFF
+
 TOPIC_MEMBER = "member"
 MEMBER_TTL_S = 3600.0
 
 
+def make_tag(incarnation):
+    """Return a small hash (int) of an incarnation."""
+    return xxh32_intdigest(incarnation.encode()) & TAG_MASK
+
+
 @register_record
 class Introduction(Record):
     """Who a daemon is; sent until the other end acknowledges it."""
@@ -72,6 +81,7 @@
 
     Attributes:
         epoch (int): The sender's epoch.
+        tag (int): Tells the sender's incarnations apart, see `make_tag`.
         refutation (int): How often the sender refuted a suspicion in this epoch.
         rank (int): The sender's status, one of the ``RANK_`` constants.
         sequence (int): Counts the sender's digests to this receiver.
@@ -87,6 +97,7 @@
 
     __slots__ = (
         "epoch",
+        "tag",
         "refutation",
         "rank",
         "sequence",
@@ -98,7 +109,7 @@
         "introductions",
         "facts",
     )
-    TYPES = (int, int, int, int, int, int, int, int, int, (Introduction,), (Fact,))
+    TYPES = (*[int] * 10, (Introduction,), (Fact,))
 
 
 @register_record
--- a/firworks/kernel/dissemination.py
+++ b/firworks/kernel/dissemination.py
@@ -22,6 +22,7 @@
 )
 
 PERIOD_S = 1.0
+FLUSH_PERIOD_S = 0.1
 URGENT_GAP_S = 0.2
 BUDGET_BYTES_PER_S = 8_000.0
 BUDGET_DEPTH_S = 2.0
@@ -97,27 +98,29 @@
     def _publish(self, fact, now):
         if self.table.store(fact, now) is None:
             return []
-        for peer in self._list_receivers(now):
+        for peer in self._list_receivers():
             if fact.topic not in CELL_TOPICS or self._membership.is_in_mesh(peer):
                 self._outboxes.put(peer, fact.identity, now)
         urgent = find_priority(fact.topic) <= URGENT_PRIORITY
         return self._flush(now) if urgent else []
 
-    def _list_receivers(self, now):
+    def _list_receivers(self):
         """Return the neighbours that are not held to be gone."""
-        neighbours = self._membership.list_neighbours(now)
+        neighbours = self._membership.list_neighbours()
         find_status = self._membership.find_status
         return [peer for peer in neighbours if find_status(peer) != MEMBER_DEAD]
 
     @handle.register
     def _take_message(self, event: PeerReceived, now):
         if not isinstance(event.message, Digest):
-            return self._flush(now)
+            return []
         results = []
         for fact in event.message.facts:
             results += self._take_fact(fact, event.peer, now)
         self._compare(event.peer, event.message.table, now)
-        return results + self._flush(now)
+        if event.message.facts or self._membership.urgent:
+            results += self._flush(now)
+        return results
 
     def _take_fact(self, fact, peer, now):
         stored = self.table.find(fact.identity)
@@ -145,7 +148,7 @@
 
     def _relay(self, fact, source, now):
         from_mesh = self._membership.is_in_mesh(source)
-        for peer in self._list_receivers(now):
+        for peer in self._list_receivers():
             inside = from_mesh and self._membership.is_in_mesh(peer)
             if peer not in (source, fact.origin) and not inside:
                 self._outboxes.put(peer, fact.identity, now)
@@ -167,11 +170,13 @@
 
     @handle.register
     def _tick(self, event: Tick, now):
+        if self._refilled_s is not None and now - self._refilled_s < FLUSH_PERIOD_S:
+            return []
         self._refill(now)
         self.table.expire(now)
         for identity in [key for key, s in self._stated.items() if s <= now]:
             del self._stated[identity]
-        neighbours = self._membership.list_neighbours(now)
+        neighbours = self._membership.list_neighbours()
         self._outboxes.keep(neighbours)
         for peers in (self._mismatches, self._synced_s):
             for peer in [peer for peer in peers if peer not in neighbours]:
@@ -203,7 +208,7 @@
     def _list_due(self, now):
         urgent = set(self._membership.take_urgent())
         due = []
-        for peer in self._membership.list_neighbours(now):
+        for peer in self._membership.list_neighbours():
             hurried = self._tokens > HURRY_RESERVE_S * self._budget_bytes_per_s
             hurried = hurried and self._outboxes.is_hurried(peer, URGENT_PRIORITY)
             period_s = URGENT_GAP_S if hurried else PERIOD_S
--- a/firworks/kernel/members.py
+++ b/firworks/kernel/members.py
@@ -1,6 +1,6 @@
 """What a daemon knows about one other daemon."""
 
-from firworks.kernel.digests import RANK_ALIVE, RANK_DEAD, STATUS_OF_RANK
+from firworks.kernel.digests import RANK_ALIVE, RANK_DEAD, STATUS_OF_RANK, make_tag
 from firworks.kernel.messages import VmEntry
 
 
@@ -10,6 +10,7 @@
     Attributes:
         name (str): The daemon.
         incarnation (str): Empty until it is known.
+        tag (int): Hash of the incarnation; -1 until it is known.
         epoch (int): Orders incarnations; 0 until one is known.
         refutation (int): Orders statements within an epoch.
         rank (int): One of the ``RANK_`` constants.
@@ -35,6 +36,7 @@
     __slots__ = (
         "name",
         "incarnation",
+        "tag",
         "epoch",
         "refutation",
         "rank",
@@ -60,6 +62,7 @@
     def __init__(self, name, now):
         self.name = name
         self.incarnation = ""
+        self.tag = -1
         self.epoch = 0
         self.refutation = 0
         self.rank = RANK_ALIVE
@@ -111,7 +114,7 @@
             self.sequence_in = digest.sequence
             self.heard_s = now
             self.confirmed_s = now
-        if digest.acknowledged > self.acknowledged:
+        if self.acknowledged < digest.acknowledged <= self.sequence_out:
             self.acknowledged = digest.acknowledged
             self.acknowledged_s = now
             self.dial_wait_s = 0.0
@@ -120,6 +123,7 @@
         """Become a new incarnation."""
         self.epoch = epoch
         self.incarnation = introduction.incarnation
+        self.tag = make_tag(introduction.incarnation)
         self.address = introduction.address
         self.region = introduction.region
         self.failure_domain = introduction.failure_domain
--- a/firworks/kernel/membership.py
+++ b/firworks/kernel/membership.py
@@ -27,6 +27,7 @@
     Probe,
     ProbeReply,
     make_member_fact,
+    make_tag,
 )
 from firworks.kernel.fleet import (
     DrainFinished,
@@ -47,6 +48,7 @@
 from firworks.kernel.neighbours import Neighbours
 from firworks.kernel.node import Part
 
+CHECK_PERIOD_S = 0.2
 DEAD_PERIOD_FACTOR = 5.0
 FORGET_AFTER_S = 60.0
 PERIOD_SLACK_S = 1e-6
@@ -70,13 +72,15 @@
         self.epoch = 1
         self.refutation = 0
         self.rank = RANK_ALIVE
-        self.introduction = Introduction(incarnation, address, region, failure_domain)
+        self._introduction = Introduction(incarnation, address, region, failure_domain)
+        self._tag = make_tag(incarnation)
         self._members = {}
         vm = VmEntry(name, address, "entry", region, failure_domain)
         self._neighbours = Neighbours(vm, self._members)
         self._detector = FailureDetector(self._neighbours, self._members, rng)
         self._urgent = {}
-        self._checked_s = 0.0
+        self._listed = {}
+        self._checked_s = float("-inf")
 
     @singledispatchmethod
     def handle(self, event, now):
@@ -92,9 +96,9 @@
         """Return the sorted names of this daemon's cell, this one included."""
         return tuple(sorted((*self._neighbours.mesh, self.name)))
 
-    def list_neighbours(self, now):
+    def list_neighbours(self):
         """Return the names that digests go to: mesh, links and guests."""
-        return self._neighbours.list_names(now)
+        return self._neighbours.list_names()
 
     def count_entries(self):
         """Return how many daemons there may be: those listed or not gone, and self."""
@@ -121,6 +125,11 @@
         factor = DEAD_PERIOD_FACTOR if member.gone else 1.0
         return now - member.sent_s >= period_s * factor - PERIOD_SLACK_S
 
+    @property
+    def urgent(self):
+        """Whether some neighbour needs a digest at once."""
+        return bool(self._urgent)
+
     def take_urgent(self):
         """Return the names that need a digest at once, and forget them."""
         urgent = list(self._urgent)
@@ -142,6 +151,7 @@
         introduce = member.acknowledged < member.introduce_until
         return Digest(
             epoch=self.epoch,
+            tag=self._tag,
             refutation=self.refutation,
             rank=self.rank,
             sequence=member.sequence_out,
@@ -150,7 +160,7 @@
             peer_refutation=member.refutation,
             peer_rank=member.rank,
             table=table,
-            introductions=(self.introduction,) if introduce else (),
+            introductions=(self._introduction,) if introduce else (),
             facts=facts,
         )
 
@@ -158,6 +168,9 @@
     def _take_vms(self, event: VmsListed, now):
         listed = {vm.name: vm for vm in event.vms if vm.role == "entry"}
         listed.pop(self.name, None)
+        if listed == self._listed:
+            return []
+        self._listed = listed
         results = []
         for name in sorted(listed):
             results += self._take_vm(listed[name], now)
@@ -185,16 +198,16 @@
 
     @handle.register
     def _check(self, event: Tick, now):
+        if now - self._checked_s < CHECK_PERIOD_S:
+            return []
+        self._checked_s = now
         actions, verdicts = self._detector.check(now)
         for member, rank in verdicts:
             state = (member.epoch, member.refutation, rank)
             actions += self._apply(member, state, now)
             self._urgent[member.name] = None
-        if now - self._checked_s >= 1.0:
-            self._checked_s = now
-            self._forget(now)
-            actions += self._neighbours.choose(now)
-        return actions
+        self._forget(now)
+        return actions + self._neighbours.review(now)
 
     def _forget(self, now):
         """Drop members that neither the VM list nor any message has named lately."""
@@ -215,7 +228,7 @@
     @handle.register
     def _note_disconnected(self, event: PeerDisconnected, now):
         member = self._members.get(event.peer)
-        names = self._neighbours.list_names(now)
+        names = self._neighbours.list_names()
         if member is None or member.gone or event.peer not in names:
             return []
         return self._detector.probe(member, names, now)
@@ -232,8 +245,9 @@
     def _take_digest(self, digest: Digest, peer, now):
         member = self._members.get(peer) or self._add_member(peer, now)
         results = self._begin_epoch(member, digest, now)
-        if digest.epoch == member.epoch and not member.wanted_epoch:
+        if digest.epoch == member.epoch and digest.tag == member.tag:
             member.note_digest(digest, now)
+            self._neighbours.note_guest(peer)
             state = (digest.epoch, digest.refutation, digest.rank)
             results += self._apply(member, state, now)
         results += self._take_opinion(member, digest)
@@ -243,15 +257,14 @@
 
     def _begin_epoch(self, member, digest, now):
         """Notice a new incarnation of a neighbour, or ask it to raise its epoch."""
+        if digest.epoch <= member.epoch:
+            if digest.tag != member.tag:
+                member.wanted_epoch = member.epoch + 1
+            return []
         if not digest.introductions:
             return []
-        introduction = digest.introductions[0]
-        if digest.epoch > member.epoch:
-            member.begin_epoch(digest.epoch, introduction, now)
-            return [*self._report(member), *self._neighbours.dial(now)]
-        if introduction.incarnation != member.incarnation:
-            member.wanted_epoch = member.epoch + 1
-        return []
+        member.begin_epoch(digest.epoch, digest.introductions[0], now)
+        return [*self._report(member), *self._neighbours.dial()]
 
     def _take_opinion(self, member, digest):
         """Answer what a neighbour believes about this daemon."""
--- a/firworks/kernel/neighbours.py
+++ b/firworks/kernel/neighbours.py
@@ -1,6 +1,6 @@
 """Which daemons this one exchanges digests with: its cell, links and guests."""
 
-from firworks.kernel.cells import choose_links, find_cell, make_cells
+from firworks.kernel.cells import LINKS_PER_DAEMON, choose_links, find_cell, make_cells
 from firworks.kernel.messages import ConnectPeer, DisconnectPeer
 
 GUEST_TIMEOUT_S = 10.0
@@ -23,6 +23,8 @@
         self._vm = vm
         self._members = members
         self._dialed = {}
+        self._guests = {}
+        self._outside = []
 
     def choose(self, now):
         """Compute mesh and links anew; returns peer actions."""
@@ -30,26 +32,34 @@
         cells = make_cells((*listed, self._vm))
         cell = find_cell(cells, self._vm.name)
         self.mesh = dict.fromkeys(name for name in cell if name != self._vm.name)
-        others = [
-            vm.name
-            for vm in listed
-            if vm.name not in cell and not self._members[vm.name].gone
-        ]
-        self.links = dict.fromkeys(choose_links(self._vm.name, others))
-        return self.dial(now)
-
-    def list_names(self, now):
+        inside = set(cell)
+        self._outside = [vm.name for vm in listed if vm.name not in inside]
+        self._choose_links()
+        return self.dial()
+
+    def review(self, now):
+        """Replace links to daemons that are gone and drop silent guests."""
+        before = (*self.links, *self._guests)
+        if any(self._is_gone(name) for name in self.links) or self._linked_few():
+            self._choose_links()
+        for name in list(self._guests):
+            member = self._members.get(name)
+            if member is None or now - member.heard_s > GUEST_TIMEOUT_S:
+                del self._guests[name]
+        return self.dial() if before != (*self.links, *self._guests) else []
+
+    def note_guest(self, name):
+        """Note that a daemon sends digests to this one."""
+        if name not in self.mesh and name not in self.links:
+            self._guests[name] = None
+
+    def list_names(self):
         """Return the names of mesh, links and guests, in a fixed order."""
-        chosen = {**self.mesh, **self.links}
-        for member in self._members.values():
-            recent = member.sequence_in and now - member.heard_s < GUEST_TIMEOUT_S
-            if recent or member.wanted_epoch:
-                chosen.setdefault(member.name)
-        return list(chosen)
-
-    def dial(self, now):
+        return [*self.mesh, *self.links, *(g for g in self._guests if self._adds(g))]
+
+    def dial(self):
         """Return the actions that connect neighbours and disconnect others."""
-        names = [name for name in self.list_names(now) if self._members[name].address]
+        names = [name for name in self.list_names() if self._members[name].address]
         wanted = {name: self._members[name].address for name in names}
         actions = []
         for name in [name for name in self._dialed if name not in wanted]:
@@ -61,6 +71,19 @@
                 actions.append(ConnectPeer(name, address))
         return actions
 
+    def _choose_links(self):
+        present = [name for name in self._outside if not self._is_gone(name)]
+        self.links = dict.fromkeys(choose_links(self._vm.name, present))
+
+    def _linked_few(self):
+        return len(self.links) < min(LINKS_PER_DAEMON, len(self._outside))
+
+    def _is_gone(self, name):
+        return name not in self._members or self._members[name].gone
+
+    def _adds(self, guest):
+        return guest not in self.mesh and guest not in self.links
+
     def redial(self, name):
         """Return the actions that replace a connection by a new one."""
         if name not in self._dialed:
--- a/firworks/plugins/http_vms.py
+++ b/firworks/plugins/http_vms.py
@@ -1,6 +1,7 @@
 """Polls the platform's VM list over HTTP."""
 
 import asyncio
+from http import HTTPStatus
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
@@ -10,30 +11,33 @@
 
 POLL_PERIOD_S = 1.0
 POLL_TIMEOUT_S = 3.0
-LIST_LIMIT_BYTES = 4_194_304
+BUDGET_BYTES_PER_S = 2_000.0
 
 _TEXT_FIELDS = ("name", "address", "role", "region", "failure_domain")
 _ROLES = ("entry", "target")
 
 
-class HttpVms:
-    """Reads the VM list each period and feeds `VmsListed` into the kernel.
+class HttpVms(Adapter):
+    """Reads the VM list again and again and feeds `VmsListed` into the kernel.
 
-    The last list stays in force while the platform does not answer.
+    The last list stays in force while the platform does not answer. A list that has
+    not changed is not sent again where the platform knows entity tags, and a large
+    one is read less often, so that reading stays within ``BUDGET_BYTES_PER_S``.
 
     Args:
-        settings (Settings): ``vms_url`` is the base URL of the VM list.
-        feed (callable): Takes each event.
-        period_s (float): Time between two reads.
+        context (AdapterContext): ``settings.vms_url`` is the base URL of the list.
+        period_s (float): Least time between two reads.
     """
 
-    def __init__(self, settings, feed, period_s=POLL_PERIOD_S):
+    def __init__(self, context, period_s=POLL_PERIOD_S):
+        super().__init__(context)
         self.failures = 0
-        self._url = f"{settings.vms_url.rstrip('/')}/vms"
-        self._feed = feed
+        self._url = f"{context.settings.vms_url.rstrip('/')}/vms"
         self._period_s = period_s
         self._task = None
         self._failing = False
+        self._tag = None
+        self._vms = ()
 
     async def start(self):
         """Start polling."""
@@ -49,20 +53,26 @@
         timeout = ClientTimeout(total=POLL_TIMEOUT_S)
         async with ClientSession(timeout=timeout) as session:
             while True:
-                await self._read(session)
-                await asyncio.sleep(self._period_s)
+                size = await self._read(session)
+                await asyncio.sleep(max(self._period_s, size / BUDGET_BYTES_PER_S))
 
     async def _read(self, session):
+        """Read the list once and return how many bytes came over the wire."""
+        headers = {"If-None-Match": self._tag} if self._tag else {}
         try:
-            async with session.get(self._url) as response:
+            async with session.get(self._url, headers=headers) as response:
                 response.raise_for_status()
-                body = await response.json()
-            event = VmsListed(parse_vms(body))
+                size = response.content_length or 0
+                if response.status != HTTPStatus.NOT_MODIFIED:
+                    self._vms = parse_vms(await response.json())
+                    self._tag = response.headers.get("ETag")
         except (ClientError, OSError, TimeoutError, ValueError) as error:
             self._note_failure(error)
-            return
+            return 0
         self._failing = False
-        self._feed(event)
+        self.context.addresses.update(self._vms)
+        self.context.feed(VmsListed(self._vms))
+        return size
 
     def _note_failure(self, error):
         self.failures += 1
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -29,28 +29,28 @@
 STATUS_INVALID_DATA = 1007
 
 
-class WebsocketPeers:
+class WebsocketPeers(Adapter):
     """Carries out peer actions and feeds peer events into the kernel.
 
     Args:
-        settings (Settings): Names the daemon, its peer address, secret and TLS files.
-        feed (callable): Takes each event.
+        context (AdapterContext): Its settings name the daemon, its peer address, the
+            shared secret and the TLS files.
     """
 
-    def __init__(self, settings, feed):
+    ACTIONS = (ConnectPeer, DisconnectPeer, SendPeer)
+
+    def __init__(self, context):
+        super().__init__(context)
         self.port = 0
         self.received_messages = 0
         self.received_bytes = 0
         self.sent_messages = 0
         self.sent_bytes = 0
         self.dropped_messages = 0
-        self._settings = settings
-        self._feed = feed
+        self._settings = context.settings
         self._links = {}
-        self._addresses = {}
-        self._accepted = set()
         self._server = None
-        self._client_tls = _make_client_tls(settings)
+        self._client_tls = _make_client_tls(context.settings)
 
     async def start(self):
         """Listen for other daemons; ``port`` then holds the bound port."""
@@ -80,14 +80,8 @@
             self._server.close()
             await self._server.wait_closed()
 
-    def learn_vms(self, vms):
-        """Take peers' addresses from a VM list (iterable of `VmEntry`)."""
-        for vm in vms:
-            if vm.role == "entry":
-                self._addresses[vm.name] = vm.address
-
     @singledispatchmethod
-    def perform(self, action):
+    def carry_out(self, action):
         """Carry out a `ConnectPeer`, `DisconnectPeer` or `SendPeer`.
 
         Raises:
@@ -95,9 +89,8 @@
         """
         raise TypeError(f"not a peer action: {action!r}")
 
-    @perform.register
+    @carry_out.register
     def _connect(self, action: ConnectPeer):
-        self._addresses[action.peer] = action.address
         link = self._links.get(action.peer)
         if link is not None and link.address == action.address:
             link.kept = True
@@ -106,17 +99,17 @@
             link.cancel()
         self._open(action.peer, action.address, kept=True)
 
-    @perform.register
+    @carry_out.register
     def _disconnect(self, action: DisconnectPeer):
         link = self._links.pop(action.peer, None)
         if link is not None:
             link.cancel()
 
-    @perform.register
+    @carry_out.register
     def _send(self, action: SendPeer):
         link = self._links.get(action.peer)
         if link is None:
-            address = self._addresses.get(action.peer)
+            address = self.context.addresses.find(action.peer)
             if address is None:
                 self.dropped_messages += 1
                 return
@@ -132,7 +125,7 @@
 
     def feed(self, event):
         """Pass an event of a link on to the kernel."""
-        self._feed(event)
+        self.context.feed(event)
 
     def forget(self, link):
         """Drop a link that has ended by itself."""
@@ -149,18 +142,14 @@
             return
         except ConnectionClosed:
             return
-        self._accepted.add(connection)
-        try:
-            await self._receive_all(connection, peer)
-        finally:
-            self._accepted.discard(connection)
+        await self._receive_all(connection, peer)
 
     async def _receive_all(self, connection, peer):
         try:
             async for data in connection:
                 self.received_messages += 1
                 self.received_bytes += len(data)
-                self._feed(PeerReceived(peer, _decode(data)))
+                self.context.feed(PeerReceived(peer, _decode(data)))
         except CodecError as error:
             log_event(LogEvent.PEER_MALFORMED, peer=peer, error=str(error))
             await connection.close(STATUS_INVALID_DATA)
--- a/firworks/standins/vms.py
+++ b/firworks/standins/vms.py
@@ -1,6 +1,8 @@
 """Stand-in for the platform's VM list; tests and the demonstration run it."""
 
+import json
 import time
+from hashlib import sha256
 
 from aiohttp import web
 
@@ -53,7 +55,15 @@
     async def _get(self, request):
         if self.failing:
             raise web.HTTPServiceUnavailable()
-        return web.json_response({"vms": self.list()})
+        body = json.dumps({"vms": self.list()})
+        tag = f'"{sha256(body.encode()).hexdigest()[:16]}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        response = web.Response(
+            text=body, content_type="application/json", headers={"ETag": tag}
+        )
+        response.enable_compression()
+        return response
 
     async def _put(self, request):
         vm = await request.json()
--- a/firworks/tests/test_peers.py
+++ b/firworks/tests/test_peers.py
@@ -10,6 +10,8 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed
 
+from firworks.adapter import AdapterContext
+from firworks.addresses import AddressBook
 from firworks.kernel.claims import WorkKey
 from firworks.kernel.messages import (
     ConnectPeer,
@@ -38,7 +40,14 @@
         "peers": "127.0.0.1:0",
         "peer_secret": secret,
     }
-    return WebsocketPeers(make_settings(table), inbox.put_nowait), inbox
+    return WebsocketPeers(make_context(table, inbox)), inbox
+
+
+def make_context(table, inbox):
+    clock = asyncio.get_running_loop().time
+    addresses = AddressBook({})
+    feed = inbox.put_nowait
+    return AdapterContext(make_settings(table), "i", feed, clock, addresses)
 
 
 async def run_pair(body, secrets=("right", "right")):
@@ -61,26 +70,26 @@
 class TestWebsocketPeers:
     def test_messages_arrive_in_order(self):
         async def body(one, one_inbox, two, two_inbox):
-            one.perform(ConnectPeer("two", make_address(two)))
+            one.carry_out(ConnectPeer("two", make_address(two)))
             assert await one_inbox.get() == PeerConnected("two")
             for key in "abc":
-                one.perform(SendPeer("two", MESSAGE.replace(key=key)))
+                one.carry_out(SendPeer("two", MESSAGE.replace(key=key)))
             for key in "abc":
                 event = PeerReceived("one", MESSAGE.replace(key=key))
                 assert await two_inbox.get() == event
-            one.perform(DisconnectPeer("two"))
+            one.carry_out(DisconnectPeer("two"))
             assert await one_inbox.get() == PeerDisconnected("two")
 
         asyncio.run(run_pair(body))
 
     def test_a_send_without_a_link_connects_on_demand(self):
         async def body(one, one_inbox, two, two_inbox):
-            one.perform(SendPeer("two", MESSAGE))
+            one.carry_out(SendPeer("two", MESSAGE))
             assert one.dropped_messages == 1
             vms = VmsStandin()
             vms.put(make_vm("two", make_address(two)))
-            one.learn_vms(parse_vms({"vms": vms.list()}))
-            one.perform(SendPeer("two", MESSAGE))
+            one.context.addresses.update(parse_vms({"vms": vms.list()}))
+            one.carry_out(SendPeer("two", MESSAGE))
             assert await two_inbox.get() == PeerReceived("one", MESSAGE)
 
         asyncio.run(run_pair(body))
@@ -93,8 +102,8 @@
                 lambda text: loop.call_soon(refused.set),
                 filter=lambda record: record["extra"].get("event") == 601,
             )
-            one.perform(ConnectPeer("two", make_address(two)))
-            one.perform(SendPeer("two", MESSAGE))
+            one.carry_out(ConnectPeer("two", make_address(two)))
+            one.carry_out(SendPeer("two", MESSAGE))
             await refused.wait()
             logger.remove(sink)
             assert one_inbox.empty()
@@ -115,10 +124,10 @@
 
     def test_a_name_other_than_the_expected_is_refused(self):
         async def body(one, one_inbox, two, two_inbox):
-            one.perform(ConnectPeer("three", make_address(two)))
-            one.perform(SendPeer("three", MESSAGE))
-            one.perform(ConnectPeer("two", make_address(two)))
-            one.perform(SendPeer("two", MESSAGE.replace(key="last")))
+            one.carry_out(ConnectPeer("three", make_address(two)))
+            one.carry_out(SendPeer("three", MESSAGE))
+            one.carry_out(ConnectPeer("two", make_address(two)))
+            one.carry_out(SendPeer("two", MESSAGE.replace(key="last")))
             event = await two_inbox.get()
             assert event.message.key == "last"
 
@@ -140,10 +149,10 @@
 
     def test_a_peer_that_reads_nothing_fills_a_bounded_queue(self):
         async def body(one, one_inbox, two, two_inbox):
-            one.perform(ConnectPeer("two", make_address(two)))
+            one.carry_out(ConnectPeer("two", make_address(two)))
             message = MESSAGE.replace(key="x" * 1_000_000)
             for _ in range(20):
-                one.perform(SendPeer("two", message))
+                one.carry_out(SendPeer("two", message))
             assert one.dropped_messages == 16
 
         asyncio.run(run_pair(body))
@@ -206,7 +215,7 @@
                     "log_url": "http://127.0.0.1:1",
                     "vms_url": str(server.make_url("")).rstrip("/"),
                 }
-                vms = HttpVms(make_settings(table), inbox.put_nowait, 0.01)
+                vms = HttpVms(make_context(table, inbox), 0.01)
                 await vms.start()
                 first = await inbox.get()
                 assert first == VmsListed(parse_vms({"vms": [make_vm("one")]}))
