--- a/firworks/events.py
+++ b/firworks/events.py
@@ -1,9 +1,13 @@
 """Numbered log events, written through loguru; see docs/EVENTS.md."""
 
+import json
+import sys
 from enum import IntEnum
 
 from loguru import logger
 
+TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}"
+
 
 class LogEvent(IntEnum):
     """A catalogued log event.
@@ -18,18 +22,55 @@
     DAEMON_STOPPED = 103
     DAEMON_DRAIN_TIMEOUT = 104
     PART_FAILED = 105
+    ANSWER_MISMATCHED = 300
+    LOAD_UNREADABLE = 301
+    ADMIN_FAILED = 106
+    DRAIN_REQUESTED = 107
+    KEY_RESOLVED = 108
+
+    LOG_RECORD_SKIPPED = 400
+    LOG_APPEND_FAILED = 401
+    LOG_READ_FAILED = 402
+    LEDGER_GAP = 403
+    LEDGER_FULL = 404
 
     CONFIGURATION_IN_FORCE = 500
     CONFIGURATION_FORMAT_UNKNOWN = 501
     CONFIGURATION_LOG_UNREADABLE = 502
 
+    VM_LIST_UNREADABLE = 600
+    PEER_REFUSED = 601
+    PEER_MALFORMED = 602
+    PEER_LOST = 603
+    PEER_SECRET_EMPTY = 604
+    MEMBER_CHANGED = 605
+    PEER_SILENT = 606
+    TARGET_LEAVING = 607
+    REQUEST_SUSPECTED = 608
+    REQUEST_QUARANTINED = 609
+
 
 # Levels of events that are not informational.
 LEVELS = {
     LogEvent.DAEMON_DRAIN_TIMEOUT: "WARNING",
     LogEvent.PART_FAILED: "ERROR",
+    LogEvent.ANSWER_MISMATCHED: "WARNING",
+    LogEvent.LOAD_UNREADABLE: "WARNING",
+    LogEvent.ADMIN_FAILED: "ERROR",
+    LogEvent.KEY_RESOLVED: "WARNING",
+    LogEvent.LOG_RECORD_SKIPPED: "ERROR",
+    LogEvent.LOG_APPEND_FAILED: "WARNING",
+    LogEvent.LOG_READ_FAILED: "WARNING",
+    LogEvent.LEDGER_GAP: "WARNING",
+    LogEvent.LEDGER_FULL: "WARNING",
     LogEvent.CONFIGURATION_FORMAT_UNKNOWN: "WARNING",
     LogEvent.CONFIGURATION_LOG_UNREADABLE: "WARNING",
+    LogEvent.VM_LIST_UNREADABLE: "WARNING",
+    LogEvent.PEER_REFUSED: "WARNING",
+    LogEvent.PEER_MALFORMED: "WARNING",
+    LogEvent.PEER_SECRET_EMPTY: "WARNING",
+    LogEvent.PEER_SILENT: "WARNING",
+    LogEvent.REQUEST_QUARANTINED: "WARNING",
 }
 
 
@@ -44,3 +85,32 @@
     text = " ".join(f"{name}={value}" for name, value in fields.items())
     bound = logger.bind(event=int(event), event_name=event.name, **fields)
     bound.log(level, "{:03d} {} {}", int(event), event.name, text)
+
+
+def configure_logs(log_format, sink=None):
+    """Send all logs to one sink, as text or as JSON lines.
+
+    Args:
+        log_format (str): "text" or "json", from settings.
+        sink (file or callable): Standard error when None.
+    """
+    sink = sys.stderr if sink is None else sink
+    logger.remove()
+    if log_format == "json":
+        logger.add(sink, format=_format_json, backtrace=False, diagnose=False)
+    else:
+        logger.add(sink, format=TEXT_FORMAT, backtrace=False, diagnose=False)
+
+
+def _format_json(record):
+    line = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "message": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    record["extra"]["_line"] = json.dumps(line, default=str)
+    # loguru formats the returned template, so the line itself goes in as a value.
+    return "{extra[_line]}\n"
--- a/firworks/kernel/fleet.py
+++ b/firworks/kernel/fleet.py
@@ -1,6 +1,6 @@
 """Signals between the fleet's parts and the rest of the kernel."""
 
-from firworks.kernel.messages import Signal
+from firworks.kernel.messages import Event, Signal
 
 # Values of `MemberChanged.status`.
 MEMBER_ALIVE = "alive"
@@ -73,7 +73,19 @@
     __slots__ = ()
 
 
+class DrainExpired(Event):
+    """The time for a drain is over; requests in progress end now."""
+
+    __slots__ = ()
+
+
 class RequestQuarantined(Signal):
     """A fingerprint (bytes) is refused fleet-wide until `until_s` (kernel time)."""
 
     __slots__ = ("fingerprint", "until_s")
+
+
+class DrainFinished(Signal):
+    """This daemon has no work left and is about to exit."""
+
+    __slots__ = ()
--- /dev/null
+++ b/firworks/plugins/http_vms.py
@@ -0,0 +1,125 @@
+"""Polls the platform's VM list over HTTP."""
+
+import asyncio
+from http import HTTPStatus
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from firworks.adapter import Adapter
+from firworks.events import LogEvent, log_event
+from firworks.kernel.messages import VmEntry, VmsListed
+
+POLL_PERIOD_S = 1.0
+POLL_TIMEOUT_S = 3.0
+BUDGET_BYTES_PER_S = 2_000.0
+
+_TEXT_FIELDS = ("name", "address", "role", "region", "failure_domain")
+_ROLES = ("entry", "target")
+
+
+class HttpVms(Adapter):
+    """Reads the VM list again and again and feeds `VmsListed` into the kernel.
+
+    The last list stays in force while the platform does not answer. A list that has
+    not changed is not sent again where the platform knows entity tags, and a large
+    one is read less often, so that reading stays within ``BUDGET_BYTES_PER_S``.
+
+    Args:
+        context (AdapterContext): ``settings.vms_url`` is the base URL of the list.
+        period_s (float): Least time between two reads.
+    """
+
+    def __init__(self, context, period_s=POLL_PERIOD_S):
+        super().__init__(context)
+        self.failures = 0
+        self._url = f"{context.settings.vms_url.rstrip('/')}/vms"
+        self._period_s = period_s
+        self._task = None
+        self._failing = False
+        self._tag = None
+        self._vms = ()
+
+    async def start(self):
+        """Start polling."""
+        self._task = asyncio.create_task(self._poll())
+
+    async def stop(self):
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _poll(self):
+        timeout = ClientTimeout(total=POLL_TIMEOUT_S)
+        async with ClientSession(timeout=timeout) as session:
+            while True:
+                size = await self._read(session)
+                await asyncio.sleep(max(self._period_s, size / BUDGET_BYTES_PER_S))
+
+    async def _read(self, session):
+        """Read the list once and return how many bytes came over the wire."""
+        headers = {"If-None-Match": self._tag} if self._tag else {}
+        try:
+            async with session.get(self._url, headers=headers) as response:
+                response.raise_for_status()
+                size = response.content_length or 0
+                if response.status != HTTPStatus.NOT_MODIFIED:
+                    self._vms = parse_vms(await response.json())
+                    self._tag = response.headers.get("ETag")
+        except (ClientError, OSError, TimeoutError, ValueError) as error:
+            self._note_failure(error)
+            return 0
+        self._failing = False
+        self.context.addresses.update(self._vms)
+        self.context.feed(VmsListed(self._vms))
+        return size
+
+    def _note_failure(self, error):
+        self.failures += 1
+        if not self._failing:
+            log_event(LogEvent.VM_LIST_UNREADABLE, error=repr(error))
+        self._failing = True
+
+
+def parse_vms(body):
+    """Return the tuple of `VmEntry` held in a VM list's JSON value.
+
+    Raises:
+        ValueError: When the value is not a VM list.
+    """
+    if not isinstance(body, dict) or not isinstance(body.get("vms"), list):
+        raise ValueError("a VM list must be an object with an array 'vms'")
+    return tuple(_parse_vm(item) for item in body["vms"])
+
+
+def _parse_vm(item):
+    if not isinstance(item, dict):
+        raise ValueError("a VM must be an object")
+    values = {name: item.get(name) for name in _TEXT_FIELDS}
+    for name, value in values.items():
+        if not isinstance(value, str) or not value:
+            raise ValueError(f"VM {item.get('name')!r}: {name} must be a text")
+    if values["role"] not in _ROLES:
+        raise ValueError(f"VM {values['name']!r}: role must be one of {_ROLES}")
+    return VmEntry(**values, leaving=item.get("leaving") is True)
+
+
+class VmsAdapter(Adapter):
+    """Connects `HttpVms` with the daemon."""
+
+    def __init__(self, context):
+        super().__init__(context)
+        self._vms = HttpVms(context.settings, context.feed)
+
+    async def start(self):
+        """Start polling."""
+        await self._vms.start()
+
+    async def stop(self):
+        """Stop polling."""
+        await self._vms.stop()
+
+
+def register(registry):
+    """Register the adapter."""
+    registry.add("vms", "http", VmsAdapter)
--- a/firworks/settings.py
+++ b/firworks/settings.py
@@ -1,17 +1,20 @@
 """Settings of one process: defaults and checks."""
 
+import ipaddress
 import os
 from pathlib import Path
 
 from firworks.checks import check_table, parse_toml
 from firworks.errors import SettingsError
 
-_TEXT = {"type": "string", "minLength": 1}
+_TEXT = {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"}
 _ADDRESS = {"type": "string", "pattern": r"^([0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$"}
 _URL = {"type": "string", "pattern": r"^https?://[0-9.]+:[0-9]+(/.*)?$"}
 _SECONDS = {"type": "number", "exclusiveMinimum": 0}
 _BYTES = {"type": "integer", "minimum": 1}
 
+MAX_PORT = 65_535
+
 DEFAULTS = {
     "environment": "production",
     "callers": "127.0.0.1:8080",
@@ -21,6 +24,8 @@
     "failure_domain": "fd-1",
     "peer_secret": "",
     "peer_secret_file": "",
+    "admin_secret": "",
+    "admin_secret_file": "",
     "tls_certificate": "",
     "tls_key": "",
     "tls_authority": "",
@@ -29,6 +34,7 @@
     "body_limit_bytes": 1_048_576,
     "header_limit_bytes": 8_190,
     "body_timeout_s": 10.0,
+    "idle_timeout_s": 2.0,
     "dedupe_window_s": 86_400.0,
     "clock_skew_s": 60.0,
     "ledger_streams": 4,
@@ -55,6 +61,8 @@
         "failure_domain": _TEXT,
         "peer_secret": {"type": "string"},
         "peer_secret_file": {"type": "string"},
+        "admin_secret": {"type": "string"},
+        "admin_secret_file": {"type": "string"},
         "tls_certificate": {"type": "string"},
         "tls_key": {"type": "string"},
         "tls_authority": {"type": "string"},
@@ -63,6 +71,7 @@
         "body_limit_bytes": _BYTES,
         "header_limit_bytes": _BYTES,
         "body_timeout_s": _SECONDS,
+        "idle_timeout_s": _SECONDS,
         "dedupe_window_s": _SECONDS,
         "clock_skew_s": _SECONDS,
         "ledger_streams": {"type": "integer", "minimum": 1, "maximum": 64},
@@ -93,7 +102,8 @@
     """
     check_table(table, SCHEMA, source)
     settings = Settings({**DEFAULTS, **table})
-    _read_secret(settings, source)
+    _read_secret(settings, "peer_secret", source)
+    _read_secret(settings, "admin_secret", source)
     _check_together(settings, source)
     return settings
 
@@ -111,23 +121,50 @@
     return make_settings(parse_toml(data, str(path)), str(path))
 
 
-def _read_secret(settings, source):
-    if settings.peer_secret_file:
+def _read_secret(settings, name, source):
+    """Take a secret from its file or, when settings hold none, the environment."""
+    path = getattr(settings, f"{name}_file")
+    if path:
         try:
-            settings.peer_secret = Path(settings.peer_secret_file).read_text().strip()
-        except OSError as error:
-            raise SettingsError(source, "peer_secret_file", error.strerror) from error
-    if not settings.peer_secret:
-        settings.peer_secret = os.environ.get("FIRWORKS_PEER_SECRET", "")
+            setattr(settings, name, Path(path).read_text().strip())
+        except (OSError, UnicodeDecodeError) as error:
+            raise SettingsError(source, f"{name}_file", str(error)) from error
+    if not getattr(settings, name):
+        setattr(settings, name, os.environ.get(f"FIRWORKS_{name.upper()}", ""))
 
 
 def _check_together(settings, source):
+    _check_addresses(settings, source)
     if settings.dedupe_window_s + 2 * settings.clock_skew_s >= settings.log_retention_s:
         problem = (
-            f"{settings.dedupe_window_s} with twice clock_skew_s must be below "
+            f"{settings.dedupe_window_s}; allowed: with twice clock_skew_s, below "
             f"log_retention_s ({settings.log_retention_s})"
         )
         raise SettingsError(source, "dedupe_window_s", problem)
     if bool(settings.tls_certificate) != bool(settings.tls_key):
-        problem = "tls_certificate and tls_key go together"
+        problem = "allowed: tls_certificate and tls_key together"
         raise SettingsError(source, "tls_certificate", problem)
+
+
+def _check_addresses(settings, source):
+    used = {}
+    for name in ("callers", "admin", "peers"):
+        address = getattr(settings, name)
+        _check_address(address, name, source)
+        if not address.endswith(":0") and address in used:
+            problem = f"{address!r} is also {used[address]}; allowed: one listener each"
+            raise SettingsError(source, name, problem)
+        used[address] = name
+    for target, address in settings.addresses.items():
+        _check_address(address, f"addresses.{target}", source)
+
+
+def _check_address(address, path, source):
+    host, port = address.rsplit(":", 1)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise SettingsError(source, path, f"{address!r}: {error}") from error
+    if int(port) > MAX_PORT:
+        problem = f"{address!r}; allowed: ports up to {MAX_PORT}"
+        raise SettingsError(source, path, problem)
