--- a/firworks/kernel/digests.py
+++ b/firworks/kernel/digests.py
@@ -90,6 +90,7 @@
             that the receiver must take so as to be newer than its predecessor.
         peer_refutation (int): The receiver's refutation as the sender knows it.
         peer_rank (int): The receiver's status in the sender's view.
+        courtesy (bool): The sender only returns the receiver's digests.
         table (int): Hash of the sender's fleet-wide facts.
         introductions (tuple of Introduction): The sender's, or nothing.
         facts (tuple of Fact): News.
@@ -105,11 +106,12 @@
         "peer_epoch",
         "peer_refutation",
         "peer_rank",
+        "courtesy",
         "table",
         "introductions",
         "facts",
     )
-    TYPES = (*[int] * 10, (Introduction,), (Fact,))
+    TYPES = (*[int] * 9, bool, int, (Introduction,), (Fact,))
 
 
 @register_record
--- a/firworks/kernel/membership.py
+++ b/firworks/kernel/membership.py
@@ -159,6 +159,7 @@
             peer_epoch=member.wanted_epoch or member.epoch,
             peer_refutation=member.refutation,
             peer_rank=member.rank,
+            courtesy=self._neighbours.is_courtesy(name),
             table=table,
             introductions=(self._introduction,) if introduce else (),
             facts=facts,
@@ -247,7 +248,8 @@
         results = self._begin_epoch(member, digest, now)
         if digest.epoch == member.epoch and digest.tag == member.tag:
             member.note_digest(digest, now)
-            self._neighbours.note_guest(peer)
+            if not digest.courtesy:
+                self._neighbours.note_guest(peer)
             state = (digest.epoch, digest.refutation, digest.rank)
             results += self._apply(member, state, now)
         results += self._take_opinion(member, digest)
--- a/firworks/kernel/neighbours.py
+++ b/firworks/kernel/neighbours.py
@@ -28,6 +28,9 @@
 
     def choose(self, now):
         """Compute mesh and links anew; returns peer actions."""
+        for name in (*self.mesh, *self.links):
+            if name in self._members and not self._members[name].listed:
+                self._guests[name] = None
         listed = [m.make_vm() for m in self._members.values() if m.listed]
         cells = make_cells((*listed, self._vm))
         cell = find_cell(cells, self._vm.name)
@@ -39,20 +42,23 @@
 
     def review(self, now):
         """Replace links to daemons that are gone and drop silent guests."""
-        before = (*self.links, *self._guests)
         if any(self._is_gone(name) for name in self.links) or self._linked_few():
             self._choose_links()
         for name in list(self._guests):
             member = self._members.get(name)
             if member is None or now - member.heard_s > GUEST_TIMEOUT_S:
                 del self._guests[name]
-        return self.dial() if before != (*self.links, *self._guests) else []
+        return self.dial()
 
     def note_guest(self, name):
         """Note that a daemon sends digests to this one."""
         if name not in self.mesh and name not in self.links:
             self._guests[name] = None
 
+    def is_courtesy(self, name):
+        """Whether digests go to a daemon only because it sends some."""
+        return self._adds(name) and self._members[name].listed
+
     def list_names(self):
         """Return the names of mesh, links and guests, in a fixed order."""
         return [*self.mesh, *self.links, *(g for g in self._guests if self._adds(g))]
--- a/firworks/tests/virtual_fleet.py
+++ b/firworks/tests/virtual_fleet.py
@@ -135,13 +135,21 @@
         return sorted([*alive, name])
 
     def converged(self):
-        """Whether every daemon holds exactly the running daemons to be alive."""
+        """Whether all hold exactly the running daemons to be alive, and as they are."""
         names = sorted(self.daemons)
-        return all(
-            d.membership.list_alive() == names
-            and all(d.membership.find_status(n) in (MEMBER_ALIVE, None) for n in names)
-            for d in self.daemons.values()
-        )
+        return all(self._sees(d.membership, names) for d in self.daemons.values())
+
+    def _sees(self, membership, names):
+        if membership.list_alive() != names:
+            return False
+        near = membership.list_neighbours()
+        for name in names:
+            status = membership.find_status(name)
+            incarnation = membership.find_incarnation(name)
+            known = self.daemons[name].membership.incarnation == incarnation
+            if status not in (MEMBER_ALIVE, None) or (name in near and not known):
+                return False
+        return True
 
     def _at(self, delay_s, action, *args):
         item = (self.now + delay_s, next(self._order), action, args)
