--- a/firworks/adapter.py
+++ b/firworks/adapter.py
@@ -43,9 +43,6 @@
     async def stop(self):
         """Close listeners and connections."""
 
-    def learn_vms(self, vms):
-        """Take in the platform's VM list (tuple of VmEntry)."""
-
     def carry_out(self, action):
         """Carry out one action without blocking the loop."""
         raise NotImplementedError
--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -21,7 +21,6 @@
     PeerDisconnected,
     RequestFinished,
     Tick,
-    VmsListed,
 )
 from firworks.kernel.operators import AnswerOperator
 from firworks.kernel.registry import Registry, load_plugins
@@ -92,8 +91,6 @@
         """Hand an event to the kernel and carry out what follows."""
         self.metrics.observe(event)
         self._note_peers(event)
-        if isinstance(event, VmsListed):
-            self._learn_vms(event.vms)
         for action in self.parts.kernel.handle(event, self.clock()):
             self.metrics.observe(action)
             self._carry_out(action)
@@ -170,11 +167,6 @@
                 for action_type in adapter.ACTIONS:
                     self._carriers[action_type] = adapter
 
-    def _learn_vms(self, vms):
-        self._addresses.update(vms)
-        for adapter in self.adapters.values():
-            adapter.learn_vms(vms)
-
     @singledispatchmethod
     def _carry_out(self, action):
         self._carriers[type(action)].carry_out(action)
--- a/firworks/kernel/retries.py
+++ b/firworks/kernel/retries.py
@@ -1,6 +1,6 @@
 """Budgets that bound retries and hedges to shares of the traffic."""
 
-INITIAL_TOKENS = 1.0
+INITIAL_TOKENS = 3.0
 LARGEST_TOKENS = 20.0
 
 
--- a/firworks/plugins/caller_requests.py
+++ b/firworks/plugins/caller_requests.py
@@ -5,6 +5,8 @@
 import time
 from uuid import UUID
 
+from aiohttp.web import RequestPayloadError
+
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.kernel.callers import RequestArrived
@@ -30,8 +32,8 @@
         RequestError: When a header or the body is not as it must be.
     """
     key = request.headers.get("Idempotency-Key", "")
-    if len(key) > MAX_KEY_CHARACTERS:
-        detail = f"Idempotency-Key is longer than {MAX_KEY_CHARACTERS} characters"
+    if len(key) > MAX_KEY_CHARACTERS or not (key.isascii() and key.isprintable()):
+        detail = f"Idempotency-Key must be at most {MAX_KEY_CHARACTERS} of ASCII"
         raise RequestError(Code.MALFORMED_REQUEST, detail)
     issued_s = _read_issue_time(request, key)
     deadline_ms = _read_deadline(request)
@@ -102,6 +104,9 @@
     except TimeoutError as error:
         detail = f"the body did not arrive in {settings.body_timeout_s} s"
         raise RequestError(Code.REQUEST_TIMEOUT, detail) from error
+    except RequestPayloadError as error:
+        detail = f"the body is not as its headers say: {error}"
+        raise RequestError(Code.MALFORMED_REQUEST, detail) from error
     return bytes(data)
 
 
--- a/firworks/plugins/http_vms.py
+++ b/firworks/plugins/http_vms.py
@@ -104,22 +104,6 @@
     return VmEntry(**values, leaving=item.get("leaving") is True)
 
 
-class VmsAdapter(Adapter):
-    """Connects `HttpVms` with the daemon."""
-
-    def __init__(self, context):
-        super().__init__(context)
-        self._vms = HttpVms(context.settings, context.feed)
-
-    async def start(self):
-        """Start polling."""
-        await self._vms.start()
-
-    async def stop(self):
-        """Stop polling."""
-        await self._vms.stop()
-
-
 def register(registry):
     """Register the adapter."""
-    registry.add("vms", "http", VmsAdapter)
+    registry.add("vms", "http", HttpVms)
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -182,36 +182,6 @@
     return context
 
 
-class PeersAdapter(Adapter):
-    """Connects `WebsocketPeers` with the daemon.
-
-    Attributes:
-        peers (WebsocketPeers): For its counters and its port.
-    """
-
-    ACTIONS = (ConnectPeer, DisconnectPeer, SendPeer)
-
-    def __init__(self, context):
-        super().__init__(context)
-        self.peers = WebsocketPeers(context.settings, context.feed)
-
-    async def start(self):
-        """Listen for other daemons."""
-        await self.peers.start()
-
-    async def stop(self):
-        """Close all connections."""
-        await self.peers.stop()
-
-    def learn_vms(self, vms):
-        """Take peers' addresses from the VM list."""
-        self.peers.learn_vms(vms)
-
-    def carry_out(self, action):
-        """Carry out a peer action."""
-        self.peers.perform(action)
-
-
 def register(registry):
     """Register the adapter."""
-    registry.add("peers", "websocket", PeersAdapter)
+    registry.add("peers", "websocket", WebsocketPeers)
