--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The core protocol as small transition systems, checked with z3."""
