--- a/firworks/kernel/budgets.py
+++ b/firworks/kernel/budgets.py
@@ -9,16 +9,19 @@
 TYPICAL_QUANTILE = 0.5
 SLOW_QUANTILE = 0.9
 FEWEST_SAMPLES = 10
+CACHED_SAMPLES = 8
 
 
 class LatencyHistogram:
     """Latencies in logarithmic buckets; old ones fade as new ones arrive."""
 
-    __slots__ = ("counts", "total")
+    __slots__ = ("counts", "total", "_cached", "_uncached")
 
     def __init__(self):
         self.counts = [0.0] * BUCKET_COUNT
         self.total = 0.0
+        self._cached = {}
+        self._uncached = 0
 
     def add(self, latency_s):
         """Count one latency in seconds."""
@@ -26,6 +29,10 @@
         index = min(int(log(ratio) / log(BUCKET_RATIO)), BUCKET_COUNT - 1)
         self.counts[index] += 1.0
         self.total += 1.0
+        self._uncached += 1
+        if self._uncached >= min(CACHED_SAMPLES, self.total / CACHED_SAMPLES):
+            self._cached.clear()
+            self._uncached = 0
         if self.total >= HALVE_AT:
             self.counts = [count / 2 for count in self.counts]
             self.total /= 2
@@ -33,8 +40,14 @@
     def quantile(self, share):
         """Return the latency in seconds that `share` of the samples stay below.
 
-        Returns 0 when there are no samples.
+        Returns 0 when there are no samples. A result may lag a few samples behind.
         """
+        known = self._cached.get(share)
+        if known is None:
+            known = self._cached[share] = self._compute_quantile(share)
+        return known
+
+    def _compute_quantile(self, share):
         if not self.total:
             return 0.0
         wanted = share * self.total
--- a/firworks/kernel/health.py
+++ b/firworks/kernel/health.py
@@ -2,11 +2,11 @@
 
 from statistics import median_low
 
-FAILURES_TO_EJECT = 3
+FAILURES_TO_EJECT = 2
 OUTLIER_RATIO = 3.0
 FEWEST_SAMPLES = 3
 SMOOTHING = 0.3
-EJECTION_S = 5.0
+EJECTION_S = 2.0
 LONGEST_EJECTION_S = 60.0
 SLOW_START_S = 5.0
 SMALLEST_WEIGHT = 0.1
@@ -135,6 +135,11 @@
         if ratio > health.slowness:
             health.smooth(ratio)
 
+    def record_crash(self, health, call_id, now):
+        """Count a call that ended because the target went away."""
+        health.failures = FAILURES_TO_EJECT
+        self.record_failure(health, call_id, now)
+
     def record_failure(self, health, call_id, now):
         """Count a call that ended without a whole answer."""
         health.failures += 1
--- a/firworks/kernel/node.py
+++ b/firworks/kernel/node.py
@@ -1,5 +1,8 @@
 """The kernel of one daemon: parts that exchange typed signals, and no I/O."""
 
+from functools import singledispatchmethod
+from inspect import getattr_static
+
 from firworks.kernel.messages import Action, Signal
 
 
@@ -29,6 +32,7 @@
 
     def __init__(self, parts):
         self.parts = list(parts)
+        self._handlers = {}
 
     def handle(self, event, now):
         """Take one event and return the actions that follow from it.
@@ -49,12 +53,27 @@
         actions = []
         pending = [event]
         for current in pending:
-            for part in self.parts:
-                for result in part.handle(current, now):
+            for handler in self._find_handlers(type(current)):
+                for result in handler(current, now):
                     if isinstance(result, Signal):
                         pending.append(result)
                     elif isinstance(result, Action):
                         actions.append(result)
                     else:
-                        raise TypeError(f"{type(part).__name__} returned {result!r}")
+                        raise TypeError(f"{handler.__qualname__} returned {result!r}")
         return actions
+
+    def _find_handlers(self, kind):
+        """Return the parts' methods for a type of event, resolved once per type."""
+        handlers = self._handlers.get(kind)
+        if handlers is None:
+            handlers = [_resolve_handler(part, kind) for part in self.parts]
+            self._handlers[kind] = handlers
+        return handlers
+
+
+def _resolve_handler(part, kind):
+    method = getattr_static(type(part), "handle")
+    if isinstance(method, singledispatchmethod) and "handle" not in vars(part):
+        return method.dispatcher.dispatch(kind).__get__(part)
+    return part.handle
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -354,7 +354,7 @@
 
     def _place(self, pool, entry, target, now):
         call = entry.call
-        placed = PlacedCall(call, target, now)
+        placed = PlacedCall(call, target, entry.due_s, now)
         self._placed[call.call_id] = placed
         target.calls[call.call_id] = placed
         pool.in_flight += 1
@@ -430,7 +430,8 @@
         pool.health.record_refused(target.health, call.call_id)
     elif ended.result == RESULT_CANCELLED:
         pool.health.record_cancelled(target.health, call.call_id, ratio, now)
+    elif ended.result == RESULT_CRASHED:
+        pool.prefixes.forget_target(target.name)
+        pool.health.record_crash(target.health, call.call_id, now)
     else:
-        if ended.result == RESULT_CRASHED:
-            pool.prefixes.forget_target(target.name)
         pool.health.record_failure(target.health, call.call_id, now)
--- a/firworks/kernel/scheduling_hedges.py
+++ b/firworks/kernel/scheduling_hedges.py
@@ -3,6 +3,7 @@
 from firworks.kernel.calls import HedgeWanted
 
 HEDGE_QUANTILE = 0.95
+HEDGE_SLACK = 1.25
 SILENCE_FACTOR = 3.0
 SHORTEST_SILENCE_S = 0.5
 STREAM_SILENCE_S = 1.0
@@ -51,6 +52,8 @@
             return self._budgets.spend_hedge()
         if not weight or silent <= usual * (2.0 - weight):
             return False
+        if placed.due_s - now > HEDGE_SLACK * pool.typical(call, HEDGE_QUANTILE):
+            return False
         return pool.has_spare(1.0, now) and self._budgets.spend_hedge()
 
     def _usual(self, placed, pool):
--- a/firworks/kernel/scheduling_state.py
+++ b/firworks/kernel/scheduling_state.py
@@ -46,17 +46,27 @@
     Attributes:
         call (CallRequested): The call.
         target (TargetState): Where it runs.
+        due_s (float): Kernel time at which the stage must be done.
         started_s (float): Kernel time of placing.
         progress_s (float): When the target last showed progress on it.
         streaming (bool): Parts of the answer have arrived.
         hedged (bool): A hedge was advised.
     """
 
-    __slots__ = ("call", "target", "started_s", "progress_s", "streaming", "hedged")
+    __slots__ = (
+        "call",
+        "target",
+        "due_s",
+        "started_s",
+        "progress_s",
+        "streaming",
+        "hedged",
+    )
 
-    def __init__(self, call, target, now):
+    def __init__(self, call, target, due_s, now):
         self.call = call
         self.target = target
+        self.due_s = due_s
         self.started_s = now
         self.progress_s = now
         self.streaming = False
