--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -32,22 +32,24 @@
     Attributes:
         kernel (Kernel): All parts, in order.
         requests (Requests): Tells whether the daemon is ready and idle.
+        ledger (Ledger): Tells whether all outcomes are in the log.
         membership (Membership): Knows the peers.
         configuration (ConfigurationFollower): Knows the version in force.
     """
 
-    __slots__ = ("kernel", "requests", "membership", "configuration")
+    __slots__ = ("kernel", "requests", "ledger", "membership", "configuration")
 
-    def __init__(self, kernel, requests, membership, configuration):
+    def __init__(self, kernel, requests, ledger, membership, configuration):
         self.kernel = kernel
         self.requests = requests
+        self.ledger = ledger
         self.membership = membership
         self.configuration = configuration
 
     @property
     def idle(self):
         """Whether nothing in progress would be lost by stopping."""
-        return self.requests.idle
+        return self.requests.idle and self.ledger.flushed
 
 
 def build_kernel(settings, incarnation, registry):
@@ -89,4 +91,4 @@
         Operators(),
         requests,
     ]
-    return KernelParts(Kernel(parts), requests, membership, configuration)
+    return KernelParts(Kernel(parts), requests, ledger, membership, configuration)
--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -14,7 +14,7 @@
 from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event
 from firworks.kernel.calls import CancelCall, StartCall
-from firworks.kernel.fleet import DrainExpired, DrainStarted
+from firworks.kernel.fleet import DrainExpired, DrainFinished, DrainStarted
 from firworks.kernel.messages import (
     LogCatalogued,
     PeerConnected,
@@ -32,6 +32,7 @@
 
 TICK_INTERVAL_S = 0.05
 DRAIN_POLL_S = 0.02
+FAREWELL_S = 0.2
 ADAPTER_KINDS = ("log", "vms", "peers", "targets", "callers")
 
 
@@ -140,6 +141,8 @@
                 await self.stop()
                 return False
             await asyncio.sleep(DRAIN_POLL_S)
+        self.feed(DrainFinished())
+        await asyncio.sleep(FAREWELL_S)
         await self.stop()
         return True
 
--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -97,6 +97,11 @@
         request = self._holder.get_won(claim_id)
         return request is not None and self._in_window(request.issued_s, now)
 
+    @property
+    def flushed(self):
+        """Whether the log has all that this daemon has to tell it."""
+        return not self._outbox
+
     @property
     def size_bytes(self):
         """Estimate of the memory that remembered claims take."""
