--- a/firworks/burn.py
+++ b/firworks/burn.py
@@ -33,6 +33,7 @@
         Code.CONCURRENCY_LIMITED,
         Code.UNKNOWN_RESULT,
         Code.FORBIDDEN,
+        Code.RESOLVED_NOT_RUN,
         Code.CANCELLED,
     }
 )
