--- a/firworks/kernel/digests.py
+++ b/firworks/kernel/digests.py
@@ -114,6 +114,14 @@
     TYPES = (*[int] * 9, bool, int, (Introduction,), (Fact,))
 
 
+@register_record
+class TableSummary(Record):
+    """Marks (hashes) of all fleet-wide facts that the sender has."""
+
+    __slots__ = ("marks",)
+    TYPES = ((int,),)
+
+
 @register_record
 class Probe(Record):
     """Asks the receiver when it last heard `subject` (str)."""
--- a/firworks/kernel/dissemination.py
+++ b/firworks/kernel/dissemination.py
@@ -3,18 +3,26 @@
 Facts ride on the digests that neighbours exchange anyway. A fleet-wide fact goes
 from its origin to all neighbours; a daemon that learns it over a link passes it on
 to its cell, and one that learns it in its cell passes it on over its links. A hash
-of the whole table in each digest uncovers what got lost, which is then sent again.
+of the whole table in each digest uncovers what got lost; a daemon then tells its
+neighbour the marks of what it has, and gets the rest.
 """
 
 from functools import singledispatchmethod
 
-from firworks.kernel.digests import TOPIC_MEMBER, Digest, Fact, FactStated
+from firworks.kernel.digests import (
+    TOPIC_MEMBER,
+    Digest,
+    Fact,
+    FactStated,
+    TableSummary,
+)
 from firworks.kernel.fact_table import FactTable
 from firworks.kernel.fleet import MEMBER_DEAD, FactChanged, FactLearned
 from firworks.kernel.messages import PeerReceived, SendPeer, Tick
 from firworks.kernel.node import Part
 from firworks.kernel.outboxes import Outboxes
 from firworks.kernel.topics import (
+    ADDRESSED_TOPICS,
     CELL_TOPICS,
     URGENT_PRIORITY,
     find_priority,
@@ -31,7 +39,8 @@
 DIGEST_BYTES = 45
 MISMATCH_LIMIT = 2
 SYNC_PERIOD_S = 5.0
-SETTLE_S = 1.5
+SYNC_GAP_S = 0.5
+MARK_BYTES = 9
 
 
 class Dissemination(Part):
@@ -58,6 +67,7 @@
         self._stated = {}
         self._mismatches = {}
         self._synced_s = {}
+        self._last_sync_s = float("-inf")
 
     @singledispatchmethod
     def handle(self, event, now):
@@ -99,11 +109,17 @@
         if self.table.store(fact, now) is None:
             return []
         for peer in self._list_receivers():
-            if fact.topic not in CELL_TOPICS or self._membership.is_in_mesh(peer):
+            if self._concerns(fact, peer):
                 self._outboxes.put(peer, fact.identity, now)
         urgent = find_priority(fact.topic) <= URGENT_PRIORITY
         return self._flush(now) if urgent else []
 
+    def _concerns(self, fact, peer):
+        """Whether a neighbour should get a fact that was stated here."""
+        if fact.topic in ADDRESSED_TOPICS:
+            return peer == fact.key
+        return fact.topic not in CELL_TOPICS or self._membership.is_in_mesh(peer)
+
     def _list_receivers(self):
         """Return the neighbours that are not held to be gone."""
         neighbours = self._membership.list_neighbours()
@@ -112,12 +128,14 @@
 
     @handle.register
     def _take_message(self, event: PeerReceived, now):
+        if isinstance(event.message, TableSummary):
+            return self._answer_summary(event.peer, event.message, now)
         if not isinstance(event.message, Digest):
             return []
         results = []
         for fact in event.message.facts:
             results += self._take_fact(fact, event.peer, now)
-        self._compare(event.peer, event.message.table, now)
+        results += self._compare(event.peer, event.message.table, now)
         if event.message.facts or self._membership.urgent:
             results += self._flush(now)
         return results
@@ -154,19 +172,27 @@
                 self._outboxes.put(peer, fact.identity, now)
 
     def _compare(self, peer, table, now):
-        """Queue the whole table for a neighbour that keeps another one."""
+        """Ask a neighbour that keeps another table for what is missing here."""
         if table == self.table.digest:
-            self._mismatches[peer] = 0
-            return
+            self._mismatches.pop(peer, None)
+            return []
         self._mismatches[peer] = self._mismatches.get(peer, 0) + 1
-        recent = now - self._synced_s.get(peer, float("-inf")) < SYNC_PERIOD_S
+        last_s = self._synced_s.get(peer, float("-inf"))
+        recent = now - last_s < SYNC_PERIOD_S or now - self._last_sync_s < SYNC_GAP_S
         if self._mismatches[peer] < MISMATCH_LIMIT or recent:
-            return
-        self._synced_s[peer] = now
-        self._mismatches[peer] = 0
+            return []
+        self._synced_s[peer] = self._last_sync_s = now
+        marks = tuple(entry.mark for entry in self.table.list_shared())
+        self._tokens -= MESSAGE_OVERHEAD_BYTES + MARK_BYTES * len(marks)
+        return [SendPeer(peer, TableSummary(marks))]
+
+    def _answer_summary(self, peer, summary, now):
+        """Queue what a neighbour lacks."""
+        marks = set(summary.marks)
         for entry in self.table.list_shared():
-            if now - entry.stored_s >= SETTLE_S:
+            if entry.mark not in marks:
                 self._outboxes.put(peer, entry.fact.identity, now)
+        return self._flush(now)
 
     @handle.register
     def _tick(self, event: Tick, now):
--- a/firworks/kernel/fact_table.py
+++ b/firworks/kernel/fact_table.py
@@ -68,14 +68,14 @@
         for identity in over:
             self._remove(identity)
 
+    def list_entries(self):
+        """Return all entries."""
+        return list(self._entries.values())
+
     def list_shared(self):
         """Return the entries of fleet-wide facts."""
         return [e for e in self._entries.values() if is_shared(e.fact.topic)]
 
-    def list_stated(self, origin):
-        """Return the entries of facts that a daemon stated."""
-        return [e for e in self._entries.values() if e.fact.origin == origin]
-
     def _evict(self, fact):
         """Make room for a fact; returns False when all others matter more."""
         order = find_priority(fact.topic)
--- a/firworks/kernel/fleet.py
+++ b/firworks/kernel/fleet.py
@@ -15,6 +15,7 @@
 TOPIC_QUARANTINE = "quarantine"
 TOPIC_DEMAND = "demand"
 TOPIC_LOAD = "load"
+TOPIC_LOAN = "loan"
 
 
 class MemberChanged(Signal):
--- /dev/null
+++ b/firworks/kernel/limits.py
@@ -0,0 +1,309 @@
+"""Rate and concurrency of client accounts, over the whole fleet.
+
+Every daemon owns an equal part of each limit and lends what it does not use to
+neighbours that need more; the lender's part shrinks before the borrower's grows, so
+the parts never add up to more than the limit. A loan ends by itself, counted from
+before the demand that it answers was sent, so no clocks are compared. A daemon that is
+cut off keeps its own part.
+"""
+
+from functools import singledispatchmethod
+
+from firworks.codes import Code
+from firworks.kernel.cells import CELL_LIMIT
+from firworks.kernel.codec import register_record
+from firworks.kernel.fleet import (
+    MEMBER_DEAD,
+    TOPIC_DEMAND,
+    TOPIC_LOAN,
+    ConfigurationAccepted,
+    FactChanged,
+    FactLearned,
+    MemberChanged,
+)
+from firworks.kernel.lending import divide_fairly, find_spare
+from firworks.kernel.messages import Record, Struct, Tick, VmsListed
+from firworks.kernel.node import Part
+from firworks.kernel.shares import AccountShare, Loan
+
+PERIOD_S = 1.0
+DEMAND_PERIOD_S = 2.0
+LOAN_S = 8.0
+LOAN_MARGIN_S = 0.5
+HOLD_S = 8.0
+RESERVE_SHARE = 0.25
+HEADROOM = 1.2
+QUIET_SHARE = 0.5
+ENTRY_LIMIT = 32
+CONCURRENCY_RETRY_S = 1.0
+
+
+@register_record
+class Demand(Record):
+    """What callers want of one account at one daemon: rate and concurrency."""
+
+    __slots__ = ("account", "rate", "concurrency")
+    TYPES = (str, float, float)
+
+
+@register_record
+class Demands(Record):
+    """One daemon's demands; `sequence` (int) is echoed by loans."""
+
+    __slots__ = ("sequence", "entries")
+    TYPES = (int, (Demand,))
+
+
+@register_record
+class Loans(Record):
+    """What one daemon lends another, as far as the demands `sequence` (int) ask."""
+
+    __slots__ = ("sequence", "entries")
+    TYPES = (int, (Demand,))
+
+
+class AdmissionVerdict(Struct):
+    """Whether a request may run.
+
+    Attributes:
+        code (Code or None): Why not; None admits it.
+        retry_after_s (float): When the caller may come back.
+    """
+
+    __slots__ = ("code", "retry_after_s")
+
+
+ADMITTED = AdmissionVerdict(None, 0.0)
+
+
+class _PeerDemands:
+    """The last demands of a daemon and when they arrived."""
+
+    __slots__ = ("sequence", "by_account", "arrived_s")
+
+    def __init__(self, demands, now):
+        self.sequence = demands.sequence
+        self.by_account = {entry.account: entry for entry in demands.entries}
+        self.arrived_s = now
+
+
+class AccountLimits(Part):
+    """Admits requests within the limits of their client accounts.
+
+    Args:
+        name (str): This daemon's name.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self._shares = {}
+        self._listed = None
+        self._known = {}
+        self._incarnations = {}
+        self._peers = {}
+        self._lending = {}
+        self._published_s = {}
+        self._sequence = 0
+        self._stated = False
+        self._worked_s = 0.0
+
+    @singledispatchmethod
+    def handle(self, event, now):
+        """Take one event and return a list of actions and signals."""
+        return []
+
+    def try_admit(self, account, now):
+        """Admit a request or refuse it.
+
+        Args:
+            account (str): The client account.
+            now (float): Monotonic time in seconds.
+
+        Returns:
+            AdmissionVerdict: An admitted request must be ended by `finish`.
+        """
+        share = self._shares.get(account)
+        if share is None:
+            return ADMITTED
+        if not share.has_room(now):
+            return AdmissionVerdict(Code.CONCURRENCY_LIMITED, CONCURRENCY_RETRY_S)
+        wait_s = share.take(now)
+        if wait_s:
+            return AdmissionVerdict(Code.RATE_LIMITED, wait_s)
+        share.running += 1
+        return ADMITTED
+
+    def finish(self, account, now):
+        """Note the end of an admitted request."""
+        share = self._shares.get(account)
+        if share is not None and share.running:
+            share.running -= 1
+
+    def find_share(self, account, now):
+        """Return this daemon's rate and concurrency of an account, with loans."""
+        share = self._shares[account]
+        return share.find_rate(now), share.find_concurrency(now)
+
+    def count_daemons(self):
+        """Return how many daemons the limits are divided by."""
+        if self._listed is None:
+            return max(CELL_LIMIT, 1 + len(self._known))
+        return 1 + len({**self._listed, **self._known})
+
+    @handle.register
+    def _take_configuration(self, event: ConfigurationAccepted, now):
+        accounts = event.document.accounts
+        daemons = self.count_daemons()
+        for name in [name for name in self._shares if name not in accounts]:
+            del self._shares[name]
+        for name, account in accounts.items():
+            if name in self._shares:
+                self._shares[name].resize(account, daemons, now)
+            else:
+                self._shares[name] = AccountShare(account, daemons, now)
+        return []
+
+    @handle.register
+    def _take_vms(self, event: VmsListed, now):
+        entries = (vm.name for vm in event.vms if vm.role == "entry")
+        self._listed = dict.fromkeys(name for name in entries if name != self.name)
+        return self._resize(now)
+
+    @handle.register
+    def _take_member(self, event: MemberChanged, now):
+        if event.status == MEMBER_DEAD:
+            self._known.pop(event.member, None)
+        else:
+            self._known[event.member] = None
+        before = self._incarnations.get(event.member)
+        self._incarnations[event.member] = event.incarnation
+        if before and before != event.incarnation:
+            for share in self._shares.values():
+                share.return_loans(event.member, now)
+        return self._resize(now)
+
+    def _resize(self, now):
+        daemons = self.count_daemons()
+        for share in self._shares.values():
+            if share.daemons != daemons:
+                share.resize(share.account, daemons, now)
+        return []
+
+    @handle.register
+    def _learn_fact(self, event: FactLearned, now):
+        if event.topic == TOPIC_DEMAND and isinstance(event.value, Demands):
+            self._peers[event.origin] = _PeerDemands(event.value, now)
+        elif event.topic == TOPIC_LOAN and isinstance(event.value, Loans):
+            if event.key == self.name:
+                self._take_loans(event.origin, event.value, now)
+        return []
+
+    def _take_loans(self, lender, loans, now):
+        """Use what another daemon lends, counted from when it was asked for."""
+        until_s = self._published_s.get(loans.sequence, now - LOAN_S) + LOAN_S
+        entries = {entry.account: entry for entry in loans.entries}
+        for name, share in self._shares.items():
+            entry = entries.get(name)
+            if entry is None or until_s <= now:
+                share.return_loans(lender, now)
+                continue
+            rate, concurrency = max(entry.rate, 0.0), max(entry.concurrency, 0.0)
+            share.borrow(lender, Loan(rate, concurrency, until_s, until_s), now)
+
+    @handle.register
+    def _work(self, event: Tick, now):
+        if now - self._worked_s < PERIOD_S:
+            return []
+        period_s = min(now - self._worked_s, 2 * PERIOD_S)
+        self._worked_s = now
+        for share in self._shares.values():
+            share.measure(period_s, now)
+        for peer in [p for p, d in self._peers.items() if now - d.arrived_s > LOAN_S]:
+            del self._peers[peer]
+        return self._state_demands(now) + self._lend_all(now)
+
+    def _state_demands(self, now):
+        last_s = self._published_s.get(self._sequence, float("-inf"))
+        if now - last_s < DEMAND_PERIOD_S:
+            return []
+        entries = [
+            Demand(name, round(s.wanted_rate, 2), round(s.wanted_concurrency, 1))
+            for name, s in self._shares.items()
+            if _find_need(s) > QUIET_SHARE
+        ]
+        if not entries and not self._stated:
+            return []
+        entries.sort(key=lambda d: -_find_need(self._shares[d.account]))
+        self._stated = bool(entries)
+        self._sequence += 1
+        self._published_s[self._sequence] = now
+        self._published_s.pop(self._sequence - ENTRY_LIMIT, None)
+        demands = Demands(self._sequence, tuple(entries[:ENTRY_LIMIT]))
+        return [FactChanged(TOPIC_DEMAND, "", demands, LOAN_S)]
+
+    def _lend_all(self, now):
+        grants = {}
+        names = {name: None for p in self._peers.values() for name in p.by_account}
+        for name in names:
+            if name in self._shares:
+                self._lend(self._shares[name], grants, now)
+        results = []
+        for peer in list(dict.fromkeys((*grants, *self._lending))):
+            entries = tuple(grants.get(peer, ()))
+            if entries or self._lending.get(peer):
+                sequence = self._peers[peer].sequence if peer in self._peers else 0
+                loans = Loans(sequence, entries)
+                results.append(FactChanged(TOPIC_LOAN, peer, loans, LOAN_S))
+            self._lending[peer] = bool(entries)
+        self._lending = {peer: True for peer, lent in self._lending.items() if lent}
+        return results
+
+    def _lend(self, share, grants, now):
+        """Lend parts of one account's share to the daemons that lack some."""
+        name = share.account.name
+        peers = {p: d for p, d in self._peers.items() if name in d.by_account}
+        wants = {peer: d.by_account[name] for peer, d in peers.items()}
+        rates = self._grant(
+            share.base_rate,
+            share.wanted_rate,
+            {peer: want.rate for peer, want in wants.items()},
+        )
+        places = self._grant(
+            share.base_concurrency,
+            max(share.wanted_concurrency, min(1.0, share.base_concurrency)),
+            {peer: want.concurrency for peer, want in wants.items()},
+        )
+        in_use = max(share.running, min(1.0, share.base_concurrency))
+        for peer, demands in peers.items():
+            lent_rate, lent_places = share.measure_lent(now, but=peer)
+            rate_left = find_spare(share.base_rate, 0.0, RESERVE_SHARE) - lent_rate
+            places_left = (
+                find_spare(share.base_concurrency, in_use, RESERVE_SHARE) - lent_places
+            )
+            rate = round(max(0.0, min(rates[peer], rate_left)), 3)
+            count = round(max(0.0, min(places[peer], places_left)), 3)
+            if rate > 0 or count > 0:
+                until_s = demands.arrived_s + LOAN_S + LOAN_MARGIN_S
+                share.lend(peer, Loan(rate, count, until_s, until_s + HOLD_S), now)
+                grants.setdefault(peer, []).append(Demand(name, rate, count))
+
+    def _grant(self, base, own, wants):
+        """Return what this daemon lends to each daemon that wants more than its base.
+
+        All daemons near lend alike, in proportion to what each can spare.
+        """
+        lacks = {p: max(0.0, HEADROOM * want - base) for p, want in wants.items()}
+        mine = find_spare(base, HEADROOM * own, RESERVE_SHARE)
+        near = min(self.count_daemons(), CELL_LIMIT) - 1 - len(wants)
+        spare = mine + max(0, near) * find_spare(base, 0.0, RESERVE_SHARE)
+        for want in wants.values():
+            spare += find_spare(base, HEADROOM * want, RESERVE_SHARE)
+        shares = divide_fairly(spare, list(lacks.values()))
+        part = mine / spare if spare else 0.0
+        return {p: part * g for p, g in zip(lacks, shares, strict=True)}
+
+
+def _find_need(share):
+    """Return how much of its base share an account uses here, as a ratio."""
+    rate = share.wanted_rate / share.base_rate
+    return max(rate, share.wanted_concurrency / share.base_concurrency)
--- /dev/null
+++ b/firworks/kernel/shares.py
@@ -0,0 +1,167 @@
+"""One daemon's share of one client account's limits."""
+
+BURST_S = 1.0
+DEMAND_DECAY = 0.7
+
+
+class Loan:
+    """A part of a share that is lent until some time.
+
+    Attributes:
+        rate (float): Requests a second.
+        concurrency (float): Requests in progress.
+        until_s (float): End of the loan of rate.
+        hold_until_s (float): End of the loan of concurrency, which is later for
+            the lender because admitted requests still run.
+    """
+
+    __slots__ = ("rate", "concurrency", "until_s", "hold_until_s")
+
+    def __init__(self, rate, concurrency, until_s, hold_until_s):
+        self.rate = rate
+        self.concurrency = concurrency
+        self.until_s = until_s
+        self.hold_until_s = hold_until_s
+
+
+class AccountShare:
+    """Admits requests of one account within this daemon's share.
+
+    Args:
+        account (Account): Holds the fleet's limits.
+        daemons (int): How many daemons share them.
+        now (float): Monotonic time in seconds.
+
+    Attributes:
+        running (int): Admitted requests in progress.
+        wanted_rate (float): Requests a second that callers try.
+        wanted_concurrency (float): Requests in progress that callers want.
+    """
+
+    def __init__(self, account, daemons, now):
+        self.account = account
+        self.daemons = daemons
+        self.running = 0
+        self.wanted_rate = 0.0
+        self.wanted_concurrency = 0.0
+        self._attempts = 0
+        self._peak = 0
+        self._blocked = 0
+        self._lent = {}
+        self._borrowed = {}
+        self._rate = 0.0
+        self._tokens = 1.0
+        self._refilled_s = now
+
+    @property
+    def base_rate(self):
+        """This daemon's part of the rate, without loans."""
+        return self.account.rate_per_s / self.daemons
+
+    @property
+    def base_concurrency(self):
+        """This daemon's part of the concurrency, without loans."""
+        return self.account.concurrency / self.daemons
+
+    def find_rate(self, now):
+        """Return the requests a second that this daemon may admit now."""
+        lent = sum(
+            max((loan.rate for loan in loans if loan.until_s > now), default=0.0)
+            for loans in self._lent.values()
+        )
+        borrowed = sum(b.rate for b in self._borrowed.values() if b.until_s > now)
+        return max(0.0, self.base_rate - lent) + borrowed
+
+    def find_concurrency(self, now):
+        """Return the requests that this daemon may have in progress now."""
+        lent = sum(
+            max((ln.concurrency for ln in loans if ln.hold_until_s > now), default=0.0)
+            for loans in self._lent.values()
+        )
+        borrowed = sum(
+            b.concurrency for b in self._borrowed.values() if b.until_s > now
+        )
+        share = max(0.0, self.base_concurrency - lent) + borrowed
+        return max(1, int(share + 1e-6))
+
+    def refill(self, now):
+        """Add the tokens earned since the last call."""
+        rate = self.find_rate(now)
+        earned = min(rate, self._rate) * (now - self._refilled_s)
+        depth = max(1.0, rate * BURST_S)
+        self._tokens = min(depth, self._tokens + earned)
+        self._rate = rate
+        self._refilled_s = now
+
+    def take(self, now):
+        """Take one token; returns the seconds until there is one, 0 on success."""
+        self._attempts += 1
+        self.refill(now)
+        if self._tokens >= 1.0:
+            self._tokens -= 1.0
+            return 0.0
+        return (1.0 - self._tokens) / max(self._rate, 1e-3)
+
+    def has_room(self, now):
+        """Whether one more request may be in progress."""
+        room = self.running < self.find_concurrency(now)
+        if not room:
+            self._blocked += 1
+        self._peak = max(self._peak, self.running + self._blocked)
+        return room
+
+    def measure(self, period_s, now):
+        """Estimate what callers want from the last period's attempts."""
+        rate = self._attempts / period_s
+        self.wanted_rate = max(rate, DEMAND_DECAY * self.wanted_rate)
+        peak = max(self._peak, self.running)
+        self.wanted_concurrency = max(peak, DEMAND_DECAY * self.wanted_concurrency)
+        self._attempts = 0
+        self._peak = self._blocked = 0
+        self._drop_ended(now)
+        self.refill(now)
+
+    def resize(self, account, daemons, now):
+        """Take over new limits or another number of daemons."""
+        self.refill(now)
+        self.account = account
+        self.daemons = daemons
+        self.refill(now)
+
+    def lend(self, peer, loan, now):
+        """Note a loan to another daemon; it lowers this share at once."""
+        self.refill(now)
+        self._lent.setdefault(peer, []).append(loan)
+        self.refill(now)
+
+    def borrow(self, peer, loan, now):
+        """Note a loan from another daemon, which replaces its earlier one."""
+        self.refill(now)
+        self._borrowed[peer] = loan
+        self.refill(now)
+
+    def return_loans(self, peer, now):
+        """Drop what was borrowed from a daemon."""
+        self.refill(now)
+        self._borrowed.pop(peer, None)
+
+    def measure_lent(self, now, but):
+        """Return rate and concurrency lent to all daemons but one."""
+        rate = concurrency = 0.0
+        for peer, loans in self._lent.items():
+            if peer != but:
+                rate += max((x.rate for x in loans if x.until_s > now), default=0.0)
+                concurrency += max(
+                    (x.concurrency for x in loans if x.hold_until_s > now), default=0.0
+                )
+        return rate, concurrency
+
+    def _drop_ended(self, now):
+        for peer in list(self._lent):
+            kept = [loan for loan in self._lent[peer] if loan.hold_until_s > now]
+            if kept:
+                self._lent[peer] = kept
+            else:
+                del self._lent[peer]
+        for peer in [p for p, b in self._borrowed.items() if b.until_s <= now]:
+            del self._borrowed[peer]
--- a/firworks/kernel/topics.py
+++ b/firworks/kernel/topics.py
@@ -5,6 +5,7 @@
     TOPIC_CONFIGURATION,
     TOPIC_DEMAND,
     TOPIC_LOAD,
+    TOPIC_LOAN,
     TOPIC_QUARANTINE,
     TOPIC_TARGET_DOWN,
     TOPIC_TARGET_LEAVING,
@@ -18,14 +19,18 @@
     TOPIC_MEMBER: 2,
     TOPIC_QUARANTINE: 3,
     TOPIC_DEMAND: 4,
+    TOPIC_LOAN: 4,
     TOPIC_LOAD: 5,
 }
 LAST_PRIORITY = 6
 URGENT_PRIORITY = 3  # up to here facts do not wait for the next period
 
-# Topics that stay within the cell, and those that only direct neighbours get.
+# Topics that stay within the cell, and those that are never passed on.
 CELL_TOPICS = (TOPIC_LOAD,)
-DIRECT_TOPICS = (TOPIC_LOAD, TOPIC_DEMAND)
+DIRECT_TOPICS = (TOPIC_LOAD, TOPIC_DEMAND, TOPIC_LOAN)
+
+# Topics whose key names the only daemon that gets the fact.
+ADDRESSED_TOPICS = (TOPIC_LOAN,)
 
 
 def find_priority(topic):
