--- a/firworks/tests/ledger_world.py
+++ b/firworks/tests/ledger_world.py
@@ -1,8 +1,17 @@
 """Several real kernels around a log model that shows every fault; virtual time."""
 
-from firworks.kernel.claims import ClaimReleased, ClaimWon, OutcomeReached
+from firworks.kernel.claims import (
+    CLAIM_OUTCOME,
+    CLAIM_UNKNOWN,
+    ClaimRefused,
+    ClaimReleased,
+    ClaimWon,
+    OutcomeReached,
+    OutcomeUnknown,
+)
 from firworks.kernel.fleet import MEMBER_ALIVE, MemberChanged
 from firworks.kernel.ledger import Ledger
+from firworks.kernel.ledger_records import LookupAnswered
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
@@ -84,6 +93,7 @@
         self.name = name
         self.offset_s = offset_s
         self.paused = False
+        self.sees = {}
         self.parts = make_parts(world, name)
         self.kernel = Kernel(self.parts)
 
@@ -108,7 +118,7 @@
         self.dispatched = {}
         self.requests = {}
         self.answers = {}
-        self.events = []
+        self.lookups = {}
         self.daemons = {}
         self.names = names
         for number, name in enumerate(names):
@@ -138,9 +148,10 @@
                 self.tick(daemon)
 
     def note(self, event):
-        self.events.append(event)
-        if hasattr(event, "state"):
-            self.words.setdefault(getattr(event, "claim_id", ""), []).append(event)
+        if isinstance(event, ClaimRefused):
+            self.words.setdefault(event.claim_id, []).append(event)
+        elif isinstance(event, LookupAnswered):
+            self.lookups[event.lookup_id] = event
 
     # What the request part does.
 
@@ -160,9 +171,29 @@
         return True
 
     def finish(self, name, claim_id, answer):
+        if answer is None:
+            self.feed(self.daemons[name], OutcomeUnknown(claim_id))
+            return
         self.answers.setdefault(self.requests[claim_id].key, answer)
         self.feed(self.daemons[name], OutcomeReached(claim_id, answer))
 
+    def check(self):
+        """Check the promises on everything said and dispatched so far."""
+        for key, claims in self.dispatched.items():
+            assert len(claims) == 1, f"{key} was dispatched by {claims}"
+        for claim_id, words in self.words.items():
+            assert len(words) == 1, f"{claim_id} was told {words}"
+            self._check_word(self.requests[claim_id], words[0])
+
+    def _check_word(self, request, word):
+        runs = self.dispatched.get(request.key, [])
+        assert request.claim_id not in runs, f"{word} was said and it was dispatched"
+        if word.state in (CLAIM_OUTCOME, CLAIM_UNKNOWN):
+            ran = self.requests[runs[0]]
+            assert ran.fingerprint == request.fingerprint, "another request's answer"
+        if word.state == CLAIM_OUTCOME:
+            assert word.answer == self.answers[request.key], "not the first answer"
+
     # What the network and the log do.
 
     def step(self, index=0, fate="ok"):
@@ -198,8 +229,11 @@
     def _read(self, daemon, action, fate):
         if fate == "fail" or self._cut_off(daemon):
             self.feed(daemon, LogReadFailed(action.stream, action.offset))
-        else:
-            self.feed(daemon, self.log.read(action, self.now))
+            return
+        read = self.log.read(action, self.now)
+        if fate == "gap":
+            read.entries = read.entries[:1] + read.entries[2:]
+        self.feed(daemon, read)
 
     def _append(self, daemon, action, fate):
         failed = AppendFailed(action.append_id, action.stream)
--- a/firworks/tests/test_ledger.py
+++ b/firworks/tests/test_ledger.py
@@ -1,42 +1,392 @@
-"""Tests of the ledger over several real kernels and a faulty log model."""
+"""Tests of the ledger over several real kernels and a faulty log model.
+
+Each guard has a scenario that holds with it and breaks when it is dropped.
+"""
+
+import pytest
 
 from firworks.kernel.claims import (
+    CLAIM_EXPIRED,
+    CLAIM_FULL,
+    CLAIM_IN_PROGRESS,
+    CLAIM_NOT_RUN,
     CLAIM_OUTCOME,
+    CLAIM_REUSED,
+    CLAIM_UNAVAILABLE,
+    CLAIM_UNKNOWN,
+    ClaimReleased,
     ClaimRequested,
     WorkKey,
 )
-from firworks.tests.ledger_world import EPOCH_S, World
+from firworks.kernel.ledger import Ledger
+from firworks.kernel.ledger_holder import QUEUE_LIMIT_RECORDS, ClaimHolder
+from firworks.kernel.ledger_records import (
+    ClaimRecord,
+    LookupRequested,
+    ReleaseRecord,
+    ResolutionRequested,
+)
+from firworks.kernel.ledger_state import KeyEntry, LedgerState, digest_text
+from firworks.kernel.log_reader import StreamReader
+from firworks.kernel.messages import LogEntry, LogRead, RecordsAppended
+from firworks.tests.ledger_world import EPOCH_S, SKEW_S, WINDOW_S, World
+
+STREAM = "ledger-0"
+APPLY = LedgerState.__dict__["apply"]
+
+
+def key(name="k"):
+    return WorkKey("account", "service", name)
 
 
-def request(claim_id, name="k", fingerprint=b"f", issued_s=EPOCH_S, deadline_s=8.0):
-    key = WorkKey("account", "service", name)
-    return ClaimRequested(claim_id, key, fingerprint, issued_s, deadline_s)
+def request(claim_id, work="k", fingerprint=b"f", issued_s=EPOCH_S, deadline_s=8.0):
+    return ClaimRequested(claim_id, key(work), fingerprint, issued_s, deadline_s)
 
 
-def find_winner(world):
-    found = [
-        (n, d.parts[-1].won[0]) for n, d in world.daemons.items() if d.parts[-1].won
-    ]
-    assert len(found) == 1
-    return found[0]
+def claim_record(claim_id, issued_s=EPOCH_S, fingerprint=b"f"):
+    return ClaimRecord(claim_id, key(), fingerprint, issued_s)
 
 
 def states(world, claim_id):
     return [word.state for word in world.words.get(claim_id, [])]
 
 
+def win(world, name, claim_id, **fields):
+    """Let a claim win and dispatch it."""
+    world.claim(name, request(claim_id, deadline_s=world.now + 8, **fields))
+    world.run(1.0)
+    assert claim_id in world.daemons[name].parts[-1].won
+    assert world.dispatch(name, claim_id)
+
+
+def ask(world, name, claim_id, **fields):
+    """Send a claim and return the states it was refused with."""
+    world.claim(name, request(claim_id, deadline_s=world.now + 8, **fields))
+    world.run(1.0)
+    return states(world, claim_id)
+
+
+def wins(world, name, claim_id):
+    ask(world, name, claim_id)
+    return claim_id in world.daemons[name].parts[-1].won
+
+
 class TestLedger:
     def test_one_of_racing_claims_wins_and_the_rest_get_its_answer(self):
         world = World()
         for name in world.names:
             world.claim(name, request(f"{name}/1"))
         world.run(1.0)
-        name, claim_id = find_winner(world)
-        assert world.dispatch(name, claim_id)
-        world.finish(name, claim_id, b"lent")
+        (name,) = [n for n, d in world.daemons.items() if d.parts[-1].won]
+        assert world.dispatch(name, f"{name}/1")
+        world.finish(name, f"{name}/1", b"lent")
+        world.run(1.0)
+        others = [n for n in world.names if n != name]
+        assert [states(world, f"{n}/1") for n in others] == [[CLAIM_OUTCOME]] * 2
+        assert ask(world, "a", "a/2") == [CLAIM_OUTCOME]
+        world.check()
+
+    def test_an_outcome_outlives_every_daemon(self):
+        world = World()
+        win(world, "a", "a/1")
+        world.finish("a", "a/1", b"lent")
+        world.run(1.0)
+        for name in world.names:
+            world.start(name)
+        assert ask(world, "b", "b/1") == [CLAIM_OUTCOME]
+        world.check()
+
+    def test_a_key_in_progress_is_waited_for_and_said_so_at_the_deadline(self):
+        world = World()
+        win(world, "a", "a/1")
+        assert ask(world, "b", "b/1") == []
+        world.run(8.0)
+        assert states(world, "b/1") == [CLAIM_IN_PROGRESS]
+
+    def test_a_waiting_claim_gets_its_turn_when_the_winner_releases(self):
+        world = World()
+        world.claim("a", request("a/1"))
         world.run(1.0)
-        for other in {f"{n}/1" for n in world.names} - {claim_id}:
-            assert world.words[other][0].answer == b"lent"
-        world.claim("a", request("a/2", deadline_s=world.now + 8))
+        world.claim("b", request("b/1"))
         world.run(1.0)
-        assert states(world, "a/2") == [CLAIM_OUTCOME]
+        world.feed(world.daemons["a"], ClaimReleased("a/1"))
+        world.run(1.0)
+        assert world.daemons["b"].parts[-1].won == ["b/1"]
+
+    def test_unknown_and_another_fingerprint_are_refused(self):
+        world = World()
+        win(world, "a", "a/1")
+        assert ask(world, "b", "b/1", fingerprint=b"g") == [CLAIM_REUSED]
+        world.finish("a", "a/1", None)
+        world.run(1.0)
+        assert ask(world, "b", "b/2") == [CLAIM_UNKNOWN]
+
+    @pytest.mark.parametrize("age_s", [WINDOW_S + SKEW_S, -2 * SKEW_S])
+    def test_a_key_outside_its_window_is_refused_at_once(self, age_s):
+        world = World()
+        assert ask(world, "a", "a/1", issued_s=EPOCH_S - age_s) == [CLAIM_EXPIRED]
+
+    def test_a_log_outage_refuses_in_time_and_leaves_the_key_free(self):
+        world = World()
+        world.log_down = True
+        world.claim("a", request("a/1"))
+        world.run(9.0)
+        assert states(world, "a/1") == [CLAIM_UNAVAILABLE]
+        world.log_down = False
+        world.run(5.0)
+        assert wins(world, "b", "b/1")
+
+    def test_the_outage_queue_is_bounded(self):
+        world = World()
+        world.log_down = True
+        for number in range(QUEUE_LIMIT_RECORDS + 1):
+            world.claim("a", request(f"a/{number}", work=str(number)))
+        assert list(world.words) == [f"a/{QUEUE_LIMIT_RECORDS}"]
+        assert states(world, f"a/{QUEUE_LIMIT_RECORDS}") == [CLAIM_UNAVAILABLE]
+
+    @pytest.mark.parametrize("cut", ["a", "b", "c"])
+    def test_a_daemon_cut_off_from_the_log_is_served_by_a_peer(self, cut):
+        world = World()
+        world.cut[cut, "log"] = True
+        world.run(1.0)
+        for name in world.names:
+            world.claim(name, request(f"{name}/1", work=name))
+        world.run(3.0)
+        won = [d.parts[-1].won for d in world.daemons.values()]
+        assert won == [["a/1"], ["b/1"], ["c/1"]]
+
+    def test_a_daemon_cut_off_from_its_peers_writes_directly(self):
+        world = World()
+        for name in ("b", "c"):
+            world.cut["a", name] = True
+            world.cut[name, "a"] = True
+        world.claim("a", request("a/1"))
+        world.run(4.0)
+        assert world.daemons["a"].parts[-1].won == ["a/1"]
+
+
+class TestResolution:
+    def resolve(self, world, ran, answer=b""):
+        lookup_id = f"lookup/{len(world.lookups)}"
+        question = ResolutionRequested(lookup_id, key(), ran, answer)
+        world.feed(world.daemons["c"], question)
+        world.run(2.0)
+        return world.lookups[lookup_id]
+
+    def test_work_in_progress_cannot_be_settled(self):
+        world = World()
+        win(world, "a", "a/1")
+        assert self.resolve(world, False).state == CLAIM_IN_PROGRESS
+        world.finish("a", "a/1", b"lent")
+        world.run(1.0)
+        assert ask(world, "b", "b/1") == [CLAIM_OUTCOME]
+
+    @pytest.mark.parametrize(
+        ("ran", "state"), [(True, CLAIM_OUTCOME), (False, CLAIM_NOT_RUN)]
+    )
+    def test_an_unknown_outcome_is_settled_once(self, ran, state):
+        world = World()
+        win(world, "a", "a/1")
+        world.finish("a", "a/1", None)
+        world.run(1.0)
+        assert self.resolve(world, ran, b"lent").state == state
+        assert self.resolve(world, not ran, b"other").state == state
+        assert ask(world, "b", "b/1") == [state]
+        assert world.words["b/1"][0].answer == (b"lent" if ran else b"")
+
+    def test_a_lookup_tells_the_state_or_that_the_log_is_down(self):
+        world = World()
+        world.feed(world.daemons["a"], LookupRequested("one", key()))
+        world.run(1.0)
+        assert world.lookups["one"].state == "free"
+        world.log_down = True
+        world.feed(world.daemons["a"], LookupRequested("two", key()))
+        world.run(11.0)
+        assert world.lookups["two"].state == CLAIM_UNAVAILABLE
+
+
+def late_after_release():
+    """A claim that lands after its release must not hold the key."""
+    world = World()
+    world.claim("a", request("a/1", deadline_s=2.0))
+    while not world.log.late:
+        world.step(0, "late")
+        world.advance(0.01)
+    world.advance(2.0)
+    world.run(3.0)
+    world.land_late()
+    assert states(world, "a/1") == [CLAIM_UNAVAILABLE]
+    assert wins(world, "b", "b/1")
+
+
+def doubled_claim():
+    """The second copy of a released claim must not hold the key."""
+    world = World()
+    world.claim("a", request("a/1"))
+    world.run(1.0)
+    world.feed(world.daemons["a"], ClaimReleased("a/1"))
+    world.run(1.0)
+    world.log.append(STREAM, (claim_record("a/1#1"),), world.now)
+    assert wins(world, "b", "b/1")
+
+
+def copy_outlives_first():
+    """A doubled claim whose first copy and rival were trimmed must not dispatch."""
+    world = World()
+    win(world, "a", "a/1")
+    world.claim("b", request("b/1", deadline_s=1_000.0))
+    world.daemons["b"].paused = True
+    world.log.append(STREAM, (claim_record("b/1#1"),), world.now)
+    world.advance(WINDOW_S - 5.0)
+    world.log.append(STREAM, (claim_record("b/1#1"),), world.now)
+    world.advance(16.0)
+    world.start("a")
+    world.start("c")
+    world.daemons["b"].paused = False
+    world.run(3.0)
+    assert world.daemons["b"].parts[-1].won == ["b/1"]
+    world.dispatch("b", "b/1")
+    world.check()
+
+
+def decision_after_release():
+    """A claim that wins after its request gave it up must not be signalled."""
+    world = World()
+    world.log_down = True
+    world.claim("a", request("a/1"))
+    world.feed(world.daemons["a"], ClaimReleased("a/1"))
+    world.drain()
+    world.log_down = False
+    world.log.append(STREAM, (claim_record("a/1#1"),), world.now)
+    world.run(4.0)
+    assert world.daemons["a"].parts[-1].won == []
+
+
+def gap_in_reading():
+    """A reader that misses an entry must not decide by what follows."""
+    world = World()
+    world.log.append(STREAM, (ReleaseRecord("none", EPOCH_S),), world.now)
+    win(world, "a", "a/1")
+    world.log.append(STREAM, (ReleaseRecord("none", EPOCH_S),), world.now)
+    for name in world.names:
+        world.start(name)
+    world.claim("b", request("b/1", deadline_s=world.now + 8))
+    for _ in range(60):
+        world.step(0, "gap")
+        world.advance(0.05)
+    assert world.daemons["b"].parts[-1].won == []
+
+
+def answer_of_another_request():
+    """A claim that lost must not get the answer of a later request's work."""
+    world = World(names=("a",))
+    world.claim("a", request("a/1"))
+    world.run(1.0)
+    world.log.append(STREAM, (claim_record("a/2#1"),), world.now)
+    world.feed(world.daemons["a"], ClaimReleased("a/1"))
+    world.run(1.0)
+    win(world, "a", "a/3", fingerprint=b"g")
+    world.finish("a", "a/3", b"for g")
+    world.run(1.0)
+    ask(world, "a", "a/2")
+    world.check()
+
+
+def full_memory():
+    """Over the memory limit new keys are refused and old ones remembered."""
+    world = World(ledger_memory_limit_bytes=3_000)
+    win(world, "a", "a/1")
+    world.finish("a", "a/1", b"lent")
+    world.run(1.0)
+    said = [ask(world, "b", f"b/{n}", work=str(n)) for n in range(8)]
+    assert said[-1] == [CLAIM_FULL]
+    assert ask(world, "c", "c/1") == [CLAIM_OUTCOME]
+
+
+def ignore_early_release(self, record, written_s):
+    known = digest_text(getattr(record, "claim_id", "")) in self._claims
+    if known or not isinstance(record, ReleaseRecord):
+        APPLY.__get__(self)(record, written_s)
+
+
+def accept_doubles(self, record, written_s):
+    if isinstance(record, ClaimRecord):
+        claim = digest_text(record.claim_id)
+        self._claims[claim] = self._decide(claim, record, written_s)
+    else:
+        APPLY.__get__(self)(record, written_s)
+
+
+def skip_gaps(self, entries):
+    for entry in entries:
+        if entry.offset >= self.next_offset:
+            self.next_offset = entry.offset + 1
+            yield entry
+
+
+GUARDS = [
+    (late_after_release, LedgerState, "apply", ignore_early_release),
+    (doubled_claim, LedgerState, "apply", accept_doubles),
+    (copy_outlives_first, Ledger, "_in_window", lambda *args: True),
+    (decision_after_release, ClaimHolder, "_give_up", lambda *args: None),
+    (gap_in_reading, StreamReader, "_follow", skip_gaps),
+    (answer_of_another_request, LedgerState, "_matches", lambda *args: True),
+    (full_memory, Ledger, "_is_full", lambda self: False),
+]
+
+
+@pytest.mark.parametrize(
+    ("scenario", "owner", "name", "dropped"),
+    GUARDS,
+    ids=lambda v: getattr(v, "__name__", ""),
+)
+class TestGuards:
+    def test_holds_and_breaks_without_the_guard(
+        self, scenario, owner, name, dropped, monkeypatch
+    ):
+        scenario()
+        monkeypatch.setattr(owner, name, dropped)
+        with pytest.raises(AssertionError):
+            scenario()
+
+
+class TestLedgerState:
+    def test_a_claim_that_lands_outside_its_window_loses(self):
+        state = LedgerState(WINDOW_S, SKEW_S)
+        late = EPOCH_S + WINDOW_S + 1.0
+        state.apply_entry(LogEntry(0, late, (claim_record("a"),)))
+        assert state.judge(claim_record("a")).state == CLAIM_EXPIRED
+
+    @pytest.mark.parametrize("issued_s", [float("nan"), float("inf"), -1e300, 1e300])
+    def test_senseless_times_lose_and_are_forgotten(self, issued_s):
+        state = LedgerState(WINDOW_S, SKEW_S)
+        state.apply_entry(LogEntry(0, EPOCH_S, (claim_record("a", issued_s),)))
+        assert state.judge(claim_record("a")).state == CLAIM_EXPIRED
+        state.apply_entry(LogEntry(1, EPOCH_S + 3 * WINDOW_S, ()))
+        assert (len(state), state.size_bytes) == (0, 0)
+
+    def test_old_keys_are_forgotten_with_their_memory(self):
+        state = LedgerState(WINDOW_S, SKEW_S)
+        state.apply_entry(LogEntry(0, EPOCH_S, (claim_record("a"),)))
+        assert isinstance(state.look_up(key()), KeyEntry)
+        state.apply_entry(LogEntry(1, EPOCH_S + 3 * WINDOW_S, ()))
+        assert (len(state), state.size_bytes, state.look_up(key())) == (0, 0, None)
+
+
+class TestStreamReader:
+    def test_a_place_lost_to_trimming_starts_again(self):
+        reader = StreamReader("s", 1.0)
+        reader.poll(0.0)
+        assert len(reader.take(LogRead("s", None, 0, 1, (LogEntry(0, 0.0, ()),)))) == 1
+        assert reader.take(LogRead("s", 1, 5, 6, (LogEntry(5, 0.0, ()),))) == ()
+        assert reader.restarted and reader.next_offset is None
+
+    def test_an_answer_to_another_read_is_ignored(self):
+        reader = StreamReader("s", 1.0)
+        reader.take(LogRead("s", None, 0, 1, (LogEntry(0, 0.0, ()),)))
+        assert reader.take(LogRead("s", 0, 0, 1, (LogEntry(0, 0.0, ()),))) == ()
+
+    def test_others_appends_are_ignored(self):
+        world = World(names=("a",))
+        world.feed(world.daemons["a"], RecordsAppended("other/1", STREAM, 0))
+        assert wins(world, "a", "a/1")
