Add deferred requests: accepted once logged, run somewhere, read anywhere

Cause: quotes may wait but must arrive, whichever daemons die. Change: a part that keeps accepted requests and their first answers in a log stream, hands open ones to live daemons, carries them past the retention, and answers lookups at any daemon. A refusal says whether the request may yet run, since an append without an answer may still take effect (DeferRefused.may_run). An outcome now counts as stored once it was read back. Conclusion: what was accepted is answered, and the first answer stands.

--- a/firworks/kernel/claims.py
+++ b/firworks/kernel/claims.py
@@ -98,9 +98,16 @@
 
 
 class DeferRefused(Signal):
-    """The request could not be logged in time and will not run."""
+    """The request could not be logged in time.
 
-    __slots__ = ("request_id",)
+    Attributes:
+        request_id (str): The request.
+        may_run (bool): It may yet reach the log and run; a result is then found
+            under its id. Otherwise it will not run.
+    """
+
+    __slots__ = ("request_id", "may_run")
+    DEFAULTS = {"may_run": False}
 
 
 class DeferredReady(Signal):
@@ -126,7 +133,8 @@
 
     Attributes:
         lookup_id (str): Echo of the lookup.
-        state (str): "done", "open" or "missing".
+        state (str): "done", "open", "missing", or "unavailable" when the log cannot
+            be read.
         answer (bytes): With "done", the first outcome's bytes.
     """
 
--- /dev/null
+++ b/firworks/kernel/deferred_records.py
@@ -0,0 +1,71 @@
+"""Records of deferred requests and messages between the daemons that run them."""
+
+from firworks.kernel.codec import register_record
+from firworks.kernel.messages import Record
+
+
+@register_record
+class AcceptRecord(Record):
+    """An accepted request; appended again while it is open.
+
+    Attributes:
+        request_id (str): Unique for ever.
+        account (str): The client account.
+        pipeline (str): The pipeline's name.
+        body (bytes): The request's JSON bytes.
+        carried_s (float): Wall time at which this copy was made.
+    """
+
+    __slots__ = ("request_id", "account", "pipeline", "body", "carried_s")
+    TYPES = (str, str, str, bytes, float)
+
+
+@register_record
+class DoneRecord(Record):
+    """An answer (bytes) to an accepted request; the first in the log stands."""
+
+    __slots__ = ("request_id", "account", "answer")
+    TYPES = (str, str, bytes)
+
+
+DEFERRED_RECORDS = (AcceptRecord, DoneRecord)
+
+
+@register_record
+class DeferredRun(Record):
+    """Asks a daemon to run an open request."""
+
+    __slots__ = ("request_id", "account", "pipeline", "body")
+    TYPES = (str, str, str, bytes)
+
+
+@register_record
+class DeferredBeat(Record):
+    """The sender still runs the requests named by `request_ids`."""
+
+    __slots__ = ("request_ids",)
+    TYPES = ((str,),)
+
+
+@register_record
+class DeferredStopped(Record):
+    """The sender no longer runs the request."""
+
+    __slots__ = ("request_id",)
+    TYPES = (str,)
+
+
+@register_record
+class DeferredLookup(Record):
+    """Asks for the state of a request on behalf of a client account."""
+
+    __slots__ = ("lookup_id", "request_id", "account")
+    TYPES = (str, str, str)
+
+
+@register_record
+class DeferredFound(Record):
+    """Answers a `DeferredLookup`; `state` and `answer` as in `ResultFound`."""
+
+    __slots__ = ("lookup_id", "state", "answer")
+    TYPES = (str, str, bytes)
--- /dev/null
+++ b/firworks/kernel/deferred_state.py
@@ -0,0 +1,102 @@
+"""State of the deferred stream: a function of its entries in offset order."""
+
+from functools import singledispatchmethod
+
+from firworks.kernel.deferred_records import AcceptRecord, DoneRecord
+from firworks.kernel.messages import Struct
+
+LATE_LIMIT_S = 3_600.0
+REQUEST_BYTES = 400
+
+RESULT_DONE = "done"
+RESULT_OPEN = "open"
+RESULT_MISSING = "missing"
+RESULT_UNAVAILABLE = "unavailable"
+
+
+class DoneResult(Struct):
+    """The first answer to a request and when (wall seconds) it was written."""
+
+    __slots__ = ("account", "answer", "written_s")
+
+
+class DeferredState:
+    """Open and answered deferred requests.
+
+    Args:
+        keep_s (float): How long answers are kept.
+
+    Attributes:
+        open (dict of str to AcceptRecord): Accepted and not answered, oldest first.
+        size_bytes (int): Estimate of the memory held.
+    """
+
+    def __init__(self, keep_s):
+        self.open = {}
+        self.size_bytes = 0
+        self._keep_s = keep_s
+        self._done = {}
+        self._written_s = 0.0
+
+    def apply_entry(self, entry):
+        """Apply the records of a `LogEntry`; entries come in offset order."""
+        self._written_s = max(self._written_s, entry.written_s)
+        for record in entry.records:
+            self.apply(record, entry.written_s)
+        self._forget_old()
+
+    @singledispatchmethod
+    def apply(self, record, written_s):
+        """Apply one record; kinds that belong to other parts change nothing."""
+
+    @apply.register
+    def _(self, record: AcceptRecord, written_s):
+        if record.request_id in self._done:
+            return
+        if not written_s - record.carried_s <= LATE_LIMIT_S:
+            return
+        known = self.open.get(record.request_id)
+        if known is None:
+            self.open[record.request_id] = record
+            self.size_bytes += REQUEST_BYTES + len(record.body)
+        elif known.carried_s < record.carried_s:
+            self.open[record.request_id] = known.replace(carried_s=record.carried_s)
+
+    @apply.register
+    def _(self, record: DoneRecord, written_s):
+        if record.request_id in self._done:
+            return
+        accepted = self.open.pop(record.request_id, None)
+        if accepted is not None:
+            self.size_bytes -= REQUEST_BYTES + len(accepted.body)
+        result = DoneResult(record.account, record.answer, written_s)
+        self._done[record.request_id] = result
+        self.size_bytes += REQUEST_BYTES + len(record.answer)
+
+    def reflects(self, record):
+        """Return whether a record can change nothing any more."""
+        if record.request_id in self._done:
+            return True
+        if isinstance(record, DoneRecord):
+            return False
+        known = self.open.get(record.request_id)
+        return known is not None and known.carried_s >= record.carried_s
+
+    def find(self, request_id, account):
+        """Return the state and the answer (bytes) of an account's request."""
+        done = self._done.get(request_id)
+        if done is not None and done.account == account:
+            return RESULT_DONE, done.answer
+        accepted = self.open.get(request_id)
+        if accepted is not None and accepted.account == account:
+            return RESULT_OPEN, b""
+        return RESULT_MISSING, b""
+
+    def _forget_old(self):
+        horizon_s = self._written_s - self._keep_s
+        while self._done:
+            request_id, oldest = next(iter(self._done.items()))
+            if oldest.written_s >= horizon_s:
+                return
+            del self._done[request_id]
+            self.size_bytes -= REQUEST_BYTES + len(oldest.answer)
--- /dev/null
+++ b/firworks/kernel/deferred_stream.py
@@ -0,0 +1,27 @@
+"""Serves the deferred stream: appends records and reads it."""
+
+from firworks.kernel.claims import CLAIM_FULL
+from firworks.kernel.deferred_records import AcceptRecord
+from firworks.kernel.ledger_records import LedgerDecision, Reply
+from firworks.kernel.ledger_stream import LedgerStream
+
+
+class DeferredStream(LedgerStream):
+    """A `LedgerStream` of accepted requests and their answers.
+
+    An accept counts as stored only once it was read back, in time, as open.
+    """
+
+    def _advance(self, name, waiter):
+        if not isinstance(waiter.record, AcceptRecord):
+            return super()._advance(name, waiter)
+        if not self.caught_up:
+            return []
+        if self.state.reflects(waiter.record):
+            return self._settle(name)
+        if not waiter.queued and self._is_full():
+            del self._waiters[name]
+            refusal = LedgerDecision(waiter.record.request_id, CLAIM_FULL)
+            return [Reply(origin, refusal) for origin in waiter.origins]
+        self._queue(waiter)
+        return []
--- a/firworks/kernel/ledger_members.py
+++ b/firworks/kernel/ledger_members.py
@@ -32,6 +32,11 @@
         self._avoided_s = {}
         self._ranks = {}
 
+    @property
+    def members(self):
+        """Names of the live daemons, in a fixed order."""
+        return sorted(self._members)
+
     def change_member(self, event):
         """Take a `MemberChanged`."""
         if event.member == self.name:
--- a/firworks/kernel/ledger_records.py
+++ b/firworks/kernel/ledger_records.py
@@ -160,7 +160,8 @@
 
 
 def name_record(record):
-    """Return an id for a ledger record that is unique within its stream."""
-    if isinstance(record, ResolutionRecord):
-        return f"ResolutionRecord:{record.resolution_id}"
-    return f"{type(record).__name__}:{record.claim_id}"
+    """Return an id for a stored record, unique within its stream.
+
+    The first field of each kind is its own id.
+    """
+    return f"{type(record).__name__}:{record.values()[0]}"
--- a/firworks/kernel/ledger_stream.py
+++ b/firworks/kernel/ledger_stream.py
@@ -88,6 +88,10 @@
         """Whether the stream has been read to its head at least once."""
         return self._reader.caught_up
 
+    def refresh(self):
+        """Read again as soon as possible."""
+        self._reader.hasten()
+
     def submit(self, record, origin, now):
         """Take a record to append.
 
@@ -130,15 +134,12 @@
 
     @take.register
     def _(self, event: RecordsAppended, now):
-        replies = []
         for record in self._finish(event):
-            name = name_record(record)
-            if not isinstance(record, ClaimRecord):
-                replies += self._settle(name)
-            elif name in self._waiters:
-                self._waiters[name].landed = event.offset
+            waiter = self._waiters.get(name_record(record))
+            if waiter is not None:
+                waiter.landed = event.offset
         self._reader.hasten()
-        return replies
+        return []
 
     @take.register
     def _(self, event: AppendFailed, now):
@@ -187,11 +188,13 @@
         return [Reply(origin, LedgerStalled(self.stream)) for origin in origins]
 
     def _advance(self, name, waiter):
+        """Do what a waiting record needs next; return what can be said."""
         if isinstance(waiter.record, ClaimRecord):
             return self._advance_claim(name, waiter)
         if isinstance(waiter.record, ResolutionRecord) and not self.caught_up:
             return []
-        if self.state.reflects(waiter.record):
+        was_read = 0 <= waiter.landed < self._position()
+        if was_read or self.state.reflects(waiter.record):
             return self._settle(name)
         self._queue(waiter)
         return []
