--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -4,6 +4,7 @@
 
 from firworks.kernel.budgets import StageBudgets
 from firworks.kernel.configuration_follower import ConfigurationFollower
+from firworks.kernel.departures import Departures
 from firworks.kernel.dissemination import Dissemination
 from firworks.kernel.ledger import Ledger
 from firworks.kernel.limits import AccountLimits
@@ -85,6 +86,7 @@
         configuration,
         limits,
         quarantine,
+        Departures(),
         ledger,
         scheduler,
         Reports(scheduler, make_random("reports")),
