--- a/firworks/settings.py
+++ b/firworks/settings.py
@@ -135,9 +135,9 @@
 
 def _check_together(settings, source):
     _check_addresses(settings, source)
-    if settings.dedupe_window_s + 2 * settings.clock_skew_s >= settings.log_retention_s:
+    if settings.dedupe_window_s + 3 * settings.clock_skew_s >= settings.log_retention_s:
         problem = (
-            f"{settings.dedupe_window_s}; allowed: with twice clock_skew_s, below "
+            f"{settings.dedupe_window_s}; allowed: with 3 times clock_skew_s, below "
             f"log_retention_s ({settings.log_retention_s})"
         )
         raise SettingsError(source, "dedupe_window_s", problem)
