--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -49,8 +49,8 @@
         self._blocked = 0
         self._lent = {}
         self._borrowed = {}
-        self._rate = 0.0
-        self._tokens = 1.0
+        self._rate = self.find_rate(now)
+        self._tokens = max(1.0, self._rate * BURST_S)
         self._refilled_s = now
 
     @property
