--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -27,8 +27,8 @@
 from firworks.kernel.shares import AccountShare, Loan
 
 PERIOD_S = 1.0
-DEMAND_PERIOD_S = 2.0
-LOAN_S = 8.0
+DEMAND_PERIOD_S = 1.0
+LOAN_S = 5.0
 LOAN_MARGIN_S = 0.5
 HOLD_S = 8.0
 RESERVE_SHARE = 0.25
--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -1,7 +1,7 @@
 """One daemon's share of one client account's limits."""
 
 BURST_S = 1.0
-DEMAND_DECAY = 0.7
+DEMAND_DECAY = 0.5
 
 
 class Loan:
