--- /dev/null
+++ b/bench/fleet_load.py
@@ -0,0 +1,69 @@
+"""What the fleet's parts cost a daemon, by the size of the fleet.
+
+Kernels only, in one process with a virtual clock; encoding and decoding are counted.
+Run ``python -m bench.fleet_load``.
+"""
+
+from bench.fleet_model import WIRE_OVERHEAD_BYTES, TimedFleet
+
+SIZES = ((6, 1), (12, 1), (18, 1), (36, 1), (90, 2), (180, 2), (330, 2))
+MEASURED_S = 10
+TARGETS = {6: 17, 12: 17, 18: 17}
+CELL_TARGETS = 35
+ACCOUNTS = {6: 5, 12: 5, 18: 5}
+MANY_ACCOUNTS = 1_300
+
+
+def measure(size, regions, busy):
+    """Return the figures of one daemon of a fleet.
+
+    Args:
+        size (int): Daemons.
+        regions (int): Regions.
+        busy (bool): Every daemon states its load each second, and a hundredth of
+            the accounts asks for more than its share at each daemon.
+
+    Returns:
+        tuple of float: Messages and wire bytes a second, sent and received; share
+        of a core in percent; memory in KB.
+    """
+    accounts = ACCOUNTS.get(size, MANY_ACCOUNTS)
+    fleet = TimedFleet(size, regions, accounts, seed=size)
+    messages, payload = fleet.count_sent()
+    fleet.busy_s = 0.0
+    for _ in range(MEASURED_S):
+        if busy:
+            _act(fleet, size, accounts)
+        fleet.run(1.0)
+    sent, data = fleet.count_sent()
+    scale = 1.0 / size / MEASURED_S
+    rate = 2 * (sent - messages) * scale
+    wire = 2 * (data - payload) * scale + rate * WIRE_OVERHEAD_BYTES
+    return rate, wire, 100 * fleet.busy_s * scale, fleet.memory_bytes / 1024
+
+
+def _act(fleet, size, accounts):
+    fleet.state_loads(TARGETS.get(size, CELL_TARGETS))
+    names = sorted(fleet.daemons)
+    for index, name in enumerate(names):
+        limits = fleet.daemons[name].parts[3]
+        for number in range(max(1, accounts // 100)):
+            account = f"account-{(7 * index + number) % accounts:04d}"
+            for _ in range(max(2, 200 // size)):
+                if limits.try_admit(account, fleet.now).code is None:
+                    limits.finish(account, fleet.now)
+
+
+def main():
+    """Print one row for each size, idle and busy."""
+    print("daemons  state  messages/s  wire B/s  core %  memory KB")
+    for busy in (False, True):
+        state = "busy" if busy else "idle"
+        for size, regions in SIZES:
+            rate, wire, core, memory = measure(size, regions, busy)
+            row = f"{rate:10.1f}  {wire:8.0f}  {core:6.2f}  {memory:9.0f}"
+            print(f"{size:7d}  {state}  {row}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/fleet_model.py
@@ -0,0 +1,91 @@
+"""A fleet of kernels in one process that counts time, messages and bytes."""
+
+import gc
+import resource
+import time
+
+from firworks.document import Account, Document
+from firworks.kernel.codec import decode_record, encode_record
+from firworks.kernel.departures import Departures
+from firworks.kernel.fleet import TOPIC_LOAD, ConfigurationAccepted, FactChanged
+from firworks.kernel.limits import AccountLimits
+from firworks.kernel.messages import PeerReceived
+from firworks.kernel.quarantine import Quarantine
+from firworks.kernel.scheduling_state import PoolLoad
+from firworks.tests.virtual_fleet import VirtualFleet, make_vms
+
+DAEMON_TICK_S = 0.05
+
+# What a message costs on the wire beside its payload: WebSocket, TCP, IP and Ethernet
+# headers of the segment and of its acknowledgement.
+WIRE_OVERHEAD_BYTES = 140
+
+
+def make_parts(daemon):
+    """Return the fleet parts beside membership and dissemination."""
+    return (Departures(), AccountLimits(daemon.name), Quarantine(daemon.name))
+
+
+def make_accounts(count, rate=100.0, places=100):
+    """Return the configuration signal of a document with client accounts."""
+    names = [f"account-{index:04d}" for index in range(count)]
+    accounts = {name: Account(name, (), rate, places) for name in names}
+    return ConfigurationAccepted(1, "digest", Document("digest", {}, {}, accounts))
+
+
+class TimedFleet(VirtualFleet):
+    """A virtual fleet that measures what its daemons spend.
+
+    Args:
+        size (int): Daemons.
+        regions (int): Regions.
+        accounts (int): Client accounts.
+        **options: See `VirtualFleet`.
+    """
+
+    def __init__(self, size, regions=1, accounts=5, **options):
+        self.busy_s = 0.0
+        gc.collect()
+        before = _read_memory()
+        vms = make_vms(size, regions, 2 if regions > 1 else 3)
+        options.setdefault("tick_s", DAEMON_TICK_S)
+        super().__init__(vms, extras=make_parts, measure=True, **options)
+        self.run(3)
+        for name in list(self.daemons):
+            self.feed(name, make_accounts(accounts))
+        self.run(12)
+        gc.collect()
+        self.memory_bytes = (_read_memory() - before) / size
+
+    def handle(self, daemon, event):
+        """Take an event with its cost of decoding and encoding."""
+        started_s = time.perf_counter()
+        if isinstance(event, PeerReceived):
+            event = PeerReceived(event.peer, decode_record(event.message))
+        actions = super().handle(daemon, event)
+        self.busy_s += time.perf_counter() - started_s
+        return actions
+
+    def _send(self, daemon, action):
+        started_s = time.perf_counter()
+        data = encode_record(action.message)
+        self.busy_s += time.perf_counter() - started_s
+        super()._send(daemon, action.replace(message=data))
+
+    def count_sent(self):
+        """Return messages and payload bytes sent so far by all daemons."""
+        daemons = self.daemons.values()
+        messages = sum(daemon.sent_messages for daemon in daemons)
+        return messages, sum(daemon.sent_bytes for daemon in daemons)
+
+    def state_loads(self, targets):
+        """Let each daemon state its load on some targets once."""
+        load = PoolLoad(7, tuple(range(targets)), (1,) * targets, ())
+        for name in list(self.daemons):
+            self.feed(name, FactChanged(TOPIC_LOAD, "pool", load, 5.0))
+
+
+def _read_memory():
+    """Return this process's resident memory in bytes."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -4,6 +4,7 @@
 
 from firworks.kernel.budgets import StageBudgets
 from firworks.kernel.configuration_follower import ConfigurationFollower
+from firworks.kernel.departures import Departures
 from firworks.kernel.dissemination import Dissemination
 from firworks.kernel.ledger import Ledger
 from firworks.kernel.limits import AccountLimits
@@ -82,6 +83,7 @@
     parts = [
         membership,
         Dissemination(settings.name, membership),
+        Departures(),
         configuration,
         limits,
         quarantine,
--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -97,6 +97,9 @@
     def __init__(self, name):
         self.name = name
         self._shares = {}
+        self._active = {}
+        self._borrowings = {}
+        self._daemons = CELL_LIMIT
         self._listed = None
         self._known = {}
         self._incarnations = {}
@@ -125,6 +128,7 @@
         share = self._shares.get(account)
         if share is None:
             return ADMITTED
+        self._active[account] = share
         if not share.has_room(now):
             return AdmissionVerdict(Code.CONCURRENCY_LIMITED, CONCURRENCY_RETRY_S)
         wait_s = share.take(now)
@@ -153,9 +157,10 @@
     @handle.register
     def _take_configuration(self, event: ConfigurationAccepted, now):
         accounts = event.document.accounts
-        daemons = self.count_daemons()
+        daemons = self._daemons = self.count_daemons()
         for name in [name for name in self._shares if name not in accounts]:
             del self._shares[name]
+            self._active.pop(name, None)
         for name, account in accounts.items():
             if name in self._shares:
                 self._shares[name].resize(account, daemons, now)
@@ -178,14 +183,14 @@
         before = self._incarnations.get(event.member)
         self._incarnations[event.member] = event.incarnation
         if before and before != event.incarnation:
-            for share in self._shares.values():
-                share.return_loans(event.member, now)
+            self._return_loans(event.member, (), now)
         return self._resize(now)
 
     def _resize(self, now):
         daemons = self.count_daemons()
-        for share in self._shares.values():
-            if share.daemons != daemons:
+        if daemons != self._daemons:
+            self._daemons = daemons
+            for share in self._shares.values():
                 share.resize(share.account, daemons, now)
         return []
 
@@ -201,14 +206,21 @@
     def _take_loans(self, lender, loans, now):
         """Use what another daemon lends, counted from when it was asked for."""
         until_s = self._published_s.get(loans.sequence, now - LOAN_S) + LOAN_S
-        entries = {entry.account: entry for entry in loans.entries}
-        for name, share in self._shares.items():
-            entry = entries.get(name)
-            if entry is None or until_s <= now:
-                share.return_loans(lender, now)
-                continue
+        usable = until_s > now
+        entries = [e for e in loans.entries if usable and e.account in self._shares]
+        for entry in entries:
+            share = self._active[entry.account] = self._shares[entry.account]
             rate, concurrency = max(entry.rate, 0.0), max(entry.concurrency, 0.0)
             share.borrow(lender, Loan(rate, concurrency, until_s, until_s), now)
+        self._return_loans(lender, [entry.account for entry in entries], now)
+
+    def _return_loans(self, lender, kept, now):
+        """Drop what was borrowed from a daemon, but for the accounts kept."""
+        for name in self._borrowings.pop(lender, ()):
+            if name in self._shares and name not in kept:
+                self._shares[name].return_loans(lender, now)
+        if kept:
+            self._borrowings[lender] = tuple(kept)
 
     @handle.register
     def _work(self, event: Tick, now):
@@ -216,8 +228,10 @@
             return []
         period_s = min(now - self._worked_s, 2 * PERIOD_S)
         self._worked_s = now
-        for share in self._shares.values():
+        for name, share in list(self._active.items()):
             share.measure(period_s, now)
+            if share.idle:
+                del self._active[name]
         for peer in [p for p, d in self._peers.items() if now - d.arrived_s > LOAN_S]:
             del self._peers[peer]
         return self._state_demands(now) + self._lend_all(now)
@@ -228,7 +242,7 @@
             return []
         entries = [
             Demand(name, round(s.wanted_rate, 2), round(s.wanted_concurrency, 1))
-            for name, s in self._shares.items()
+            for name, s in self._active.items()
             if _find_need(s) > QUIET_SHARE
         ]
         if not entries and not self._stated:
@@ -274,6 +288,7 @@
             {peer: want.concurrency for peer, want in wants.items()},
         )
         in_use = max(share.running, min(1.0, share.base_concurrency))
+        self._active[name] = share
         for peer, demands in peers.items():
             lent_rate, lent_places = share.measure_lent(now, but=peer)
             rate_left = find_spare(share.base_rate, 0.0, RESERVE_SHARE) - lent_rate
--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -2,6 +2,7 @@
 
 BURST_S = 1.0
 DEMAND_DECAY = 0.5
+IDLE_DEMAND = 0.01
 
 
 class Loan:
@@ -63,6 +64,13 @@
         """This daemon's part of the concurrency, without loans."""
         return self.account.concurrency / self.daemons
 
+    @property
+    def idle(self):
+        """Whether nothing about the account needs attention here."""
+        wanted = max(self.wanted_rate, self.wanted_concurrency)
+        busy = self.running or self._lent or self._borrowed
+        return not busy and wanted < IDLE_DEMAND
+
     def find_rate(self, now):
         """Return the requests a second that this daemon may admit now."""
         lent = sum(
--- a/firworks/tests/virtual_fleet.py
+++ b/firworks/tests/virtual_fleet.py
@@ -66,7 +66,15 @@
     `silent` holds directed pairs whose present connection carries nothing.
     """
 
-    def __init__(self, vms, seed=0, loss=0.0, extras=lambda daemon: (), measure=False):
+    def __init__(
+        self,
+        vms,
+        seed=0,
+        loss=0.0,
+        extras=lambda daemon: (),
+        measure=False,
+        tick_s=TICK_S,
+    ):
         self.now = 0.0
         self.seed = seed
         self.rng = Random(seed)
@@ -78,6 +86,7 @@
         self.daemons = {}
         self.extras = extras
         self.measure = measure
+        self.tick_s = tick_s
         self._events = []
         self._order = count()
         self._starts = count(1)
@@ -88,7 +97,7 @@
         incarnation = f"{vm.name}-{next(self._starts)}"
         daemon = Daemon(self, vm, incarnation, self.extras)
         self.daemons[vm.name] = daemon
-        self._at(self.rng.random() * TICK_S, self._tick, daemon)
+        self._at(self.rng.random() * self.tick_s, self._tick, daemon)
         self._at(self.rng.random() * 0.1, self._list, daemon)
         return daemon
 
@@ -159,7 +168,7 @@
         if daemon.alive:
             if daemon.paused_events is None:
                 self._feed(daemon, Tick(self.now))
-            self._at(TICK_S, self._tick, daemon)
+            self._at(self.tick_s, self._tick, daemon)
 
     def _list(self, daemon):
         if daemon.alive:
@@ -173,9 +182,13 @@
         if daemon.paused_events is not None:
             daemon.paused_events.append(event)
             return
-        for action in daemon.kernel.handle(event, self.now):
+        for action in self.handle(daemon, event):
             self._perform(daemon, action)
 
+    def handle(self, daemon, event):
+        """Let a daemon's kernel take an event; returns its actions."""
+        return daemon.kernel.handle(event, self.now)
+
     def _perform(self, daemon, action):
         if isinstance(action, ConnectPeer):
             self.silent.discard((daemon.name, action.peer))
@@ -199,7 +212,7 @@
     def _send(self, daemon, action):
         daemon.sent_messages += 1
         if self.measure:
-            daemon.sent_bytes += len(encode_record(action.message))
+            daemon.sent_bytes += measure_size(action.message)
         pair = (daemon.name, action.peer)
         lost = self.rng.random() < self.loss
         if action.peer not in daemon.links or pair in self.silent or lost:
@@ -226,3 +239,8 @@
         )
         for index in range(size)
     ]
+
+
+def measure_size(message):
+    """Return the bytes of a message on the wire, encoded already or not."""
+    return len(message if isinstance(message, bytes) else encode_record(message))
