--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -83,6 +83,7 @@
     parts = [
         membership,
         Dissemination(settings.name, membership),
+        Departures(),
         configuration,
         limits,
         quarantine,
