Correct for others' load by each daemon's own share; do not eject the crowded

Cause: twelve daemons acting on the same late reports overshot, noise in the smoothed latency steered routing, and calls that only queued at a busy target counted as silent, which peers' votes then amplified. Change: shared correction, tolerance for slowness, crowding in the expected latency, queue allowance in time, votes ignored while the target answers.

--- a/bench/policy_driver.py
+++ b/bench/policy_driver.py
@@ -22,6 +22,7 @@
 
 NETWORK_S = 0.002
 MOST_ATTEMPTS = 4
+PART_PERIOD_S = 0.25
 
 
 class Flow:
@@ -278,7 +279,15 @@
         attempt = self._attempt
         if attempt.call.prefix:
             attempt.first_token_s = driver.world.clock.now - attempt.started_s
+            self._send_part(job)
+
+    def _send_part(self, job):
+        """Stream on for as long as the job runs at a living target."""
+        driver = self._driver
+        attempt = self._attempt
+        if job.state == "running" and not attempt.target.dead:
             driver.send(CallPart(attempt.call.call_id, "", 0, ("t",)))
+            driver.world.clock.after(PART_PERIOD_S, self._send_part, job)
 
     def job_done(self, job):
         self._driver.end(self._attempt, RESULT_OK)
--- a/firworks/kernel/health.py
+++ b/firworks/kernel/health.py
@@ -15,6 +15,7 @@
 REPROBE_S = 1.0
 PEER_VOTES = 2
 VOTE_TTL_S = 5.0
+TRUST_S = 2.0
 
 
 class TargetHealth:
@@ -165,8 +166,13 @@
         return self.eject(health, now)
 
     def record_vote(self, health, origin, now):
-        """Take note that a peer ejected the target; enough peers eject it here."""
+        """Take note that a peer ejected the target; enough peers eject it here.
+
+        Peers are not heeded while the target answers this daemon.
+        """
         health.votes[origin] = now
+        if now - health.answered_s <= TRUST_S:
+            return
         fresh = [at for at in health.votes.values() if now - at <= VOTE_TTL_S]
         if len(fresh) >= PEER_VOTES and not health.ejected:
             health.votes.clear()
--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -2,9 +2,10 @@
 
 from firworks.kernel.prefixes import rank_target
 
-QUEUE_FACTOR = 2.0
 CONTENTION = 1.0
 JITTER = 0.1
+QUEUE_S = 0.5
+SLOWNESS_TOLERANCE = 1.5
 AFFINITY_BOUND = 1.25
 AFFINITY_SLACK = 1.0
 UNKNOWN_HOLDER_SHARE = 0.5
@@ -14,8 +15,8 @@
 class AdaptiveRouting:
     """Lowest expected latency among the targets that are not hot.
 
-    A target is cold below its capacity, warm up to `QUEUE_FACTOR` times it, and hot
-    above. The expected latency is jittered, so that daemons which act on the same
+    A target is hot when its own queue would hold more than `QUEUE_S` of work, or
+    as much again as it runs at once; hot ones get nothing. The expected latency is jittered, so that daemons which act on the same
     late report do not all choose the same target.
 
     Args:
@@ -48,31 +49,34 @@
         return inside or candidates
 
     def _choose_among(self, pool, call, targets, now):
+        typical = pool.typical(call)
         loads = {target.name: pool.load(target, now) for target in targets}
-        open_targets = [
-            target for target in targets if _is_open(target, loads[target.name])
-        ]
-        if not open_targets:
+        cold = [t for t in targets if _is_open(t, loads[t.name], typical)]
+        if not cold:
             return None
-        savings = self._find_savings(pool, call, open_targets, loads, now)
-        typical = pool.typical(call)
+        savings = self._find_savings(pool, call, cold, loads, now)
+        share = 1.0 / (1.0 + len(pool.peer_loads))
         best = None
         best_score = float("inf")
-        for target in open_targets:
-            score = self._score(target, loads[target.name], typical, now)
+        for target in cold:
+            score = self._score(target, loads[target.name], share, typical, now)
             score -= savings.get(target.name, 0.0)
             if score < best_score:
                 best, best_score = target, score
         return best
 
-    def _score(self, target, load, typical, now):
-        capacity = target.capacity
-        contention = CONTENTION * min(load, capacity) / capacity
-        queued = max(0.0, load + 1 - capacity)
-        service = typical * target.health.slowness * (1 + contention)
-        wait = typical * target.health.slowness * queued / capacity
+    def _score(self, target, load, share, typical, now):
+        """Return the expected latency in seconds, jittered.
+
+        Every daemon makes only its share of the correction for the others' load:
+        all act on much the same late figures, and together they would overshoot.
+        """
+        own = len(target.calls)
+        crowd = own + share * (load - own)
+        slowness = max(1.0, target.health.slowness / SLOWNESS_TOLERANCE)
+        expected = typical * slowness * (1 + CONTENTION * crowd / target.capacity)
         jitter = 1 + JITTER * self._random.random()
-        return (service + wait) * jitter / target.health.weight(now)
+        return expected * jitter / target.health.weight(now)
 
     def _find_savings(self, pool, call, targets, loads, now):
         """Return the seconds that cached prefixes would save, by target name.
@@ -97,8 +101,8 @@
         return savings
 
 
-def _is_open(target, load):
+def _is_open(target, load, typical_s):
     """Return whether a target may get a call: its own share and the total allow."""
     if len(target.calls) >= target.capacity:
         return False
-    return load < QUEUE_FACTOR * target.capacity
+    return load < (1 + max(1.0, QUEUE_S / typical_s)) * target.capacity
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -354,7 +354,8 @@
 
     def _place(self, pool, entry, target, now):
         call = entry.call
-        placed = PlacedCall(call, target, entry.due_s, now)
+        crowding = max(1.0, (pool.load(target, now) + 1) / target.capacity)
+        placed = PlacedCall(call, target, entry.due_s, crowding, now)
         self._placed[call.call_id] = placed
         target.calls[call.call_id] = placed
         pool.in_flight += 1
@@ -419,7 +420,8 @@
     """Count a call's end for latency, health and learned concurrency."""
     target = placed.target
     call = placed.call
-    ratio = ended.latency_s / pool.typical(call) if pool.knows(call) else 1.0
+    usual = pool.typical(call) * placed.crowding
+    ratio = ended.latency_s / usual if pool.knows(call) else 1.0
     if ended.result == RESULT_OK:
         pool.observe(call, ended.latency_s, ended.first_token_s)
         load = pool.load(target, now) + 1
--- a/firworks/kernel/scheduling_hedges.py
+++ b/firworks/kernel/scheduling_hedges.py
@@ -66,6 +66,7 @@
     def _check_silence(self, placed, pool, usual, silent, now):
         if not pool.knows(placed.call) or placed.target.health.ejected:
             return
-        if silent > max(SILENCE_FACTOR * usual, SHORTEST_SILENCE_S):
+        limit = max(SILENCE_FACTOR * usual * placed.crowding, SHORTEST_SILENCE_S)
+        if silent > limit and placed.target.report_s < placed.progress_s:
             health = placed.target.health
             pool.health.record_silence(health, placed.progress_s, now)
--- a/firworks/kernel/scheduling_state.py
+++ b/firworks/kernel/scheduling_state.py
@@ -47,6 +47,8 @@
         call (CallRequested): The call.
         target (TargetState): Where it runs.
         due_s (float): Kernel time at which the stage must be done.
+        crowding (float): Requests per place at the target when it was placed; at
+            least 1.
         started_s (float): Kernel time of placing.
         progress_s (float): When the target last showed progress on it.
         streaming (bool): Parts of the answer have arrived.
@@ -57,16 +59,18 @@
         "call",
         "target",
         "due_s",
+        "crowding",
         "started_s",
         "progress_s",
         "streaming",
         "hedged",
     )
 
-    def __init__(self, call, target, due_s, now):
+    def __init__(self, call, target, due_s, crowding, now):
         self.call = call
         self.target = target
         self.due_s = due_s
+        self.crowding = crowding
         self.started_s = now
         self.progress_s = now
         self.streaming = False
