--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -14,14 +14,13 @@
 from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event
 from firworks.kernel.calls import CancelCall, StartCall
-from firworks.kernel.fleet import DrainExpired, DrainStarted
+from firworks.kernel.fleet import DrainExpired, DrainFinished, DrainStarted
 from firworks.kernel.messages import (
     LogCatalogued,
     PeerConnected,
     PeerDisconnected,
     RequestFinished,
     Tick,
-    VmsListed,
 )
 from firworks.kernel.operators import AnswerOperator
 from firworks.kernel.registry import Registry, load_plugins
@@ -33,6 +32,7 @@
 
 TICK_INTERVAL_S = 0.05
 DRAIN_POLL_S = 0.02
+FAREWELL_S = 0.2
 ADAPTER_KINDS = ("log", "vms", "peers", "targets", "callers")
 
 
@@ -92,8 +92,6 @@
         """Hand an event to the kernel and carry out what follows."""
         self.metrics.observe(event)
         self._note_peers(event)
-        if isinstance(event, VmsListed):
-            self._learn_vms(event.vms)
         for action in self.parts.kernel.handle(event, self.clock()):
             self.metrics.observe(action)
             self._carry_out(action)
@@ -143,6 +141,8 @@
                 await self.stop()
                 return False
             await asyncio.sleep(DRAIN_POLL_S)
+        self.feed(DrainFinished())
+        await asyncio.sleep(FAREWELL_S)
         await self.stop()
         return True
 
@@ -170,11 +170,6 @@
                 for action_type in adapter.ACTIONS:
                     self._carriers[action_type] = adapter
 
-    def _learn_vms(self, vms):
-        self._addresses.update(vms)
-        for adapter in self.adapters.values():
-            adapter.learn_vms(vms)
-
     @singledispatchmethod
     def _carry_out(self, action):
         self._carriers[type(action)].carry_out(action)
