--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -1,7 +1,8 @@
 """One daemon's share of one client account's limits."""
 
 BURST_S = 1.0
-DEMAND_DECAY = 0.7
+DEMAND_DECAY = 0.5
+IDLE_DEMAND = 0.01
 
 
 class Loan:
@@ -49,8 +50,8 @@
         self._blocked = 0
         self._lent = {}
         self._borrowed = {}
-        self._rate = 0.0
-        self._tokens = 1.0
+        self._rate = self.find_rate(now)
+        self._tokens = max(1.0, self._rate * BURST_S)
         self._refilled_s = now
 
     @property
@@ -63,6 +64,13 @@
         """This daemon's part of the concurrency, without loans."""
         return self.account.concurrency / self.daemons
 
+    @property
+    def idle(self):
+        """Whether nothing about the account needs attention here."""
+        wanted = max(self.wanted_rate, self.wanted_concurrency)
+        busy = self.running or self._lent or self._borrowed
+        return not busy and wanted < IDLE_DEMAND
+
     def find_rate(self, now):
         """Return the requests a second that this daemon may admit now."""
         lent = sum(
