Bound what one log read decodes; set writers per stream; measure the ledger

Cause: a long stream was decoded in one piece, which would hold up the loop; and with several cells each stream has several usual writers that share the budget.

--- /dev/null
+++ b/bench/ledger_model.py
@@ -0,0 +1,171 @@
+"""Ledger kernels under a virtual clock, with peers and a log that take time."""
+
+from heapq import heappop, heappush
+from random import Random
+from time import perf_counter
+
+from firworks.kernel.claims import ClaimRefused, ClaimRequested, ClaimWon, WorkKey
+from firworks.kernel.fleet import MEMBER_ALIVE, MemberChanged
+from firworks.kernel.ledger import Ledger
+from firworks.kernel.messages import (
+    AppendFailed,
+    AppendRecords,
+    LogEntry,
+    LogRead,
+    LogReadFailed,
+    PeerReceived,
+    ReadLog,
+    RecordsAppended,
+    SendPeer,
+    Tick,
+)
+from firworks.kernel.node import Kernel, Part
+from firworks.settings import make_settings
+
+TICK_S = 0.05
+PEER_DELAY_S = 0.002
+READ_LIMIT = 500
+EPOCH_S = 1_000_000.0
+DEADLINE_S = 8.0
+FAIL_DELAY_S = 0.01
+
+
+class _Caller(Part):
+    """Notes when each claim was decided."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    def handle(self, event, now):
+        if isinstance(event, ClaimWon):
+            self.fleet.decided[event.claim_id] = now
+        elif isinstance(event, ClaimRefused):
+            self.fleet.refused[event.claim_id] = event.state
+        return []
+
+
+class LedgerFleet:
+    """Daemons of one cell, each a real kernel with a ledger.
+
+    Args:
+        size (int): Daemons.
+        delay_s (float): Time that the log takes for an append and for a read.
+        relay (bool): Whether peers other than the usual writer may be asked.
+        **settings: Settings of every daemon.
+    """
+
+    def __init__(self, size, delay_s, relay=True, **settings):
+        self.now = 0.0
+        self.delay_s = delay_s
+        self.cut = set()
+        self.appends = 0
+        self.busy_s = 0.0
+        self.asked = {}
+        self.decided = {}
+        self.refused = {}
+        self.holders = {}
+        self._streams = {}
+        self._queue = []
+        self._count = 0
+        self.names = [f"d{number}" for number in range(size)]
+        self.ledgers = {}
+        self._kernels = {}
+        for name in self.names:
+            self._start(name, relay, settings)
+        for number, name in enumerate(self.names):
+            self._push(number * TICK_S / size, self._tick, name)
+
+    def _start(self, name, relay, settings):
+        table = {"name": name, "log_url": "http://127.0.0.1:1"}
+        table["vms_url"] = table["log_url"]
+        ledger = Ledger(make_settings({**table, **settings}), relay=relay)
+        self.ledgers[name] = ledger
+        self._kernels[name] = Kernel([ledger, _Caller(self)])
+        for other in self.names:
+            self._feed(name, MemberChanged(other, f"{other}/1", MEMBER_ALIVE))
+
+    def claim(self, name, number):
+        """Let a daemon claim a fresh key."""
+        claim_id = f"{name}/{number}"
+        key = WorkKey("account", "service", str(number))
+        self.asked[claim_id] = self.now
+        self.holders[claim_id] = name
+        deadline_s = self.now + DEADLINE_S
+        issued_s = EPOCH_S + self.now
+        event = ClaimRequested(claim_id, key, b"f" * 16, issued_s, deadline_s)
+        self._feed(name, event)
+
+    def load(self, rate_per_s, seconds, seed=1):
+        """Schedule claims of random daemons at a Poisson rate."""
+        rng = Random(seed)
+        at_s = self.now
+        number = len(self.asked)
+        while at_s < self.now + seconds:
+            at_s += rng.expovariate(rate_per_s)
+            number += 1
+            self._push(at_s, self.claim, rng.choice(self.names), number)
+
+    def at(self, seconds, function, *args):
+        """Call a function after some virtual time."""
+        self._push(self.now + seconds, function, *args)
+
+    def run(self, seconds):
+        """Let virtual time pass."""
+        end_s = self.now + seconds
+        while self._queue and self._queue[0][0] <= end_s:
+            self.now, _, function, args = heappop(self._queue)
+            function(*args)
+        self.now = end_s
+
+    def _push(self, at_s, function, *args):
+        self._count += 1
+        heappush(self._queue, (at_s, self._count, function, args))
+
+    def _tick(self, name):
+        self._feed(name, Tick(EPOCH_S + self.now))
+        self._push(self.now + TICK_S, self._tick, name)
+
+    def _feed(self, name, event):
+        start = perf_counter()
+        actions = self._kernels[name].handle(event, self.now)
+        self.busy_s += perf_counter() - start
+        for action in actions:
+            self._carry_out(name, action)
+
+    def _carry_out(self, name, action):
+        if isinstance(action, SendPeer):
+            event = PeerReceived(name, action.message)
+            self._push(self.now + PEER_DELAY_S, self._feed, action.peer, event)
+        elif isinstance(action, AppendRecords):
+            self._append(name, action)
+        elif isinstance(action, ReadLog):
+            self._read(name, action)
+
+    def _append(self, name, action):
+        if name in self.cut:
+            event = AppendFailed(action.append_id, action.stream)
+            self._push(self.now + FAIL_DELAY_S, self._feed, name, event)
+            return
+        self._push(self.now + self.delay_s / 2, self._store, name, action)
+
+    def _store(self, name, action):
+        self.appends += 1
+        entries = self._streams.setdefault(action.stream, [])
+        offset = len(entries)
+        entries.append(LogEntry(offset, EPOCH_S + self.now, action.records))
+        event = RecordsAppended(action.append_id, action.stream, offset)
+        self._push(self.now + self.delay_s / 2, self._feed, name, event)
+
+    def _read(self, name, action):
+        if name in self.cut:
+            event = LogReadFailed(action.stream, action.offset)
+            self._push(self.now + FAIL_DELAY_S, self._feed, name, event)
+            return
+        self._push(self.now + self.delay_s / 2, self._fetch, name, action)
+
+    def _fetch(self, name, action):
+        entries = self._streams.setdefault(action.stream, [])
+        start = action.offset or 0
+        found = tuple(entries[start : start + READ_LIMIT])
+        event = LogRead(action.stream, action.offset, 0, len(entries), found)
+        self._push(self.now + self.delay_s / 2, self._feed, name, event)
--- a/firworks/kernel/deferred.py
+++ b/firworks/kernel/deferred.py
@@ -72,7 +72,7 @@
 
     Args:
         settings (Settings): Uses name, ledger_streams, append_budget_per_s,
-            dedupe_window_s and log_retention_s.
+            append_writers, dedupe_window_s and log_retention_s.
     """
 
     def __init__(self, settings):
@@ -80,7 +80,9 @@
         self._keep_s = settings.dedupe_window_s
         self._carry_s = settings.log_retention_s * CARRY_SHARE
         self._interval_s = compute_interval_s(
-            settings.append_budget_per_s, settings.ledger_streams + 1
+            settings.append_budget_per_s,
+            settings.ledger_streams + 1,
+            settings.append_writers,
         )
         self._choice = WriterChoice(settings.name)
         self._outbox = Outbox(self._choice)
--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -57,13 +57,12 @@
 
     Args:
         settings (Settings): Uses name, ledger_streams, ledger_memory_limit_bytes,
-            append_budget_per_s, dedupe_window_s and clock_skew_s.
-        writers (int): Daemons that usually write each stream.
+            append_budget_per_s, append_writers, dedupe_window_s and clock_skew_s.
         relay (bool): Whether records may go through peers that are not the usual
             writer.
     """
 
-    def __init__(self, settings, writers=1, relay=True):
+    def __init__(self, settings, relay=True):
         self._name = settings.name
         self._streams_count = settings.ledger_streams
         self._limit_bytes = settings.ledger_memory_limit_bytes
@@ -72,7 +71,7 @@
         self._interval_s = compute_interval_s(
             settings.append_budget_per_s,
             settings.ledger_streams + SHARED_STREAMS,
-            writers,
+            settings.append_writers,
         )
         self._choice = WriterChoice(settings.name, relay)
         self._outbox = Outbox(self._choice)
--- a/firworks/kernel/ledger_state.py
+++ b/firworks/kernel/ledger_state.py
@@ -1,20 +1,25 @@
 """State of one ledger stream: a function of its entries in offset order."""
 
-from functools import singledispatchmethod
-from hashlib import blake2b
+from functools import singledispatch
 
 from firworks.kernel.claims import (
-    CLAIM_EXPIRED,
     CLAIM_IN_PROGRESS,
     CLAIM_NOT_RUN,
     CLAIM_OUTCOME,
     CLAIM_REUSED,
     CLAIM_UNKNOWN,
 )
-from firworks.kernel.codec import encode_record
+from firworks.kernel.ledger_entries import (
+    EXPIRED,
+    REUSED,
+    VOID,
+    Fate,
+    KeyEntry,
+    digest_key,
+    digest_text,
+)
 from firworks.kernel.ledger_records import (
     DECISION_FREE,
-    DECISION_VOID,
     DECISION_WON,
     ClaimRecord,
     LedgerDecision,
@@ -23,9 +28,7 @@
     ResolutionRecord,
     UnknownRecord,
 )
-from firworks.kernel.messages import Struct
 
-DIGEST_BYTES = 16
 BUCKET_S = 60.0
 CLAIM_BYTES = 200
 KEY_BYTES = 400
@@ -33,44 +36,6 @@
 _CLOSED_STATES = (CLAIM_OUTCOME, CLAIM_NOT_RUN)
 
 
-class KeyEntry(Struct):
-    """What is known of one key.
-
-    Attributes:
-        fingerprint (bytes): Of the claim that won last.
-        issued_s (float): Wall time of issue of the key.
-        winner (bytes): Digest of the winning claim's id; empty when free.
-        state (str): A ``CLAIM_`` constant or "free".
-        answer (bytes): With ``CLAIM_OUTCOME``.
-    """
-
-    __slots__ = ("fingerprint", "issued_s", "winner", "state", "answer")
-
-
-class _Fate:
-    """A final refusal that is the same for all claims that share it."""
-
-    __slots__ = ("state",)
-
-    def __init__(self, state):
-        self.state = state
-
-
-_VOID = _Fate(DECISION_VOID)
-_EXPIRED = _Fate(CLAIM_EXPIRED)
-_REUSED = _Fate(CLAIM_REUSED)
-
-
-def digest_text(text):
-    """Return the fixed-size digest under which an id is remembered."""
-    return blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
-
-
-def digest_key(key):
-    """Return the fixed-size digest under which a `WorkKey` is remembered."""
-    return blake2b(encode_record(key), digest_size=DIGEST_BYTES).digest()
-
-
 class LedgerState:
     """Decides claims by the entries before them.
 
@@ -106,46 +71,47 @@
             self.apply(record, entry.written_s)
         self._forget_expired()
 
-    @singledispatchmethod
     def apply(self, record, written_s):
         """Apply one record; kinds that belong to other parts change nothing."""
+        _apply(record, self, written_s)
 
-    @apply.register
-    def _(self, record: ClaimRecord, written_s):
+    def land_claim(self, record, written_s):
+        """Decide a claim at its offset; a second appearance changes nothing."""
         claim = digest_text(record.claim_id)
-        if claim in self._claims:
-            return
-        self._remember(claim, record.issued_s, self._decide(claim, record, written_s))
+        if claim not in self._claims:
+            entry = self._decide(claim, record, written_s)
+            self._remember(claim, record.issued_s, entry)
 
-    @apply.register
-    def _(self, record: ReleaseRecord, written_s):
+    def void_claim(self, record):
+        """Void a claim, also one that lands later; free its key if it had won."""
         claim = digest_text(record.claim_id)
         entry = self._claims.get(claim)
         if entry is None:
-            self._remember(claim, record.issued_s, _VOID)
+            self._remember(claim, record.issued_s, VOID)
+            return
+        if not isinstance(entry, KeyEntry):
             return
-        if isinstance(entry, KeyEntry):
-            if entry.winner == claim:
-                if entry.state != CLAIM_IN_PROGRESS:
-                    return
-                entry.winner = b""
-                entry.state = DECISION_FREE
-            self._claims[claim] = _VOID
-
-    @apply.register
-    def _(self, record: OutcomeRecord, written_s):
+        if entry.winner == claim:
+            if entry.state != CLAIM_IN_PROGRESS:
+                return
+            entry.winner = b""
+            entry.state = DECISION_FREE
+        self._claims[claim] = VOID
+
+    def close_claim(self, record):
+        """Keep the first answer of the work that a claim won."""
         entry = self._find_won(record.claim_id)
         if entry is not None and entry.state in (CLAIM_IN_PROGRESS, CLAIM_UNKNOWN):
             self._close(entry, CLAIM_OUTCOME, record.answer)
 
-    @apply.register
-    def _(self, record: UnknownRecord, written_s):
+    def doubt_claim(self, record):
+        """Note that the outcome of a claim's work is unknown."""
         entry = self._find_won(record.claim_id)
         if entry is not None and entry.state == CLAIM_IN_PROGRESS:
             entry.state = CLAIM_UNKNOWN
 
-    @apply.register
-    def _(self, record: ResolutionRecord, written_s):
+    def resolve_key(self, record):
+        """Take an operator's word on a key whose outcome is unknown."""
         entry = self._keys.get(digest_key(record.key))
         if entry is None or entry.state != CLAIM_UNKNOWN:
             return
@@ -158,7 +124,7 @@
         entry = self._claims.get(claim)
         if entry is None:
             return None
-        if isinstance(entry, _Fate):
+        if isinstance(entry, Fate):
             return LedgerDecision(record.claim_id, entry.state)
         if entry.winner == claim and entry.state == CLAIM_IN_PROGRESS:
             return LedgerDecision(record.claim_id, DECISION_WON)
@@ -194,7 +160,7 @@
             return entry is None or entry.state != CLAIM_UNKNOWN
         entry = self._claims.get(digest_text(record.claim_id))
         if isinstance(record, ReleaseRecord):
-            return entry is _VOID
+            return entry is VOID
         if not isinstance(entry, KeyEntry):
             return False
         if isinstance(record, UnknownRecord):
@@ -204,7 +170,7 @@
     def _decide(self, claim, record, written_s):
         """Return what is remembered of a claim that lands now."""
         if not self._in_window(record.issued_s, written_s):
-            return _EXPIRED
+            return EXPIRED
         name = digest_key(record.key)
         entry = self._keys.get(name)
         if entry is None:
@@ -212,7 +178,7 @@
         elif entry.state == DECISION_FREE:
             self._renew_entry(entry, name, record)
         else:
-            return entry if self._matches(entry, record) else _REUSED
+            return entry if self._matches(entry, record) else REUSED
         entry.winner = claim
         entry.state = CLAIM_IN_PROGRESS
         return entry
@@ -282,3 +248,33 @@
                 continue
             del self._keys[name]
             self.size_bytes -= KEY_BYTES + len(entry.answer)
+
+
+@singledispatch
+def _apply(record, state, written_s):
+    """Apply a record to a state."""
+
+
+@_apply.register
+def _(record: ClaimRecord, state, written_s):
+    state.land_claim(record, written_s)
+
+
+@_apply.register
+def _(record: ReleaseRecord, state, written_s):
+    state.void_claim(record)
+
+
+@_apply.register
+def _(record: OutcomeRecord, state, written_s):
+    state.close_claim(record)
+
+
+@_apply.register
+def _(record: UnknownRecord, state, written_s):
+    state.doubt_claim(record)
+
+
+@_apply.register
+def _(record: ResolutionRecord, state, written_s):
+    state.resolve_key(record)
--- a/firworks/kernel/ledger_stream.py
+++ b/firworks/kernel/ledger_stream.py
@@ -25,6 +25,7 @@
 POLL_INTERVAL_S = 0.5
 STALL_S = 0.5
 WAIT_TTL_S = 20.0
+SWEEP_INTERVAL_S = 1.0
 OWNER = "ledger"
 
 
@@ -77,6 +78,7 @@
         self._reader = StreamReader(stream, POLL_INTERVAL_S)
         self._waiters = {}
         self._stalled_until_s = 0.0
+        self._sweep_s = 0.0
 
     @property
     def idle(self):
@@ -119,8 +121,9 @@
 
     def poll(self, now):
         """Return the log actions to take now."""
-        for name in [n for n, w in self._waiters.items() if self._is_stale(w, now)]:
-            del self._waiters[name]
+        if now >= self._sweep_s:
+            self._sweep_s = now + SWEEP_INTERVAL_S
+            self._drop_stale(now)
         return self._appender.poll(now) + self._reader.poll(now)
 
     @singledispatchmethod
@@ -233,5 +236,7 @@
             return []
         return [Reply(origin, LedgerStored(name)) for origin in waiter.origins]
 
-    def _is_stale(self, waiter, now):
-        return not waiter.queued and now > waiter.renewed_s + WAIT_TTL_S
+    def _drop_stale(self, now):
+        for name, waiter in list(self._waiters.items()):
+            if not waiter.queued and now > waiter.renewed_s + WAIT_TTL_S:
+                del self._waiters[name]
--- a/firworks/plugins/http_log.py
+++ b/firworks/plugins/http_log.py
@@ -11,6 +11,8 @@
 from firworks.kernel.messages import LogEntry, LogRead
 
 REQUEST_TIMEOUT_S = 2.0
+READ_LIMIT_ENTRIES = 100
+DECODE_LIMIT_BYTES = 65_536
 
 
 class HttpLog:
@@ -58,18 +60,22 @@
             offset (int or None): Where to begin; None begins at the oldest entry.
 
         Returns:
-            LogRead: Records that cannot be decoded are left out of their entries.
+            LogRead: Records that cannot be decoded are left out of their entries;
+                there may be more entries than were read.
 
         Raises:
             LogUnavailableError: When the service does not answer as it should.
         """
-        params = {} if offset is None else {"offset": str(offset)}
+        params = {"limit": str(READ_LIMIT_ENTRIES)}
+        if offset is not None:
+            params["offset"] = str(offset)
         try:
             request = self._open().get(self._path(stream), params=params)
             async with request as response:
                 _check_status(response)
                 body = cbor2.loads(await response.read())
-                entries = tuple(_make_entry(stream, item) for item in body["entries"])
+                items = _take_first(body["entries"])
+                entries = tuple(_make_entry(stream, item) for item in items)
                 return LogRead(stream, offset, body["oldest"], body["head"], entries)
         except (*_FAILURES, cbor2.CBORDecodeError) as error:
             raise LogUnavailableError(f"read of {stream}: {error!r}") from error
@@ -104,6 +110,19 @@
         raise ValueError(f"status {response.status}")
 
 
+def _take_first(items):
+    """Return the first items up to a size; the rest is read again later.
+
+    Decoding a long stream in one piece would hold up the loop.
+    """
+    size = 0
+    for number, (_, _, data) in enumerate(items):
+        size += len(data)
+        if number and size > DECODE_LIMIT_BYTES:
+            return items[:number]
+    return items
+
+
 def _make_entry(stream, item):
     offset, written_s, data = item
     records = tuple(_decode_records(stream, offset, data))
--- a/firworks/standins/log.py
+++ b/firworks/standins/log.py
@@ -174,9 +174,10 @@
         store = self.store.stream(request.match_info["stream"])
         try:
             offset = int(request.query.get("offset", store.oldest))
+            limit = int(request.query.get("limit", READ_LIMIT_ENTRIES))
         except ValueError:
-            raise web.HTTPBadRequest(text="offset must be an integer") from None
-        entries = store.read(offset, READ_LIMIT_ENTRIES)
+            raise web.HTTPBadRequest(text="offset and limit are integers") from None
+        entries = store.read(offset, min(limit, READ_LIMIT_ENTRIES))
         body = {"oldest": store.oldest, "head": store.head, "entries": entries}
         return web.Response(body=cbor2.dumps(body), content_type="application/cbor")
 
--- a/firworks/tests/test_http_log.py
+++ b/firworks/tests/test_http_log.py
@@ -99,6 +99,16 @@
 
         run(scenario)
 
+    def test_a_long_stream_is_read_in_pieces(self):
+        async def scenario(standin, log):
+            for number in range(5):
+                await log.append("s", [key(f"{number}" * 40_000)])
+            first = await log.read("s", None)
+            assert (len(first.entries), first.head) == (1, 5)
+            assert (await log.read("s", 4)).entries[0].offset == 4
+
+        run(scenario)
+
     def test_faults_are_set_over_http(self):
         async def scenario(standin, log):
             session = log._open()
--- a/firworks/tests/test_ledger.py
+++ b/firworks/tests/test_ledger.py
@@ -19,6 +19,7 @@
     WorkKey,
 )
 from firworks.kernel.ledger import Ledger
+from firworks.kernel.ledger_entries import KeyEntry, digest_text
 from firworks.kernel.ledger_holder import QUEUE_LIMIT_RECORDS, ClaimHolder
 from firworks.kernel.ledger_records import (
     ClaimRecord,
@@ -26,13 +27,13 @@
     ReleaseRecord,
     ResolutionRequested,
 )
-from firworks.kernel.ledger_state import KeyEntry, LedgerState, digest_text
+from firworks.kernel.ledger_state import LedgerState
 from firworks.kernel.log_reader import StreamReader
 from firworks.kernel.messages import LogEntry, LogRead, RecordsAppended
 from firworks.tests.ledger_world import EPOCH_S, SKEW_S, WINDOW_S, World
 
 STREAM = "ledger-0"
-APPLY = LedgerState.__dict__["apply"]
+VOID_CLAIM = LedgerState.void_claim
 
 
 def key(name="k"):
@@ -303,18 +304,14 @@
     assert ask(world, "c", "c/1") == [CLAIM_OUTCOME]
 
 
-def ignore_early_release(self, record, written_s):
-    known = digest_text(getattr(record, "claim_id", "")) in self._claims
-    if known or not isinstance(record, ReleaseRecord):
-        APPLY.__get__(self)(record, written_s)
+def ignore_early_release(self, record):
+    if digest_text(record.claim_id) in self._claims:
+        VOID_CLAIM(self, record)
 
 
 def accept_doubles(self, record, written_s):
-    if isinstance(record, ClaimRecord):
-        claim = digest_text(record.claim_id)
-        self._claims[claim] = self._decide(claim, record, written_s)
-    else:
-        APPLY.__get__(self)(record, written_s)
+    claim = digest_text(record.claim_id)
+    self._claims[claim] = self._decide(claim, record, written_s)
 
 
 def skip_gaps(self, entries):
@@ -325,8 +322,8 @@
 
 
 GUARDS = [
-    (late_after_release, LedgerState, "apply", ignore_early_release),
-    (doubled_claim, LedgerState, "apply", accept_doubles),
+    (late_after_release, LedgerState, "void_claim", ignore_early_release),
+    (doubled_claim, LedgerState, "land_claim", accept_doubles),
     (copy_outlives_first, Ledger, "_in_window", lambda *args: True),
     (decision_after_release, ClaimHolder, "_give_up", lambda *args: None),
     (gap_in_reading, StreamReader, "_follow", skip_gaps),
