--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -15,6 +15,9 @@
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
 
 DAEMON_TICK_S = 0.05
+SETTLE_S = 12
+LARGE_SETTLE_S = 45
+LARGE_SIZE = 36
 
 # What a message costs on the wire beside its payload: WebSocket, TCP, IP and Ethernet
 # headers of the segment and of its acknowledgement.
@@ -53,7 +56,7 @@
         self.run(3)
         for name in list(self.daemons):
             self.feed(name, make_accounts(accounts))
-        self.run(12)
+        self.run(SETTLE_S if size <= LARGE_SIZE else LARGE_SETTLE_S)
         gc.collect()
         self.memory_bytes = (_read_memory() - before) / size
 
--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -1,7 +1,9 @@
 """One daemon's share of one client account's limits."""
 
-BURST_S = 1.0
-DEMAND_DECAY = 0.5
+BURST_S = 2.0
+BURST_TOKENS = 4.0
+DEMAND_RISE = 0.5
+DEMAND_FALL = 0.25
 IDLE_DEMAND = 0.01
 
 
@@ -51,7 +53,7 @@
         self._lent = {}
         self._borrowed = {}
         self._rate = self.find_rate(now)
-        self._tokens = max(1.0, self._rate * BURST_S)
+        self._tokens = max(BURST_TOKENS, self._rate * BURST_S)
         self._refilled_s = now
 
     @property
@@ -96,7 +98,7 @@
         """Add the tokens earned since the last call."""
         rate = self.find_rate(now)
         earned = min(rate, self._rate) * (now - self._refilled_s)
-        depth = max(1.0, rate * BURST_S)
+        depth = max(BURST_TOKENS, rate * BURST_S)
         self._tokens = min(depth, self._tokens + earned)
         self._rate = rate
         self._refilled_s = now
@@ -120,10 +122,9 @@
 
     def measure(self, period_s, now):
         """Estimate what callers want from the last period's attempts."""
-        rate = self._attempts / period_s
-        self.wanted_rate = max(rate, DEMAND_DECAY * self.wanted_rate)
+        self.wanted_rate = _smooth(self.wanted_rate, self._attempts / period_s)
         peak = max(self._peak, self.running)
-        self.wanted_concurrency = max(peak, DEMAND_DECAY * self.wanted_concurrency)
+        self.wanted_concurrency = _smooth(self.wanted_concurrency, peak)
         self._attempts = 0
         self._peak = self._blocked = 0
         self._drop_ended(now)
@@ -173,3 +174,8 @@
                 del self._lent[peer]
         for peer in [p for p, b in self._borrowed.items() if b.until_s <= now]:
             del self._borrowed[peer]
+
+
+def _smooth(old, new):
+    """Follow a measured value, faster upward than downward."""
+    return old + (DEMAND_RISE if new > old else DEMAND_FALL) * (new - old)
