Judge engines by the pace of their streams

Cause: an engine ten times slower still streams, so neither silence nor whole answers showed it in time. Change: seconds per token by target against the pool's median; hedges also by the age of the whole call.

--- a/bench/policy_driver.py
+++ b/bench/policy_driver.py
@@ -286,7 +286,10 @@
         driver = self._driver
         attempt = self._attempt
         if job.state == "running" and not attempt.target.dead:
-            driver.send(CallPart(attempt.call.call_id, "", 0, ("t",)))
+            tokens = attempt.target.count_tokens(job)
+            if tokens:
+                part = CallPart(attempt.call.call_id, "", 0, ("t",) * tokens)
+                driver.send(part)
             driver.world.clock.after(PART_PERIOD_S, self._send_part, job)
 
     def job_done(self, job):
--- a/bench/policy_targets.py
+++ b/bench/policy_targets.py
@@ -6,6 +6,7 @@
 from firworks.kernel.calls import TargetReported
 
 PREFILL_BLOCK_S = 0.06
+TOKENS_PER_WORK_S = 50
 
 
 class Clock:
@@ -67,6 +68,7 @@
         "end_v",
         "done_s",
         "state",
+        "tokens",
     )
 
     def __init__(self, stage, prefix, work_s, poison, listener, priority):
@@ -79,6 +81,7 @@
         self.start_v = self.first_v = self.end_v = 0.0
         self.done_s = 0.0
         self.state = "queued"
+        self.tokens = 0
 
 
 class PrefixCache:
@@ -201,6 +204,14 @@
             if job.listener:
                 job.listener.job_failed(job, "crashed")
 
+    def count_tokens(self, job):
+        """Return the tokens that a running job has made since the last count."""
+        self._advance()
+        made = int((self._virtual - job.start_v) * TOKENS_PER_WORK_S)
+        tokens = max(made - job.tokens, 0)
+        job.tokens += tokens
+        return tokens
+
     def make_report(self):
         """Return a `TargetReported` of this instant, or None when down."""
         if self.dead or self.clock.now < self.down_until_s:
--- a/firworks/kernel/health.py
+++ b/firworks/kernel/health.py
@@ -12,6 +12,8 @@
 SMALLEST_WEIGHT = 0.1
 REPORT_SILENCE_S = 2.0
 REPORT_SILENCE_INTERVALS = 4.0
+PACE_SMOOTHING = 0.5
+PACE_TTL_S = 10.0
 REPROBE_S = 1.0
 PEER_VOTES = 2
 VOTE_TTL_S = 5.0
@@ -32,6 +34,8 @@
         answered_s (float): When the target last showed progress.
         votes (dict of str to float): Peers that ejected it, and when they said so.
         first_hand (bool): Ejected on this daemon's own evidence.
+        pace (float): Smoothed seconds per token of its streams; 0 when unknown.
+        pace_s (float): When the pace was last measured.
     """
 
     __slots__ = (
@@ -45,6 +49,8 @@
         "answered_s",
         "votes",
         "first_hand",
+        "pace",
+        "pace_s",
     )
 
     def __init__(self):
@@ -58,6 +64,8 @@
         self.answered_s = float("-inf")
         self.votes = {}
         self.first_hand = False
+        self.pace = 0.0
+        self.pace_s = float("-inf")
 
     @property
     def ejected(self):
@@ -179,6 +187,24 @@
             if self.eject(health, now):
                 health.first_hand = False
 
+    def record_pace(self, health, pace, now):
+        """Count the pace of a stream.
+
+        Args:
+            health (TargetHealth): The target's.
+            pace (float): Seconds per token over a part of the stream.
+            now (float): Kernel time.
+        """
+        health.pace += (PACE_SMOOTHING if health.pace else 1.0) * (pace - health.pace)
+        health.pace_s = now
+        known = [
+            other.pace
+            for other in self._targets
+            if other is not health and now - other.pace_s <= PACE_TTL_S
+        ]
+        if known and health.pace > OUTLIER_RATIO * median_low(known):
+            self.eject(health, now)
+
     def keep_out(self, health, now):
         """Eject a target, or keep it ejected, while it stays silent."""
         if not health.ejected:
@@ -221,5 +247,6 @@
         health.failures = 0
         health.slowness = ratio
         health.samples = 1
+        health.pace = 0.0
         health.returned_s = now
         health.votes.clear()
--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -16,8 +16,9 @@
     """Lowest expected latency among the targets that are not hot.
 
     A target is hot when its own queue would hold more than `QUEUE_S` of work, or
-    as much again as it runs at once; hot ones get nothing. The expected latency is jittered, so that daemons which act on the same
-    late report do not all choose the same target.
+    as much again as it runs at once; hot ones get nothing. The expected latency is
+    jittered, so that daemons which act on the same late report do not all choose
+    the same target.
 
     Args:
         random (random.Random): Source of jitter and spill samples.
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -125,10 +125,12 @@
     @handle.register
     def _(self, event: CallPart, now):
         placed = self._placed.get(event.call_id)
-        if placed is not None:
-            placed.streaming = True
-            placed.progress_s = now
-            placed.target.health.answered_s = now
+        if placed is None:
+            return []
+        pace = placed.record_part(len(event.tokens), now)
+        pool = self._pools.get(placed.call.pool)
+        if pace and pool is not None:
+            pool.health.record_pace(placed.target.health, pace, now)
         return []
 
     @handle.register
--- a/firworks/kernel/scheduling_hedges.py
+++ b/firworks/kernel/scheduling_hedges.py
@@ -50,12 +50,19 @@
             return False
         if placed.target.health.ejected and placed.target.health.probe != call.call_id:
             return self._budgets.spend_hedge()
-        if not weight or silent <= usual * (2.0 - weight):
+        if not weight or not self._is_slow(placed, pool, silent, usual, weight, now):
             return False
         if placed.due_s - now > HEDGE_SLACK * pool.typical(call, HEDGE_QUANTILE):
             return False
         return pool.has_spare(1.0, now) and self._budgets.spend_hedge()
 
+    def _is_slow(self, placed, pool, silent, usual, weight, now):
+        patience = 2.0 - weight
+        if silent > usual * patience:
+            return True
+        whole = pool.typical(placed.call, HEDGE_QUANTILE)
+        return now - placed.started_s > whole * patience
+
     def _usual(self, placed, pool):
         """Return how long a call may show no progress before it is slow."""
         if placed.streaming:
@@ -67,6 +74,6 @@
         if not pool.knows(placed.call) or placed.target.health.ejected:
             return
         limit = max(SILENCE_FACTOR * usual * placed.crowding, SHORTEST_SILENCE_S)
-        if silent > limit and placed.target.report_s < placed.progress_s:
+        if silent > limit:
             health = placed.target.health
             pool.health.record_silence(health, placed.progress_s, now)
--- a/firworks/kernel/scheduling_state.py
+++ b/firworks/kernel/scheduling_state.py
@@ -17,6 +17,7 @@
 from firworks.kernel.prefixes import PrefixIndex, rank_target
 
 HISTORY_S = 10.0
+PACE_PERIOD_S = 0.5
 PEER_LOAD_TTL_S = 3.0
 SUBSET_SIZE = 24
 WHOLE_POOL_SIZE = 48
@@ -52,6 +53,8 @@
         started_s (float): Kernel time of placing.
         progress_s (float): When the target last showed progress on it.
         streaming (bool): Parts of the answer have arrived.
+        paced_s (float): Since when tokens are counted for the pace.
+        tokens (int): Tokens since then.
         hedged (bool): A hedge was advised.
     """
 
@@ -63,6 +66,8 @@
         "started_s",
         "progress_s",
         "streaming",
+        "paced_s",
+        "tokens",
         "hedged",
     )
 
@@ -74,8 +79,36 @@
         self.started_s = now
         self.progress_s = now
         self.streaming = False
+        self.paced_s = now
+        self.tokens = 0
         self.hedged = False
 
+    def record_part(self, tokens, now):
+        """Count a part of the answer.
+
+        Args:
+            tokens (int): Tokens in it.
+            now (float): Kernel time.
+
+        Returns:
+            float: Seconds per token since the last measurement; 0 when it is too
+                early for another.
+        """
+        self.progress_s = now
+        self.target.health.answered_s = now
+        if not self.streaming:
+            self.streaming = True
+            self.paced_s = now
+            return 0.0
+        self.tokens += tokens
+        elapsed = now - self.paced_s
+        if elapsed < PACE_PERIOD_S or not self.tokens:
+            return 0.0
+        pace = elapsed / self.tokens
+        self.paced_s = now
+        self.tokens = 0
+        return pace
+
 
 class TargetState:
     """One target of one pool, as this daemon sees it.
