Put deferred requests into the kernel; stop the clock before the adapters

Cause: deferred requests were not wired; a poll after the adapters' end left open connections behind.

--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -4,6 +4,7 @@
 
 from firworks.kernel.budgets import StageBudgets
 from firworks.kernel.configuration_follower import ConfigurationFollower
+from firworks.kernel.deferred import Deferred
 from firworks.kernel.departures import Departures
 from firworks.kernel.dissemination import Dissemination
 from firworks.kernel.ledger import Ledger
@@ -34,23 +35,33 @@
         kernel (Kernel): All parts, in order.
         requests (Requests): Tells whether the daemon is ready and idle.
         ledger (Ledger): Tells whether all outcomes are in the log.
+        deferred (Deferred): Tells the same of deferred requests' answers.
         membership (Membership): Knows the peers.
         configuration (ConfigurationFollower): Knows the version in force.
     """
 
-    __slots__ = ("kernel", "requests", "ledger", "membership", "configuration")
+    __slots__ = (
+        "kernel",
+        "requests",
+        "ledger",
+        "deferred",
+        "membership",
+        "configuration",
+    )
 
-    def __init__(self, kernel, requests, ledger, membership, configuration):
+    def __init__(self, kernel, requests, ledger, deferred, membership, configuration):
         self.kernel = kernel
         self.requests = requests
         self.ledger = ledger
+        self.deferred = deferred
         self.membership = membership
         self.configuration = configuration
 
     @property
     def idle(self):
         """Whether nothing in progress would be lost by stopping."""
-        return self.requests.idle and self.ledger.flushed
+        flushed = self.ledger.flushed and self.deferred.flushed
+        return self.requests.idle and flushed
 
 
 def build_kernel(settings, incarnation, registry):
@@ -75,6 +86,7 @@
     )
     configuration = ConfigurationFollower(settings, make_random("configuration"))
     ledger = Ledger(settings)
+    deferred = Deferred(settings)
     limits = AccountLimits(settings.name)
     quarantine = Quarantine(settings.name)
     scheduler = Scheduler(make_random("scheduling"), settings.name, registry)
@@ -87,11 +99,12 @@
         configuration,
         limits,
         quarantine,
-        Departures(),
         ledger,
+        deferred,
         scheduler,
         Reports(scheduler, make_random("reports")),
         Operators(),
         requests,
     ]
-    return KernelParts(Kernel(parts), requests, ledger, membership, configuration)
+    kernel = Kernel(parts)
+    return KernelParts(kernel, requests, ledger, deferred, membership, configuration)
--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -151,11 +151,11 @@
         self._interrupted.set()
 
     async def stop(self):
-        """Stop the adapters, callers first, and the clock."""
-        for adapter in reversed(self.adapters.values()):
-            await adapter.stop()
+        """Stop the clock and the adapters, callers first."""
         if self._tick_task is not None:
             self._tick_task.cancel()
+        for adapter in reversed(self.adapters.values()):
+            await adapter.stop()
         await self._admin.stop()
         log_event(LogEvent.DAEMON_STOPPED, name=self.settings.name)
 
--- a/firworks/tests/test_site.py
+++ b/firworks/tests/test_site.py
@@ -15,7 +15,7 @@
 from firworks.standins.service import StandinService
 from firworks.standins.site import Site
 from firworks.standins.web import TargetFaults
-from firworks.tests.kit import TOKEN, make_document, make_document_bytes
+from firworks.tests.kit import OTHER_TOKEN, TOKEN, make_document, make_document_bytes
 
 TIMEOUT_S = 60.0
 TOKENS = 12
@@ -288,3 +288,34 @@
     port = int(site.targets[name].address.rsplit(":", 1)[1])
     site.targets[name] = StandinService(name, port)
     await site.targets[name].start()
+
+
+class TestDeferral:
+    def test_quote_is_accepted_and_its_result_read_at_another_daemon(self):
+        async def body(site):
+            key = make_key(random.Random(6))
+            async with open_caller(site, 0) as caller:
+                accepted = await caller.send("quote", {"n": 1}, Idempotency_Key=key)
+                resent = await caller.send("quote", {"n": 1}, Idempotency_Key=key)
+            assert accepted.code == Code.ACCEPTED
+            name = accepted.table["answer"]["request_id"]
+            assert resent.table["answer"]["request_id"] == name
+            async with open_caller(site, 1) as caller:
+                while (result := await caller.fetch(name)).code != Code.OK:
+                    assert result.code == Code.IN_PROGRESS
+                    await asyncio.sleep(0.05)
+            assert result.table["answer"]["count"] == TOKENS
+
+        run(body, daemons=2)
+
+    def test_another_account_does_not_get_the_result(self):
+        async def body(site):
+            async with open_caller(site) as caller:
+                accepted = await caller.send("quote", {"n": 1})
+            name = accepted.table["answer"]["request_id"]
+            address = f"127.0.0.1:{site.daemons[0].caller_port}"
+            async with Caller(address, OTHER_TOKEN) as caller:
+                result = await caller.fetch(name)
+            assert result.code == Code.UNKNOWN_RESULT
+
+        run(body)
