--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -87,6 +87,7 @@
         configuration,
         limits,
         quarantine,
+        Departures(),
         ledger,
         scheduler,
         Reports(scheduler, make_random("reports")),
--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -1,7 +1,7 @@
 """One daemon's share of one client account's limits."""
 
 BURST_S = 2.0
-BURST_TOKENS = 4.0
+SMALLEST_BURST_REQUESTS = 4.0
 DEMAND_RISE = 0.5
 DEMAND_FALL = 0.25
 IDLE_DEMAND = 0.01
@@ -53,7 +53,7 @@
         self._lent = {}
         self._borrowed = {}
         self._rate = self.find_rate(now)
-        self._tokens = max(BURST_TOKENS, self._rate * BURST_S)
+        self._tokens = find_depth(self._rate)
         self._refilled_s = now
 
     @property
@@ -98,7 +98,7 @@
         """Add the tokens earned since the last call."""
         rate = self.find_rate(now)
         earned = min(rate, self._rate) * (now - self._refilled_s)
-        depth = max(BURST_TOKENS, rate * BURST_S)
+        depth = find_depth(rate)
         self._tokens = min(depth, self._tokens + earned)
         self._rate = rate
         self._refilled_s = now
@@ -179,3 +179,12 @@
 def _smooth(old, new):
     """Follow a measured value, faster upward than downward."""
     return old + (DEMAND_RISE if new > old else DEMAND_FALL) * (new - old)
+
+
+def find_depth(rate):
+    """Return how many requests may come at once at a rate (requests a second).
+
+    A caller keeps its connection to one daemon, whose share of a small account may
+    be below one request a second; a few requests in a row are no burst.
+    """
+    return max(SMALLEST_BURST_REQUESTS, rate * BURST_S)
