Read engines' cache events from their load reports

Cause: prefix affinity knew only this daemon's own placements. Change: a poll tells the number of the last event read; the engine answers with those after it, or shows that some were lost. The stand-in engine has a bounded block cache.

--- a/firworks/plugins/target_calls.py
+++ b/firworks/plugins/target_calls.py
@@ -13,15 +13,14 @@
     RESULT_REFUSED,
     RESULT_TIMEOUT,
     CallFailed,
-    TargetReported,
 )
+from firworks.plugins.target_loads import LoadReader
 
 IDENTITY_HEADER = "Firworks-Call"
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_S = 10.0
 PROBE_TIMEOUT_S = 0.5
 POLL_TIMEOUT_S = 1.0
-MILLISECONDS_PER_S = 1000.0
 TOO_MANY_REQUESTS = 429
 
 
@@ -104,6 +103,7 @@
         self.sessions = TargetSessions(context.settings.idle_timeout_s)
         self._tasks = {}
         self._polls = {}
+        self._readers = {}
 
     async def run_call(self, action, session, address):
         """Carry out a call and feed its parts and answer.
@@ -148,12 +148,14 @@
 
     async def _poll(self, target, address):
         session = self.sessions.get(address)
+        reader = self._readers.setdefault(target, LoadReader(target))
+        url = f"http://{address}/load?since={reader.since}"
         try:
             async with asyncio.timeout(POLL_TIMEOUT_S):
-                async with session.get(f"http://{address}/load") as response:
+                async with session.get(url) as response:
                     check_status(response)
                     table = await response.json()
-            event = parse_load(table, target, self.context.clock())
+            event = reader.read(table, self.context.clock())
         except (CallBrokenError, CallRefusedError, ValueError, OSError) as error:
             log_event(LogEvent.LOAD_UNREADABLE, target=target, error=repr(error))
             return
@@ -213,41 +215,6 @@
         self.context.feed(CallFailed(action.call_id, result, began, detail))
 
 
-def parse_load(table, target, now):
-    """Return the `TargetReported` held in a load report's JSON value.
-
-    Args:
-        table (object): The JSON value.
-        target (str): Name of the target.
-        now (float): Kernel time; the report's ``age_ms`` goes off it.
-
-    Raises:
-        ValueError: When the value is not a load report.
-    """
-    if not isinstance(table, dict):
-        raise ValueError("a load report must be a JSON object")
-    names = ("running", "queued", "capacity", "sequence", "age_ms")
-    counts = {name: table.get(name, 0) for name in names}
-    for name, value in counts.items():
-        if not isinstance(value, int) or value < 0:
-            raise ValueError(f"{name} must be a number from 0 on")
-    age_s = counts.pop("age_ms") / MILLISECONDS_PER_S
-    return TargetReported(
-        target=target,
-        measured_s=now - age_s,
-        cached=_parse_blocks(table.get("cached", [])),
-        evicted=_parse_blocks(table.get("evicted", [])),
-        **counts,
-    )
-
-
-def _parse_blocks(items):
-    """Return block hashes (tuple of bytes) from their hexadecimal form."""
-    if not isinstance(items, list) or not all(isinstance(i, str) for i in items):
-        raise ValueError("block hashes must be an array of texts")
-    return tuple(bytes.fromhex(item) for item in items)
-
-
 def check_status(response):
     """Raise unless a target answered with status 200.
 
--- a/firworks/standins/engine.py
+++ b/firworks/standins/engine.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import json
+from collections import OrderedDict, deque
 
 from aiohttp.web import StreamResponse, get, json_response, post
 from xxhash import xxh3_64_intdigest
 
+from firworks.kernel.prompts import hash_prefix
 from firworks.standins.web import TargetFaults, WebStandin, wait_for_ever
 
 IDENTITY_HEADER = "Firworks-Call"
 VOCABULARY = 50_000
+CACHE_BLOCKS = 4096
+CACHE_EVENTS = 1024
 KEEPALIVE_S = 0.25
 
 
@@ -37,6 +41,7 @@
         self.runs = []
         self.cancelled = []
         self.running = 0
+        self.cache = BlockCache()
 
     def make_routes(self):
         """Return the routes."""
@@ -46,7 +51,9 @@
         ]
 
     async def _get_load(self, request):
-        return json_response({"running": self.running, "queued": 0})
+        report = {"running": self.running, "queued": 0}
+        since = int(request.query.get("since", 0))
+        return json_response({**report, **self.cache.report(since)})
 
     async def _post_generate(self, request):
         if self.faults.take("refuse"):
@@ -71,6 +78,7 @@
         if self.faults.take("stall"):
             await wait_for_ever()
         await self._delay(response)
+        self.cache.hold(hash_prefix(body["model"], body["prompt"]))
         start = len(body.get("resume", []))
         gap_at = self.faults.take_value("gap_at")
         cut_after = self.faults.take_value("cut_after") or self.tokens + 1
@@ -108,6 +116,39 @@
         await response.write(data * 2 if self.faults.repeat else data)
 
 
+class BlockCache:
+    """Prompt blocks in limited memory, and the last events about them."""
+
+    def __init__(self):
+        self._blocks = OrderedDict()
+        self._events = deque(maxlen=CACHE_EVENTS)
+        self._number = 0
+
+    def hold(self, blocks):
+        """Cache blocks; the ones used longest ago give way."""
+        for block in blocks:
+            if block not in self._blocks:
+                self._note("cached", block)
+            self._blocks[block] = True
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > CACHE_BLOCKS:
+            block, _ = self._blocks.popitem(last=False)
+            self._note("evicted", block)
+
+    def report(self, since):
+        """Return the events after a number, as fields of a load report."""
+        events = [event for event in self._events if event[0] > since]
+        first = events[0][0] - 1 if events else self._number
+        report = {"first": first, "sequence": self._number}
+        for kind in ("cached", "evicted"):
+            report[kind] = [block.hex() for _, k, block in events if k == kind]
+        return report
+
+    def _note(self, kind, block):
+        self._number += 1
+        self._events.append((self._number, kind, block))
+
+
 def make_token(prompt, offset):
     """Return the token at an offset of the answer to a prompt."""
     number = xxh3_64_intdigest(f"{prompt}\0{offset}".encode()) % VOCABULARY
