Report members dead when they are forgotten

Cause: a VM that left the list before anyone held it dead stayed in other parts' views for ever. Change: forgetting a member raises MemberChanged; limits keep no more incarnations than members. Conclusion: covered by a test with a dead and a never started VM in another cell.

--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -102,7 +102,6 @@
         self._daemons = CELL_LIMIT
         self._listed = None
         self._known = {}
-        self._incarnations = {}
         self._peers = {}
         self._lending = {}
         self._published_s = {}
@@ -176,12 +175,9 @@
 
     @handle.register
     def _take_member(self, event: MemberChanged, now):
-        if event.status == MEMBER_DEAD:
-            self._known.pop(event.member, None)
-        else:
-            self._known[event.member] = None
-        before = self._incarnations.get(event.member)
-        self._incarnations[event.member] = event.incarnation
+        before = self._known.pop(event.member, "")
+        if event.status != MEMBER_DEAD:
+            self._known[event.member] = event.incarnation
         if before and before != event.incarnation:
             self._return_loans(event.member, (), now)
         return self._resize(now)
--- a/firworks/kernel/membership.py
+++ b/firworks/kernel/membership.py
@@ -30,6 +30,7 @@
     make_tag,
 )
 from firworks.kernel.fleet import (
+    MEMBER_DEAD,
     DrainFinished,
     DrainStarted,
     FactLearned,
@@ -207,15 +208,21 @@
             state = (member.epoch, member.refutation, rank)
             actions += self._apply(member, state, now)
             self._urgent[member.name] = None
-        self._forget(now)
+        actions += self._forget(now)
         return actions + self._neighbours.review(now)
 
     def _forget(self, now):
         """Drop members that neither the VM list nor any message has named lately."""
+        results = []
         for member in list(self._members.values()):
             last_s = max(member.heard_s, member.ranked_s)
-            if not member.listed and now - last_s > FORGET_AFTER_S:
-                del self._members[member.name]
+            if member.listed or now - last_s <= FORGET_AFTER_S:
+                continue
+            del self._members[member.name]
+            if not member.gone:
+                lost = (member.name, member.incarnation, MEMBER_DEAD)
+                results.append(MemberChanged(*lost))
+        return results
 
     @handle.register
     def _note_connected(self, event: PeerConnected, now):
--- a/firworks/tests/test_membership.py
+++ b/firworks/tests/test_membership.py
@@ -185,6 +185,24 @@
         fleet.start(listed["vm-003"])
         assert fleet.run(15, fleet.converged)
 
+    def test_a_vm_that_leaves_the_list_is_reported_dead_and_forgotten(self):
+        fleet = start_fleet(40)
+        daemon = fleet.daemons["vm-000"]
+        near = set(daemon.membership.list_neighbours())
+        far = next(n for n in sorted(fleet.daemons) if n not in near | {"vm-000"})
+        ghost = make_vms(41)[-1]
+        for name in (far, ghost.name):
+            fleet.listed[name] = fleet.listed.get(name, ghost)
+        fleet.run(2)
+        fleet.kill(far)
+        del fleet.listed[far], fleet.listed[ghost.name]
+        fleet.run(75)
+        for name in (far, ghost.name):
+            assert daemon.membership.find_status(name) is None
+            events = [e for _, e in daemon.recorder.seen]
+            news = [e for e in events if isinstance(e, MemberChanged)]
+            assert [e for e in news if e.member == name][-1].status == MEMBER_DEAD
+
     def test_a_listed_vm_that_never_ran_is_held_dead(self):
         fleet = start_fleet()
         ghost = make_vms(13)[-1]
