Tell resends at once that a holder ended; let operators settle its keys

Cause: the claim of a killed daemon stayed in progress for the whole window: resends waited for their deadline each time, and firworksctl could not settle the key, because only the holder itself wrote that the outcome is unknown. Ruled out: letting another daemon write it, since a false suspicion would then stand in the log. Change: a resend is told unknown when membership knows that the holder's incarnation ended; this is only said, not kept, and a late outcome still counts. A claim written longer ago than the longest deadline, the grace and the skew may be settled by an operator; the rule depends on the log's times alone, so all readers agree.

--- a/firworks/kernel/claims.py
+++ b/firworks/kernel/claims.py
@@ -3,6 +3,11 @@
 from firworks.kernel.codec import register_record
 from firworks.kernel.messages import Record, Signal
 
+# A holder dispatches before its request's deadline, and awaits the outcome for the
+# grace after it; then it has told the ledger what it knows, or has failed.
+LONGEST_DEADLINE_S = 600.0
+LATE_OUTCOME_GRACE_S = 60.0
+
 # Values of `ClaimRefused.state`.
 CLAIM_OUTCOME = "outcome"  # the work ran; `answer` holds its answer
 CLAIM_UNKNOWN = "unknown"  # the work was dispatched, its outcome is not known
--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -120,6 +120,8 @@
         self._wall_s = event.wall_s
         self._ticked_s = now
         self._outbox.wake()
+        for stream in self._streams.values():
+            stream.state.wall_s = event.wall_s
         if self._started_s is None:
             self._started_s = now
         self._drop_idle_streams(now)
@@ -286,11 +288,12 @@
             self._streams[name] = LedgerStream(
                 name, self._make_state, self._interval_s, self._is_full
             )
+            self._streams[name].state.wall_s = self._wall_s or 0.0
         self._streams[name].used_s = now
         return self._streams[name]
 
     def _make_state(self):
-        return LedgerState(self._window_s, self._skew_s)
+        return LedgerState(self._window_s, self._skew_s, self._choice.is_gone)
 
     def _warm_streams(self, now):
         """Follow the streams that this daemon usually writes."""
--- a/firworks/kernel/ledger_entries.py
+++ b/firworks/kernel/ledger_entries.py
@@ -1,8 +1,16 @@
 """What a ledger stream's state remembers of keys and claims."""
 
 from hashlib import blake2b
-
-from firworks.kernel.claims import CLAIM_EXPIRED, CLAIM_REUSED
+from sys import intern
+
+from firworks.kernel.claims import (
+    CLAIM_EXPIRED,
+    CLAIM_IN_PROGRESS,
+    CLAIM_REUSED,
+    CLAIM_UNKNOWN,
+    LATE_OUTCOME_GRACE_S,
+    LONGEST_DEADLINE_S,
+)
 from firworks.kernel.ledger_records import DECISION_VOID
 from firworks.kernel.messages import Struct
 
@@ -18,9 +26,32 @@
         winner (bytes): Digest of the winning claim's id; empty when free.
         state (str): A ``CLAIM_`` constant or "free".
         answer (bytes): With ``CLAIM_OUTCOME``.
+        won_s (float): Wall time at which the winning claim was written.
+        holder (str): Incarnation of the daemon whose claim won last.
     """
 
-    __slots__ = ("fingerprint", "issued_s", "winner", "state", "answer")
+    __slots__ = (
+        "fingerprint",
+        "issued_s",
+        "winner",
+        "state",
+        "answer",
+        "won_s",
+        "holder",
+    )
+    DEFAULTS = {"won_s": 0.0, "holder": ""}
+
+    def find_state(self, wall_s, skew_s):
+        """Return the state at a wall time; a holder that is overdue has failed.
+
+        Args:
+            wall_s (float): Wall time in seconds.
+            skew_s (float): Allowed difference between wall clocks.
+        """
+        overdue_s = self.won_s + LONGEST_DEADLINE_S + LATE_OUTCOME_GRACE_S + skew_s
+        if self.state == CLAIM_IN_PROGRESS and wall_s > overdue_s:
+            return CLAIM_UNKNOWN
+        return self.state
 
 
 class Fate:
@@ -37,6 +68,11 @@
 REUSED = Fate(CLAIM_REUSED)
 
 
+def find_holder(claim_id):
+    """Return the incarnation that begins the id of a claim."""
+    return intern(claim_id.partition("/")[0])
+
+
 def digest_text(text):
     """Return the fixed-size digest under which an id is remembered."""
     return blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
--- a/firworks/kernel/ledger_lookups.py
+++ b/firworks/kernel/ledger_lookups.py
@@ -73,4 +73,5 @@
         entry = stream.state.look_up(lookup.key)
         if entry is None:
             return LookupAnswered(lookup_id, DECISION_FREE)
-        return LookupAnswered(lookup_id, entry.state, entry.answer)
+        state = stream.state.find_state(entry, stream.state.wall_s)
+        return LookupAnswered(lookup_id, state, entry.answer)
--- a/firworks/kernel/ledger_members.py
+++ b/firworks/kernel/ledger_members.py
@@ -6,6 +6,7 @@
 
 PEERS_BEFORE_DIRECT = 3
 AVOID_S = 2.0
+INCARNATION_LIMIT = 2_000
 
 
 def rank_members(stream, members):
@@ -31,6 +32,8 @@
         self._members = {name: True}
         self._avoided_s = {}
         self._ranks = {}
+        self._alive = {}
+        self._names = {}
 
     @property
     def members(self):
@@ -46,6 +49,23 @@
         else:
             self._members[event.member] = True
         self._ranks.clear()
+        self._note_incarnation(event)
+
+    def _note_incarnation(self, event):
+        """Remember the last incarnations of each member, and which one lives."""
+        if event.status == MEMBER_DEAD:
+            self._alive.pop(event.member, None)
+        elif event.incarnation:
+            self._alive[event.member] = event.incarnation
+        if event.incarnation:
+            self._names[event.incarnation] = event.member
+        while len(self._names) > INCARNATION_LIMIT:
+            self._names.pop(next(iter(self._names)))
+
+    def is_gone(self, incarnation):
+        """Whether an incarnation is known to have ended."""
+        name = self._names.get(incarnation)
+        return name is not None and self._alive.get(name) != incarnation
 
     def avoid(self, member, stream, now):
         """Leave out a member for a while that is silent or cut off from the log."""
--- a/firworks/kernel/ledger_state.py
+++ b/firworks/kernel/ledger_state.py
@@ -17,6 +17,7 @@
     KeyEntry,
     digest_key,
     digest_text,
+    find_holder,
 )
 from firworks.kernel.ledger_records import (
     DECISION_FREE,
@@ -34,6 +35,7 @@
 KEY_BYTES = 400
 
 _CLOSED_STATES = (CLAIM_OUTCOME, CLAIM_NOT_RUN)
+_OPEN_STATES = (CLAIM_IN_PROGRESS, CLAIM_UNKNOWN)
 
 
 class LedgerState:
@@ -46,20 +48,25 @@
     Args:
         window_s (float): Age up to which a key may be claimed.
         skew_s (float): Allowed difference between wall clocks.
+        is_gone (callable): Whether an incarnation (str) is known to have ended; its
+            work in progress is said to be unknown at once.
 
     Attributes:
         size_bytes (int): Estimate of the memory held.
+        wall_s (float): Wall time as last told; no decision on a claim depends on it.
     """
 
-    def __init__(self, window_s, skew_s):
+    def __init__(self, window_s, skew_s, is_gone=lambda incarnation: False):
         self._window_s = window_s
         self._skew_s = skew_s
+        self._is_gone = is_gone
         self._keys = {}
         self._claims = {}
         self._buckets = {}
         self._written_s = 0.0
         self._swept = None
         self.size_bytes = 0
+        self.wall_s = 0.0
 
     def __len__(self):
         return len(self._claims)
@@ -101,7 +108,7 @@
     def close_claim(self, record):
         """Keep the first answer of the work that a claim won."""
         entry = self._find_won(record.claim_id)
-        if entry is not None and entry.state in (CLAIM_IN_PROGRESS, CLAIM_UNKNOWN):
+        if entry is not None and entry.state in _OPEN_STATES:
             self._close(entry, CLAIM_OUTCOME, record.answer)
 
     def doubt_claim(self, record):
@@ -110,10 +117,10 @@
         if entry is not None and entry.state == CLAIM_IN_PROGRESS:
             entry.state = CLAIM_UNKNOWN
 
-    def resolve_key(self, record):
+    def resolve_key(self, record, written_s):
         """Take an operator's word on a key whose outcome is unknown."""
         entry = self._keys.get(digest_key(record.key))
-        if entry is None or entry.state != CLAIM_UNKNOWN:
+        if entry is None or self.find_state(entry, written_s) != CLAIM_UNKNOWN:
             return
         state = CLAIM_OUTCOME if record.ran else CLAIM_NOT_RUN
         self._close(entry, state, record.answer if record.ran else b"")
@@ -128,9 +135,7 @@
             return LedgerDecision(record.claim_id, entry.state)
         if entry.winner == claim and entry.state == CLAIM_IN_PROGRESS:
             return LedgerDecision(record.claim_id, DECISION_WON)
-        if not self._matches(entry, record):
-            return LedgerDecision(record.claim_id, CLAIM_REUSED)
-        return LedgerDecision(record.claim_id, entry.state, entry.answer)
+        return self._describe(entry, record)
 
     def foresee(self, record):
         """Return the decision on a claim that need not be appended, or None.
@@ -141,14 +146,25 @@
         entry = self._keys.get(digest_key(record.key))
         if entry is None or entry.state == DECISION_FREE:
             return None
+        return self._describe(entry, record)
+
+    def _describe(self, entry, record):
+        """Return the decision on a claim of a key that another claim has won."""
         if not self._matches(entry, record):
             return LedgerDecision(record.claim_id, CLAIM_REUSED)
-        return LedgerDecision(record.claim_id, entry.state, entry.answer)
+        state = self.find_state(entry, self._written_s)
+        if state == CLAIM_IN_PROGRESS and self._is_gone(entry.holder):
+            state = CLAIM_UNKNOWN
+        return LedgerDecision(record.claim_id, state, entry.answer)
 
     def look_up(self, key):
         """Return the `KeyEntry` of a `WorkKey`, or None."""
         return self._keys.get(digest_key(key))
 
+    def find_state(self, entry, wall_s):
+        """Return the state of a `KeyEntry` at a wall time (seconds)."""
+        return entry.find_state(wall_s, self._skew_s)
+
     def reflects(self, record):
         """Return whether a record can change nothing any more.
 
@@ -157,7 +173,7 @@
         """
         if isinstance(record, ResolutionRecord):
             entry = self._keys.get(digest_key(record.key))
-            return entry is None or entry.state != CLAIM_UNKNOWN
+            return entry is None or self.find_state(entry, self.wall_s) != CLAIM_UNKNOWN
         entry = self._claims.get(digest_text(record.claim_id))
         if isinstance(record, ReleaseRecord):
             return entry is VOID
@@ -181,6 +197,8 @@
             return entry if self._matches(entry, record) else REUSED
         entry.winner = claim
         entry.state = CLAIM_IN_PROGRESS
+        entry.won_s = written_s
+        entry.holder = find_holder(record.claim_id)
         return entry
 
     def _in_window(self, issued_s, written_s):
@@ -277,4 +295,4 @@
 
 @_apply.register
 def _(record: ResolutionRecord, state, written_s):
-    state.resolve_key(record)
+    state.resolve_key(record, written_s)
--- a/firworks/kernel/requests.py
+++ b/firworks/kernel/requests.py
@@ -30,6 +30,7 @@
     CLAIM_REUSED,
     CLAIM_UNAVAILABLE,
     CLAIM_UNKNOWN,
+    LATE_OUTCOME_GRACE_S,
     ClaimRefused,
     ClaimReleased,
     ClaimRequested,
@@ -47,7 +48,7 @@
 from firworks.kernel.fleet import ConfigurationAccepted, DrainExpired, DrainStarted
 from firworks.kernel.messages import RequestFinished, Tick
 from firworks.kernel.node import Part
-from firworks.kernel.stages import LATE_OUTCOME_GRACE_S, StageRunner
+from firworks.kernel.stages import StageRunner
 
 RESULT_RETRY_AFTER_S = 1.0
 DECISION_GRACE_S = 1.0
--- a/firworks/kernel/stages.py
+++ b/firworks/kernel/stages.py
@@ -19,13 +19,13 @@
     CancelCall,
     StartCall,
 )
+from firworks.kernel.claims import LATE_OUTCOME_GRACE_S
 from firworks.kernel.flights import Call
 from firworks.kernel.messages import LogCatalogued, StageCost
 from firworks.kernel.prompts import hash_prefix, make_prompt
 from firworks.kernel.streams import StreamGapError
 
 MAX_ATTEMPTS = 4
-LATE_OUTCOME_GRACE_S = 60.0
 
 _FAILURE_CODES = {
     RESULT_REFUSED: Code.TARGET_REFUSED,
--- a/firworks/tests/test_ledger.py
+++ b/firworks/tests/test_ledger.py
@@ -14,17 +14,23 @@
     CLAIM_REUSED,
     CLAIM_UNAVAILABLE,
     CLAIM_UNKNOWN,
+    LATE_OUTCOME_GRACE_S,
+    LONGEST_DEADLINE_S,
     ClaimReleased,
     ClaimRequested,
     WorkKey,
 )
+from firworks.kernel.fleet import MEMBER_ALIVE, MEMBER_DEAD, MemberChanged
 from firworks.kernel.ledger import Ledger
 from firworks.kernel.ledger_entries import KeyEntry, digest_text
 from firworks.kernel.ledger_holder import QUEUE_LIMIT_RECORDS, ClaimHolder
+from firworks.kernel.ledger_members import WriterChoice
 from firworks.kernel.ledger_records import (
     ClaimRecord,
     LookupRequested,
+    OutcomeRecord,
     ReleaseRecord,
+    ResolutionRecord,
     ResolutionRequested,
 )
 from firworks.kernel.ledger_state import LedgerState
@@ -370,6 +376,47 @@
         assert (len(state), state.size_bytes, state.look_up(key())) == (0, 0, None)
 
 
+class TestFailedHolder:
+    LONG_S = 10_000.0
+
+    def make_state(self, is_gone=lambda incarnation: False):
+        state = LedgerState(self.LONG_S, SKEW_S, is_gone)
+        state.apply_entry(LogEntry(0, EPOCH_S, (claim_record("a.1/x"),)))
+        return state
+
+    def resolve(self, state, wall_s):
+        record = ResolutionRecord("o/1", key(), True, b"lent")
+        state.apply_entry(LogEntry(1, wall_s, (record,)))
+        return state.look_up(key()).state
+
+    def test_work_of_an_overdue_holder_can_be_settled(self):
+        overdue_s = EPOCH_S + LONGEST_DEADLINE_S + LATE_OUTCOME_GRACE_S + SKEW_S
+        assert self.resolve(self.make_state(), overdue_s) == CLAIM_IN_PROGRESS
+        assert self.resolve(self.make_state(), overdue_s + 1.0) == CLAIM_OUTCOME
+
+    def test_resend_is_told_at_once_that_the_holder_ended(self):
+        state = self.make_state(lambda incarnation: incarnation == "a.1")
+        assert state.foresee(claim_record("b.1/y")).state == CLAIM_UNKNOWN
+        assert state.look_up(key()).state == CLAIM_IN_PROGRESS
+
+    def test_late_outcome_of_a_holder_taken_for_dead_is_kept(self):
+        state = self.make_state(lambda incarnation: True)
+        outcome = OutcomeRecord("a.1/x", b"lent")
+        state.apply_entry(LogEntry(1, EPOCH_S + 9.0, (outcome,)))
+        assert state.foresee(claim_record("b.1/y")).state == CLAIM_OUTCOME
+
+    def test_ended_incarnations_are_told_from_living_ones(self):
+        choice = WriterChoice("b")
+        choice.change_member(MemberChanged("a", "a.1", MEMBER_ALIVE))
+        assert not choice.is_gone("a.1") and not choice.is_gone("never.1")
+        choice.change_member(MemberChanged("a", "a.2", MEMBER_ALIVE))
+        assert choice.is_gone("a.1") and not choice.is_gone("a.2")
+        choice.change_member(MemberChanged("a", "a.2", MEMBER_DEAD))
+        assert choice.is_gone("a.2")
+        choice.change_member(MemberChanged("a", "a.2", MEMBER_ALIVE))
+        assert not choice.is_gone("a.2")
+
+
 class TestStreamReader:
     def test_a_place_lost_to_trimming_starts_again(self):
         reader = StreamReader("s", 1.0)
