--- a/firworks/kernel/membership.py
+++ b/firworks/kernel/membership.py
@@ -18,16 +18,13 @@
     RANK_DEAD,
     RANK_DRAINED,
     RANK_LEAVING,
-    RANK_SUSPECT,
     TOPIC_MEMBER,
     Digest,
     FactStated,
-    Introduction,
     MemberFact,
     Probe,
     ProbeReply,
     make_member_fact,
-    make_tag,
 )
 from firworks.kernel.fleet import (
     MEMBER_DEAD,
@@ -48,6 +45,7 @@
 )
 from firworks.kernel.neighbours import Neighbours
 from firworks.kernel.node import Part
+from firworks.kernel.own_state import OwnState
 
 CHECK_PERIOD_S = 0.2
 DEAD_PERIOD_FACTOR = 5.0
@@ -70,13 +68,9 @@
     def __init__(self, name, incarnation, region, failure_domain, address, rng):
         self.name = name
         self.incarnation = incarnation
-        self.epoch = 1
-        self.refutation = 0
-        self.rank = RANK_ALIVE
-        self._introduction = Introduction(incarnation, address, region, failure_domain)
-        self._tag = make_tag(incarnation)
-        self._members = {}
         vm = VmEntry(name, address, "entry", region, failure_domain)
+        self._own = OwnState(incarnation, vm)
+        self._members = {}
         self._neighbours = Neighbours(vm, self._members)
         self._detector = FailureDetector(self._neighbours, self._members, rng)
         self._urgent = {}
@@ -88,6 +82,11 @@
         """Take one event and return a list of actions and signals."""
         return []
 
+    @property
+    def epoch(self):
+        """Orders this incarnation of the daemon after earlier ones."""
+        return self._own.epoch
+
     def list_alive(self):
         """Return the sorted names of daemons held to be alive, this one included."""
         names = [m.name for m in self._members.values() if not m.gone]
@@ -151,10 +150,10 @@
         member.sent_s = now
         introduce = member.acknowledged < member.introduce_until
         return Digest(
-            epoch=self.epoch,
-            tag=self._tag,
-            refutation=self.refutation,
-            rank=self.rank,
+            epoch=self._own.epoch,
+            tag=self._own.tag,
+            refutation=self._own.refutation,
+            rank=self._own.rank,
             sequence=member.sequence_out,
             acknowledged=member.sequence_in,
             peer_epoch=member.wanted_epoch or member.epoch,
@@ -162,7 +161,7 @@
             peer_rank=member.rank,
             courtesy=self._neighbours.is_courtesy(name),
             table=table,
-            introductions=(self._introduction,) if introduce else (),
+            introductions=(self._own.introduction,) if introduce else (),
             facts=facts,
         )
 
@@ -259,7 +258,7 @@
                 self._neighbours.note_guest(peer)
             state = (digest.epoch, digest.refutation, digest.rank)
             results += self._apply(member, state, now)
-        results += self._take_opinion(member, digest)
+        self._take_opinion(member, digest)
         if member.gone and digest.rank < RANK_DEAD or member.wanted_epoch:
             self._urgent[peer] = None
         return results
@@ -277,25 +276,16 @@
 
     def _take_opinion(self, member, digest):
         """Answer what a neighbour believes about this daemon."""
-        if digest.peer_epoch < self.epoch:
+        if digest.peer_epoch < self._own.epoch:
             member.introduce_until = member.sequence_out + 1
-        elif digest.peer_epoch > self.epoch:
-            self._raise_epoch(digest.peer_epoch)
-        elif digest.peer_rank >= RANK_SUSPECT:
-            self._refute(digest.peer_refutation)
-        return []
+        elif self._own.hear_digest(digest):
+            self._tell_all()
 
-    def _raise_epoch(self, epoch):
-        self.epoch = epoch
-        self.refutation = 0
+    def _tell_all(self):
+        """Let all neighbours know of this daemon's changed state at once."""
         for member in self._members.values():
             member.introduce_until = member.sequence_out + 1
-        self._urgent.update(dict.fromkeys(self._members))
-
-    def _refute(self, refutation):
-        if refutation >= self.refutation and self.rank != RANK_DRAINED:
-            self.refutation = refutation + 1
-            self._urgent.update(dict.fromkeys(self._members))
+            self._urgent[member.name] = None
 
     @_take_record.register
     def _answer_probe(self, probe: Probe, peer, now):
@@ -312,7 +302,9 @@
         if event.topic != TOPIC_MEMBER or not isinstance(value, MemberFact):
             return []
         if event.key == self.name:
-            return self._hear_of_self(value)
+            if self._own.hear_fact(value):
+                self._tell_all()
+            return []
         member = self._members.get(event.key) or self._add_member(event.key, now)
         results = []
         if value.epoch > member.epoch:
@@ -321,14 +313,6 @@
         state = (value.epoch, value.refutation, value.rank)
         return results + self._apply(member, state, now, spread=False)
 
-    def _hear_of_self(self, value):
-        same = value.incarnation == self.incarnation
-        if not same and value.epoch >= self.epoch:
-            self._raise_epoch(value.epoch + 1)
-        elif same and value.epoch == self.epoch and value.rank >= RANK_SUSPECT:
-            self._refute(value.refutation)
-        return []
-
     def _apply(self, member, state, now, spread=True):
         """Take over a newer statement about a member's current epoch."""
         if state <= member.state or state[0] != member.epoch:
@@ -361,7 +345,6 @@
         return self._announce(RANK_DRAINED)
 
     def _announce(self, rank):
-        self.rank = max(self.rank, rank)
-        self.refutation += 1
-        self._urgent.update(dict.fromkeys(self._members))
+        self._own.announce(rank)
+        self._tell_all()
         return []
