--- a/firworks/kernel/fact_table.py
+++ b/firworks/kernel/fact_table.py
@@ -53,7 +53,9 @@
     def store(self, fact, now):
         """Store a fact if it is newer; returns its entry, or None when it is not."""
         old = self._entries.get(fact.identity)
-        if fact.ttl_s <= 0 or (old is not None and old.fact.version >= fact.version):
+        if not fact.ttl_s > 0:  # also refuses a NaN
+            return None
+        if old is not None and old.fact.version >= fact.version:
             return None
         if old is None and len(self._entries) >= self._limit and not self._evict(fact):
             return None
--- a/firworks/plugins/peer_links.py
+++ b/firworks/plugins/peer_links.py
@@ -32,7 +32,7 @@
         tls (SSLContext or None): For the connection.
     """
 
-    def __init__(self, owner, settings, peer, address, kept, tls):
+    def __init__(self, owner, settings, peer, address, kept, tls=None):
         self.peer = peer
         self.address = address
         self.kept = kept
@@ -74,7 +74,7 @@
         delay_s = RETRY_FIRST_S
         try:
             while True:
-                if await self._dial_once():
+                if await self.dial_once():
                     delay_s = RETRY_FIRST_S
                 if not self.kept:
                     return
@@ -84,7 +84,7 @@
             self._owner.dropped_messages += len(self._queue)
             self._owner.forget(self)
 
-    async def _dial_once(self):
+    async def dial_once(self):
         """Dial, send until the connection ends, and return whether it opened."""
         opened = False
         try:
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -50,7 +50,7 @@
         self._settings = context.settings
         self._links = {}
         self._server = None
-        self._client_tls = _make_client_tls(context.settings)
+        self._client_tls = make_client_tls(context.settings)
 
     async def start(self):
         """Listen for other daemons; ``port`` then holds the bound port."""
@@ -174,7 +174,8 @@
     return context
 
 
-def _make_client_tls(settings):
+def make_client_tls(settings):
+    """Return the SSLContext for dialing by these settings, or None without TLS."""
     if not settings.tls_certificate:
         return None
     context = ssl.create_default_context(cafile=settings.tls_authority or None)
--- a/firworks/tests/test_peers.py
+++ b/firworks/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of the WebSocket peers, the VM list adapter and their stand-in."""
 
 import asyncio
+from pathlib import Path
 
 import pytest
 from aiohttp.test_utils import TestServer
@@ -24,14 +25,28 @@
 )
 from firworks.plugins.http_vms import HttpVms, parse_vms
 from firworks.plugins.peer_handshake import accept_handshake, dial_handshake
-from firworks.plugins.websocket_peers import WebsocketPeers
+from firworks.plugins.peer_links import PeerLink
+from firworks.plugins.websocket_peers import WebsocketPeers, make_client_tls
 from firworks.settings import make_settings
 from firworks.standins.vms import VmsStandin
 
 MESSAGE = WorkKey("a", "s", "k")
 
 
-def make_peers(name, secret="right"):
+DATA = Path(__file__).parent / "data"
+
+
+def make_tls(name):
+    """Settings of a self-signed certificate that is its own authority."""
+    certificate = str(DATA / f"{name}-certificate.pem")
+    return {
+        "tls_certificate": certificate,
+        "tls_key": str(DATA / f"{name}-key.pem"),
+        "tls_authority": certificate,
+    }
+
+
+def make_peers(name, secret="right", tls=None):
     inbox = asyncio.Queue()
     table = {
         "name": name,
@@ -39,6 +54,7 @@
         "vms_url": "http://127.0.0.1:1",
         "peers": "127.0.0.1:0",
         "peer_secret": secret,
+        **(tls or {}),
     }
     return WebsocketPeers(make_context(table, inbox)), inbox
 
@@ -50,9 +66,9 @@
     return AdapterContext(make_settings(table), "i", feed, clock, addresses)
 
 
-async def run_pair(body, secrets=("right", "right")):
-    one, one_inbox = make_peers("one", secrets[0])
-    two, two_inbox = make_peers("two", secrets[1])
+async def run_pair(body, secrets=("right", "right"), tls=(None, None)):
+    one, one_inbox = make_peers("one", secrets[0], tls[0])
+    two, two_inbox = make_peers("two", secrets[1], tls[1])
     await one.start()
     await two.start()
     try:
@@ -111,6 +127,25 @@
 
         asyncio.run(run_pair(body, secrets=("right", "wrong")))
 
+    def test_tls_carries_messages(self):
+        async def body(one, one_inbox, two, two_inbox):
+            one.carry_out(ConnectPeer("two", make_address(two)))
+            one.carry_out(SendPeer("two", MESSAGE))
+            assert await two_inbox.get() == PeerReceived("one", MESSAGE)
+
+        asyncio.run(run_pair(body, tls=(make_tls("peer"), make_tls("peer"))))
+
+    @pytest.mark.parametrize("tls", [None, make_tls("other")])
+    def test_a_dialer_without_the_authoritys_certificate_is_refused(self, tls):
+        async def body(one, one_inbox, two, two_inbox):
+            settings = one.context.settings
+            context = make_client_tls(settings)
+            link = PeerLink(one, settings, "two", make_address(two), False, context)
+            assert await link.dial_once() is False
+            assert one_inbox.empty() and two_inbox.empty()
+
+        asyncio.run(run_pair(body, tls=(tls, make_tls("peer"))))
+
     def test_a_dialer_without_the_secret_is_closed(self):
         async def body(one, one_inbox, two, two_inbox):
             url = f"ws://{make_address(two)}/"
