--- a/firworks/metrics.py
+++ b/firworks/metrics.py
@@ -5,7 +5,7 @@
 request or target.
 """
 
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from prometheus_client import (
     CollectorRegistry,
@@ -60,14 +60,17 @@
 
     Attributes:
         registry (CollectorRegistry): For exposition.
+        pipelines (LabelValues): Bounds the values of label ``pipeline``.
+        stages (LabelValues): Bounds the values of label ``stage``.
+        streams (LabelValues): Bounds the values of label ``stream``.
     """
 
     def __init__(self):
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
-        self._pipelines = LabelValues()
-        self._stages = LabelValues()
-        self._streams = LabelValues()
+        self.pipelines = LabelValues()
+        self.stages = LabelValues()
+        self.streams = LabelValues()
         self._add_request_metrics()
         self._add_call_metrics()
         self._add_log_metrics()
@@ -150,77 +153,9 @@
             "configuration_version", "Configuration version in force."
         )
 
-    @singledispatchmethod
     def observe(self, item):
         """Take note of an event that entered, or an action that left, the kernel."""
-
-    @observe.register
-    def _(self, item: RequestFinished):
-        pipeline = self._pipelines.bound(item.pipeline)
-        self.requests.labels(pipeline, item.code.name).inc()
-        self.latency.labels(pipeline).observe(item.latency_s)
-        if item.met:
-            self.met.labels(pipeline).inc()
-        if item.first_token_s > 0:
-            self.first_token.labels(pipeline).observe(item.first_token_s)
-        for cost in item.costs:
-            stage = self._stages.bound(cost.stage)
-            self.stage_seconds.labels(pipeline, stage).inc(cost.seconds)
-            self.stage_cost.labels(pipeline, stage).inc(cost.price)
-
-    @observe.register
-    def _(self, item: StartCall):
-        self.calls.labels(item.kind).inc()
-
-    @observe.register
-    def _(self, item: CallAnswered):
-        self.calls_answered.inc()
-
-    @observe.register
-    def _(self, item: CallFailed):
-        self.calls_failed.labels(item.result).inc()
-
-    @observe.register
-    def _(self, item: CancelCall):
-        self.calls_cancelled.inc()
-
-    @observe.register
-    def _(self, item: AppendRecords):
-        stream = self._streams.bound(item.stream)
-        self.appends.labels(stream).inc()
-        self.records.labels(stream).inc(len(item.records))
-
-    @observe.register
-    def _(self, item: RecordsAppended):
-        self.appended.labels(self._streams.bound(item.stream)).inc()
-
-    @observe.register
-    def _(self, item: AppendFailed):
-        self.append_failures.labels(self._streams.bound(item.stream)).inc()
-
-    @observe.register
-    def _(self, item: LogReadFailed):
-        self.read_failures.labels(self._streams.bound(item.stream)).inc()
-
-    @observe.register
-    def _(self, item: SendPeer):
-        self.peer_sent.labels(type(item.message).__name__).inc()
-
-    @observe.register
-    def _(self, item: PeerReceived):
-        self.peer_received.labels(type(item.message).__name__).inc()
-
-    @observe.register
-    def _(self, item: PeerConnected):
-        self.peers.inc()
-
-    @observe.register
-    def _(self, item: PeerDisconnected):
-        self.peers.dec()
-
-    @observe.register
-    def _(self, item: LogCatalogued):
-        self.log_events.labels(item.event.name).inc()
+        _observe(item, self)
 
     def set_state(self, ready, in_progress, version):
         """Set the gauges of the daemon's state.
@@ -233,3 +168,90 @@
         self.ready.set(1 if ready else 0)
         self.in_progress.set(in_progress)
         self.version.set(version)
+
+
+@singledispatch
+def _observe(item, metrics):
+    """Take note of one item; most types are not counted."""
+
+
+@_observe.register
+def _(item: RequestFinished, metrics):
+    pipeline = metrics.pipelines.bound(item.pipeline)
+    metrics.requests.labels(pipeline, item.code.name).inc()
+    metrics.latency.labels(pipeline).observe(item.latency_s)
+    if item.met:
+        metrics.met.labels(pipeline).inc()
+    if item.first_token_s > 0:
+        metrics.first_token.labels(pipeline).observe(item.first_token_s)
+    for cost in item.costs:
+        stage = metrics.stages.bound(cost.stage)
+        metrics.stage_seconds.labels(pipeline, stage).inc(cost.seconds)
+        metrics.stage_cost.labels(pipeline, stage).inc(cost.price)
+
+
+@_observe.register
+def _(item: StartCall, metrics):
+    metrics.calls.labels(item.kind).inc()
+
+
+@_observe.register
+def _(item: CallAnswered, metrics):
+    metrics.calls_answered.inc()
+
+
+@_observe.register
+def _(item: CallFailed, metrics):
+    metrics.calls_failed.labels(item.result).inc()
+
+
+@_observe.register
+def _(item: CancelCall, metrics):
+    metrics.calls_cancelled.inc()
+
+
+@_observe.register
+def _(item: AppendRecords, metrics):
+    stream = metrics.streams.bound(item.stream)
+    metrics.appends.labels(stream).inc()
+    metrics.records.labels(stream).inc(len(item.records))
+
+
+@_observe.register
+def _(item: RecordsAppended, metrics):
+    metrics.appended.labels(metrics.streams.bound(item.stream)).inc()
+
+
+@_observe.register
+def _(item: AppendFailed, metrics):
+    metrics.append_failures.labels(metrics.streams.bound(item.stream)).inc()
+
+
+@_observe.register
+def _(item: LogReadFailed, metrics):
+    metrics.read_failures.labels(metrics.streams.bound(item.stream)).inc()
+
+
+@_observe.register
+def _(item: SendPeer, metrics):
+    metrics.peer_sent.labels(type(item.message).__name__).inc()
+
+
+@_observe.register
+def _(item: PeerReceived, metrics):
+    metrics.peer_received.labels(type(item.message).__name__).inc()
+
+
+@_observe.register
+def _(item: PeerConnected, metrics):
+    metrics.peers.inc()
+
+
+@_observe.register
+def _(item: PeerDisconnected, metrics):
+    metrics.peers.dec()
+
+
+@_observe.register
+def _(item: LogCatalogued, metrics):
+    metrics.log_events.labels(item.event.name).inc()
--- a/firworks/tools/commands.py
+++ b/firworks/tools/commands.py
@@ -18,6 +18,7 @@
 from firworks.settings import load_settings
 from firworks.tools.admin_client import AdminClient
 from firworks.tools.burn import collect_report, format_report
+from firworks.tools.demo import run_demo
 
 LOG_VARIABLE = "FIRWORKS_LOG_URL"
 ADMIN_VARIABLE = "FIRWORKS_ADMIN"
@@ -167,6 +168,10 @@
         """
         return _defer(_burn, addresses)
 
+    def demo(self):
+        """Run a whole small site on loopback and check what it must show."""
+        return _defer(_demo)
+
 
 def _defer(run, *args):
     """Return the `Command` that calls a coroutine function with texts."""
@@ -320,6 +325,11 @@
     return Report(tuple(format_report(report)), pack_struct(report), code)
 
 
+def _demo():
+    run_demo()
+    return Report(("demonstration passed",), {})
+
+
 def _read_file(path):
     try:
         return Path(path).read_bytes()
