--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -1,8 +1,9 @@
 """One daemon's share of one client account's limits."""
 
-BURST_S = 1.0
+BURST_S = 2.0
 SMALLEST_BURST_REQUESTS = 4.0
-DEMAND_DECAY = 0.5
+DEMAND_RISE = 0.5
+DEMAND_FALL = 0.25
 IDLE_DEMAND = 0.01
 
 
@@ -121,10 +122,9 @@
 
     def measure(self, period_s, now):
         """Estimate what callers want from the last period's attempts."""
-        rate = self._attempts / period_s
-        self.wanted_rate = max(rate, DEMAND_DECAY * self.wanted_rate)
+        self.wanted_rate = _smooth(self.wanted_rate, self._attempts / period_s)
         peak = max(self._peak, self.running)
-        self.wanted_concurrency = max(peak, DEMAND_DECAY * self.wanted_concurrency)
+        self.wanted_concurrency = _smooth(self.wanted_concurrency, peak)
         self._attempts = 0
         self._peak = self._blocked = 0
         self._drop_ended(now)
@@ -176,6 +176,11 @@
             del self._borrowed[peer]
 
 
+def _smooth(old, new):
+    """Follow a measured value, faster upward than downward."""
+    return old + (DEMAND_RISE if new > old else DEMAND_FALL) * (new - old)
+
+
 def find_depth(rate):
     """Return how many requests may come at once at a rate (requests a second).
 
