--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -1,7 +1,7 @@
 """One daemon's share of one client account's limits."""
 
 BURST_S = 2.0
-BURST_TOKENS = 4.0
+SMALLEST_BURST_REQUESTS = 4.0
 DEMAND_RISE = 0.5
 DEMAND_FALL = 0.25
 IDLE_DEMAND = 0.01
@@ -176,15 +176,15 @@
             del self._borrowed[peer]
 
 
+def _smooth(old, new):
+    """Follow a measured value, faster upward than downward."""
+    return old + (DEMAND_RISE if new > old else DEMAND_FALL) * (new - old)
+
+
 def find_depth(rate):
     """Return how many requests may come at once at a rate (requests a second).
 
     A caller keeps its connection to one daemon, whose share of a small account may
     be below one request a second; a few requests in a row are no burst.
     """
-    return max(BURST_TOKENS, rate * BURST_S)
-
-
-def _smooth(old, new):
-    """Follow a measured value, faster upward than downward."""
-    return old + (DEMAND_RISE if new > old else DEMAND_FALL) * (new - old)
+    return max(SMALLEST_BURST_REQUESTS, rate * BURST_S)
