Bind dispatch to the claim's deadline and settlements to the time of asking

Cause: an operator may settle a claim whose holder is overdue, but a holder that was paused could still dispatch after that: may_dispatch checked the key's age alone. And a settlement that was slow to land could meet work that became unknown after the operator had looked. Change: may_dispatch is false from the claim's deadline on; a settlement carries the time of asking and counts only if the outcome was unknown by then. The stateful machine settles keys, names incarnations, and lets holders be overdue. Conclusion: both holes are closed by the log's and the holder's own times.

--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -94,10 +94,13 @@
             now (float): Kernel time.
 
         Returns:
-            bool: False also when the claim was released or its work has ended.
+            bool: False also when the claim was released, its work has ended or its
+                deadline has passed; after that an operator may settle the key.
         """
         request = self._holder.get_won(claim_id)
-        return request is not None and self._in_window(request.issued_s, now)
+        if request is None or now >= request.deadline_s:
+            return False
+        return self._in_window(request.issued_s, now)
 
     @property
     def flushed(self):
@@ -196,7 +199,7 @@
     @_take.register
     def _(self, event: ResolutionRequested, now):
         stream = self._open_stream(self.name_stream(event.key), now)
-        self._lookups.resolve(event, stream.stream, now)
+        self._lookups.resolve(event, stream.stream, now, self._find_wall(now))
         return []
 
     @singledispatchmethod
@@ -272,9 +275,15 @@
         return name in [f"{STREAM_PREFIX}{number}" for number in numbers]
 
     def _in_window(self, issued_s, now):
-        age_s = self._wall_s + (now - self._ticked_s) - issued_s
+        age_s = self._find_wall(now) - issued_s
         return -self._skew_s <= age_s <= self._window_s
 
+    def _find_wall(self, now):
+        """Return the wall time at a kernel time; 0 before the first tick."""
+        if self._wall_s is None:
+            return 0.0
+        return self._wall_s + (now - self._ticked_s)
+
     def _is_full(self):
         return self.size_bytes >= self._limit_bytes
 
--- a/firworks/kernel/ledger_entries.py
+++ b/firworks/kernel/ledger_entries.py
@@ -28,6 +28,7 @@
         answer (bytes): With ``CLAIM_OUTCOME``.
         won_s (float): Wall time at which the winning claim was written.
         holder (str): Incarnation of the daemon whose claim won last.
+        unknown_s (float): Wall time at which its outcome was written as unknown.
     """
 
     __slots__ = (
@@ -38,8 +39,9 @@
         "answer",
         "won_s",
         "holder",
+        "unknown_s",
     )
-    DEFAULTS = {"won_s": 0.0, "holder": ""}
+    DEFAULTS = {"won_s": 0.0, "holder": "", "unknown_s": 0.0}
 
     def find_state(self, wall_s, skew_s):
         """Return the state at a wall time; a holder that is overdue has failed.
@@ -53,6 +55,12 @@
             return CLAIM_UNKNOWN
         return self.state
 
+    def was_unknown(self, wall_s, skew_s):
+        """Return whether the outcome was unknown by a wall time, and still is."""
+        if self.find_state(wall_s, skew_s) != CLAIM_UNKNOWN:
+            return False
+        return self.state != CLAIM_UNKNOWN or self.unknown_s <= wall_s
+
 
 class Fate:
     """A final refusal that is the same for all claims that share it."""
--- a/firworks/kernel/ledger_lookups.py
+++ b/firworks/kernel/ledger_lookups.py
@@ -41,9 +41,11 @@
         due_s = now + LOOKUP_TIMEOUT_S
         self._open[event.lookup_id] = Lookup(event.key, stream, due_s, None)
 
-    def resolve(self, event, stream, now):
-        """Take a `ResolutionRequested`."""
-        record = ResolutionRecord(event.lookup_id, event.key, event.ran, event.answer)
+    def resolve(self, event, stream, now, wall_s):
+        """Take a `ResolutionRequested` at a wall time."""
+        record = ResolutionRecord(
+            event.lookup_id, event.key, event.ran, event.answer, wall_s
+        )
         due_s = now + LOOKUP_TIMEOUT_S
         self._open[event.lookup_id] = Lookup(event.key, stream, due_s, record)
         self._outbox.add(record, stream)
--- a/firworks/kernel/ledger_records.py
+++ b/firworks/kernel/ledger_records.py
@@ -58,10 +58,12 @@
         key (WorkKey): The key.
         ran (bool): Whether the operator found that the work ran.
         answer (bytes): With `ran`, the answer for resends.
+        asked_s (float): Wall time at which the operator asked; work that became
+            unknown later is not settled by it.
     """
 
-    __slots__ = ("resolution_id", "key", "ran", "answer")
-    TYPES = (str, WorkKey, bool, bytes)
+    __slots__ = ("resolution_id", "key", "ran", "answer", "asked_s")
+    TYPES = (str, WorkKey, bool, bytes, float)
 
 
 LEDGER_RECORDS = (
--- a/firworks/kernel/ledger_state.py
+++ b/firworks/kernel/ledger_state.py
@@ -111,16 +111,18 @@
         if entry is not None and entry.state in _OPEN_STATES:
             self._close(entry, CLAIM_OUTCOME, record.answer)
 
-    def doubt_claim(self, record):
+    def doubt_claim(self, record, written_s):
         """Note that the outcome of a claim's work is unknown."""
         entry = self._find_won(record.claim_id)
         if entry is not None and entry.state == CLAIM_IN_PROGRESS:
             entry.state = CLAIM_UNKNOWN
+            entry.unknown_s = written_s
 
     def resolve_key(self, record, written_s):
-        """Take an operator's word on a key whose outcome is unknown."""
+        """Take an operator's word on a key whose outcome was unknown when asked."""
         entry = self._keys.get(digest_key(record.key))
-        if entry is None or self.find_state(entry, written_s) != CLAIM_UNKNOWN:
+        asked_s = min(record.asked_s, written_s)
+        if entry is None or not entry.was_unknown(asked_s, self._skew_s):
             return
         state = CLAIM_OUTCOME if record.ran else CLAIM_NOT_RUN
         self._close(entry, state, record.answer if record.ran else b"")
@@ -173,7 +175,7 @@
         """
         if isinstance(record, ResolutionRecord):
             entry = self._keys.get(digest_key(record.key))
-            return entry is None or self.find_state(entry, self.wall_s) != CLAIM_UNKNOWN
+            return entry is None or not entry.was_unknown(record.asked_s, self._skew_s)
         entry = self._claims.get(digest_text(record.claim_id))
         if isinstance(record, ReleaseRecord):
             return entry is VOID
@@ -290,7 +292,7 @@
 
 @_apply.register
 def _(record: UnknownRecord, state, written_s):
-    state.doubt_claim(record)
+    state.doubt_claim(record, written_s)
 
 
 @_apply.register
--- a/firworks/tests/ledger_world.py
+++ b/firworks/tests/ledger_world.py
@@ -1,8 +1,8 @@
 """Several real kernels around a log model that shows every fault; virtual time."""
 
 from firworks.kernel.claims import (
+    CLAIM_NOT_RUN,
     CLAIM_OUTCOME,
-    CLAIM_UNKNOWN,
     ClaimRefused,
     ClaimReleased,
     ClaimWon,
@@ -50,7 +50,8 @@
 class LogModel:
     """Streams whose appends can land late or twice and whose old entries go."""
 
-    def __init__(self):
+    def __init__(self, retention_s):
+        self.retention_s = retention_s
         self.streams = {}
         self.late = []
 
@@ -63,7 +64,7 @@
 
     def read(self, action, now):
         entries = self.streams.setdefault(action.stream, [[], 0])
-        horizon_s = EPOCH_S + now - RETENTION_S
+        horizon_s = EPOCH_S + now - self.retention_s
         kept = entries[0] = [e for e in entries[0] if e.written_s >= horizon_s]
         oldest = kept[0].offset if kept else entries[1]
         start = oldest if action.offset is None else action.offset
@@ -110,7 +111,7 @@
         self.settings = settings
         self.make_parts = make_parts
         self.now = 0.0
-        self.log = LogModel()
+        self.log = LogModel(settings.get("log_retention_s", RETENTION_S))
         self.log_down = False
         self.cut = {}
         self.pending = []
@@ -120,6 +121,7 @@
         self.answers = {}
         self.lookups = {}
         self.daemons = {}
+        self.starts = {}
         self.names = names
         for number, name in enumerate(names):
             self.start(name, (0.0, 0.45, -0.45)[number % 3])
@@ -129,11 +131,20 @@
         self.pending = [p for p in self.pending if p[0] is not self.daemons.get(name)]
         daemon = Daemon(self, name, offset_s, self.make_parts)
         self.daemons[name] = daemon
+        self.starts[name] = self.starts.get(name, 0) + 1
         for other in self.names:
-            self.feed(daemon, MemberChanged(other, f"{other}/1", MEMBER_ALIVE))
+            self.show(daemon, other, MEMBER_ALIVE)
         self.tick(daemon)
         return daemon
 
+    def incarnation(self, name):
+        """Return the name of a daemon's present run."""
+        return f"{name}.{self.starts.get(name, 1)}"
+
+    def show(self, daemon, other, status):
+        """Change a daemon's view of another one."""
+        self.feed(daemon, MemberChanged(other, self.incarnation(other), status))
+
     def feed(self, daemon, event):
         for action in daemon.kernel.handle(event, self.now):
             self.pending.append((daemon, action))
@@ -188,11 +199,12 @@
     def _check_word(self, request, word):
         runs = self.dispatched.get(request.key, [])
         assert request.claim_id not in runs, f"{word} was said and it was dispatched"
-        if word.state in (CLAIM_OUTCOME, CLAIM_UNKNOWN):
-            ran = self.requests[runs[0]]
-            assert ran.fingerprint == request.fingerprint, "another request's answer"
         if word.state == CLAIM_OUTCOME:
             assert word.answer == self.answers[request.key], "not the first answer"
+            ran = self.requests[runs[0]]
+            assert ran.fingerprint == request.fingerprint, "another request's answer"
+        if word.state == CLAIM_NOT_RUN:
+            assert not runs, "an operator found that it did not run, and it ran"
 
     # What the network and the log do.
 
--- a/firworks/tests/test_deferred.py
+++ b/firworks/tests/test_deferred.py
@@ -24,7 +24,7 @@
     RESULT_UNAVAILABLE,
     DeferredState,
 )
-from firworks.kernel.fleet import MEMBER_DEAD, MemberChanged
+from firworks.kernel.fleet import MEMBER_DEAD
 from firworks.kernel.messages import LogEntry
 from firworks.kernel.node import Part
 from firworks.tests.ledger_world import EPOCH_S, RETENTION_S, World, settings_for
@@ -117,8 +117,7 @@
         world.daemons[first].paused = True
         for daemon in world.daemons.values():
             if not daemon.paused:
-                gone = MemberChanged(first, f"{first}/1", MEMBER_DEAD)
-                world.feed(daemon, gone)
+                world.show(daemon, first, MEMBER_DEAD)
         world.run(12.0)
         assert len(world.runs) > 1
         end_runs(world)
--- a/firworks/tests/test_ledger.py
+++ b/firworks/tests/test_ledger.py
@@ -32,6 +32,7 @@
     ReleaseRecord,
     ResolutionRecord,
     ResolutionRequested,
+    UnknownRecord,
 )
 from firworks.kernel.ledger_state import LedgerState
 from firworks.kernel.log_reader import StreamReader
@@ -309,6 +310,21 @@
     world.check()
 
 
+def settled_while_paused():
+    """A holder that pauses until an operator settled its key must not dispatch."""
+    world = World(dedupe_window_s=5_000.0, log_retention_s=9_000.0)
+    world.claim("a", request("a/1"))
+    world.run(1.0)
+    assert world.daemons["a"].parts[-1].won == ["a/1"]
+    world.daemons["a"].paused = True
+    world.advance(LONGEST_DEADLINE_S + LATE_OUTCOME_GRACE_S + 2 * SKEW_S)
+    world.feed(world.daemons["b"], ResolutionRequested("o/1", key(), False, b""))
+    world.run(3.0)
+    assert world.lookups["o/1"].state == CLAIM_NOT_RUN
+    world.daemons["a"].paused = False
+    assert not world.dispatch("a", "a/1")
+
+
 def full_memory():
     """Over the memory limit new keys are refused and old ones remembered."""
     world = World(ledger_memory_limit_bytes=3_000)
@@ -337,6 +353,11 @@
             yield entry
 
 
+def check_window_alone(self, claim_id, now):
+    won = self._holder.get_won(claim_id)
+    return won is not None and self._in_window(won.issued_s, now)
+
+
 GUARDS = [
     (late_after_release, LedgerState, "void_claim", ignore_early_release),
     (doubled_claim, LedgerState, "land_claim", accept_doubles),
@@ -344,6 +365,7 @@
     (decision_after_release, ClaimHolder, "_give_up", lambda *args: None),
     (gap_in_reading, StreamReader, "_follow", skip_gaps),
     (answer_of_another_request, LedgerState, "_matches", lambda *args: True),
+    (settled_while_paused, Ledger, "may_dispatch", check_window_alone),
     (full_memory, Ledger, "_is_full", lambda self: False),
 ]
 
@@ -395,7 +417,7 @@
         return state
 
     def resolve(self, state, wall_s):
-        record = ResolutionRecord("o/1", key(), True, b"lent")
+        record = ResolutionRecord("o/1", key(), True, b"lent", wall_s)
         state.apply_entry(LogEntry(1, wall_s, (record,)))
         return state.look_up(key()).state
 
@@ -404,6 +426,13 @@
         assert self.resolve(self.make_state(), overdue_s) == CLAIM_IN_PROGRESS
         assert self.resolve(self.make_state(), overdue_s + 1.0) == CLAIM_OUTCOME
 
+    def test_word_from_before_the_work_ran_settles_nothing(self):
+        state = self.make_state()
+        unknown = UnknownRecord("a.1/x")
+        early = ResolutionRecord("o/1", key(), False, b"", EPOCH_S + 1.0)
+        state.apply_entry(LogEntry(1, EPOCH_S + 2.0, (unknown, early)))
+        assert state.look_up(key()).state == CLAIM_UNKNOWN
+
     def test_resend_is_told_at_once_that_the_holder_ended(self):
         state = self.make_state(lambda incarnation: incarnation == "a.1")
         assert state.foresee(claim_record("b.1/y")).state == CLAIM_UNKNOWN
--- a/firworks/tests/test_ledger_machine.py
+++ b/firworks/tests/test_ledger_machine.py
@@ -1,18 +1,22 @@
 """A stateful test of the ledger: any fault, at any moment, together or twice."""
 
 from random import Random
+from unittest.mock import patch
 
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from firworks.kernel.claims import ClaimReleased, ClaimRequested, WorkKey
-from firworks.kernel.fleet import MEMBER_ALIVE, MEMBER_DEAD, MemberChanged
+from firworks.kernel import ledger_entries
+from firworks.kernel.claims import CLAIM_NOT_RUN, ClaimReleased, ClaimRequested, WorkKey
+from firworks.kernel.fleet import MEMBER_ALIVE, MEMBER_DEAD
+from firworks.kernel.ledger_records import ResolutionRequested
 from firworks.tests.ledger_world import EPOCH_S, WINDOW_S, World
 
 NAMES = ("a", "b", "c")
 FATES = ("lose", "fail", "late", "double", "gap")
 DISTURBANCES = ("pause", "restart", "cut", "cut_log", "stop_log", "change_view")
+LONGEST_DEADLINE_S = 15.0
 CI_EXAMPLES = 60
 names = st.sampled_from(NAMES)
 
@@ -20,14 +24,21 @@
 class LedgerMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
+        self.patches = [
+            patch.object(ledger_entries, "LONGEST_DEADLINE_S", LONGEST_DEADLINE_S),
+            patch.object(ledger_entries, "LATE_OUTCOME_GRACE_S", 5.0),
+        ]
+        for one in self.patches:
+            one.start()
         self.world = World(NAMES)
         self.issued = {}
         self.running = []
         self.asked = {name: [] for name in NAMES}
         self.released = set()
+        self.settled = []
         self.count = 0
 
-    def make_request(self, key, fingerprint, patience_s):
+    def make_request(self, who, key, fingerprint, patience_s):
         now = self.world.now
         name, issued_s = self.issued.get(key, ("", -1e9))
         if now - issued_s > 1.5 * WINDOW_S:
@@ -36,7 +47,7 @@
             self.issued[key] = (name, issued_s)
         self.count += 1
         return ClaimRequested(
-            f"claim/{self.count}",
+            f"{self.world.incarnation(who)}/{self.count}",
             WorkKey("account", "service", name),
             fingerprint,
             EPOCH_S + issued_s,
@@ -47,7 +58,7 @@
     def claim(self, who, key, fingerprint=b"f", patience_s=8.0):
         for name in who:
             if not self.world.daemons[name].paused:
-                request = self.make_request(key, fingerprint, patience_s)
+                request = self.make_request(name, key, fingerprint, patience_s)
                 self.asked[name].append(request)
                 self.world.claim(name, request)
 
@@ -74,7 +85,7 @@
 
     def claim_any(self, rng):
         fingerprint = b"g" if rng.randrange(20) == 0 else b"f"
-        patience_s = rng.choice((1.0, 4.0, 300.0))
+        patience_s = rng.choice((1.0, 4.0, LONGEST_DEADLINE_S))
         who = rng.sample(NAMES, rng.randint(1, len(NAMES)))
         self.claim(who, rng.randrange(3), fingerprint, patience_s)
 
@@ -120,7 +131,7 @@
         daemon.sees[other] = not alive
         if not daemon.paused:
             status = MEMBER_DEAD if alive else MEMBER_ALIVE
-            self.world.feed(daemon, MemberChanged(other, f"{other}/1", status))
+            self.world.show(daemon, other, status)
 
     @rule()
     def mend(self):
@@ -154,17 +165,45 @@
             answer = claim_id.encode() if whole else None
             self.world.finish(name, claim_id, answer)
 
+    @rule(name=names, key=st.integers(0, 2))
+    def resolve(self, name, key):
+        """Let an operator, who knows what ran, settle a key."""
+        daemon = self.world.daemons[name]
+        if daemon.paused or key not in self.issued:
+            return
+        work = WorkKey("account", "service", self.issued[key][0])
+        runs = self.world.dispatched.get(work, [])
+        answer = runs[0].encode() if runs else b""
+        if runs:
+            self.world.answers.setdefault(work, answer)
+        self.count += 1
+        lookup_id = f"operator/{self.count}"
+        asked = ResolutionRequested(lookup_id, work, bool(runs), answer)
+        self.world.feed(daemon, asked)
+        self.settled.append((lookup_id, work))
+
     @invariant()
     def keep_promises(self):
         self.world.check()
+        for lookup_id, work in self.settled:
+            found = self.world.lookups.get(lookup_id)
+            if found is not None and found.state == CLAIM_NOT_RUN:
+                assert work not in self.world.dispatched
 
     def teardown(self):
+        try:
+            self.check_recovery()
+        finally:
+            for one in self.patches:
+                one.stop()
+
+    def check_recovery(self):
         """Without faults every claim gets its word and new work is let through."""
         world = self.world
         self.mend()
         world.run(10.0, step_s=0.2)
         self.issued.clear()
-        fresh = self.make_request("fresh", b"f", 8.0)
+        fresh = self.make_request("a", "fresh", b"f", 8.0)
         world.claim("a", fresh)
         world.run(3.0, step_s=0.1)
         world.check()
