Ignore events of other parts at once; read idle streams less often

Cause: every token of a stream reached the ledger and the deferred part, which then looked at all their streams; and followers read idle streams twice a second. The setting append_writers rested on one writer a cell, but members are known and reached fleet-wide, so a stream has one usual writer in the whole fleet. Change: events that a part does not take end at once; idle streams are read every 2 s; append_writers is gone; bench.ledger runs 330 daemons.

--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -33,6 +33,8 @@
 LOAD_S = 20.0
 CELL_SIZE = 18
 CLAIMS_PER_ENTRY = 50
+FLEET_LOAD_S = 10.0
+FLEETS = ((18, 4, 5), (18, 4, 60), (330, 16, 300), (330, 16, 1_100), (330, 64, 1_100))
 ANSWER_BYTES = 100
 
 
@@ -81,21 +83,27 @@
 
 def show_fleet():
     """Print appends a second of the fleet by its size and load."""
-    print("daemons  cells  claims/s  delay ms  appends/s  p50 ms  p95 ms")
-    for cells, claims_per_s in ((1, 5), (1, 60), (19, 300), (19, 1_100)):
+    head = "daemons  streams  claims/s  delay ms  appends/s  p50 ms  p95 ms"
+    print(f"{head}  mean core %  busiest core %")
+    for size, streams, claims_per_s in FLEETS:
         for delay_s in (0.005, 0.05, 0.5):
-            fleet = LedgerFleet(CELL_SIZE, delay_s, append_writers=cells)
+            fleet = LedgerFleet(size, delay_s, ledger_streams=streams)
             fleet.run(WARM_S)
             fleet.appends = 0
-            fleet.load(claims_per_s / cells, LOAD_S, SEED)
-            fleet.run(LOAD_S)
-            appends = fleet.appends / LOAD_S * cells
-            fleet.run(10.0)
+            fleet.busy_s = 0.0
+            fleet.busy_by_s.clear()
+            fleet.load(claims_per_s, FLEET_LOAD_S, SEED)
+            fleet.run(FLEET_LOAD_S)
+            appends = fleet.appends / FLEET_LOAD_S
+            core = fleet.busy_s / FLEET_LOAD_S / size
+            busiest = max(fleet.busy_by_s.values()) / FLEET_LOAD_S
+            fleet.run(5.0)
             latency = [at - fleet.asked[i] for i, at in fleet.decided.items()]
             print(
-                f"{CELL_SIZE * cells:7d}  {cells:5d}  {claims_per_s:8d}"
-                f"  {delay_s * 1e3:8.0f}  {appends:9.1f}"
-                f"  {pick(latency, 0.5) * 1e3:6.0f}  {pick(latency, 0.95) * 1e3:6.0f}",
+                f"{size:7d}  {streams:7d}  {claims_per_s:8d}  {delay_s * 1e3:8.0f}"
+                f"  {appends:9.1f}  {pick(latency, 0.5) * 1e3:6.0f}"
+                f"  {pick(latency, 0.95) * 1e3:6.0f}  {core * 100:11.2f}"
+                f"  {busiest * 100:14.2f}",
                 flush=True,
             )
 
--- a/bench/ledger_model.py
+++ b/bench/ledger_model.py
@@ -64,6 +64,7 @@
         self.cut = set()
         self.appends = 0
         self.busy_s = 0.0
+        self.busy_by_s = {}
         self.asked = {}
         self.decided = {}
         self.refused = {}
@@ -152,7 +153,9 @@
             return
         start = perf_counter()
         actions = self._kernels[name].handle(event, self.now)
-        self.busy_s += perf_counter() - start
+        spent_s = perf_counter() - start
+        self.busy_s += spent_s
+        self.busy_by_s[name] = self.busy_by_s.get(name, 0.0) + spent_s
         for action in actions:
             self._carry_out(name, action)
 
--- a/firworks/kernel/appends.py
+++ b/firworks/kernel/appends.py
@@ -6,15 +6,14 @@
 BUDGET_SHARE = 0.8  # of the fleet's budget; configuration and orders take the rest
 
 
-def compute_interval_s(budget_per_s, streams, writers=1):
-    """Return the least time between two appends of one writer to one stream.
+def compute_interval_s(budget_per_s, streams):
+    """Return the least time between two appends to one stream by its usual writer.
 
     Args:
         budget_per_s (float): Appends a second that the whole fleet may make.
         streams (int): Streams that share the budget.
-        writers (int): Daemons that usually write each stream.
     """
-    return streams * writers / (budget_per_s * BUDGET_SHARE)
+    return streams / (budget_per_s * BUDGET_SHARE)
 
 
 class Appender:
--- a/firworks/kernel/deferred.py
+++ b/firworks/kernel/deferred.py
@@ -72,7 +72,7 @@
 
     Args:
         settings (Settings): Uses name, ledger_streams, append_budget_per_s,
-            append_writers, dedupe_window_s and log_retention_s.
+            dedupe_window_s and log_retention_s.
     """
 
     def __init__(self, settings):
@@ -82,7 +82,6 @@
         self._interval_s = compute_interval_s(
             settings.append_budget_per_s,
             settings.ledger_streams + 1,
-            settings.append_writers,
         )
         self._choice = WriterChoice(settings.name)
         self._outbox = Outbox(self._choice)
@@ -105,6 +104,8 @@
 
     def handle(self, event, now):
         """Take one event; see `Part.handle`."""
+        if type(event) not in HANDLED_EVENTS:
+            return []
         results = self._take(event, now)
         return results + self._settle(now)
 
@@ -353,3 +354,6 @@
         for assigner, request_ids in runs.items():
             results += self._tell(assigner, DeferredBeat(tuple(request_ids)), now)
         return results
+
+
+HANDLED_EVENTS = frozenset(Deferred.__dict__["_take"].dispatcher.registry) - {object}
--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -58,7 +58,7 @@
 
     Args:
         settings (Settings): Uses name, ledger_streams, ledger_memory_limit_bytes,
-            append_budget_per_s, append_writers, dedupe_window_s and clock_skew_s.
+            append_budget_per_s, dedupe_window_s and clock_skew_s.
         relay (bool): Whether records may go through peers that are not the usual
             writer.
         standbys (int): Daemons next in line that follow each stream as well.
@@ -74,7 +74,6 @@
         self._interval_s = compute_interval_s(
             settings.append_budget_per_s,
             settings.ledger_streams + SHARED_STREAMS,
-            settings.append_writers,
         )
         self._choice = WriterChoice(settings.name, relay)
         self._outbox = Outbox(self._choice)
@@ -114,6 +113,8 @@
 
     def handle(self, event, now):
         """Take one event; see `Part.handle`."""
+        if type(event) not in HANDLED_EVENTS:
+            return []
         results = self._take(event, now)
         return results + self._settle(now)
 
@@ -193,12 +194,14 @@
     @_take.register
     def _(self, event: LookupRequested, now):
         stream = self._open_stream(self.name_stream(event.key), now)
+        stream.refresh()
         self._lookups.ask(event, stream.stream, now)
         return []
 
     @_take.register
     def _(self, event: ResolutionRequested, now):
         stream = self._open_stream(self.name_stream(event.key), now)
+        stream.refresh()
         self._lookups.resolve(event, stream.stream, now, self._find_wall(now))
         return []
 
@@ -318,3 +321,6 @@
         for name, stream in list(self._streams.items()):
             if stream.idle and now > stream.used_s + IDLE_S:
                 del self._streams[name]
+
+
+HANDLED_EVENTS = frozenset(Ledger.__dict__["_take"].dispatcher.registry) - {object}
--- a/firworks/kernel/ledger_stream.py
+++ b/firworks/kernel/ledger_stream.py
@@ -23,6 +23,7 @@
 )
 
 POLL_INTERVAL_S = 0.5
+IDLE_POLL_INTERVAL_S = 2.0
 STALL_S = 0.5
 WAIT_TTL_S = 20.0
 SWEEP_INTERVAL_S = 1.0
@@ -124,6 +125,8 @@
         if now >= self._sweep_s:
             self._sweep_s = now + SWEEP_INTERVAL_S
             self._drop_stale(now)
+        idle_s = IDLE_POLL_INTERVAL_S
+        self._reader.poll_interval_s = POLL_INTERVAL_S if self._waiters else idle_s
         return self._appender.poll(now) + self._reader.poll(now)
 
     @singledispatchmethod
--- a/firworks/kernel/log_reader.py
+++ b/firworks/kernel/log_reader.py
@@ -13,6 +13,7 @@
         poll_interval_s (float): How often the head is checked for new entries.
 
     Attributes:
+        poll_interval_s (float): May be changed at any time.
         next_offset (int or None): Everything retained before it was read.
         caught_up (bool): The head has been reached at least once.
         restarted (bool): The last `take` lost its place; what was read is void.
@@ -23,7 +24,7 @@
         self.caught_up = False
         self.restarted = False
         self._stream = stream
-        self._poll_interval_s = poll_interval_s
+        self.poll_interval_s = poll_interval_s
         self._due_s = 0.0
         self._asked_s = None
 
@@ -38,14 +39,14 @@
         if now < self._due_s:
             return []
         self._asked_s = now
-        self._due_s = now + self._poll_interval_s
+        self._due_s = now + self.poll_interval_s
         return [ReadLog(self._stream, self.next_offset)]
 
     def fail(self, event, now):
         """Take a `LogReadFailed`; the next read waits one interval."""
         if event.asked == self.next_offset:
             self._asked_s = None
-            self._due_s = now + self._poll_interval_s
+            self._due_s = now + self.poll_interval_s
 
     def take(self, event):
         """Take a `LogRead` and return the entries that follow without a gap.
