--- a/firworks/standins/engine.py
+++ b/firworks/standins/engine.py
@@ -78,7 +78,7 @@
         if self.faults.take("stall"):
             await wait_for_ever()
         await self._delay(response)
-        self.cache.hold(hash_prefix(body["model"], body["prompt"]))
+        self.cache.hold(hash_prefix(body.get("model", ""), body["prompt"]))
         start = len(body.get("resume", []))
         gap_at = self.faults.take_value("gap_at")
         cut_after = self.faults.take_value("cut_after") or self.tokens + 1
