--- a/firworks/document.py
+++ b/firworks/document.py
@@ -83,6 +83,17 @@
         "price_per_second": {"type": "number", "minimum": 0},
         "checks_fencing": {"type": "boolean"},
         "models": {"type": "array", "items": {"type": "string"}},
+        "versions": {
+            "type": "object",
+            "additionalProperties": {"type": "string", "minLength": 1},
+        },
+        "adapters": {
+            "type": "array",
+            "items": {"type": "string", "pattern": "^[^/]+/[^/]+$"},
+            "uniqueItems": True,
+        },
+        "role": {"enum": ["", "mixed", "prefill", "decode"]},
+        "manage_models": {"type": "boolean"},
         "routing": _NAME,
         "queue": {"enum": ["fair", "fifo"]},
         "ejection_share": {"type": "number", "minimum": 0, "maximum": 0.5},
@@ -113,6 +124,10 @@
         "pipelines": _named(_PIPELINE, MAX_PIPELINES),
         "pools": _named(_POOL, MAX_POOLS),
         "accounts": _named(_ACCOUNT, MAX_ACCOUNTS),
+        "weight_store": _table(
+            {"concurrent_loads": {"type": "integer", "minimum": 1}},
+            ("concurrent_loads",),
+        ),
     },
     ("format", "pipelines", "pools", "accounts"),
 )
@@ -174,6 +189,10 @@
         price_per_second (float): Cost of one second of one request's run.
         checks_fencing (bool): Its engines refuse orders with an old fencing number.
         models (tuple of str): Models that its engines should serve.
+        versions (dict of str to str): Version of a model, where one is wanted.
+        adapters (tuple of str): Adapters to load, as "model/adapter".
+        role (str): Role that its engines should have; "" leaves it as it is.
+        manage_models (bool): Whether the system orders its engines to that state.
         routing (str): Name of the routing policy.
         queue (str): "fair" (earliest deadline in fair shares by client account,
             early refusal) or "fifo".
@@ -192,6 +211,10 @@
         "price_per_second",
         "checks_fencing",
         "models",
+        "versions",
+        "adapters",
+        "role",
+        "manage_models",
         "routing",
         "queue",
         "ejection_share",
@@ -204,6 +227,10 @@
         "price_per_second": 0.0,
         "checks_fencing": False,
         "models": (),
+        "versions": {},
+        "adapters": (),
+        "role": "",
+        "manage_models": False,
         "routing": "adaptive",
         "queue": "fair",
         "ejection_share": 0.4,
@@ -235,15 +262,25 @@
         pipelines (dict of str to Pipeline): By name.
         pools (dict of str to Pool): By name.
         accounts (dict of str to Account): By name.
+        concurrent_loads (int): Loads from the weight store that the fleet runs at
+            once.
     """
 
-    __slots__ = ("digest", "pipelines", "pools", "accounts", "_by_token")
+    __slots__ = (
+        "digest",
+        "pipelines",
+        "pools",
+        "accounts",
+        "concurrent_loads",
+        "_by_token",
+    )
 
-    def __init__(self, digest, pipelines, pools, accounts):
+    def __init__(self, digest, pipelines, pools, accounts, concurrent_loads=1):
         self.digest = digest
         self.pipelines = pipelines
         self.pools = pools
         self.accounts = accounts
+        self.concurrent_loads = concurrent_loads
         self._by_token = {
             token: account
             for account in accounts.values()
@@ -292,7 +329,8 @@
     accounts = {
         name: _make(Account, name, item) for name, item in table["accounts"].items()
     }
-    document = Document(digest, pipelines, pools, accounts)
+    loads = table.get("weight_store", {}).get("concurrent_loads", 1)
+    document = Document(digest, pipelines, pools, accounts, loads)
     check_references(document, source)
     return document
 
--- a/firworks/document_references.py
+++ b/firworks/document_references.py
@@ -29,13 +29,27 @@
 
 def _check_pool(pool, source):
     if pool.kind == KIND_ENGINE:
+        _check_placement(pool, source)
         return
-    for name in ("models", "checks_fencing"):
+    engine_keys = ("models", "checks_fencing", "versions", "adapters", "role")
+    for name in (*engine_keys, "manage_models"):
         if getattr(pool, name):
             problem = f"{getattr(pool, name)!r}; allowed: only in pools of kind engine"
             raise SettingsError(source, f"pools.{pool.name}.{name}", problem)
 
 
+def _check_placement(pool, source):
+    """Refuse versions and adapters of models that the pool does not serve."""
+    used = {"versions": sorted(pool.versions)}
+    used["adapters"] = [adapter.split("/")[0] for adapter in pool.adapters]
+    for name, models in used.items():
+        for model in models:
+            if model not in pool.models:
+                allowed = ", ".join(pool.models) or "none"
+                problem = f"no model {model!r}; allowed: {allowed}"
+                raise SettingsError(source, f"pools.{pool.name}.{name}", problem)
+
+
 def _check_targets(document, source):
     """Refuse a target that two pools use in different ways."""
     users = {}
@@ -46,6 +60,11 @@
                 problem = f"{target!r} is of kind {user.kind!r} in pool {user.name!r}"
                 path = f"pools.{pool.name}.targets"
                 raise SettingsError(source, path, f"{problem}; allowed: one kind")
+            if user is not pool and (user.manage_models or pool.manage_models):
+                problem = f"{target!r} is also in pool {user.name!r}"
+                path = f"pools.{pool.name}.targets"
+                allowed = "one pool, where models are managed"
+                raise SettingsError(source, path, f"{problem}; allowed: {allowed}")
 
 
 def _check_pipeline(pipeline, pools, source):
--- a/firworks/events.py
+++ b/firworks/events.py
@@ -49,6 +49,9 @@
     REQUEST_SUSPECTED = 608
     REQUEST_QUARANTINED = 609
 
+    TERM_GRANTED = 800
+    ORDER_STALE = 801
+
 
 # Levels of events that are not informational.
 LEVELS = {
@@ -71,6 +74,7 @@
     LogEvent.PEER_SECRET_EMPTY: "WARNING",
     LogEvent.PEER_SILENT: "WARNING",
     LogEvent.REQUEST_QUARANTINED: "WARNING",
+    LogEvent.ORDER_STALE: "WARNING",
 }
 
 
