--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -57,13 +57,12 @@
 
     Args:
         settings (Settings): Uses name, ledger_streams, ledger_memory_limit_bytes,
-            append_budget_per_s, dedupe_window_s and clock_skew_s.
-        writers (int): Daemons that usually write each stream.
+            append_budget_per_s, append_writers, dedupe_window_s and clock_skew_s.
         relay (bool): Whether records may go through peers that are not the usual
             writer.
     """
 
-    def __init__(self, settings, writers=1, relay=True):
+    def __init__(self, settings, relay=True):
         self._name = settings.name
         self._streams_count = settings.ledger_streams
         self._limit_bytes = settings.ledger_memory_limit_bytes
@@ -72,7 +71,7 @@
         self._interval_s = compute_interval_s(
             settings.append_budget_per_s,
             settings.ledger_streams + SHARED_STREAMS,
-            writers,
+            settings.append_writers,
         )
         self._choice = WriterChoice(settings.name, relay)
         self._outbox = Outbox(self._choice)
@@ -121,6 +120,8 @@
         self._wall_s = event.wall_s
         self._ticked_s = now
         self._outbox.wake()
+        for stream in self._streams.values():
+            stream.state.wall_s = event.wall_s
         if self._started_s is None:
             self._started_s = now
         self._drop_idle_streams(now)
@@ -287,11 +288,12 @@
             self._streams[name] = LedgerStream(
                 name, self._make_state, self._interval_s, self._is_full
             )
+            self._streams[name].state.wall_s = self._wall_s or 0.0
         self._streams[name].used_s = now
         return self._streams[name]
 
     def _make_state(self):
-        return LedgerState(self._window_s, self._skew_s)
+        return LedgerState(self._window_s, self._skew_s, self._choice.is_gone)
 
     def _warm_streams(self, now):
         """Follow the streams that this daemon usually writes."""
--- a/firworks/kernel/ledger_stream.py
+++ b/firworks/kernel/ledger_stream.py
@@ -25,6 +25,7 @@
 POLL_INTERVAL_S = 0.5
 STALL_S = 0.5
 WAIT_TTL_S = 20.0
+SWEEP_INTERVAL_S = 1.0
 OWNER = "ledger"
 
 
@@ -77,6 +78,7 @@
         self._reader = StreamReader(stream, POLL_INTERVAL_S)
         self._waiters = {}
         self._stalled_until_s = 0.0
+        self._sweep_s = 0.0
 
     @property
     def idle(self):
@@ -88,6 +90,10 @@
         """Whether the stream has been read to its head at least once."""
         return self._reader.caught_up
 
+    def refresh(self):
+        """Read again as soon as possible."""
+        self._reader.hasten()
+
     def submit(self, record, origin, now):
         """Take a record to append.
 
@@ -115,8 +121,9 @@
 
     def poll(self, now):
         """Return the log actions to take now."""
-        for name in [n for n, w in self._waiters.items() if self._is_stale(w, now)]:
-            del self._waiters[name]
+        if now >= self._sweep_s:
+            self._sweep_s = now + SWEEP_INTERVAL_S
+            self._drop_stale(now)
         return self._appender.poll(now) + self._reader.poll(now)
 
     @singledispatchmethod
@@ -130,15 +137,12 @@
 
     @take.register
     def _(self, event: RecordsAppended, now):
-        replies = []
         for record in self._finish(event):
-            name = name_record(record)
-            if not isinstance(record, ClaimRecord):
-                replies += self._settle(name)
-            elif name in self._waiters:
-                self._waiters[name].landed = event.offset
+            waiter = self._waiters.get(name_record(record))
+            if waiter is not None:
+                waiter.landed = event.offset
         self._reader.hasten()
-        return replies
+        return []
 
     @take.register
     def _(self, event: AppendFailed, now):
@@ -187,11 +191,13 @@
         return [Reply(origin, LedgerStalled(self.stream)) for origin in origins]
 
     def _advance(self, name, waiter):
+        """Do what a waiting record needs next; return what can be said."""
         if isinstance(waiter.record, ClaimRecord):
             return self._advance_claim(name, waiter)
         if isinstance(waiter.record, ResolutionRecord) and not self.caught_up:
             return []
-        if self.state.reflects(waiter.record):
+        was_read = 0 <= waiter.landed < self._position()
+        if was_read or self.state.reflects(waiter.record):
             return self._settle(name)
         self._queue(waiter)
         return []
@@ -230,5 +236,7 @@
             return []
         return [Reply(origin, LedgerStored(name)) for origin in waiter.origins]
 
-    def _is_stale(self, waiter, now):
-        return not waiter.queued and now > waiter.renewed_s + WAIT_TTL_S
+    def _drop_stale(self, now):
+        for name, waiter in list(self._waiters.items()):
+            if not waiter.queued and now > waiter.renewed_s + WAIT_TTL_S:
+                del self._waiters[name]
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -125,10 +125,12 @@
     @handle.register
     def _(self, event: CallPart, now):
         placed = self._placed.get(event.call_id)
-        if placed is not None:
-            placed.streaming = True
-            placed.progress_s = now
-            placed.target.health.answered_s = now
+        if placed is None:
+            return []
+        pace = placed.record_part(len(event.tokens), now)
+        pool = self._pools.get(placed.call.pool)
+        if pace and pool is not None:
+            pool.health.record_pace(placed.target.health, pace, now)
         return []
 
     @handle.register
@@ -354,7 +356,8 @@
 
     def _place(self, pool, entry, target, now):
         call = entry.call
-        placed = PlacedCall(call, target, entry.due_s, now)
+        crowding = max(1.0, (pool.load(target, now) + 1) / target.capacity)
+        placed = PlacedCall(call, target, entry.due_s, crowding, now)
         self._placed[call.call_id] = placed
         target.calls[call.call_id] = placed
         pool.in_flight += 1
@@ -419,7 +422,8 @@
     """Count a call's end for latency, health and learned concurrency."""
     target = placed.target
     call = placed.call
-    ratio = ended.latency_s / pool.typical(call) if pool.knows(call) else 1.0
+    usual = pool.typical(call) * placed.crowding
+    ratio = ended.latency_s / usual if pool.knows(call) else 1.0
     if ended.result == RESULT_OK:
         pool.observe(call, ended.latency_s, ended.first_token_s)
         load = pool.load(target, now) + 1
