--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -12,6 +12,7 @@
 from firworks.kernel.membership import Membership
 from firworks.kernel.node import Kernel
 from firworks.kernel.operators import Operators
+from firworks.kernel.orders import Orders
 from firworks.kernel.quarantine import Quarantine
 from firworks.kernel.reports import Reports
 from firworks.kernel.requests import Requests
@@ -20,6 +21,7 @@
 BUILTIN_PLUGINS = (
     "firworks.plugins.http_callers",
     "firworks.plugins.http_engines",
+    "firworks.plugins.http_orders",
     "firworks.plugins.http_services",
     "firworks.plugins.http_vms",
     "firworks.plugins.log_driver",
@@ -103,6 +105,7 @@
         deferred,
         scheduler,
         Reports(scheduler, make_random("reports")),
+        Orders(settings, incarnation, make_random("orders")),
         Operators(),
         requests,
     ]
--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -33,7 +33,7 @@
 TICK_INTERVAL_S = 0.05
 DRAIN_POLL_S = 0.02
 FAREWELL_S = 0.2
-ADAPTER_KINDS = ("log", "vms", "peers", "targets", "callers")
+ADAPTER_KINDS = ("log", "vms", "peers", "targets", "orders", "callers")
 
 
 class Daemon:
--- a/firworks/events.py
+++ b/firworks/events.py
@@ -51,6 +51,7 @@
 
     TERM_GRANTED = 800
     ORDER_STALE = 801
+    STATE_UNREADABLE = 802
 
 
 # Levels of events that are not informational.
@@ -75,6 +76,7 @@
     LogEvent.PEER_SILENT: "WARNING",
     LogEvent.REQUEST_QUARANTINED: "WARNING",
     LogEvent.ORDER_STALE: "WARNING",
+    LogEvent.STATE_UNREADABLE: "WARNING",
 }
 
 
--- a/firworks/kernel/registry.py
+++ b/firworks/kernel/registry.py
@@ -5,7 +5,7 @@
 
 ENTRY_POINT_GROUP = "firworks.plugins"
 
-KINDS = ("callers", "targets", "log", "vms", "peers", "routing")
+KINDS = ("callers", "targets", "orders", "log", "vms", "peers", "routing")
 
 
 class Registry:
--- /dev/null
+++ b/firworks/plugins/http_orders.py
@@ -0,0 +1,131 @@
+"""Adapter that inspects model engines and gives them orders over HTTP."""
+
+import asyncio
+
+import aiohttp
+
+from firworks.adapter import Adapter
+from firworks.events import LogEvent, log_event
+from firworks.kernel.orders_records import (
+    ORDER_ACCEPTED,
+    ORDER_EXPIRED,
+    ORDER_FAILED,
+    ORDER_STALE,
+    EngineShown,
+    EngineState,
+    InspectEngine,
+    OrderAnswered,
+    OrderEngine,
+)
+
+INSPECT_TIMEOUT_S = 2.0
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+_FAILURES = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
+
+
+class HttpOrders(Adapter):
+    """Sends each inspection and order on a connection of its own."""
+
+    ACTIONS = (InspectEngine, OrderEngine)
+
+    def __init__(self, context):
+        super().__init__(context)
+        self._tasks = set()
+
+    async def stop(self):
+        """Withdraw what is in progress."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def carry_out(self, action):
+        """Begin an inspection or an order."""
+        address = self.context.addresses.find(action.target)
+        if isinstance(action, InspectEngine):
+            work = self._inspect(action, address)
+        else:
+            work = self._order(action, address)
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _inspect(self, action, address):
+        if address is None:
+            return
+        try:
+            async with _open(INSPECT_TIMEOUT_S) as session:
+                async with session.get(f"http://{address}/state") as response:
+                    response.raise_for_status()
+                    event = _read_state(action.target, await response.json())
+        except _FAILURES as error:
+            log_event(
+                LogEvent.STATE_UNREADABLE, target=action.target, error=repr(error)
+            )
+            return
+        self.context.feed(event)
+
+    async def _order(self, action, address):
+        result = await self._send(action, address)
+        self.context.feed(OrderAnswered(action.order_id, action.target, result))
+
+    async def _send(self, action, address):
+        if address is None or self.context.clock() > action.send_before_s:
+            return ORDER_EXPIRED
+        try:
+            async with _open(action.timeout_s) as session:
+                url = f"http://{address}/order"
+                async with session.post(url, json=_make_body(action)) as response:
+                    status = response.status
+        except _FAILURES:
+            return ORDER_FAILED
+        if status == HTTP_CONFLICT:
+            return ORDER_STALE
+        return ORDER_ACCEPTED if status == HTTP_OK else ORDER_FAILED
+
+
+def _open(timeout_s):
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    connector = aiohttp.TCPConnector(force_close=True)
+    return aiohttp.ClientSession(timeout=timeout, connector=connector)
+
+
+def _make_body(action):
+    wanted = action.wanted
+    return {
+        "order": action.order_id,
+        "fencing": action.fencing,
+        "models": list(wanted.models),
+        "adapters": list(wanted.adapters),
+        "role": wanted.role,
+    }
+
+
+def _read_state(target, table):
+    """Return the `EngineShown` held in an engine's JSON value.
+
+    Raises:
+        ValueError: When the value is not a state.
+    """
+    if not isinstance(table, dict):
+        raise ValueError("a state must be an object")
+    models = _read_names(table, "models")
+    adapters = _read_names(table, "adapters")
+    role = table.get("role", "")
+    if not isinstance(role, str):
+        raise ValueError("role must be a text")
+    state = EngineState(models, adapters, role)
+    return EngineShown(target, state, table.get("loading") is True)
+
+
+def _read_names(table, name):
+    names = table.get(name, [])
+    if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
+        raise ValueError(f"{name} must be an array of texts")
+    return tuple(sorted(names))
+
+
+def register(registry):
+    """Register the adapter."""
+    registry.add("orders", "http", HttpOrders)
--- a/firworks/standins/engine.py
+++ b/firworks/standins/engine.py
@@ -8,6 +8,7 @@
 from xxhash import xxh3_64_intdigest
 
 from firworks.kernel.prompts import hash_prefix
+from firworks.standins.engine_orders import EngineOrders
 from firworks.standins.web import TargetFaults, WebStandin, wait_for_ever
 
 IDENTITY_HEADER = "Firworks-Call"
@@ -30,6 +31,7 @@
         faults (TargetFaults): Faults to show.
         runs (list of str): Identity of each call begun.
         cancelled (list of str): Identity of each call whose caller went away.
+        orders (EngineOrders): Takes orders to load models.
     """
 
     def __init__(self, name, port=0, tokens=24, interval_s=0.0):
@@ -42,12 +44,14 @@
         self.cancelled = []
         self.running = 0
         self.cache = BlockCache()
+        self.orders = EngineOrders()
 
     def make_routes(self):
         """Return the routes."""
         return [
             get("/load", self._get_load),
             post("/v1/generate", self._post_generate),
+            *self.orders.make_routes(),
         ]
 
     async def _get_load(self, request):
