Encode a fact once for all neighbours; spread no news of undisturbed starts

Cause: each fact was encoded for each neighbour, and the introductions of a whole fleet's start starved other topics for tens of seconds at 330 daemons. Change: facts travel as bytes, encoded when first sent; a receiver skips a fact that it does not understand and keeps the connection; starts that follow no death are told to neighbours only.

--- a/bench/fleet_load.py
+++ b/bench/fleet_load.py
@@ -8,8 +8,10 @@
 
 SIZES = ((6, 1), (12, 1), (18, 1), (36, 1), (90, 2), (180, 2), (330, 2))
 MEASURED_S = 10
-TARGETS = {6: 17, 12: 17, 18: 17}
-CELL_TARGETS = 35
+POOLS = 5
+TARGETS = 4
+CELL_TARGETS = 7
+LOAD_PERIOD_S = 0.5
 ACCOUNTS = {6: 5, 12: 5, 18: 5}
 MANY_ACCOUNTS = 1_300
 
@@ -21,8 +23,8 @@
         fleet (TimedFleet): Settled.
         size (int): Daemons.
         accounts (int): Client accounts.
-        busy (bool): Every daemon states its load each second, and a hundredth of
-            the accounts asks for more than its share at each daemon.
+        busy (bool): Every daemon states its load on 5 pools twice a second, and a
+            hundredth of the accounts asks for more than its share there.
 
     Returns:
         tuple of float: Messages and wire bytes a second, sent and received; share
@@ -31,9 +33,12 @@
     messages, payload = fleet.count_sent()
     fleet.busy_s = 0.0
     for _ in range(MEASURED_S):
+        for _ in range(int(1.0 / LOAD_PERIOD_S)):
+            if busy:
+                fleet.state_loads(POOLS, TARGETS if size <= 18 else CELL_TARGETS)
+            fleet.run(LOAD_PERIOD_S)
         if busy:
-            _act(fleet, size, accounts)
-        fleet.run(1.0)
+            _use_accounts(fleet, size, accounts)
     sent, data = fleet.count_sent()
     scale = 1.0 / size / MEASURED_S
     rate = 2 * (sent - messages) * scale
@@ -41,8 +46,7 @@
     return rate, wire, 100 * fleet.busy_s * scale, fleet.memory_bytes / 1024
 
 
-def _act(fleet, size, accounts):
-    fleet.state_loads(TARGETS.get(size, CELL_TARGETS))
+def _use_accounts(fleet, size, accounts):
     names = sorted(fleet.daemons)
     for index, name in enumerate(names):
         limits = fleet.daemons[name].parts[3]
--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -81,11 +81,12 @@
         messages = sum(daemon.sent_messages for daemon in daemons)
         return messages, sum(daemon.sent_bytes for daemon in daemons)
 
-    def state_loads(self, targets):
-        """Let each daemon state its load on some targets once."""
+    def state_loads(self, pools, targets):
+        """Let each daemon state its load on the targets of some pools once."""
         load = PoolLoad(7, tuple(range(targets)), (1,) * targets, ())
         for name in list(self.daemons):
-            self.feed(name, FactChanged(TOPIC_LOAD, "pool", load, 5.0))
+            for pool in range(pools):
+                self.feed(name, FactChanged(TOPIC_LOAD, f"pool-{pool}", load, 5.0))
 
 
 def _read_memory():
--- a/firworks/kernel/codec.py
+++ b/firworks/kernel/codec.py
@@ -7,6 +7,8 @@
 
 MAX_DEPTH = 12
 
+_PLAIN_TYPES = (int, str, bytes, bool)
+
 _RECORDS = {}
 
 
@@ -86,4 +88,6 @@
     """Check a field whose type is ``(item_type,)``: a sequence of that type."""
     if not isinstance(value, list):
         raise CodecError(f"{where} must be an array")
+    if kind[0] in _PLAIN_TYPES and set(map(type, value)) <= {kind[0]}:
+        return tuple(value)
     return tuple(_check(item, kind[0], where, depth + 1) for item in value)
--- a/firworks/kernel/digests.py
+++ b/firworks/kernel/digests.py
@@ -93,7 +93,8 @@
         courtesy (bool): The sender only returns the receiver's digests.
         table (int): Hash of the sender's fleet-wide facts.
         introductions (tuple of Introduction): The sender's, or nothing.
-        facts (tuple of Fact): News.
+        facts (tuple of bytes): News, each an encoded `Fact`; a receiver skips what it
+            does not understand.
     """
 
     __slots__ = (
@@ -111,7 +112,7 @@
         "introductions",
         "facts",
     )
-    TYPES = (*[int] * 9, bool, int, (Introduction,), (Fact,))
+    TYPES = (*[int] * 9, bool, int, (Introduction,), (bytes,))
 
 
 @register_record
--- a/firworks/kernel/dissemination.py
+++ b/firworks/kernel/dissemination.py
@@ -9,6 +9,8 @@
 
 from functools import singledispatchmethod
 
+from firworks.errors import CodecError
+from firworks.kernel.codec import decode_record
 from firworks.kernel.digests import (
     TOPIC_MEMBER,
     Digest,
@@ -57,6 +59,7 @@
     def __init__(self, name, membership, budget_bytes_per_s=BUDGET_BYTES_PER_S):
         self.name = name
         self.table = FactTable()
+        self.skipped_facts = 0
         self._membership = membership
         self._budget_bytes_per_s = budget_bytes_per_s
         self._tokens = budget_bytes_per_s
@@ -133,25 +136,39 @@
         if not isinstance(event.message, Digest):
             return []
         results = []
-        for fact in event.message.facts:
-            results += self._take_fact(fact, event.peer, now)
+        for data in event.message.facts:
+            results += self._take_fact(data, event.peer, now)
         results += self._compare(event.peer, event.message.table, now)
         if event.message.facts or self._membership.urgent:
             results += self._flush(now)
         return results
 
-    def _take_fact(self, fact, peer, now):
+    def _take_fact(self, data, peer, now):
+        fact = self._decode(data)
+        if fact is None:
+            return []
         stored = self.table.find(fact.identity)
         if stored is not None and stored.fact.version <= fact.version:
             self._outboxes.discard(peer, fact.identity)
         if fact.origin == self.name and fact.topic != TOPIC_MEMBER:
             return self._take_echo(fact, now)
-        if self.table.store(fact, now) is None:
+        if self.table.store(fact, now, data) is None:
             return []
         if is_shared(fact.topic):
             self._relay(fact, peer, now)
         return [FactLearned(fact.topic, fact.key, fact.value, fact.origin)]
 
+    def _decode(self, data):
+        """Return the `Fact` in some bytes, or None when they hold no known one."""
+        try:
+            fact = decode_record(data)
+        except CodecError:
+            fact = None
+        if isinstance(fact, Fact):
+            return fact
+        self.skipped_facts += 1
+        return None
+
     def _take_echo(self, fact, now):
         """Take back what this daemon stated, perhaps before it restarted."""
         self._epoch = max(self._epoch, fact.epoch)
@@ -236,7 +253,7 @@
         due = []
         for peer in self._membership.list_neighbours():
             hurried = self._tokens > HURRY_RESERVE_S * self._budget_bytes_per_s
-            hurried = hurried and self._outboxes.is_hurried(peer, URGENT_PRIORITY)
+            hurried = hurried and self._outboxes.is_hurried(peer)
             period_s = URGENT_GAP_S if hurried else PERIOD_S
             if peer in urgent or self._membership.is_due(peer, period_s, now):
                 due.append(peer)
@@ -253,8 +270,8 @@
             if self._tokens <= 0:
                 self._outboxes.deferred += 1
                 continue
-            self._tokens -= entry.size_bytes
+            data = entry.encode(now)
+            self._tokens -= len(data)
             self._outboxes.take(peer, identity, now)
-            ttl_s = round(entry.expires_s - now, 1)
-            batches[peer].append(entry.fact.replace(ttl_s=ttl_s))
+            batches[peer].append(data)
         return batches
--- a/firworks/kernel/fact_table.py
+++ b/firworks/kernel/fact_table.py
@@ -7,6 +7,7 @@
 
 TABLE_LIMIT = 4_096
 TTL_LIMIT_S = 86_400.0
+ENCODED_LIMIT_S = 1.0
 
 
 class FactEntry:
@@ -14,21 +15,32 @@
 
     Attributes:
         fact (Fact): The newest of its identity.
-        size_bytes (int): Its size on the wire.
+        data (bytes): It as it travels, with the lifetime left at `encoded_s`; empty
+            until it is sent.
+        encoded_s (float): When `data` was made or received.
         stored_s (float): When it was stored.
         expires_s (float): When it is forgotten.
         mark (int): Its part of the table's hash; 0 when it is not fleet-wide.
     """
 
-    __slots__ = ("fact", "size_bytes", "stored_s", "expires_s", "mark")
+    __slots__ = ("fact", "data", "encoded_s", "stored_s", "expires_s", "mark")
 
-    def __init__(self, fact, now):
+    def __init__(self, fact, now, data):
         self.fact = fact
-        self.size_bytes = len(encode_record(fact))
+        self.data = data
+        self.encoded_s = now if data else float("-inf")
         self.stored_s = now
         self.expires_s = now + min(fact.ttl_s, TTL_LIMIT_S)
         self.mark = _hash_fact(fact) if is_shared(fact.topic) else 0
 
+    def encode(self, now):
+        """Return the fact's bytes with the lifetime that is left."""
+        if now - self.encoded_s > ENCODED_LIMIT_S:
+            ttl_s = round(self.expires_s - now, 1)
+            self.data = encode_record(self.fact.replace(ttl_s=ttl_s))
+            self.encoded_s = now
+        return self.data
+
 
 class FactTable:
     """Newest fact by identity; the least urgent give way when it is full.
@@ -50,8 +62,14 @@
         """Return the `FactEntry` of an identity, or None."""
         return self._entries.get(identity)
 
-    def store(self, fact, now):
-        """Store a fact if it is newer; returns its entry, or None when it is not."""
+    def store(self, fact, now, data=b""):
+        """Store a fact if it is newer; returns its entry, or None when it is not.
+
+        Args:
+            fact (Fact): The fact.
+            now (float): Monotonic time in seconds.
+            data (bytes): Its encoding, when that is at hand.
+        """
         old = self._entries.get(fact.identity)
         if not fact.ttl_s > 0:  # also refuses a NaN
             return None
@@ -59,7 +77,7 @@
             return None
         if old is None and len(self._entries) >= self._limit and not self._evict(fact):
             return None
-        entry = FactEntry(fact, now)
+        entry = FactEntry(fact, now, data)
         self._entries[fact.identity] = entry
         self.digest ^= entry.mark ^ (old.mark if old else 0)
         return entry
--- a/firworks/kernel/membership.py
+++ b/firworks/kernel/membership.py
@@ -18,6 +18,7 @@
     RANK_DEAD,
     RANK_DRAINED,
     RANK_LEAVING,
+    RANK_SUSPECT,
     TOPIC_MEMBER,
     Digest,
     FactStated,
@@ -142,7 +143,7 @@
         Args:
             name (str): The neighbour.
             table (int): Hash of the fleet-wide facts.
-            facts (tuple of Fact): What goes along.
+            facts (tuple of bytes): Encoded facts that go along.
             now (float): Monotonic time in seconds.
         """
         member = self._members[name]
@@ -271,8 +272,10 @@
             return []
         if not digest.introductions:
             return []
+        # Others need no news of a start that followed no end.
+        spread = member.rank >= RANK_SUSPECT
         member.begin_epoch(digest.epoch, digest.introductions[0], now)
-        return [*self._report(member), *self._neighbours.dial()]
+        return [*self._report(member, spread), *self._neighbours.dial()]
 
     def _take_opinion(self, member, digest):
         """Answer what a neighbour believes about this daemon."""
--- a/firworks/kernel/outboxes.py
+++ b/firworks/kernel/outboxes.py
@@ -1,6 +1,6 @@
 """What waits to be told to each neighbour."""
 
-from firworks.kernel.topics import find_priority
+from firworks.kernel.topics import URGENT_PRIORITY, find_priority
 
 
 class Outboxes:
@@ -15,24 +15,28 @@
         self.longest_waits = {}
         self.deferred = 0
         self._queues = {}
+        self._urgent = {}
 
     def put(self, peer, identity, now):
         """Queue a fact; one that waits already keeps its place."""
         self._queues.setdefault(peer, {}).setdefault(identity, now)
+        if find_priority(identity[0]) <= URGENT_PRIORITY:
+            self._urgent.setdefault(peer, {})[identity] = None
 
     def discard(self, peer, identity):
-        """Drop a fact that the neighbour has told itself."""
-        self._queues.get(peer, {}).pop(identity, None)
+        """Drop a fact; returns the time at which it was queued, or None."""
+        self._urgent.get(peer, {}).pop(identity, None)
+        return self._queues.get(peer, {}).pop(identity, None)
 
     def keep(self, peers):
         """Drop the queues of all but these neighbours."""
         for peer in [peer for peer in self._queues if peer not in peers]:
             del self._queues[peer]
+            self._urgent.pop(peer, None)
 
-    def is_hurried(self, peer, priority):
-        """Whether a fact of this priority or a more urgent one waits."""
-        topics = (identity[0] for identity in self._queues.get(peer, ()))
-        return any(find_priority(topic) <= priority for topic in topics)
+    def is_hurried(self, peer):
+        """Whether a fact waits that should not wait for the next period."""
+        return bool(self._urgent.get(peer))
 
     def list_waiting(self, peers):
         """Return pairs of peer and identity: most urgent first, then oldest."""
@@ -46,7 +50,7 @@
 
     def take(self, peer, identity, now):
         """Remove a fact that is being sent and note how long it waited."""
-        waited_s = now - self._queues[peer].pop(identity)
+        waited_s = now - self.discard(peer, identity)
         topic = identity[0]
         longest_s = self.longest_waits.get(topic, 0.0)
         self.longest_waits[topic] = max(longest_s, waited_s)
