Tell neighbours only of accounts whose share is half used up

Cause: at a small base share each single request counted as a demand to tell. Change: a demand is told while an account's burst or places are half used up.

--- a/bench/fleet_limits.py
+++ b/bench/fleet_limits.py
@@ -6,16 +6,15 @@
 
 from random import Random
 
-from bench.fleet_model import make_accounts
+from bench.fleet_model import make_accounts, name_account
 from firworks.kernel.limits import AccountLimits
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
 
 RATE = 360.0
-PLACES = 720
 STEP_S = 0.1
 WARM_S = 10
 MEASURED_S = 30
-ACCOUNT = "account-0000"
+ACCOUNT = name_account(0)
 
 
 def run(size, regions, hot, offered, seed, loss=0.0, split=False):
@@ -42,7 +41,7 @@
     )
     fleet.run(5)
     for name in list(fleet.daemons):
-        fleet.feed(name, make_accounts(1, RATE, PLACES))
+        fleet.feed(name, make_accounts([RATE]))
     rng = Random(seed)
     names = sorted(fleet.daemons)
     chosen = rng.sample(names, hot)
--- a/bench/fleet_load.py
+++ b/bench/fleet_load.py
@@ -4,7 +4,12 @@
 Run ``python -m bench.fleet_load``.
 """
 
-from bench.fleet_model import WIRE_OVERHEAD_BYTES, TimedFleet
+from bench.fleet_model import (
+    WIRE_OVERHEAD_BYTES,
+    TimedFleet,
+    make_weights,
+    name_account,
+)
 
 SIZES = ((6, 1), (12, 1), (18, 1), (36, 1), (90, 2), (180, 2), (330, 2))
 MEASURED_S = 10
@@ -12,19 +17,20 @@
 TARGETS = 4
 CELL_TARGETS = 7
 LOAD_PERIOD_S = 0.5
+REQUESTS_PER_S = 14
 ACCOUNTS = {6: 5, 12: 5, 18: 5}
 MANY_ACCOUNTS = 1_300
 
 
-def measure(fleet, size, accounts, busy):
+def measure(fleet, size, weights, busy):
     """Return the figures of one daemon of a fleet.
 
     Args:
         fleet (TimedFleet): Settled.
         size (int): Daemons.
-        accounts (int): Client accounts.
-        busy (bool): Every daemon states its load on 5 pools twice a second, and a
-            hundredth of the accounts asks for more than its share there.
+        weights (list of float): How requests spread over the accounts.
+        busy (bool): Every daemon states its load on 5 pools twice a second and takes
+            14 requests a second, two thirds of what the accounts may send.
 
     Returns:
         tuple of float: Messages and wire bytes a second, sent and received; share
@@ -36,9 +42,8 @@
         for _ in range(int(1.0 / LOAD_PERIOD_S)):
             if busy:
                 fleet.state_loads(POOLS, TARGETS if size <= 18 else CELL_TARGETS)
+                _use_accounts(fleet, weights)
             fleet.run(LOAD_PERIOD_S)
-        if busy:
-            _use_accounts(fleet, size, accounts)
     sent, data = fleet.count_sent()
     scale = 1.0 / size / MEASURED_S
     rate = 2 * (sent - messages) * scale
@@ -46,15 +51,15 @@
     return rate, wire, 100 * fleet.busy_s * scale, fleet.memory_bytes / 1024
 
 
-def _use_accounts(fleet, size, accounts):
-    names = sorted(fleet.daemons)
-    for index, name in enumerate(names):
-        limits = fleet.daemons[name].parts[3]
-        for number in range(max(1, accounts // 100)):
-            account = f"account-{(7 * index + number) % accounts:04d}"
-            for _ in range(max(2, 200 // size)):
-                if limits.try_admit(account, fleet.now).code is None:
-                    limits.finish(account, fleet.now)
+def _use_accounts(fleet, weights):
+    """Let each daemon's callers try one step's requests."""
+    accounts = [name_account(index) for index in range(len(weights))]
+    count = int(REQUESTS_PER_S * LOAD_PERIOD_S)
+    for daemon in fleet.daemons.values():
+        limits = daemon.parts[3]
+        for account in fleet.rng.choices(accounts, weights, k=count):
+            if limits.try_admit(account, fleet.now).code is None:
+                limits.finish(account, fleet.now)
 
 
 def main():
@@ -62,9 +67,11 @@
     print("daemons  state  messages/s  wire B/s  core %  memory KB")
     for size, regions in SIZES:
         accounts = ACCOUNTS.get(size, MANY_ACCOUNTS)
-        fleet = TimedFleet(size, regions, accounts, seed=size)
+        weights = make_weights(accounts)
+        rates = [max(1.0, 1.5 * REQUESTS_PER_S * size * w) for w in weights]
+        fleet = TimedFleet(size, regions, rates, seed=size)
         for state in ("idle", "busy"):
-            figures = measure(fleet, size, accounts, state == "busy")
+            figures = measure(fleet, size, weights, state == "busy")
             rate, wire, core, memory = figures
             row = f"{rate:10.1f}  {wire:8.0f}  {core:6.2f}  {memory:9.0f}"
             print(f"{size:7d}  {state}  {row}", flush=True)
--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -29,24 +29,42 @@
     return (Departures(), AccountLimits(daemon.name), Quarantine(daemon.name))
 
 
-def make_accounts(count, rate=100.0, places=100):
-    """Return the configuration signal of a document with client accounts."""
-    names = [f"account-{index:04d}" for index in range(count)]
-    accounts = {name: Account(name, (), rate, places) for name in names}
+def make_weights(count):
+    """Return how traffic spreads over accounts: a few large ones, in sum 1."""
+    weights = [1.0 / (index + 1) for index in range(count)]
+    return [weight / sum(weights) for weight in weights]
+
+
+def make_accounts(rates):
+    """Return the configuration signal of a document with client accounts.
+
+    Args:
+        rates (list of float): Limit of each account, in requests a second; twice
+            as many may be in progress.
+    """
+    accounts = {
+        name_account(index): Account(name_account(index), (), rate, int(2 * rate) + 1)
+        for index, rate in enumerate(rates)
+    }
     return ConfigurationAccepted(1, "digest", Document("digest", {}, {}, accounts))
 
 
+def name_account(index):
+    """Return the name of an account."""
+    return f"account-{index:04d}"
+
+
 class TimedFleet(VirtualFleet):
     """A virtual fleet that measures what its daemons spend.
 
     Args:
         size (int): Daemons.
         regions (int): Regions.
-        accounts (int): Client accounts.
+        rates (list of float): Limits of the client accounts.
         **options: See `VirtualFleet`.
     """
 
-    def __init__(self, size, regions=1, accounts=5, **options):
+    def __init__(self, size, regions, rates, **options):
         self.busy_s = 0.0
         gc.collect()
         before = _read_memory()
@@ -55,7 +73,7 @@
         super().__init__(vms, extras=make_parts, measure=True, **options)
         self.run(3)
         for name in list(self.daemons):
-            self.feed(name, make_accounts(accounts))
+            self.feed(name, make_accounts(rates))
         self.run(SETTLE_S if size <= LARGE_SIZE else LARGE_SETTLE_S)
         gc.collect()
         self.memory_bytes = (_read_memory() - before) / size
--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -33,7 +33,7 @@
 HOLD_S = 8.0
 RESERVE_SHARE = 0.25
 HEADROOM = 1.2
-QUIET_SHARE = 0.5
+PRESSED_PERIOD_S = 3.0
 ENTRY_LIMIT = 32
 CONCURRENCY_RETRY_S = 1.0
 
@@ -239,7 +239,7 @@
         entries = [
             Demand(name, round(s.wanted_rate, 2), round(s.wanted_concurrency, 1))
             for name, s in self._active.items()
-            if _find_need(s) > QUIET_SHARE
+            if now - s.pressed_s < PRESSED_PERIOD_S
         ]
         if not entries and not self._stated:
             return []
--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -5,6 +5,7 @@
 DEMAND_RISE = 0.5
 DEMAND_FALL = 0.25
 IDLE_DEMAND = 0.01
+PRESSED_SHARE = 0.5
 
 
 class Loan:
@@ -39,6 +40,7 @@
         running (int): Admitted requests in progress.
         wanted_rate (float): Requests a second that callers try.
         wanted_concurrency (float): Requests in progress that callers want.
+        pressed_s (float): When this share was last more than half used up.
     """
 
     def __init__(self, account, daemons, now):
@@ -47,6 +49,7 @@
         self.running = 0
         self.wanted_rate = 0.0
         self.wanted_concurrency = 0.0
+        self.pressed_s = float("-inf")
         self._attempts = 0
         self._peak = 0
         self._blocked = 0
@@ -107,6 +110,8 @@
         """Take one token; returns the seconds until there is one, 0 on success."""
         self._attempts += 1
         self.refill(now)
+        if self._tokens < PRESSED_SHARE * find_depth(self._rate):
+            self.pressed_s = now
         if self._tokens >= 1.0:
             self._tokens -= 1.0
             return 0.0
@@ -114,7 +119,10 @@
 
     def has_room(self, now):
         """Whether one more request may be in progress."""
-        room = self.running < self.find_concurrency(now)
+        places = self.find_concurrency(now)
+        room = self.running < places
+        if self.running > PRESSED_SHARE * places:
+            self.pressed_s = now
         if not room:
             self._blocked += 1
         self._peak = max(self._peak, self.running + self._blocked)
