--- a/firworks/plugins/peer_links.py
+++ b/firworks/plugins/peer_links.py
@@ -125,16 +125,23 @@
         return connection
 
     async def _send_all(self, connection):
-        closed = asyncio.create_task(connection.wait_closed())
+        """Send until the connection closes, or idles on a link that is not kept."""
+        watcher = asyncio.create_task(self._watch(connection))
         try:
-            while not closed.done():
+            while not watcher.done():
                 await self._send_queued(connection)
-                if not await self._wait_for_work(closed):
-                    return
+                limit_s = None if self.kept else IDLE_LIMIT_S
+                async with asyncio.timeout(limit_s):
+                    await self._wake.wait()
         finally:
-            closed.cancel()
+            watcher.cancel()
+
+    async def _watch(self, connection):
+        await connection.wait_closed()
+        self._wake.set()
 
     async def _send_queued(self, connection):
+        self._wake.clear()
         now = asyncio.get_running_loop().time()
         while self._queue:
             queued_s, data = self._queue.popleft()
@@ -145,16 +152,3 @@
             await connection.send(data)
             self._owner.sent_messages += 1
             self._owner.sent_bytes += len(data)
-        self._wake.clear()
-
-    async def _wait_for_work(self, closed):
-        """Wait for messages; returns False when the link should end."""
-        woken = asyncio.create_task(self._wake.wait())
-        try:
-            tasks = (woken, closed)
-            done, _ = await asyncio.wait(
-                tasks, timeout=IDLE_LIMIT_S, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            woken.cancel()
-        return bool(done) or self.kept
