Probe an ejected target only after it has reported again

Cause: after a crash every daemon probed the restarting engine, and each probe cost a retry. Change: half-open waits for a report measured after the ejection where the pool reports; the bench refuses a quarantined request on arrival, for every policy.

--- a/bench/policy_driver.py
+++ b/bench/policy_driver.py
@@ -99,6 +99,9 @@
         now = self.world.clock.now
         pipeline = self.document.pipelines[ask.arrival.pipeline]
         remaining = ask.deadline_s - now
+        if self.world.is_quarantined(ask.arrival):
+            self.world.answer(ask, Code.QUARANTINED, 0.0)
+            return
         if self.protected and not self.budgets.can_meet(pipeline, remaining):
             self.world.answer(ask, Code.DEADLINE_TOO_SHORT, 1.0)
             return
@@ -234,7 +237,9 @@
         repeatable = pipeline.stages[flow.stage].repeatable
         if not repeatable:
             self._finish(flow, Code.OUTCOME_UNKNOWN)
-        elif flow.attempt >= MOST_ATTEMPTS or self.world.is_quarantined(flow):
+        elif flow.attempt >= MOST_ATTEMPTS or self.world.is_quarantined(
+            flow.ask.arrival
+        ):
             self._finish(flow, Code.TARGET_FAILED)
         else:
             self.send(self._make_call(flow))
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -185,9 +185,9 @@
             number = attempt.flow.ask.arrival.number
             self.crashes.setdefault(number, set()).add(attempt.target.name)
 
-    def is_quarantined(self, flow):
+    def is_quarantined(self, arrival):
         """Return whether a request has crashed enough targets; for every policy."""
-        crashed = self.crashes.get(flow.ask.arrival.number, ())
+        crashed = self.crashes.get(arrival.number, ())
         return len(crashed) >= QUARANTINE_CRASHES
 
     def _make_targets(self):
--- a/firworks/kernel/health.py
+++ b/firworks/kernel/health.py
@@ -28,6 +28,7 @@
         slowness (float): Smoothed latency relative to the typical one of its stage.
         samples (int): Latencies counted.
         ejected_until_s (float): No work before this time; 0 when not ejected.
+        ejected_s (float): When it was last ejected.
         ejections (int): Ejections since the last full return.
         probe (int): Call that tests whether the target has recovered, or 0.
         returned_s (float): When slow start began.
@@ -43,6 +44,7 @@
         "slowness",
         "samples",
         "ejected_until_s",
+        "ejected_s",
         "ejections",
         "probe",
         "returned_s",
@@ -58,6 +60,7 @@
         self.slowness = 1.0
         self.samples = 0
         self.ejected_until_s = 0.0
+        self.ejected_s = 0.0
         self.ejections = 0
         self.probe = 0
         self.returned_s = float("-inf")
@@ -233,6 +236,7 @@
     def _extend(self, health, now):
         duration = min(EJECTION_S * 2**health.ejections, LONGEST_EJECTION_S)
         health.ejections += 1
+        health.ejected_s = now
         health.ejected_until_s = now + duration
         health.first_hand = True
 
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -344,7 +344,7 @@
         return results
 
     def _choose(self, pool, call, avoid, now):
-        usable = [t for t in pool.targets if _is_usable(t, now)]
+        usable = [t for t in pool.targets if _is_usable(pool, t, now)]
         fresh = [t for t in usable if t.name not in avoid] or usable
         if avoid:
             fresh = _prefer_other_domains(pool, fresh, avoid)
@@ -398,10 +398,13 @@
     return registry
 
 
-def _is_usable(target, now):
+def _is_usable(pool, target, now):
     if target.leaving or target.is_down(now, DOWN_RETRY_S):
         return False
-    return target.health.is_usable(now)
+    health = target.health
+    if not health.ejected:
+        return True
+    return health.is_usable(now) and pool.has_reported_since_ejection(target, now)
 
 
 def _has_any_target(pool, now):
--- a/firworks/kernel/scheduling_state.py
+++ b/firworks/kernel/scheduling_state.py
@@ -281,6 +281,18 @@
             if self.newest_report_s - target.report_s > silence:
                 self.health.keep_out(target.health, now)
 
+    def has_reported_since_ejection(self, target, now):
+        """Return whether an ejected target shows a sign of life by a report.
+
+        True also where reports do not tell: it never reported, or the whole pool
+        is silent.
+        """
+        if target.report_s == float("-inf"):
+            return True
+        if now - self.newest_report_s > HISTORY_S:
+            return True
+        return target.report_s > target.health.ejected_s
+
     def has_spare(self, share, now):
         """Return whether less than `share` of the capacity is in use."""
         usable = [t for t in self.subset if not t.leaving and not t.health.ejected]
