Let the attainment weight act on refusal and prefix affinity

Cause: the weight moved hedges only, which hardly changed cost. Change: a low weight refuses calls that would only just make it and follows cached prefixes further; a high weight tries them and spreads more.

--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -6,6 +6,9 @@
 JITTER = 0.1
 QUEUE_S = 0.5
 SLOWNESS_TOLERANCE = 1.5
+AFFINITY_BASE = 2.0
+AFFINITY_RANGE = 4.0
+DEFAULT_WEIGHT = 0.5
 AFFINITY_BOUND = 1.25
 AFFINITY_SLACK = 1.0
 UNKNOWN_HOLDER_SHARE = 0.5
@@ -83,16 +86,19 @@
         """Return the seconds that cached prefixes would save, by target name.
 
         Only targets within a bound of the mean load count, so that a popular prefix
-        does not fill one target. Without a known holder, a target that all daemons
-        agree on by hashing gets a part of the saving.
+        does not fill one target. Where cost weighs more than attainment, the saving
+        counts for more and the bound is wider. Without a known holder, a target that
+        all daemons agree on by hashing gets a part of the saving.
         """
         if not call.prefix:
             return {}
-        prefill = pool.typical_first_token(call)
+        frugality = 1.0 - pool.weights.get(call.pipeline, DEFAULT_WEIGHT)
+        strength = AFFINITY_BASE + AFFINITY_RANGE * frugality
+        prefill = strength * pool.typical_first_token(call)
         if not prefill:
             return {}
         mean = sum(loads.values()) / len(loads)
-        bound = AFFINITY_BOUND * mean + AFFINITY_SLACK
+        bound = (AFFINITY_BOUND + frugality) * mean + AFFINITY_SLACK
         near = [target.name for target in targets if loads[target.name] <= bound]
         matches = pool.prefixes.find_matches(call.prefix, now)
         savings = {n: matches[n] * prefill for n in near if n in matches}
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -48,6 +48,9 @@
 SKIPS_PER_ROUND = 8
 SPARE_SHARE = 0.7
 DOWN_RETRY_S = 10.0
+CHANCE_QUANTILE = 0.7
+CHANCE_RANGE = 0.4
+DEFAULT_WEIGHT = 0.5
 DEFERRED_PRIORITY = 9
 RELAXED_PRIORITY = 1
 
@@ -90,8 +93,13 @@
         self._document = event.document
         old = self._pools
         self._pools = {}
+        weights = {
+            name: pipeline.attainment_weight
+            for name, pipeline in event.document.pipelines.items()
+        }
         for name, pool in event.document.pools.items():
             self._pools[name] = self._make_pool(pool, old.get(name))
+            self._pools[name].weights = weights
         return self._move_queues(old, now) + self._place_all(now)
 
     @handle.register
@@ -235,7 +243,16 @@
 
     def _weight(self, call):
         pipeline = self._document.pipelines.get(call.pipeline)
-        return pipeline.attainment_weight if pipeline else 0.5
+        return pipeline.attainment_weight if pipeline else DEFAULT_WEIGHT
+
+    def _least_latency(self, pool, call):
+        """Return the latency that must be left for a call to be worth starting.
+
+        Where cost weighs more, calls that would only just make it are refused
+        before they cost anything; where attainment does, they are tried.
+        """
+        quantile = CHANCE_QUANTILE - CHANCE_RANGE * self._weight(call)
+        return pool.typical(call, quantile)
 
     def _enqueue(self, pool, call, now):
         account = self._document.accounts.get(call.account)
@@ -251,10 +268,9 @@
             return CallRejected(call.call_id, Code.OVERLOADED, SHORTEST_RETRY_AFTER_S)
         if not pool.queue.fair or call.deferred or not pool.queue.urgent:
             return None
-        typical = pool.typical(call)
         ahead = pool.queue.urgent.count_ahead(call.account)
-        wait = estimate_wait(ahead, pool.in_flight, typical)
-        if now + wait + typical <= due:
+        wait = estimate_wait(ahead, pool.in_flight, pool.typical(call))
+        if now + wait + self._least_latency(pool, call) <= due:
             return None
         retry_after = max(SHORTEST_RETRY_AFTER_S, wait)
         return CallRejected(call.call_id, Code.OVERLOADED, retry_after)
@@ -331,7 +347,10 @@
             return []
         fair = pool.queue.fair
         late = pool.queue.discard(
-            lambda entry: now + (pool.typical(entry.call) if fair else 0) > entry.due_s
+            lambda entry: (
+                now + (self._least_latency(pool, entry.call) if fair else 0)
+                > entry.due_s
+            )
         )
         results = []
         for entry in late:
--- a/firworks/kernel/scheduling_state.py
+++ b/firworks/kernel/scheduling_state.py
@@ -222,6 +222,7 @@
         self.by_name = {target.name: target for target in self.targets}
         self.queue = PoolQueue(pool.queue == "fair")
         self.prefixes = PrefixIndex()
+        self.weights = {}
         self.latencies = {}
         self.first_tokens = {}
         self.in_flight = 0
