--- a/firworks/kernel/health.py
+++ b/firworks/kernel/health.py
@@ -12,6 +12,8 @@
 SMALLEST_WEIGHT = 0.1
 REPORT_SILENCE_S = 2.0
 REPORT_SILENCE_INTERVALS = 4.0
+SILENCE_CHECK_S = 0.25
+LARGEST_JURY = 32
 PACE_SMOOTHING = 0.5
 PACE_TTL_S = 10.0
 REPROBE_S = 1.0
@@ -37,6 +39,7 @@
         first_hand (bool): Ejected on this daemon's own evidence.
         pace (float): Smoothed seconds per token of its streams; 0 when unknown.
         pace_s (float): When the pace was last measured.
+        silence_check_s (float): When its silence may be judged again.
     """
 
     __slots__ = (
@@ -53,6 +56,7 @@
         "first_hand",
         "pace",
         "pace_s",
+        "silence_check_s",
     )
 
     def __init__(self):
@@ -69,6 +73,7 @@
         self.first_hand = False
         self.pace = 0.0
         self.pace_s = float("-inf")
+        self.silence_check_s = 0.0
 
     @property
     def ejected(self):
@@ -108,6 +113,7 @@
     def __init__(self, targets, ejection_share):
         self._targets = targets
         self._share = ejection_share
+        self._ejected = sum(target.ejected for target in targets)
 
     @property
     def cap(self):
@@ -170,7 +176,11 @@
         Returns:
             bool: Whether the target was ejected.
         """
-        others = [other for other in self._targets if other is not health]
+        if now < health.silence_check_s:
+            return False
+        health.silence_check_s = now + SILENCE_CHECK_S
+        stride = 1 + len(self._targets) // LARGEST_JURY
+        others = [other for other in self._targets[::stride] if other is not health]
         moving = sum(other.answered_s > since_s for other in others)
         if health.answered_s > since_s or 2 * moving < len(others):
             return False
@@ -228,8 +238,9 @@
         """Eject a target unless the cap is reached; return whether it is ejected."""
         if health.ejected:
             return True
-        if sum(target.ejected for target in self._targets) >= self.cap:
+        if self._ejected >= self.cap:
             return False
+        self._ejected += 1
         self._extend(health, now)
         return True
 
@@ -245,6 +256,7 @@
         if ratio > OUTLIER_RATIO:
             self._extend(health, now)
             return
+        self._ejected -= 1
         health.ejected_until_s = 0.0
         health.first_hand = False
         health.ejections = max(0, health.ejections - 1)
--- a/firworks/kernel/routing.py
+++ b/firworks/kernel/routing.py
@@ -15,6 +15,8 @@
         random (random.Random): Source of choices.
     """
 
+    SUBSETTING = False
+
     def __init__(self, random):
         self._random = random
 
@@ -38,6 +40,8 @@
         random (random.Random): Chooses where the turn begins.
     """
 
+    SUBSETTING = False
+
     def __init__(self, random):
         self._next = random.randrange(1 << 16)
 
@@ -58,6 +62,8 @@
         random (random.Random): Source of tie breaks.
     """
 
+    SUBSETTING = False
+
     def __init__(self, random):
         self._random = random
 
@@ -76,6 +82,8 @@
         random (random.Random): Source of draws.
     """
 
+    SUBSETTING = False
+
     def __init__(self, random):
         self._random = random
 
--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -12,6 +12,7 @@
 AFFINITY_BOUND = 1.25
 AFFINITY_SLACK = 1.0
 UNKNOWN_HOLDER_SHARE = 0.5
+MOST_CANDIDATES = 48
 SPILL_SIZE = 24
 
 
@@ -25,8 +26,14 @@
 
     Args:
         random (random.Random): Source of jitter and spill samples.
+
+    Attributes:
+        SUBSETTING (bool): In large pools it gets this daemon's subset first, and
+            the whole pool only when it chose none of those.
     """
 
+    SUBSETTING = True
+
     def __init__(self, random):
         self._random = random
 
@@ -39,18 +46,9 @@
             candidates (list of TargetState): Targets that may get it; not empty.
             now (float): Kernel time.
         """
-        nearby = self._narrow(pool, candidates)
-        target = self._choose_among(pool, call, nearby, now)
-        if target is None and len(nearby) < len(candidates):
-            spill = self._random.sample(candidates, min(SPILL_SIZE, len(candidates)))
-            target = self._choose_among(pool, call, spill, now)
-        return target
-
-    def _narrow(self, pool, candidates):
-        if len(pool.subset) == len(pool.targets):
-            return candidates
-        inside = [target for target in candidates if target.in_subset]
-        return inside or candidates
+        if len(candidates) > MOST_CANDIDATES:
+            candidates = self._random.sample(candidates, SPILL_SIZE)
+        return self._choose_among(pool, call, candidates, now)
 
     def _choose_among(self, pool, call, targets, now):
         typical = pool.typical(call)
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -9,10 +9,6 @@
     estimate_wait,
 )
 from firworks.kernel.calls import (
-    RESULT_CANCELLED,
-    RESULT_CRASHED,
-    RESULT_OK,
-    RESULT_REFUSED,
     CallEnded,
     CallPart,
     CallPlaced,
@@ -26,7 +22,6 @@
 from firworks.kernel.fleet import (
     TOPIC_LOAD,
     ConfigurationAccepted,
-    FactChanged,
     FactLearned,
 )
 from firworks.kernel.messages import Tick, VmsListed
@@ -34,20 +29,17 @@
 from firworks.kernel.registry import Registry
 from firworks.kernel.retries import AttemptBudgets
 from firworks.kernel.routing import register
+from firworks.kernel.scheduling_choice import choose_target, has_any_target
 from firworks.kernel.scheduling_hedges import HedgeWatch
+from firworks.kernel.scheduling_loads import LoadTeller, PoolLoad
+from firworks.kernel.scheduling_results import record_end
 from firworks.kernel.scheduling_state import (
-    WHOLE_POOL_SIZE,
-    PlacedCall,
-    PoolLoad,
     PoolState,
 )
+from firworks.kernel.scheduling_targets import PlacedCall
 
-LOAD_PERIOD_S = 0.5
-LARGE_POOL_LOAD_PERIOD_S = 2.0
-LOAD_TTL_S = 3.0
 SKIPS_PER_ROUND = 8
 SPARE_SHARE = 0.7
-DOWN_RETRY_S = 10.0
 CHANCE_QUANTILE = 0.7
 CHANCE_RANGE = 0.4
 DEFAULT_WEIGHT = 0.5
@@ -77,7 +69,7 @@
         self._gone = {}
         self._budgets = AttemptBudgets()
         self._hedges = HedgeWatch(self._budgets)
-        self._told = {}
+        self._loads = LoadTeller()
 
     def watched_targets(self, pool_name):
         """Return the names of the targets whose reports matter to this daemon."""
@@ -112,7 +104,7 @@
     @handle.register
     def _(self, event: CallRequested, now):
         pool = self._pools.get(event.pool)
-        if pool is None or not _has_any_target(pool, now):
+        if pool is None or not has_any_target(pool, now):
             return [CallRejected(event.call_id, Code.NO_TARGET)]
         if event.hedge_of:
             return self._place_hedge(pool, event, now)
@@ -151,7 +143,7 @@
         if pool is None:
             return []
         pool.in_flight -= 1
-        _judge(pool, placed, event, now)
+        record_end(pool, placed, event, now)
         return self._place_pool(pool, now)
 
     @handle.register
@@ -198,7 +190,7 @@
             pool.check_reports(now)
         results.extend(self._place_all(now))
         results.extend(self._hedges.check(self._placed, self._pools, self._weight, now))
-        results.extend(self._tell_loads(now))
+        results.extend(self._loads.tell(self._pools, now))
         return results
 
     def _make_pool(self, pool, old):
@@ -307,7 +299,7 @@
         if original is None or not original.hedged or not call.repeatable:
             return [CallRejected(call.call_id, Code.OVERLOADED)]
         avoid = (*call.avoid, original.target.name)
-        target = self._choose(pool, call, avoid, now)
+        target = choose_target(pool, call, avoid, now)
         if target is None or target is original.target:
             return [CallRejected(call.call_id, Code.OVERLOADED)]
         due = min(call.deadline_s, now + call.budget_s)
@@ -329,7 +321,7 @@
             if line is None:
                 break
             entry = line.pop()
-            target = self._choose(pool, entry.call, entry.call.avoid, now)
+            target = choose_target(pool, entry.call, entry.call.avoid, now)
             if target is None:
                 skipped.append((line, entry))
                 if not (entry.call.alone or entry.call.avoid):
@@ -362,17 +354,6 @@
             results.append(CallRejected(call_id, Code.OVERLOADED, retry_after))
         return results
 
-    def _choose(self, pool, call, avoid, now):
-        usable = [t for t in pool.targets if _is_usable(pool, t, now)]
-        fresh = [t for t in usable if t.name not in avoid] or usable
-        if avoid:
-            fresh = _prefer_other_domains(pool, fresh, avoid)
-        if call.alone:
-            fresh = [t for t in fresh if pool.load(t, now) < 0.5]
-        if not fresh:
-            return None
-        return pool.routing.choose(pool, call, fresh, now)
-
     def _place(self, pool, entry, target, now):
         call = entry.call
         crowding = max(1.0, (pool.load(target, now) + 1) / target.capacity)
@@ -396,68 +377,8 @@
         tight = due - now < 2 * pool.typical(call)
         return 0 if tight else RELAXED_PRIORITY
 
-    def _tell_loads(self, now):
-        results = []
-        for name, pool in self._pools.items():
-            large = len(pool.targets) > WHOLE_POOL_SIZE
-            period = LARGE_POOL_LOAD_PERIOD_S if large else LOAD_PERIOD_S
-            told_s, told = self._told.get(name, (float("-inf"), None))
-            if now - told_s < period:
-                continue
-            load = pool.make_load()
-            if load != told or load.indexes:
-                results.append(FactChanged(TOPIC_LOAD, name, load, LOAD_TTL_S))
-            self._told[name] = (now, load)
-        return results
-
 
 def _make_registry():
     registry = Registry()
     register(registry)
     return registry
-
-
-def _is_usable(pool, target, now):
-    if target.leaving or target.is_down(now, DOWN_RETRY_S):
-        return False
-    health = target.health
-    if not health.ejected:
-        return True
-    return health.is_usable(now) and pool.has_reported_since_ejection(target, now)
-
-
-def _has_any_target(pool, now):
-    return any(
-        not target.leaving and not target.is_down(now, DOWN_RETRY_S)
-        for target in pool.targets
-    )
-
-
-def _prefer_other_domains(pool, targets, avoid):
-    """Return the targets outside the failure domains of those to avoid, if any."""
-    tried = [pool.by_name[name] for name in avoid if name in pool.by_name]
-    domains = {target.failure_domain for target in tried} - {""}
-    return [t for t in targets if t.failure_domain not in domains] or targets
-
-
-def _judge(pool, placed, ended, now):
-    """Count a call's end for latency, health and learned concurrency."""
-    target = placed.target
-    call = placed.call
-    usual = pool.typical(call) * placed.crowding
-    ratio = ended.latency_s / usual if pool.knows(call) else 1.0
-    if ended.result == RESULT_OK:
-        pool.observe(call, ended.latency_s, ended.first_token_s)
-        load = pool.load(target, now) + 1
-        target.limit.observe(ratio, load, ended.latency_s, now)
-        pool.health.record_success(target.health, call.call_id, ratio, now)
-    elif ended.result == RESULT_REFUSED:
-        target.limit.back_off(now)
-        pool.health.record_refused(target.health, call.call_id)
-    elif ended.result == RESULT_CANCELLED:
-        pool.health.record_cancelled(target.health, call.call_id, ratio, now)
-    elif ended.result == RESULT_CRASHED:
-        pool.prefixes.forget_target(target.name)
-        pool.health.record_crash(target.health, call.call_id, now)
-    else:
-        pool.health.record_failure(target.health, call.call_id, now)
--- /dev/null
+++ b/firworks/kernel/scheduling_choice.py
@@ -0,0 +1,56 @@
+"""Which targets may get a call, before the routing policy chooses."""
+
+DOWN_RETRY_S = 10.0
+IDLE_LOAD = 0.5
+
+
+def choose_target(pool, call, avoid, now):
+    """Return the target that the pool's routing policy gives a call, or None.
+
+    Args:
+        pool (PoolState): The pool.
+        call (CallRequested): The call.
+        avoid (tuple of str): Targets to use only when there are no others.
+        now (float): Kernel time.
+    """
+    subset = pool.subset if pool.routing.SUBSETTING else pool.targets
+    target = _choose_among(pool, subset, call, avoid, now)
+    if target is None and len(subset) < len(pool.targets):
+        target = _choose_among(pool, pool.targets, call, avoid, now)
+    return target
+
+
+def _choose_among(pool, targets, call, avoid, now):
+    usable = [target for target in targets if _is_usable(pool, target, now)]
+    fresh = [target for target in usable if target.name not in avoid] or usable
+    if avoid:
+        fresh = _prefer_other_domains(pool, fresh, avoid)
+    if call.alone:
+        fresh = [target for target in fresh if pool.load(target, now) < IDLE_LOAD]
+    if not fresh:
+        return None
+    return pool.routing.choose(pool, call, fresh, now)
+
+
+def _is_usable(pool, target, now):
+    if target.leaving or target.is_down(now, DOWN_RETRY_S):
+        return False
+    health = target.health
+    if not health.ejected:
+        return True
+    return health.is_usable(now) and pool.has_reported_since_ejection(target, now)
+
+
+def has_any_target(pool, now):
+    """Return whether any target of the pool may get work at all."""
+    return any(
+        not target.leaving and not target.is_down(now, DOWN_RETRY_S)
+        for target in pool.targets
+    )
+
+
+def _prefer_other_domains(pool, targets, avoid):
+    """Return the targets outside the failure domains of those to avoid, if any."""
+    tried = [pool.by_name[name] for name in avoid if name in pool.by_name]
+    domains = {target.failure_domain for target in tried} - {""}
+    return [t for t in targets if t.failure_domain not in domains] or targets
--- a/firworks/kernel/scheduling_hedges.py
+++ b/firworks/kernel/scheduling_hedges.py
@@ -5,6 +5,7 @@
 HEDGE_QUANTILE = 0.95
 HEDGE_SLACK = 1.25
 SILENCE_FACTOR = 3.0
+CHECK_PERIOD_S = 0.2
 SHORTEST_SILENCE_S = 0.5
 STREAM_SILENCE_S = 1.0
 
@@ -30,6 +31,9 @@
         """
         results = []
         for placed in placed_calls.values():
+            if now < placed.check_s:
+                continue
+            placed.check_s = now + CHECK_PERIOD_S
             pool = pools.get(placed.call.pool)
             if pool is None or not pool.pool.hedge_share:
                 continue
