--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -55,6 +55,9 @@
         name (str): This daemon's name; decides its subset of large pools.
         registry (Registry or None): Holds the routing policies; None takes the
             built-in ones.
+
+    Attributes:
+        pools (dict of str to PoolState): What is known of each pool, by name.
     """
 
     def __init__(self, random, name="", registry=None):
@@ -62,7 +65,7 @@
         self._name = name
         self._registry = registry or _make_registry()
         self._document = None
-        self._pools = {}
+        self.pools = {}
         self._placed = {}
         self._held = []
         self._domains = {}
@@ -73,7 +76,7 @@
 
     def watched_targets(self, pool_name):
         """Return the names of the targets whose reports matter to this daemon."""
-        return [target.name for target in self._pools[pool_name].subset]
+        return [target.name for target in self.pools[pool_name].subset]
 
     @singledispatchmethod
     def handle(self, event, now):
@@ -83,15 +86,15 @@
     @handle.register
     def _(self, event: ConfigurationAccepted, now):
         self._document = event.document
-        old = self._pools
-        self._pools = {}
+        old = self.pools
+        self.pools = {}
         weights = {
             name: pipeline.attainment_weight
             for name, pipeline in event.document.pipelines.items()
         }
         for name, pool in event.document.pools.items():
-            self._pools[name] = self._make_pool(pool, old.get(name))
-            self._pools[name].weights = weights
+            self.pools[name] = self._make_pool(pool, old.get(name))
+            self.pools[name].weights = weights
         return self._move_queues(old, now) + self._place_all(now)
 
     @handle.register
@@ -103,7 +106,7 @@
 
     @handle.register
     def _(self, event: CallRequested, now):
-        pool = self._pools.get(event.pool)
+        pool = self.pools.get(event.pool)
         if pool is None or not has_any_target(pool, now):
             return [CallRejected(event.call_id, Code.NO_TARGET)]
         if event.hedge_of:
@@ -118,7 +121,7 @@
     @handle.register
     def _(self, event: CallWithdrawn, now):
         self._held = [e for e in self._held if e.call.call_id != event.call_id]
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             pool.queue.discard(lambda entry: entry.call.call_id == event.call_id)
         return []
 
@@ -128,7 +131,7 @@
         if placed is None:
             return []
         pace = placed.record_part(len(event.tokens), now)
-        pool = self._pools.get(placed.call.pool)
+        pool = self.pools.get(placed.call.pool)
         if pace and pool is not None:
             pool.health.record_pace(placed.target.health, pace, now)
         return []
@@ -139,7 +142,7 @@
         if placed is None:
             return []
         placed.target.record_end(placed, now)
-        pool = self._pools.get(placed.call.pool)
+        pool = self.pools.get(placed.call.pool)
         if pool is None:
             return []
         pool.in_flight -= 1
@@ -149,7 +152,7 @@
     @handle.register
     def _(self, event: TargetReported, now):
         results = []
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             target = pool.by_name.get(event.target)
             if target is None:
                 continue
@@ -170,14 +173,14 @@
     def _(self, event: TargetDown, now):
         for target in self._find_targets(event.target):
             target.down_s = now
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             pool.prefixes.forget_target(event.target)
         return []
 
     @handle.register
     def _(self, event: FactLearned, now):
         if event.topic == TOPIC_LOAD and isinstance(event.value, PoolLoad):
-            pool = self._pools.get(event.key)
+            pool = self.pools.get(event.key)
             if pool is not None:
                 pool.record_peer_load(event.value, event.origin, now)
         return []
@@ -185,12 +188,12 @@
     @handle.register
     def _(self, event: Tick, now):
         results = self._retry_held(now)
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             pool.expire_peer_loads(now)
             pool.check_reports(now)
         results.extend(self._place_all(now))
-        results.extend(self._hedges.check(self._placed, self._pools, self._weight, now))
-        results.extend(self._loads.tell(self._pools, now))
+        results.extend(self._hedges.check(self._placed, self.pools, self._weight, now))
+        results.extend(self._loads.tell(self.pools, now))
         return results
 
     def _make_pool(self, pool, old):
@@ -214,7 +217,7 @@
         """Move waiting calls to the pools of the new document."""
         results = []
         for name, old in old_pools.items():
-            new = self._pools.get(name)
+            new = self.pools.get(name)
             if new is old:
                 continue
             for entry in old.queue.discard(lambda entry: True):
@@ -226,11 +229,11 @@
         return results
 
     def _all_targets(self):
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             yield from pool.targets
 
     def _find_targets(self, name):
-        found = [pool.by_name.get(name) for pool in self._pools.values()]
+        found = [pool.by_name.get(name) for pool in self.pools.values()]
         return [target for target in found if target is not None]
 
     def _weight(self, call):
@@ -284,7 +287,7 @@
         waiting = []
         for entry in self._held:
             call = entry.call
-            pool = self._pools.get(call.pool)
+            pool = self.pools.get(call.pool)
             if pool is None or now + pool.typical(call) > entry.due_s:
                 results.append(CallRejected(call.call_id, Code.TARGET_FAILED))
             elif self._budgets.spend_retry():
@@ -307,7 +310,7 @@
 
     def _place_all(self, now):
         results = []
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             if pool.queue:
                 results.extend(self._place_pool(pool, now))
         return results
