--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -6,9 +6,13 @@
 JITTER = 0.1
 QUEUE_S = 0.5
 SLOWNESS_TOLERANCE = 1.5
+AFFINITY_BASE = 2.0
+AFFINITY_RANGE = 4.0
+DEFAULT_WEIGHT = 0.5
 AFFINITY_BOUND = 1.25
 AFFINITY_SLACK = 1.0
 UNKNOWN_HOLDER_SHARE = 0.5
+MOST_CANDIDATES = 48
 SPILL_SIZE = 24
 
 
@@ -22,8 +26,14 @@
 
     Args:
         random (random.Random): Source of jitter and spill samples.
+
+    Attributes:
+        SUBSETTING (bool): In large pools it gets this daemon's subset first, and
+            the whole pool only when it chose none of those.
     """
 
+    SUBSETTING = True
+
     def __init__(self, random):
         self._random = random
 
@@ -36,18 +46,9 @@
             candidates (list of TargetState): Targets that may get it; not empty.
             now (float): Kernel time.
         """
-        nearby = self._narrow(pool, candidates)
-        target = self._choose_among(pool, call, nearby, now)
-        if target is None and len(nearby) < len(candidates):
-            spill = self._random.sample(candidates, min(SPILL_SIZE, len(candidates)))
-            target = self._choose_among(pool, call, spill, now)
-        return target
-
-    def _narrow(self, pool, candidates):
-        if len(pool.subset) == len(pool.targets):
-            return candidates
-        inside = [target for target in candidates if target.in_subset]
-        return inside or candidates
+        if len(candidates) > MOST_CANDIDATES:
+            candidates = self._random.sample(candidates, SPILL_SIZE)
+        return self._choose_among(pool, call, candidates, now)
 
     def _choose_among(self, pool, call, targets, now):
         typical = pool.typical(call)
@@ -83,16 +84,19 @@
         """Return the seconds that cached prefixes would save, by target name.
 
         Only targets within a bound of the mean load count, so that a popular prefix
-        does not fill one target. Without a known holder, a target that all daemons
-        agree on by hashing gets a part of the saving.
+        does not fill one target. Where cost weighs more than attainment, the saving
+        counts for more and the bound is wider. Without a known holder, a target that
+        all daemons agree on by hashing gets a part of the saving.
         """
         if not call.prefix:
             return {}
-        prefill = pool.typical_first_token(call)
+        frugality = 1.0 - pool.weights.get(call.pipeline, DEFAULT_WEIGHT)
+        strength = AFFINITY_BASE + AFFINITY_RANGE * frugality
+        prefill = strength * pool.typical_first_token(call)
         if not prefill:
             return {}
         mean = sum(loads.values()) / len(loads)
-        bound = AFFINITY_BOUND * mean + AFFINITY_SLACK
+        bound = (AFFINITY_BOUND + frugality) * mean + AFFINITY_SLACK
         near = [target.name for target in targets if loads[target.name] <= bound]
         matches = pool.prefixes.find_matches(call.prefix, now)
         savings = {n: matches[n] * prefill for n in near if n in matches}
