--- a/bench/latency.py
+++ b/bench/latency.py
@@ -1,6 +1,7 @@
 """Measures what one daemon adds to a request, and what it spends.
 
-Run ``python -m bench.latency [SECONDS]`` from the root of the repository. Five
+Run ``python -m bench.latency [SECONDS [grow]]`` from the root of the repository;
+with ``grow`` the answers of one token come before the long ones. Five
 processes: the stand-ins (`bench.latency_site`), one daemon, and this one, which sends
 four-stage streamed requests at a daemon's share of the design size, in turns through
 the daemon and straight to the stand-ins.
@@ -30,6 +31,7 @@
 TOKENS = ("zwolle-club-secretaries", "zwolle-counter-clerks")
 RATE_PER_S = 13
 TOKENS_PER_S = 4_900
+LONG_TOKENS = TOKENS_PER_S // RATE_PER_S
 TURN_S = 15.0
 # Streams of a turn's first seconds fill the daemon; costs count from then on.
 WARM_UP_S = 5.0
@@ -82,7 +84,7 @@
             name = pool.targets[self._turn % len(pool.targets)]
             address = self._addresses[name]
             if pool.kind == "engine":
-                await self._stream(address, body, previous, sample)
+                await self._stream(address, stage.model, body, previous, sample)
             else:
                 previous = await self._call(address, stage.operation, body, previous)
         sample.ended_s = time.perf_counter()
@@ -94,8 +96,9 @@
         async with self._session.post(url, json=table) as response:
             return await response.json()
 
-    async def _stream(self, address, body, previous, sample):
-        table = {"prompt": f"{body['prompt']}\n{json.dumps(previous)}"}
+    async def _stream(self, address, model, body, previous, sample):
+        prompt = f"{body['prompt']}\n{json.dumps(previous)}"
+        table = {"model": model, "prompt": prompt}
         url = f"http://{address}/v1/generate"
         async with self._session.post(url, json=table) as response:
             async for line in response.content:
@@ -345,7 +348,7 @@
     print(f"memory after load, MiB         {memory[1] / MEBIBYTE:.1f}")
 
 
-async def measure(seconds, folder):
+async def measure(seconds, grow, folder):
     """Run all phases and print the tables."""
     standins = Standins()
     daemon = None
@@ -355,7 +358,7 @@
         daemon, callers, admin, peers = start_daemon(standins.addresses, folder)
         standins.list_vms("entry-1", peers)
         await asyncio.wait_for(wait_ready(admin), 20)
-        await measure_phases(seconds, standins, daemon, callers)
+        await measure_phases(seconds, grow, standins, daemon, callers)
     finally:
         await log.close()
         if daemon is not None:
@@ -364,8 +367,11 @@
         standins.stop()
 
 
-async def measure_phases(seconds, standins, daemon, callers):
-    """Measure idle, short and long answers, and print."""
+async def measure_phases(seconds, grow, standins, daemon, callers):
+    """Measure idle, short and long answers, and print.
+
+    Learned latencies carry over from phase to phase, so the order matters.
+    """
     document = parse_document(DOCUMENT.read_bytes())
     rng = random.Random(1)
     meter = ProcessMeter(daemon.pid)
@@ -373,29 +379,35 @@
         StraightClient(document, standins.addresses) as straight,
         DaemonClient(callers) as through,
     ):
+        lengths = (1, LONG_TOKENS) if grow else (LONG_TOKENS, 1)
+        standins.set_tokens(lengths[0])
         await run_phase(straight, through, meter, TURN_S, rng)
         before_s = meter.read_processor_s()
         await asyncio.sleep(IDLE_S)
         idle_share = (meter.read_processor_s() - before_s) / IDLE_S
         memory = [meter.read_memory_bytes()]
-        short = await run_phase(straight, through, meter, seconds, rng)
-        standins.set_tokens(TOKENS_PER_S // RATE_PER_S)
-        long = await run_phase(straight, through, meter, seconds, rng)
+        phases = {}
+        for tokens in lengths:
+            standins.set_tokens(tokens)
+            phase = await run_phase(straight, through, meter, seconds, rng)
+            phases[tokens] = phase
+            print(f"{tokens} tokens: not whole {dict(through.failed)}")
+            through.failed.clear()
         memory.append(meter.read_memory_bytes())
+    short, long = phases[1], phases[LONG_TOKENS]
     heads = ("straight", "through", "added", "ratio")
     print(" " * 33 + "{:>10} {:>10} {:>9} {:>7}".format(*heads))
     print_latency("1 token: whole answer, ms", short, "began_s", "ended_s")
     print_latency("long: first token, ms", long, "began_s", "first_s")
     print_latency("long: whole answer, ms", long, "began_s", "ended_s")
     print_costs(idle_share, short, long, memory)
-    print(f"not whole, by status or code   {dict(through.failed)}")
 
 
 def main():
     """Measure for the seconds given, or 30, in each phase."""
     seconds = float(sys.argv[1]) if len(sys.argv) > 1 else 30.0
     with tempfile.TemporaryDirectory() as folder:
-        asyncio.run(measure(seconds, folder))
+        asyncio.run(measure(seconds, "grow" in sys.argv, folder))
 
 
 if __name__ == "__main__":
--- a/firworks/tests/test_ctl.py
+++ b/firworks/tests/test_ctl.py
@@ -67,7 +67,7 @@
 
     def test_nothing_runs_before_the_whole_line_is_read(self, capsys, monkeypatch):
         ran = []
-        name = "firworks.tools.commands._publish"
+        name = "firworks.tools.commands.publish_document"
         monkeypatch.setattr(name, lambda *args: ran.append(args))
         args = ["publish", ZWOLLE, "--log=http://127.0.0.1:1", "--bsae=3"]
         assert run_ctl(capsys, *args)[0] == 2
