--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -9,10 +9,6 @@
     estimate_wait,
 )
 from firworks.kernel.calls import (
-    RESULT_CANCELLED,
-    RESULT_CRASHED,
-    RESULT_OK,
-    RESULT_REFUSED,
     CallEnded,
     CallPart,
     CallPlaced,
@@ -26,7 +22,6 @@
 from firworks.kernel.fleet import (
     TOPIC_LOAD,
     ConfigurationAccepted,
-    FactChanged,
     FactLearned,
 )
 from firworks.kernel.messages import Tick, VmsListed
@@ -34,20 +29,20 @@
 from firworks.kernel.registry import Registry
 from firworks.kernel.retries import AttemptBudgets
 from firworks.kernel.routing import register
+from firworks.kernel.scheduling_choice import choose_target, has_any_target
 from firworks.kernel.scheduling_hedges import HedgeWatch
+from firworks.kernel.scheduling_loads import LoadTeller, PoolLoad
+from firworks.kernel.scheduling_results import record_end
 from firworks.kernel.scheduling_state import (
-    WHOLE_POOL_SIZE,
-    PlacedCall,
-    PoolLoad,
     PoolState,
 )
+from firworks.kernel.scheduling_targets import PlacedCall
 
-LOAD_PERIOD_S = 0.5
-LARGE_POOL_LOAD_PERIOD_S = 2.0
-LOAD_TTL_S = 3.0
 SKIPS_PER_ROUND = 8
 SPARE_SHARE = 0.7
-DOWN_RETRY_S = 10.0
+CHANCE_QUANTILE = 0.7
+CHANCE_RANGE = 0.4
+DEFAULT_WEIGHT = 0.5
 DEFERRED_PRIORITY = 9
 RELAXED_PRIORITY = 1
 
@@ -60,6 +55,9 @@
         name (str): This daemon's name; decides its subset of large pools.
         registry (Registry or None): Holds the routing policies; None takes the
             built-in ones.
+
+    Attributes:
+        pools (dict of str to PoolState): What is known of each pool, by name.
     """
 
     def __init__(self, random, name="", registry=None):
@@ -67,18 +65,18 @@
         self._name = name
         self._registry = registry or _make_registry()
         self._document = None
-        self._pools = {}
+        self.pools = {}
         self._placed = {}
         self._held = []
         self._domains = {}
         self._gone = {}
         self._budgets = AttemptBudgets()
         self._hedges = HedgeWatch(self._budgets)
-        self._told = {}
+        self._loads = LoadTeller()
 
     def watched_targets(self, pool_name):
         """Return the names of the targets whose reports matter to this daemon."""
-        return [target.name for target in self._pools[pool_name].subset]
+        return [target.name for target in self.pools[pool_name].subset]
 
     @singledispatchmethod
     def handle(self, event, now):
@@ -88,10 +86,15 @@
     @handle.register
     def _(self, event: ConfigurationAccepted, now):
         self._document = event.document
-        old = self._pools
-        self._pools = {}
+        old = self.pools
+        self.pools = {}
+        weights = {
+            name: pipeline.attainment_weight
+            for name, pipeline in event.document.pipelines.items()
+        }
         for name, pool in event.document.pools.items():
-            self._pools[name] = self._make_pool(pool, old.get(name))
+            self.pools[name] = self._make_pool(pool, old.get(name))
+            self.pools[name].weights = weights
         return self._move_queues(old, now) + self._place_all(now)
 
     @handle.register
@@ -103,8 +106,8 @@
 
     @handle.register
     def _(self, event: CallRequested, now):
-        pool = self._pools.get(event.pool)
-        if pool is None or not _has_any_target(pool, now):
+        pool = self.pools.get(event.pool)
+        if pool is None or not has_any_target(pool, now):
             return [CallRejected(event.call_id, Code.NO_TARGET)]
         if event.hedge_of:
             return self._place_hedge(pool, event, now)
@@ -118,7 +121,7 @@
     @handle.register
     def _(self, event: CallWithdrawn, now):
         self._held = [e for e in self._held if e.call.call_id != event.call_id]
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             pool.queue.discard(lambda entry: entry.call.call_id == event.call_id)
         return []
 
@@ -128,7 +131,7 @@
         if placed is None:
             return []
         pace = placed.record_part(len(event.tokens), now)
-        pool = self._pools.get(placed.call.pool)
+        pool = self.pools.get(placed.call.pool)
         if pace and pool is not None:
             pool.health.record_pace(placed.target.health, pace, now)
         return []
@@ -139,17 +142,17 @@
         if placed is None:
             return []
         placed.target.record_end(placed, now)
-        pool = self._pools.get(placed.call.pool)
+        pool = self.pools.get(placed.call.pool)
         if pool is None:
             return []
         pool.in_flight -= 1
-        _judge(pool, placed, event, now)
+        record_end(pool, placed, event, now)
         return self._place_pool(pool, now)
 
     @handle.register
     def _(self, event: TargetReported, now):
         results = []
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             target = pool.by_name.get(event.target)
             if target is None:
                 continue
@@ -170,14 +173,14 @@
     def _(self, event: TargetDown, now):
         for target in self._find_targets(event.target):
             target.down_s = now
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             pool.prefixes.forget_target(event.target)
         return []
 
     @handle.register
     def _(self, event: FactLearned, now):
         if event.topic == TOPIC_LOAD and isinstance(event.value, PoolLoad):
-            pool = self._pools.get(event.key)
+            pool = self.pools.get(event.key)
             if pool is not None:
                 pool.record_peer_load(event.value, event.origin, now)
         return []
@@ -185,12 +188,12 @@
     @handle.register
     def _(self, event: Tick, now):
         results = self._retry_held(now)
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             pool.expire_peer_loads(now)
             pool.check_reports(now)
         results.extend(self._place_all(now))
-        results.extend(self._hedges.check(self._placed, self._pools, self._weight, now))
-        results.extend(self._tell_loads(now))
+        results.extend(self._hedges.check(self._placed, self.pools, self._weight, now))
+        results.extend(self._loads.tell(self.pools, now))
         return results
 
     def _make_pool(self, pool, old):
@@ -214,7 +217,7 @@
         """Move waiting calls to the pools of the new document."""
         results = []
         for name, old in old_pools.items():
-            new = self._pools.get(name)
+            new = self.pools.get(name)
             if new is old:
                 continue
             for entry in old.queue.discard(lambda entry: True):
@@ -226,16 +229,25 @@
         return results
 
     def _all_targets(self):
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             yield from pool.targets
 
     def _find_targets(self, name):
-        found = [pool.by_name.get(name) for pool in self._pools.values()]
+        found = [pool.by_name.get(name) for pool in self.pools.values()]
         return [target for target in found if target is not None]
 
     def _weight(self, call):
         pipeline = self._document.pipelines.get(call.pipeline)
-        return pipeline.attainment_weight if pipeline else 0.5
+        return pipeline.attainment_weight if pipeline else DEFAULT_WEIGHT
+
+    def _least_latency(self, pool, call):
+        """Return the latency that must be left for a call to be worth starting.
+
+        Where cost weighs more, calls that would only just make it are refused
+        before they cost anything; where attainment does, they are tried.
+        """
+        quantile = CHANCE_QUANTILE - CHANCE_RANGE * self._weight(call)
+        return pool.typical(call, quantile)
 
     def _enqueue(self, pool, call, now):
         account = self._document.accounts.get(call.account)
@@ -251,10 +263,9 @@
             return CallRejected(call.call_id, Code.OVERLOADED, SHORTEST_RETRY_AFTER_S)
         if not pool.queue.fair or call.deferred or not pool.queue.urgent:
             return None
-        typical = pool.typical(call)
         ahead = pool.queue.urgent.count_ahead(call.account)
-        wait = estimate_wait(ahead, pool.in_flight, typical)
-        if now + wait + typical <= due:
+        wait = estimate_wait(ahead, pool.in_flight, pool.typical(call))
+        if now + wait + self._least_latency(pool, call) <= due:
             return None
         retry_after = max(SHORTEST_RETRY_AFTER_S, wait)
         return CallRejected(call.call_id, Code.OVERLOADED, retry_after)
@@ -276,7 +287,7 @@
         waiting = []
         for entry in self._held:
             call = entry.call
-            pool = self._pools.get(call.pool)
+            pool = self.pools.get(call.pool)
             if pool is None or now + pool.typical(call) > entry.due_s:
                 results.append(CallRejected(call.call_id, Code.TARGET_FAILED))
             elif self._budgets.spend_retry():
@@ -291,7 +302,7 @@
         if original is None or not original.hedged or not call.repeatable:
             return [CallRejected(call.call_id, Code.OVERLOADED)]
         avoid = (*call.avoid, original.target.name)
-        target = self._choose(pool, call, avoid, now)
+        target = choose_target(pool, call, avoid, now)
         if target is None or target is original.target:
             return [CallRejected(call.call_id, Code.OVERLOADED)]
         due = min(call.deadline_s, now + call.budget_s)
@@ -299,7 +310,7 @@
 
     def _place_all(self, now):
         results = []
-        for pool in self._pools.values():
+        for pool in self.pools.values():
             if pool.queue:
                 results.extend(self._place_pool(pool, now))
         return results
@@ -313,7 +324,7 @@
             if line is None:
                 break
             entry = line.pop()
-            target = self._choose(pool, entry.call, entry.call.avoid, now)
+            target = choose_target(pool, entry.call, entry.call.avoid, now)
             if target is None:
                 skipped.append((line, entry))
                 if not (entry.call.alone or entry.call.avoid):
@@ -331,7 +342,10 @@
             return []
         fair = pool.queue.fair
         late = pool.queue.discard(
-            lambda entry: now + (pool.typical(entry.call) if fair else 0) > entry.due_s
+            lambda entry: (
+                now + (self._least_latency(pool, entry.call) if fair else 0)
+                > entry.due_s
+            )
         )
         results = []
         for entry in late:
@@ -343,17 +357,6 @@
             results.append(CallRejected(call_id, Code.OVERLOADED, retry_after))
         return results
 
-    def _choose(self, pool, call, avoid, now):
-        usable = [t for t in pool.targets if _is_usable(t, now)]
-        fresh = [t for t in usable if t.name not in avoid] or usable
-        if avoid:
-            fresh = _prefer_other_domains(pool, fresh, avoid)
-        if call.alone:
-            fresh = [t for t in fresh if pool.load(t, now) < 0.5]
-        if not fresh:
-            return None
-        return pool.routing.choose(pool, call, fresh, now)
-
     def _place(self, pool, entry, target, now):
         call = entry.call
         crowding = max(1.0, (pool.load(target, now) + 1) / target.capacity)
@@ -377,65 +380,8 @@
         tight = due - now < 2 * pool.typical(call)
         return 0 if tight else RELAXED_PRIORITY
 
-    def _tell_loads(self, now):
-        results = []
-        for name, pool in self._pools.items():
-            large = len(pool.targets) > WHOLE_POOL_SIZE
-            period = LARGE_POOL_LOAD_PERIOD_S if large else LOAD_PERIOD_S
-            told_s, told = self._told.get(name, (float("-inf"), None))
-            if now - told_s < period:
-                continue
-            load = pool.make_load()
-            if load != told or load.indexes:
-                results.append(FactChanged(TOPIC_LOAD, name, load, LOAD_TTL_S))
-            self._told[name] = (now, load)
-        return results
-
 
 def _make_registry():
     registry = Registry()
     register(registry)
     return registry
-
-
-def _is_usable(target, now):
-    if target.leaving or target.is_down(now, DOWN_RETRY_S):
-        return False
-    return target.health.is_usable(now)
-
-
-def _has_any_target(pool, now):
-    return any(
-        not target.leaving and not target.is_down(now, DOWN_RETRY_S)
-        for target in pool.targets
-    )
-
-
-def _prefer_other_domains(pool, targets, avoid):
-    """Return the targets outside the failure domains of those to avoid, if any."""
-    tried = [pool.by_name[name] for name in avoid if name in pool.by_name]
-    domains = {target.failure_domain for target in tried} - {""}
-    return [t for t in targets if t.failure_domain not in domains] or targets
-
-
-def _judge(pool, placed, ended, now):
-    """Count a call's end for latency, health and learned concurrency."""
-    target = placed.target
-    call = placed.call
-    usual = pool.typical(call) * placed.crowding
-    ratio = ended.latency_s / usual if pool.knows(call) else 1.0
-    if ended.result == RESULT_OK:
-        pool.observe(call, ended.latency_s, ended.first_token_s)
-        load = pool.load(target, now) + 1
-        target.limit.observe(ratio, load, ended.latency_s, now)
-        pool.health.record_success(target.health, call.call_id, ratio, now)
-    elif ended.result == RESULT_REFUSED:
-        target.limit.back_off(now)
-        pool.health.record_refused(target.health, call.call_id)
-    elif ended.result == RESULT_CANCELLED:
-        pool.health.record_cancelled(target.health, call.call_id, ratio, now)
-    elif ended.result == RESULT_CRASHED:
-        pool.prefixes.forget_target(target.name)
-        pool.health.record_crash(target.health, call.call_id, now)
-    else:
-        pool.health.record_failure(target.health, call.call_id, now)
