--- a/firworks/document.py
+++ b/firworks/document.py
@@ -6,7 +6,8 @@
 
 import hashlib
 
-from firworks.checks import check_table, parse_toml
+from firworks.checks import parse_toml
+from firworks.document_memory import check_document
 from firworks.document_references import check_references
 from firworks.errors import SettingsError
 from firworks.kernel.messages import Struct
@@ -321,7 +322,7 @@
     Raises:
         SettingsError: As `parse_document`.
     """
-    check_table(table, SCHEMA, source)
+    check_document(table, SCHEMA, source, MAX_ACCOUNTS)
     pools = {name: _make(Pool, name, item) for name, item in table["pools"].items()}
     pipelines = {
         name: _make_pipeline(name, item) for name, item in table["pipelines"].items()
--- /dev/null
+++ b/firworks/document_memory.py
@@ -0,0 +1,45 @@
+"""Remembers which client accounts passed the schema, as most stay the same.
+
+A change of configuration touches few accounts; checking all of them again would hold
+up a daemon's loop.
+"""
+
+from hashlib import blake2b
+
+from firworks.checks import check_table
+
+DIGEST_BYTES = 16
+REMEMBERED_ACCOUNTS = 20_000
+SECTION = "accounts"
+
+_passed = set()
+
+
+def check_document(table, schema, source, max_accounts):
+    """Check a document's table against its schema, as `check_table` does.
+
+    Args:
+        table (dict): The parsed TOML.
+        schema (dict): The document's JSON schema.
+        source (str): Named in errors.
+        max_accounts (int): The number of accounts that the schema allows.
+
+    Raises:
+        SettingsError: For the first violation in key order.
+    """
+    accounts = table.get(SECTION)
+    if not isinstance(accounts, dict) or len(accounts) > max_accounts:
+        check_table(table, schema, source)
+        return
+    digests = {name: _digest(name, item) for name, item in accounts.items()}
+    changed = {n: accounts[n] for n, digest in digests.items() if digest not in _passed}
+    check_table({**table, SECTION: changed}, schema, source)
+    if len(_passed) > REMEMBERED_ACCOUNTS:
+        _passed.clear()
+    _passed.update(digests.values())
+
+
+def _digest(name, item):
+    """Return a digest of an account; values of different types differ."""
+    text = f"{name!r}={item!r}".encode()
+    return blake2b(text, digest_size=DIGEST_BYTES).digest()
--- a/firworks/tests/test_configuration.py
+++ b/firworks/tests/test_configuration.py
@@ -2,6 +2,10 @@
 
 import random
 
+import pytest
+
+from firworks.document import parse_document
+from firworks.errors import SettingsError
 from firworks.kernel.configuration_follower import ConfigurationFollower
 from firworks.kernel.configuration_records import NO_VERSION
 from firworks.kernel.fleet import ConfigurationAccepted
@@ -29,3 +33,27 @@
         results = follower.handle(log.read(None), 0.1)
         assert isinstance(results[0], ConfigurationAccepted)
         assert follower.ready and follower.version == 0
+
+
+class TestDocumentMemory:
+    ACCOUNT = "[accounts.a]\ntoken_sha256 = ['{}']\nrate_per_s = {}\nconcurrency = {}\n"
+
+    def parse(self, rate, concurrency, token="a" * 64):
+        head = "format = 1\n[pipelines]\n[pools]\n"
+        return parse_document(
+            (head + self.ACCOUNT.format(token, rate, concurrency)).encode()
+        )
+
+    def test_a_changed_account_is_checked_again(self):
+        assert self.parse(5, 2).accounts["a"].concurrency == 2
+        for rate, concurrency in ((5, "2.0"), (5, "'2'"), (5, 0), (-1, 2), (5, "true")):
+            with pytest.raises(SettingsError, match="accounts.a"):
+                self.parse(rate, concurrency)
+        with pytest.raises(SettingsError, match="accounts.a.token_sha256"):
+            self.parse(5, 2, token="b")
+        assert self.parse(6, 2).accounts["a"].rate_per_s == 6
+
+    def test_a_refused_account_is_not_remembered(self):
+        for _ in range(2):
+            with pytest.raises(SettingsError):
+                self.parse(7, 0)
