--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -11,7 +11,7 @@
 from firworks.kernel.limits import AccountLimits
 from firworks.kernel.messages import PeerReceived
 from firworks.kernel.quarantine import Quarantine
-from firworks.kernel.scheduling_state import PoolLoad
+from firworks.kernel.scheduling_loads import PoolLoad
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
 
 DAEMON_TICK_S = 0.05
--- a/firworks/kernel/codec.py
+++ b/firworks/kernel/codec.py
@@ -7,7 +7,7 @@
 
 MAX_DEPTH = 12
 
-_PLAIN_TYPES = (int, str, bytes, bool)
+_PLAIN_TYPES = (int, str, bytes, bool, float)
 
 _RECORDS = {}
 
@@ -46,6 +46,8 @@
 
 
 def _pack(value):
+    if type(value) in _PLAIN_TYPES:
+        return value
     if isinstance(value, Record):
         return [type(value).__name__, *[_pack(item) for item in value.values()]]
     if isinstance(value, tuple | list):
@@ -64,8 +66,11 @@
         raise CodecError(f"unknown record type {name!r}")
     if len(packed) - 1 != len(cls.TYPES):
         raise CodecError(f"{name} must have {len(cls.TYPES)} fields")
-    pairs = zip(packed[1:], cls.TYPES, cls.fields(), strict=True)
-    values = [_check(value, kind, f"{name}.{f}", depth) for value, kind, f in pairs]
+    values = [
+        # Most fields are plain; the others and the errors need more words.
+        value if type(value) is kind else _check(value, kind, f"{name}.{field}", depth)
+        for value, kind, field in zip(packed[1:], cls.TYPES, cls.fields(), strict=True)
+    ]
     return cls(*values)
 
 
