Give back loans as soon as the need for them ends

Cause: a demand that moved to another daemon waited until old loans ended, and a lender's own part with it. Change: a borrower cuts its loans to the need that it states, and lenders take back what exceeds a stated need at once; the order keeps the sum below the limit.

--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -107,6 +107,7 @@
         self._published_s = {}
         self._sequence = 0
         self._stated = False
+        self._wants = {}
         self._worked_s = 0.0
 
     @singledispatchmethod
@@ -194,11 +195,19 @@
     def _learn_fact(self, event: FactLearned, now):
         if event.topic == TOPIC_DEMAND and isinstance(event.value, Demands):
             self._peers[event.origin] = _PeerDemands(event.value, now)
+            self._take_back(event.origin, now)
         elif event.topic == TOPIC_LOAN and isinstance(event.value, Loans):
             if event.key == self.name:
                 self._take_loans(event.origin, event.value, now)
         return []
 
+    def _take_back(self, peer, now):
+        """Take back what a borrower has stated that it no longer needs."""
+        wants = self._peers[peer].by_account
+        for name, share in self._active.items():
+            rate, places = _find_lack(share, wants.get(name))
+            share.clip_lent(peer, rate, places, now + HOLD_S, now)
+
     def _take_loans(self, lender, loans, now):
         """Use what another daemon lends, counted from when it was asked for."""
         until_s = self._published_s.get(loans.sequence, now - LOAN_S) + LOAN_S
@@ -206,7 +215,9 @@
         entries = [e for e in loans.entries if usable and e.account in self._shares]
         for entry in entries:
             share = self._active[entry.account] = self._shares[entry.account]
-            rate, concurrency = max(entry.rate, 0.0), max(entry.concurrency, 0.0)
+            most_rate, most_places = _find_lack(share, self._wants.get(entry.account))
+            rate = min(max(entry.rate, 0.0), most_rate)
+            concurrency = min(max(entry.concurrency, 0.0), most_places)
             share.borrow(lender, Loan(rate, concurrency, until_s, until_s), now)
         self._return_loans(lender, [entry.account for entry in entries], now)
 
@@ -249,6 +260,9 @@
         self._published_s[self._sequence] = now
         self._published_s.pop(self._sequence - ENTRY_LIMIT, None)
         demands = Demands(self._sequence, tuple(entries[:ENTRY_LIMIT]))
+        self._wants = {entry.account: entry for entry in demands.entries}
+        for name, share in self._active.items():
+            share.clip_borrowed(*_find_lack(share, self._wants.get(name)), now)
         return [FactChanged(TOPIC_DEMAND, "", demands, LOAN_S)]
 
     def _lend_all(self, now):
@@ -318,3 +332,11 @@
     """Return how much of its base share an account uses here, as a ratio."""
     rate = share.wanted_rate / share.base_rate
     return max(rate, share.wanted_concurrency / share.base_concurrency)
+
+
+def _find_lack(share, want):
+    """Return rate and places that a `Demand`, or None, asks for beyond the base."""
+    if want is None:
+        return 0.0, 0.0
+    rate = max(0.0, HEADROOM * want.rate - share.base_rate)
+    return rate, max(0.0, HEADROOM * want.concurrency - share.base_concurrency)
--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -157,6 +157,26 @@
         self._borrowed[peer] = loan
         self.refill(now)
 
+    def clip_borrowed(self, rate, places, now):
+        """Give back what exceeds a need that the lenders are about to learn."""
+        self.refill(now)
+        for loan in self._borrowed.values():
+            loan.rate = min(loan.rate, rate)
+            loan.concurrency = min(loan.concurrency, places)
+        self.refill(now)
+
+    def clip_lent(self, peer, rate, places, hold_until_s, now):
+        """Take back what exceeds the need that a borrower has stated.
+
+        Lent places come back at `hold_until_s`, for requests may still run there.
+        """
+        self.refill(now)
+        for loan in self._lent.get(peer, ()):
+            loan.rate = min(loan.rate, rate)
+            if loan.concurrency > places:
+                loan.hold_until_s = min(loan.hold_until_s, hold_until_s)
+        self.refill(now)
+
     def return_loans(self, peer, now):
         """Drop what was borrowed from a daemon."""
         self.refill(now)
