Size target queues by what is known of them; never learn above the document

Cause: learned limits grew past the document's concurrency; in a burst calls waited at daemons whose view of the targets lagged.

--- a/firworks/kernel/admission.py
+++ b/firworks/kernel/admission.py
@@ -199,8 +199,9 @@
 class LearnedLimit:
     """A target's concurrency limit, learned from latency.
 
-    Used for targets that do not report their capacity: latencies near the typical
-    one raise the limit while it is in use, slow ones lower it.
+    Used for targets that do not report their capacity: slow answers lower the limit
+    below the document's concurrency, latencies near the typical one raise it again
+    while it is in use.
 
     Attributes:
         value (float): Requests that the target may have in progress.
@@ -212,11 +213,10 @@
     FAST_RATIO = 1.3
     BACKOFF = 0.85
     SMALLEST = 1.0
-    GROWTH = 2.0
 
     def __init__(self, initial):
         self.value = float(initial)
-        self._largest = initial * self.GROWTH
+        self._largest = float(initial)
         self._lowered_s = float("-inf")
 
     def observe(self, ratio, load, latency_s, now):
--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -4,7 +4,8 @@
 
 CONTENTION = 1.0
 JITTER = 0.1
-QUEUE_S = 0.5
+QUEUE_S = 1.0
+UNREPORTED_QUEUE_S = 1.5
 SLOWNESS_TOLERANCE = 1.5
 AFFINITY_BASE = 2.0
 AFFINITY_RANGE = 4.0
@@ -110,4 +111,5 @@
     """Return whether a target may get a call: its own share and the total allow."""
     if len(target.calls) >= target.capacity:
         return False
-    return load < (1 + max(1.0, QUEUE_S / typical_s)) * target.capacity
+    queue_s = QUEUE_S if target.report_capacity else UNREPORTED_QUEUE_S
+    return load < (1 + max(1.0, queue_s / typical_s)) * target.capacity
