--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -4,12 +4,15 @@
 
 from firworks.kernel.budgets import StageBudgets
 from firworks.kernel.configuration_follower import ConfigurationFollower
+from firworks.kernel.deferred import Deferred
+from firworks.kernel.departures import Departures
 from firworks.kernel.dissemination import Dissemination
 from firworks.kernel.ledger import Ledger
 from firworks.kernel.limits import AccountLimits
 from firworks.kernel.membership import Membership
 from firworks.kernel.node import Kernel
 from firworks.kernel.operators import Operators
+from firworks.kernel.orders import Orders
 from firworks.kernel.quarantine import Quarantine
 from firworks.kernel.reports import Reports
 from firworks.kernel.requests import Requests
@@ -18,6 +21,7 @@
 BUILTIN_PLUGINS = (
     "firworks.plugins.http_callers",
     "firworks.plugins.http_engines",
+    "firworks.plugins.http_orders",
     "firworks.plugins.http_services",
     "firworks.plugins.http_vms",
     "firworks.plugins.log_driver",
@@ -33,23 +37,33 @@
         kernel (Kernel): All parts, in order.
         requests (Requests): Tells whether the daemon is ready and idle.
         ledger (Ledger): Tells whether all outcomes are in the log.
+        deferred (Deferred): Tells the same of deferred requests' answers.
         membership (Membership): Knows the peers.
         configuration (ConfigurationFollower): Knows the version in force.
     """
 
-    __slots__ = ("kernel", "requests", "ledger", "membership", "configuration")
+    __slots__ = (
+        "kernel",
+        "requests",
+        "ledger",
+        "deferred",
+        "membership",
+        "configuration",
+    )
 
-    def __init__(self, kernel, requests, ledger, membership, configuration):
+    def __init__(self, kernel, requests, ledger, deferred, membership, configuration):
         self.kernel = kernel
         self.requests = requests
         self.ledger = ledger
+        self.deferred = deferred
         self.membership = membership
         self.configuration = configuration
 
     @property
     def idle(self):
         """Whether nothing in progress would be lost by stopping."""
-        return self.requests.idle and self.ledger.flushed
+        flushed = self.ledger.flushed and self.deferred.flushed
+        return self.requests.idle and flushed
 
 
 def build_kernel(settings, incarnation, registry):
@@ -74,6 +88,7 @@
     )
     configuration = ConfigurationFollower(settings, make_random("configuration"))
     ledger = Ledger(settings)
+    deferred = Deferred(settings)
     limits = AccountLimits(settings.name)
     quarantine = Quarantine(settings.name)
     scheduler = Scheduler(make_random("scheduling"), settings.name, registry)
@@ -82,13 +97,17 @@
     parts = [
         membership,
         Dissemination(settings.name, membership),
+        Departures(),
         configuration,
         limits,
         quarantine,
         ledger,
+        deferred,
         scheduler,
         Reports(scheduler, make_random("reports")),
+        Orders(settings, incarnation, make_random("orders")),
         Operators(),
         requests,
     ]
-    return KernelParts(Kernel(parts), requests, ledger, membership, configuration)
+    kernel = Kernel(parts)
+    return KernelParts(kernel, requests, ledger, deferred, membership, configuration)
--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -33,7 +33,7 @@
 TICK_INTERVAL_S = 0.05
 DRAIN_POLL_S = 0.02
 FAREWELL_S = 0.2
-ADAPTER_KINDS = ("log", "vms", "peers", "targets", "callers")
+ADAPTER_KINDS = ("log", "vms", "peers", "targets", "orders", "callers")
 
 
 class Daemon:
@@ -151,11 +151,11 @@
         self._interrupted.set()
 
     async def stop(self):
-        """Stop the adapters, callers first, and the clock."""
-        for adapter in reversed(self.adapters.values()):
-            await adapter.stop()
+        """Stop the clock and the adapters, callers first."""
         if self._tick_task is not None:
             self._tick_task.cancel()
+        for adapter in reversed(self.adapters.values()):
+            await adapter.stop()
         await self._admin.stop()
         log_event(LogEvent.DAEMON_STOPPED, name=self.settings.name)
 
--- a/firworks/kernel/claims.py
+++ b/firworks/kernel/claims.py
@@ -3,6 +3,11 @@
 from firworks.kernel.codec import register_record
 from firworks.kernel.messages import Record, Signal
 
+# A holder dispatches before its request's deadline, and awaits the outcome for the
+# grace after it; then it has told the ledger what it knows, or has failed.
+LONGEST_DEADLINE_S = 600.0
+LATE_OUTCOME_GRACE_S = 60.0
+
 # Values of `ClaimRefused.state`.
 CLAIM_OUTCOME = "outcome"  # the work ran; `answer` holds its answer
 CLAIM_UNKNOWN = "unknown"  # the work was dispatched, its outcome is not known
@@ -98,9 +103,16 @@
 
 
 class DeferRefused(Signal):
-    """The request could not be logged in time and will not run."""
+    """The request could not be logged in time.
 
-    __slots__ = ("request_id",)
+    Attributes:
+        request_id (str): The request.
+        may_run (bool): It may yet reach the log and run; a result is then found
+            under its id. Otherwise it will not run.
+    """
+
+    __slots__ = ("request_id", "may_run")
+    DEFAULTS = {"may_run": False}
 
 
 class DeferredReady(Signal):
@@ -126,7 +138,8 @@
 
     Attributes:
         lookup_id (str): Echo of the lookup.
-        state (str): "done", "open" or "missing".
+        state (str): "done", "open", "missing", or "unavailable" when the log cannot
+            be read.
         answer (bytes): With "done", the first outcome's bytes.
     """
 
--- a/firworks/kernel/ledger_records.py
+++ b/firworks/kernel/ledger_records.py
@@ -58,10 +58,12 @@
         key (WorkKey): The key.
         ran (bool): Whether the operator found that the work ran.
         answer (bytes): With `ran`, the answer for resends.
+        asked_s (float): Wall time at which the operator asked; work that became
+            unknown later is not settled by it.
     """
 
-    __slots__ = ("resolution_id", "key", "ran", "answer")
-    TYPES = (str, WorkKey, bool, bytes)
+    __slots__ = ("resolution_id", "key", "ran", "answer", "asked_s")
+    TYPES = (str, WorkKey, bool, bytes, float)
 
 
 LEDGER_RECORDS = (
@@ -160,7 +162,8 @@
 
 
 def name_record(record):
-    """Return an id for a ledger record that is unique within its stream."""
-    if isinstance(record, ResolutionRecord):
-        return f"ResolutionRecord:{record.resolution_id}"
-    return f"{type(record).__name__}:{record.claim_id}"
+    """Return an id for a stored record, unique within its stream.
+
+    The first field of each kind is its own id.
+    """
+    return f"{type(record).__name__}:{record.values()[0]}"
--- a/firworks/kernel/shares.py
+++ b/firworks/kernel/shares.py
@@ -1,7 +1,11 @@
 """One daemon's share of one client account's limits."""
 
-BURST_S = 1.0
-DEMAND_DECAY = 0.7
+BURST_S = 2.0
+SMALLEST_BURST_REQUESTS = 4.0
+DEMAND_RISE = 0.5
+DEMAND_FALL = 0.25
+IDLE_DEMAND = 0.01
+PRESSED_SHARE = 0.5
 
 
 class Loan:
@@ -36,6 +40,7 @@
         running (int): Admitted requests in progress.
         wanted_rate (float): Requests a second that callers try.
         wanted_concurrency (float): Requests in progress that callers want.
+        pressed_s (float): When this share was last more than half used up.
     """
 
     def __init__(self, account, daemons, now):
@@ -44,13 +49,14 @@
         self.running = 0
         self.wanted_rate = 0.0
         self.wanted_concurrency = 0.0
+        self.pressed_s = float("-inf")
         self._attempts = 0
         self._peak = 0
         self._blocked = 0
         self._lent = {}
         self._borrowed = {}
-        self._rate = 0.0
-        self._tokens = 1.0
+        self._rate = self.find_rate(now)
+        self._tokens = find_depth(self._rate)
         self._refilled_s = now
 
     @property
@@ -63,6 +69,13 @@
         """This daemon's part of the concurrency, without loans."""
         return self.account.concurrency / self.daemons
 
+    @property
+    def idle(self):
+        """Whether nothing about the account needs attention here."""
+        wanted = max(self.wanted_rate, self.wanted_concurrency)
+        busy = self.running or self._lent or self._borrowed
+        return not busy and wanted < IDLE_DEMAND
+
     def find_rate(self, now):
         """Return the requests a second that this daemon may admit now."""
         lent = sum(
@@ -88,7 +101,7 @@
         """Add the tokens earned since the last call."""
         rate = self.find_rate(now)
         earned = min(rate, self._rate) * (now - self._refilled_s)
-        depth = max(1.0, rate * BURST_S)
+        depth = find_depth(rate)
         self._tokens = min(depth, self._tokens + earned)
         self._rate = rate
         self._refilled_s = now
@@ -97,6 +110,8 @@
         """Take one token; returns the seconds until there is one, 0 on success."""
         self._attempts += 1
         self.refill(now)
+        if self._tokens < PRESSED_SHARE * find_depth(self._rate):
+            self.pressed_s = now
         if self._tokens >= 1.0:
             self._tokens -= 1.0
             return 0.0
@@ -104,7 +119,10 @@
 
     def has_room(self, now):
         """Whether one more request may be in progress."""
-        room = self.running < self.find_concurrency(now)
+        places = self.find_concurrency(now)
+        room = self.running < places
+        if self.running > PRESSED_SHARE * places:
+            self.pressed_s = now
         if not room:
             self._blocked += 1
         self._peak = max(self._peak, self.running + self._blocked)
@@ -112,10 +130,9 @@
 
     def measure(self, period_s, now):
         """Estimate what callers want from the last period's attempts."""
-        rate = self._attempts / period_s
-        self.wanted_rate = max(rate, DEMAND_DECAY * self.wanted_rate)
+        self.wanted_rate = _smooth(self.wanted_rate, self._attempts / period_s)
         peak = max(self._peak, self.running)
-        self.wanted_concurrency = max(peak, DEMAND_DECAY * self.wanted_concurrency)
+        self.wanted_concurrency = _smooth(self.wanted_concurrency, peak)
         self._attempts = 0
         self._peak = self._blocked = 0
         self._drop_ended(now)
@@ -165,3 +182,17 @@
                 del self._lent[peer]
         for peer in [p for p, b in self._borrowed.items() if b.until_s <= now]:
             del self._borrowed[peer]
+
+
+def _smooth(old, new):
+    """Follow a measured value, faster upward than downward."""
+    return old + (DEMAND_RISE if new > old else DEMAND_FALL) * (new - old)
+
+
+def find_depth(rate):
+    """Return how many requests may come at once at a rate (requests a second).
+
+    A caller keeps its connection to one daemon, whose share of a small account may
+    be below one request a second; a few requests in a row are no burst.
+    """
+    return max(SMALLEST_BURST_REQUESTS, rate * BURST_S)
--- a/firworks/settings.py
+++ b/firworks/settings.py
@@ -40,6 +40,7 @@
     "ledger_streams": 4,
     "ledger_memory_limit_bytes": 67_108_864,
     "append_budget_per_s": 200.0,
+    "append_writers": 1,
     "log_retention_s": 604_800.0,
     "seed": 0,
     "addresses": {},
@@ -77,6 +78,7 @@
         "ledger_streams": {"type": "integer", "minimum": 1, "maximum": 64},
         "ledger_memory_limit_bytes": _BYTES,
         "append_budget_per_s": _SECONDS,
+        "append_writers": {"type": "integer", "minimum": 1, "maximum": 1000},
         "log_retention_s": _SECONDS,
         "seed": {"type": "integer"},
         "addresses": {"type": "object", "additionalProperties": _ADDRESS},
@@ -135,9 +137,9 @@
 
 def _check_together(settings, source):
     _check_addresses(settings, source)
-    if settings.dedupe_window_s + 2 * settings.clock_skew_s >= settings.log_retention_s:
+    if settings.dedupe_window_s + 3 * settings.clock_skew_s >= settings.log_retention_s:
         problem = (
-            f"{settings.dedupe_window_s}; allowed: with twice clock_skew_s, below "
+            f"{settings.dedupe_window_s}; allowed: with 3 times clock_skew_s, below "
             f"log_retention_s ({settings.log_retention_s})"
         )
         raise SettingsError(source, "dedupe_window_s", problem)
--- a/firworks/tests/ledger_world.py
+++ b/firworks/tests/ledger_world.py
@@ -1,8 +1,17 @@
 """Several real kernels around a log model that shows every fault; virtual time."""
 
-from firworks.kernel.claims import ClaimReleased, ClaimWon, OutcomeReached
+from firworks.kernel.claims import (
+    CLAIM_NOT_RUN,
+    CLAIM_OUTCOME,
+    ClaimRefused,
+    ClaimReleased,
+    ClaimWon,
+    OutcomeReached,
+    OutcomeUnknown,
+)
 from firworks.kernel.fleet import MEMBER_ALIVE, MemberChanged
 from firworks.kernel.ledger import Ledger
+from firworks.kernel.ledger_records import LookupAnswered
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
@@ -41,7 +50,8 @@
 class LogModel:
     """Streams whose appends can land late or twice and whose old entries go."""
 
-    def __init__(self):
+    def __init__(self, retention_s):
+        self.retention_s = retention_s
         self.streams = {}
         self.late = []
 
@@ -54,7 +64,7 @@
 
     def read(self, action, now):
         entries = self.streams.setdefault(action.stream, [[], 0])
-        horizon_s = EPOCH_S + now - RETENTION_S
+        horizon_s = EPOCH_S + now - self.retention_s
         kept = entries[0] = [e for e in entries[0] if e.written_s >= horizon_s]
         oldest = kept[0].offset if kept else entries[1]
         start = oldest if action.offset is None else action.offset
@@ -84,6 +94,7 @@
         self.name = name
         self.offset_s = offset_s
         self.paused = False
+        self.sees = {}
         self.parts = make_parts(world, name)
         self.kernel = Kernel(self.parts)
 
@@ -100,7 +111,7 @@
         self.settings = settings
         self.make_parts = make_parts
         self.now = 0.0
-        self.log = LogModel()
+        self.log = LogModel(settings.get("log_retention_s", RETENTION_S))
         self.log_down = False
         self.cut = {}
         self.pending = []
@@ -108,8 +119,9 @@
         self.dispatched = {}
         self.requests = {}
         self.answers = {}
-        self.events = []
+        self.lookups = {}
         self.daemons = {}
+        self.starts = {}
         self.names = names
         for number, name in enumerate(names):
             self.start(name, (0.0, 0.45, -0.45)[number % 3])
@@ -119,11 +131,20 @@
         self.pending = [p for p in self.pending if p[0] is not self.daemons.get(name)]
         daemon = Daemon(self, name, offset_s, self.make_parts)
         self.daemons[name] = daemon
+        self.starts[name] = self.starts.get(name, 0) + 1
         for other in self.names:
-            self.feed(daemon, MemberChanged(other, f"{other}/1", MEMBER_ALIVE))
+            self.show(daemon, other, MEMBER_ALIVE)
         self.tick(daemon)
         return daemon
 
+    def incarnation(self, name):
+        """Return the name of a daemon's present run."""
+        return f"{name}.{self.starts.get(name, 1)}"
+
+    def show(self, daemon, other, status):
+        """Change a daemon's view of another one."""
+        self.feed(daemon, MemberChanged(other, self.incarnation(other), status))
+
     def feed(self, daemon, event):
         for action in daemon.kernel.handle(event, self.now):
             self.pending.append((daemon, action))
@@ -138,9 +159,10 @@
                 self.tick(daemon)
 
     def note(self, event):
-        self.events.append(event)
-        if hasattr(event, "state"):
-            self.words.setdefault(getattr(event, "claim_id", ""), []).append(event)
+        if isinstance(event, ClaimRefused):
+            self.words.setdefault(event.claim_id, []).append(event)
+        elif isinstance(event, LookupAnswered):
+            self.lookups[event.lookup_id] = event
 
     # What the request part does.
 
@@ -160,9 +182,30 @@
         return True
 
     def finish(self, name, claim_id, answer):
+        if answer is None:
+            self.feed(self.daemons[name], OutcomeUnknown(claim_id))
+            return
         self.answers.setdefault(self.requests[claim_id].key, answer)
         self.feed(self.daemons[name], OutcomeReached(claim_id, answer))
 
+    def check(self):
+        """Check the promises on everything said and dispatched so far."""
+        for key, claims in self.dispatched.items():
+            assert len(claims) == 1, f"{key} was dispatched by {claims}"
+        for claim_id, words in self.words.items():
+            assert len(words) == 1, f"{claim_id} was told {words}"
+            self._check_word(self.requests[claim_id], words[0])
+
+    def _check_word(self, request, word):
+        runs = self.dispatched.get(request.key, [])
+        assert request.claim_id not in runs, f"{word} was said and it was dispatched"
+        if word.state == CLAIM_OUTCOME:
+            assert word.answer == self.answers[request.key], "not the first answer"
+            ran = self.requests[runs[0]]
+            assert ran.fingerprint == request.fingerprint, "another request's answer"
+        if word.state == CLAIM_NOT_RUN:
+            assert not runs, "an operator found that it did not run, and it ran"
+
     # What the network and the log do.
 
     def step(self, index=0, fate="ok"):
@@ -198,8 +241,11 @@
     def _read(self, daemon, action, fate):
         if fate == "fail" or self._cut_off(daemon):
             self.feed(daemon, LogReadFailed(action.stream, action.offset))
-        else:
-            self.feed(daemon, self.log.read(action, self.now))
+            return
+        read = self.log.read(action, self.now)
+        if fate == "gap":
+            read.entries = read.entries[:1] + read.entries[2:]
+        self.feed(daemon, read)
 
     def _append(self, daemon, action, fate):
         failed = AppendFailed(action.append_id, action.stream)
