--- a/bench/policy_site.py
+++ b/bench/policy_site.py
@@ -24,6 +24,7 @@
     "two-choices": ("two-choices", False),
     "adaptive": ("adaptive", True),
 }
+USUAL_WEIGHT = 0.7
 PLAIN_KNOBS = 'queue = "fifo"\nejection_share = 0\nhedge_share = 0\n'
 
 _PIPELINES = """
@@ -31,7 +32,7 @@
 
 [pipelines.ask]
 deadline_ms = 8000
-attainment_weight = {weight}
+attainment_weight = {ask}
 stages = [
   {{ name = "encode", pool = "encoders", operation = "encode" }},
   {{ name = "rerank", pool = "rerankers", operation = "rerank" }},
@@ -40,12 +41,12 @@
 
 [pipelines.lookup]
 deadline_ms = 1500
-attainment_weight = {weight}
+attainment_weight = {lookup}
 stages = [ {{ name = "find", pool = "registry", operation = "find" }} ]
 
 [pipelines.loan]
 deadline_ms = 3000
-attainment_weight = {weight}
+attainment_weight = {loan}
 stages = [
   {{ name = "book", pool = "loans", operation = "book", repeatable = false }},
 ]
@@ -53,22 +54,24 @@
 [pipelines.quote]
 deadline_ms = 40000
 deferred = true
-attainment_weight = {weight}
+attainment_weight = {quote}
 stages = [
   {{ name = "draft", pool = "engines", operation = "generate", model = "m" }},
 ]
 """
 
 
-def make_document(policy, weight=0.7):
+def make_document(policy, weights=None):
     """Return the `Document` of the bench site under a policy.
 
     Args:
         policy (str): A key of ``POLICIES``.
-        weight (float): The pipelines' attainment weight.
+        weights (dict of str to float): Attainment weight by pipeline; None takes
+            ``USUAL_WEIGHT`` for all.
     """
     routing, protected = POLICIES[policy]
-    text = _PIPELINES.format(weight=weight)
+    weights = weights or dict.fromkeys(FULL_LOAD_PER_S, USUAL_WEIGHT)
+    text = _PIPELINES.format(**weights)
     for pool, slots in SLOTS.items():
         kind = "engine" if pool == "engines" else "service"
         text += f'\n[pools.{pool}]\nkind = "{kind}"\nrouting = "{routing}"\n'
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -57,15 +57,15 @@
         policy (str): A key of ``POLICIES``.
         scenario (Scenario): Load and faults.
         seed (int): Same seed, same run.
-        weight (float): The pipelines' attainment weight.
+        weights (dict of str to float): Attainment weight by pipeline.
     """
 
-    def __init__(self, policy, scenario, seed, weight=0.7):
+    def __init__(self, policy, scenario, seed, weights=None):
         self.clock = Clock()
         self.scenario = scenario
         self.seed = seed
         self.random = Random(f"world {seed}")
-        self.document = make_document(policy, weight)
+        self.document = make_document(policy, weights)
         self.report_lag_s = scenario.report_lag_s
         self.log_up_s = 0.0
         self.targets = self._make_targets()
--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -7,8 +7,7 @@
 QUEUE_S = 1.0
 UNREPORTED_QUEUE_S = 1.5
 SLOWNESS_TOLERANCE = 1.5
-AFFINITY_BASE = 2.0
-AFFINITY_RANGE = 4.0
+AFFINITY_STRENGTH = 8.0
 DEFAULT_WEIGHT = 0.5
 AFFINITY_BOUND = 1.25
 AFFINITY_SLACK = 1.0
@@ -92,7 +91,7 @@
         if not call.prefix:
             return {}
         frugality = 1.0 - pool.weights.get(call.pipeline, DEFAULT_WEIGHT)
-        strength = AFFINITY_BASE + AFFINITY_RANGE * frugality
+        strength = AFFINITY_STRENGTH * frugality
         prefill = strength * pool.typical_first_token(call)
         if not prefill:
             return {}
--- a/firworks/kernel/scheduling_hedges.py
+++ b/firworks/kernel/scheduling_hedges.py
@@ -3,7 +3,7 @@
 from firworks.kernel.calls import HedgeWanted
 
 HEDGE_QUANTILE = 0.95
-HEDGE_SLACK = 1.25
+HEDGE_SLACK = 2.0
 SILENCE_FACTOR = 3.0
 CHECK_PERIOD_S = 0.2
 SHORTEST_SILENCE_S = 0.5
@@ -56,7 +56,8 @@
             return self._budgets.spend_hedge()
         if not weight or not self._is_slow(placed, pool, silent, usual, weight, now):
             return False
-        if placed.due_s - now > HEDGE_SLACK * pool.typical(call, HEDGE_QUANTILE):
+        slack = HEDGE_SLACK * weight
+        if placed.due_s - now > slack * pool.typical(call, HEDGE_QUANTILE):
             return False
         return pool.has_spare(1.0, now) and self._budgets.spend_hedge()
 
