Test hedging at the weights that turn it on and off

Cause: at the default weight the hedge window of constant latencies is empty, so the test's own premise was gone. Change: the test states the weight that it means, and weight 0 is tested too.

--- a/firworks/tests/test_retries.py
+++ b/firworks/tests/test_retries.py
@@ -1,5 +1,7 @@
 """Tests of retries and hedges: budgets, failure domains, work sent once."""
 
+import pytest
+
 from firworks.codes import Code
 from firworks.document import Pool
 from firworks.kernel.calls import RESULT_FAILED, HedgeWanted, TargetDown
@@ -90,13 +92,13 @@
 
 class TestHedges:
     def test_slow_call_near_its_deadline_is_hedged_once_elsewhere(self):
-        site = _experienced_site()
-        first = placed(site.send(make_call(50, deadline_s=20.4), 20.0))[0]
+        site = _experienced_site(weight=1.0)
+        first = placed(site.send(make_call(50, deadline_s=20.5), 20.0))[0]
         wanted = []
         for step in range(1, 5):
             wanted += _hedges(site.send(Tick(0.0), 20.0 + 0.1 * step))
         assert [h.call_id for h in wanted] == [50]
-        hedge = make_call(51, deadline_s=20.4, attempt=2, hedge_of=50)
+        hedge = make_call(51, deadline_s=20.5, attempt=2, hedge_of=50)
         assert placed(site.send(hedge, 20.3))[0].target != first.target
 
     def test_hedge_that_nobody_advised_is_refused(self):
@@ -105,10 +107,11 @@
         hedge = make_call(51, deadline_s=28.0, attempt=2, hedge_of=50)
         assert rejected(site.send(hedge, 20.1))
 
-    def test_share_zero_turns_hedges_off(self):
-        site = _experienced_site(hedge_share=0.0)
-        site.send(make_call(50, deadline_s=20.4), 20.0)
-        for step in range(1, 5):
+    @pytest.mark.parametrize("knobs", [{"hedge_share": 0.0}, {"weight": 0.0}])
+    def test_share_or_weight_zero_turns_hedges_off(self, knobs):
+        site = _experienced_site(**{"weight": 1.0, **knobs})
+        site.send(make_call(50, deadline_s=20.5), 20.0)
+        for step in range(1, 6):
             assert not _hedges(site.send(Tick(0.0), 20.0 + 0.1 * step))
 
 
--- a/firworks/tests/test_scheduling.py
+++ b/firworks/tests/test_scheduling.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from firworks.codes import Code
-from firworks.document import Document, Pool
+from firworks.document import Document, Pipeline, Pool
 from firworks.kernel.calls import (
     CallEnded,
     CallIdentity,
@@ -36,11 +36,12 @@
 class Site:
     """Drives one scheduler over one pool by hand."""
 
-    def __init__(self, targets=3, seed=1, **pool):
+    def __init__(self, targets=3, seed=1, weight=0.5, **pool):
         names = tuple(f"t{i}" for i in range(targets))
         self.pool = Pool("p", "service", names, **pool)
         self.scheduler = Scheduler(Random(seed), "d1")
-        document = Document("x", {}, {"p": self.pool}, {})
+        pipeline = Pipeline("ask", 8000, attainment_weight=weight, stages=())
+        document = Document("x", {"ask": pipeline}, {"p": self.pool}, {})
         self.send(ConfigurationAccepted(1, "x", document), 0.0)
 
     def send(self, event, now):
