--- a/firworks/tests/test_docs.py
+++ b/firworks/tests/test_docs.py
@@ -15,7 +15,8 @@
 
 # The name of a pipeline, pool or client account is the name of its table.
 NAMES_OF_TABLES = {(Pipeline, "name"), (Pool, "name"), (Account, "name")}
-DOCS = Path(__file__).parents[2] / "docs"
+TESTS = Path(__file__).parent
+DOCS = TESTS.parents[1] / "docs"
 
 
 def read_rows(name, first, section=""):
@@ -112,3 +113,17 @@
             return "required"
         value = cls.DEFAULTS[name]
         return f"`{json.dumps(value)}`"
+
+
+class TestPromises:
+    def test_each_named_test_exists(self):
+        named = re.findall(
+            r"`((?:spec/)?test_\w+\.py)::(\w+)(?:::(\w+))?`",
+            (DOCS / "PROMISES.md").read_text(),
+        )
+        assert named
+        for file, cls, function in named:
+            folder = DOCS.parent if file.startswith("spec/") else TESTS
+            text = (folder / file).read_text()
+            body = re.split(r"\nclass ", text.split(f"\nclass {cls}", 1)[1])[0]
+            assert f"    def {function}(" in body or not function
