--- a/firworks/kernel/health.py
+++ b/firworks/kernel/health.py
@@ -12,6 +12,8 @@
 SMALLEST_WEIGHT = 0.1
 REPORT_SILENCE_S = 2.0
 REPORT_SILENCE_INTERVALS = 4.0
+SILENCE_CHECK_S = 0.25
+LARGEST_JURY = 32
 PACE_SMOOTHING = 0.5
 PACE_TTL_S = 10.0
 REPROBE_S = 1.0
@@ -28,6 +30,7 @@
         slowness (float): Smoothed latency relative to the typical one of its stage.
         samples (int): Latencies counted.
         ejected_until_s (float): No work before this time; 0 when not ejected.
+        ejected_s (float): When it was last ejected.
         ejections (int): Ejections since the last full return.
         probe (int): Call that tests whether the target has recovered, or 0.
         returned_s (float): When slow start began.
@@ -36,6 +39,7 @@
         first_hand (bool): Ejected on this daemon's own evidence.
         pace (float): Smoothed seconds per token of its streams; 0 when unknown.
         pace_s (float): When the pace was last measured.
+        silence_check_s (float): When its silence may be judged again.
     """
 
     __slots__ = (
@@ -43,6 +47,7 @@
         "slowness",
         "samples",
         "ejected_until_s",
+        "ejected_s",
         "ejections",
         "probe",
         "returned_s",
@@ -51,6 +56,7 @@
         "first_hand",
         "pace",
         "pace_s",
+        "silence_check_s",
     )
 
     def __init__(self):
@@ -58,6 +64,7 @@
         self.slowness = 1.0
         self.samples = 0
         self.ejected_until_s = 0.0
+        self.ejected_s = 0.0
         self.ejections = 0
         self.probe = 0
         self.returned_s = float("-inf")
@@ -66,6 +73,7 @@
         self.first_hand = False
         self.pace = 0.0
         self.pace_s = float("-inf")
+        self.silence_check_s = 0.0
 
     @property
     def ejected(self):
@@ -105,6 +113,7 @@
     def __init__(self, targets, ejection_share):
         self._targets = targets
         self._share = ejection_share
+        self._ejected = sum(target.ejected for target in targets)
 
     @property
     def cap(self):
@@ -167,7 +176,11 @@
         Returns:
             bool: Whether the target was ejected.
         """
-        others = [other for other in self._targets if other is not health]
+        if now < health.silence_check_s:
+            return False
+        health.silence_check_s = now + SILENCE_CHECK_S
+        stride = 1 + len(self._targets) // LARGEST_JURY
+        others = [other for other in self._targets[::stride] if other is not health]
         moving = sum(other.answered_s > since_s for other in others)
         if health.answered_s > since_s or 2 * moving < len(others):
             return False
@@ -225,14 +238,16 @@
         """Eject a target unless the cap is reached; return whether it is ejected."""
         if health.ejected:
             return True
-        if sum(target.ejected for target in self._targets) >= self.cap:
+        if self._ejected >= self.cap:
             return False
+        self._ejected += 1
         self._extend(health, now)
         return True
 
     def _extend(self, health, now):
         duration = min(EJECTION_S * 2**health.ejections, LONGEST_EJECTION_S)
         health.ejections += 1
+        health.ejected_s = now
         health.ejected_until_s = now + duration
         health.first_hand = True
 
@@ -241,6 +256,7 @@
         if ratio > OUTLIER_RATIO:
             self._extend(health, now)
             return
+        self._ejected -= 1
         health.ejected_until_s = 0.0
         health.first_hand = False
         health.ejections = max(0, health.ejections - 1)
--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -48,6 +48,7 @@
 
 IDLE_S = 60.0
 WARM_AFTER_S = 2.0
+STANDBYS = 1
 SHARED_STREAMS = 1  # the deferred stream draws on the same budget
 STREAM_PREFIX = "ledger-"
 
@@ -60,10 +61,12 @@
             append_budget_per_s, append_writers, dedupe_window_s and clock_skew_s.
         relay (bool): Whether records may go through peers that are not the usual
             writer.
+        standbys (int): Daemons next in line that follow each stream as well.
     """
 
-    def __init__(self, settings, relay=True):
+    def __init__(self, settings, relay=True, standbys=STANDBYS):
         self._name = settings.name
+        self._standbys = standbys
         self._streams_count = settings.ledger_streams
         self._limit_bytes = settings.ledger_memory_limit_bytes
         self._window_s = settings.dedupe_window_s
@@ -91,10 +94,13 @@
             now (float): Kernel time.
 
         Returns:
-            bool: False also when the claim was released or its work has ended.
+            bool: False also when the claim was released, its work has ended or its
+                deadline has passed; after that an operator may settle the key.
         """
         request = self._holder.get_won(claim_id)
-        return request is not None and self._in_window(request.issued_s, now)
+        if request is None or now >= request.deadline_s:
+            return False
+        return self._in_window(request.issued_s, now)
 
     @property
     def flushed(self):
@@ -193,7 +199,7 @@
     @_take.register
     def _(self, event: ResolutionRequested, now):
         stream = self._open_stream(self.name_stream(event.key), now)
-        self._lookups.resolve(event, stream.stream, now)
+        self._lookups.resolve(event, stream.stream, now, self._find_wall(now))
         return []
 
     @singledispatchmethod
@@ -269,9 +275,15 @@
         return name in [f"{STREAM_PREFIX}{number}" for number in numbers]
 
     def _in_window(self, issued_s, now):
-        age_s = self._wall_s + (now - self._ticked_s) - issued_s
+        age_s = self._find_wall(now) - issued_s
         return -self._skew_s <= age_s <= self._window_s
 
+    def _find_wall(self, now):
+        """Return the wall time at a kernel time; 0 before the first tick."""
+        if self._wall_s is None:
+            return 0.0
+        return self._wall_s + (now - self._ticked_s)
+
     def _is_full(self):
         return self.size_bytes >= self._limit_bytes
 
@@ -296,10 +308,10 @@
         return LedgerState(self._window_s, self._skew_s, self._choice.is_gone)
 
     def _warm_streams(self, now):
-        """Follow the streams that this daemon usually writes."""
+        """Follow the streams that this daemon usually writes or is next to write."""
         for number in range(self._streams_count):
             name = f"{STREAM_PREFIX}{number}"
-            if self._choice.get_writer(name) == self._name:
+            if self._name in self._choice.get_writers(name, 1 + self._standbys):
                 self._open_stream(name, now)
 
     def _drop_idle_streams(self, now):
