Drive a real daemon with firworksctl in one test

Cause: the commands had met only a fake daemon. Change: publish, promote, status, ledger, burn and drain against a stand-in site. Conclusion: passes; the ledger shows the loan's outcome and an unused key as free.

--- a/firworks/tests/test_ctl.py
+++ b/firworks/tests/test_ctl.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import json
+from pathlib import Path
+from random import Random
 
 import pytest
 
 from firworks.codes import Code
+from firworks.document import parse_document
 from firworks.errors import FirworksError
+from firworks.standins.caller import Caller, make_key
 from firworks.standins.log import LogStandin
+from firworks.standins.site import Site
 from firworks.tests.test_admin import FakeView, run_admin
 from firworks.tests.test_examples import EXAMPLES
 from firworks.tools.commands import Commands, start_command
@@ -149,3 +154,48 @@
         assert "d1 ready, trial version 7" in status.lines[0]
         assert view.drained and drained.value == {"draining": True}
         assert burn.value["daemons"] == ["d1"]
+
+
+class TestWholeSite:
+    def test_an_operators_day(self):
+        async def run():
+            site = Site(parse_document(Path(ZWOLLE).read_bytes()))
+            commands = Commands()
+            reports = []
+            await site.start()
+            try:
+                log = site.log_url
+                await start_command(commands.publish(ZWOLLE, log=log))
+                promoted = await start_command(commands.promote(log=log))
+                daemon = await site.start_daemon("entry-1")
+                await site.wait_ready(promoted.value["digest"])
+                where = f"127.0.0.1:{daemon.admin_port}"
+                key = make_key(Random(1))
+                target = f"127.0.0.1:{daemon.caller_port}"
+                async with Caller(target, "zwolle-arbiters") as caller:
+                    await caller.send("register-loan", {}, Idempotency_Key=key)
+                wanted = ("arbiters", "register-loan", key)
+                reports = [
+                    await start_command(command)
+                    for command in (
+                        commands.status(where),
+                        commands.ledger(*wanted, address=where),
+                        commands.ledger("arbiters", "register-loan", "k", where),
+                        commands.burn(where),
+                        commands.drain(where),
+                    )
+                ]
+                return reports, daemon.draining.is_set()
+            finally:
+                await site.stop()
+
+        (status, loan, unused, burn, drained), draining = asyncio.run(run())
+        assert "entry-1 ready, production version" in status.lines[0]
+        assert (loan.value["state"], unused.value["state"]) == ("outcome", "free")
+        assert json.loads(loan.value["answer"])["body"]["operation"] == "register-loan"
+        (pipeline,) = burn.value["pipelines"]
+        assert (pipeline["pipeline"], pipeline["windows"][0]["met"]) == (
+            "register-loan",
+            1,
+        )
+        assert drained.value["draining"] and draining
