Write streamed tokens at most every 30 ms; the first and the last at once

Cause: at 4,900 tokens a second a daemon spent 127 us per token, most of it in one send per token (94 us each in a profile). Change: the first part wakes the writer at once, later parts at most every 30 ms, the final answer at once with what is left. Conclusion: reading stays immediate, so the end of an answer is not delayed.

--- a/firworks/plugins/http_callers.py
+++ b/firworks/plugins/http_callers.py
@@ -31,6 +31,7 @@
 )
 
 WRITE_TIMEOUT_S = 10.0
+FLUSH_INTERVAL_S = 0.03
 SHUTDOWN_TIMEOUT_S = 5.0
 
 
@@ -45,7 +46,7 @@
 
     def __init__(self, context):
         super().__init__(context)
-        self._queues = {}
+        self._exchanges = {}
         self._numbers = itertools.count(1)
         self._runner = None
         self._host, port = context.settings.callers.rsplit(":", 1)
@@ -77,9 +78,13 @@
 
     def carry_out(self, action):
         """Hand a part or a final answer to the connection that waits for it."""
-        queue = self._queues.get(action.request_id)
-        if queue is not None:
-            queue.put_nowait(action)
+        exchange = self._exchanges.get(action.request_id)
+        if exchange is None:
+            return
+        if isinstance(action, SendPart):
+            exchange.add_part(action)
+        else:
+            exchange.end(action)
 
     async def _serve(self, request):
         request.protocol.begin_request()
@@ -112,26 +117,81 @@
 
     async def _exchange(self, request, request_id, event):
         """Feed a request to the kernel and write what it answers."""
-        queue = asyncio.Queue()
-        self._queues[request_id] = queue
-        finished = False
+        exchange = Exchange()
+        self._exchanges[request_id] = exchange
         try:
             self.context.feed(event)
-            wants_stream = EVENT_STREAM_TYPE in request.headers.get("Accept", "")
-            writer = EventWriter(request, request_id) if wants_stream else None
-            while not finished:
-                action = await queue.get()
-                finished = isinstance(action, FinishAnswer)
-                if writer is not None:
-                    await writer.write(action)
-            if writer is not None and writer.response is not None:
-                return writer.response
-            return _make_answer(request_id, action)
+            if EVENT_STREAM_TYPE in request.headers.get("Accept", ""):
+                return await self._stream(request, request_id, exchange)
+            while exchange.ending is None:
+                await exchange.wait()
+            return _make_answer(request_id, exchange.ending)
         finally:
-            del self._queues[request_id]
-            if not finished:
+            del self._exchanges[request_id]
+            if exchange.ending is None:
                 self.context.feed(CallerLeft(request_id))
 
+    async def _stream(self, request, request_id, exchange):
+        writer = EventWriter(request, request_id)
+        while exchange.ending is None:
+            await exchange.wait()
+            if exchange.ending is None:
+                await writer.write_part(exchange.take_part())
+        # What is left of the parts goes out with the last event.
+        if writer.response is None and exchange.ending.code.http_status >= 400:
+            return _make_answer(request_id, exchange.ending)
+        await writer.finish(exchange.take_part(), exchange.ending)
+        return writer.response
+
+
+class Exchange:
+    """What the kernel has answered to one request and is not written yet.
+
+    The first part wakes the writer at once, later ones at most once in
+    ``FLUSH_INTERVAL_S``, and the final answer at once.
+
+    Attributes:
+        ending (FinishAnswer): The final answer, or None.
+    """
+
+    def __init__(self):
+        self.ending = None
+        self._offset = 0
+        self._tokens = []
+        self._woken_s = float("-inf")
+        self._timer = None
+        self._wake = asyncio.Event()
+
+    def add_part(self, part):
+        """Take a part (SendPart); parts come in order and without gaps."""
+        if not self._tokens:
+            self._offset = part.offset
+        self._tokens.extend(part.tokens)
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            due_s = max(self._woken_s + FLUSH_INTERVAL_S, loop.time())
+            self._timer = loop.call_at(due_s, self._wake.set)
+
+    def end(self, ending):
+        """Take the final answer (FinishAnswer)."""
+        self.ending = ending
+        self._wake.set()
+
+    async def wait(self):
+        """Wait until there is something to write."""
+        await self._wake.wait()
+        self._wake.clear()
+        self._woken_s = asyncio.get_running_loop().time()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def take_part(self):
+        """Return the parts that are not written, as one `SendPart`; forget them."""
+        part = SendPart("", self._offset, tuple(self._tokens))
+        self._tokens = []
+        return part
+
 
 class EventWriter:
     """Writes an answer as server-sent events, from its first part on.
@@ -150,29 +210,30 @@
         self._request_id = request_id
         self._sent = []
 
-    async def write(self, action):
-        """Write a part (SendPart) or the last event (FinishAnswer).
+    async def write_part(self, part):
+        """Write a part (SendPart), unless it is empty."""
+        if part.tokens:
+            await self._write(self._encode_part(part))
 
-        A request that fails before its first part is left to a plain answer, so
-        that the HTTP status tells.
+    async def finish(self, part, ending):
+        """Write the last part (SendPart), the last event, and the end.
+
+        Args:
+            part (SendPart): Parts not written yet; may be empty.
+            ending (FinishAnswer): The final answer. A kept answer holds tokens
+                beyond the parts, which are written as well.
         """
-        if isinstance(action, SendPart):
-            await self._write(make_part_event(action))
-            self._sent.extend(action.tokens)
-            return
-        if self.response is None and action.code.http_status >= 400:
-            return
-        await self._write_rest(action)
-        await self._write(make_end_event(action, self._sent))
+        data = self._encode_part(part)
+        offset = len(self._sent)
+        data += self._encode_part(SendPart("", offset, ending.tokens[offset:]))
+        await self._write(data + make_end_event(ending, self._sent))
         await self.response.write_eof()
 
-    async def _write_rest(self, ending):
-        """Write what a kept answer holds beyond the parts that were sent."""
-        offset = len(self._sent)
-        rest = ending.tokens[offset:]
-        if rest:
-            await self._write(make_part_event(SendPart("", offset, rest)))
-            self._sent.extend(rest)
+    def _encode_part(self, part):
+        if not part.tokens:
+            return b""
+        self._sent.extend(part.tokens)
+        return make_part_event(part)
 
     async def _write(self, data):
         # A caller that reads nothing must not hold its request for ever.
