--- a/firworks/tests/test_configuration_machine.py
+++ b/firworks/tests/test_configuration_machine.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+from hypothesis import Phase
 from hypothesis import settings as run_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -10,8 +12,10 @@
     invariant,
     precondition,
     rule,
+    run_state_machine_as_test,
 )
 
+from firworks.kernel import configuration_follower
 from firworks.kernel.configuration_follower import ConfigurationFollower
 from firworks.kernel.configuration_records import NO_VERSION
 from firworks.kernel.fleet import ConfigurationAccepted, FactChanged, FactLearned
@@ -30,6 +34,7 @@
     NEW_CHECKS,
     OLD_CHECKS,
     LogModel,
+    mutate,
 )
 
 NAMES = ("vm-0", "vm-1", "vm-2")
@@ -195,3 +200,14 @@
 
 TestConfigurationMachine = ConfigurationMachine.TestCase
 TestConfigurationMachine.settings = run_settings(stateful_step_count=40)
+
+
+class TestGuard:
+    def test_without_it_what_is_in_force_falls(self, monkeypatch):
+        guard = "state.document is None or state.version <= self.version"
+        copy = mutate(configuration_follower, (guard, "state.document is None"))
+        name = f"{__name__}.ConfigurationFollower"
+        monkeypatch.setattr(name, copy.ConfigurationFollower)
+        run = run_settings(max_examples=600, phases=[Phase.generate])
+        with pytest.raises(AssertionError):
+            run_state_machine_as_test(ConfigurationMachine, settings=run)
