Refuse documents that exhaust the parser

A document nested 5,000 deep, or with a number of 5,000 digits, raised errors other than SettingsError; appended past the tool it would have stopped every daemon that follows the log. Nesting is now bounded, without recursion, so that all decide alike.

--- a/firworks/checks.py
+++ b/firworks/checks.py
@@ -8,6 +8,7 @@
 
 from firworks.errors import SettingsError
 
+NESTING_LIMIT = 32
 SHOWN_LENGTH = 200
 SECRET_WORDS = ("secret", "token")
 
@@ -31,12 +32,36 @@
     """Return the table held in TOML bytes.
 
     Raises:
-        SettingsError: When the bytes are not UTF-8 or not TOML.
+        SettingsError: When the bytes are not UTF-8 or not TOML, or nested deeper than
+            ``NESTING_LIMIT``.
     """
+    too_deep = SettingsError(source, "(file)", f"deeper than {NESTING_LIMIT} levels")
     try:
-        return tomllib.loads(data.decode("utf-8"))
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        table = tomllib.loads(data.decode("utf-8"))
+    except ValueError as error:  # also of numbers too long to convert
         raise SettingsError(source, "(file)", str(error)) from error
+    except RecursionError as error:
+        raise too_deep from error
+    if is_nested_deeper(table, NESTING_LIMIT):
+        raise too_deep
+    return table
+
+
+def is_nested_deeper(value, limit):
+    """Return whether tables and arrays are nested more than `limit` deep.
+
+    It does not recurse, so that the answer does not depend on the caller's stack.
+    """
+    layer = [value]
+    for _ in range(limit + 1):
+        inner = []
+        for item in layer:
+            children = item.values() if isinstance(item, dict) else item
+            inner += [child for child in children if isinstance(child, dict | list)]
+        if not inner:
+            return False
+        layer = inner
+    return True
 
 
 def check_table(table, schema, source):
--- a/firworks/tests/test_configuration_history.py
+++ b/firworks/tests/test_configuration_history.py
@@ -184,6 +184,23 @@
         decisions = ConfigurationHistory().fold(log.read(0))
         assert [d.code for d in decisions] == [Code.DOCUMENT_INVALID] * 3
 
+    @pytest.mark.parametrize(
+        "line",
+        [
+            "a = " + "[" * 5000 + "]" * 5000,
+            "a = " + "[" * 40 + "]" * 40,
+            "a." * 5000 + "b = 1",
+            "a = " + "9" * 5000,
+        ],
+        ids=["arrays", "somewhat deep arrays", "tables", "long number"],
+    )
+    def test_documents_that_break_a_parser_are_refused(self, line):
+        log = LogModel()
+        data = f"format = 1\n[pipelines]\n[pools]\n[accounts]\n{line}\n".encode()
+        log.land(make_publish("invalid", NO_VERSION, data))
+        decisions = ConfigurationHistory().fold(log.read(0))
+        assert [d.code for d in decisions] == [Code.DOCUMENT_INVALID]
+
     def test_a_carry_that_claims_too_much_is_ignored(self):
         log = LogModel()
         log.land(make_publish("a", NO_VERSION))
