--- a/firworks/kernel/configuration_follower.py
+++ b/firworks/kernel/configuration_follower.py
@@ -2,10 +2,9 @@
 
 from functools import singledispatchmethod
 
-from xxhash import xxh64_intdigest
-
 from firworks.events import LogEvent
 from firworks.kernel.configuration import CHECKS
+from firworks.kernel.configuration_carries import CarrySchedule
 from firworks.kernel.configuration_reader import ConfigurationReader
 from firworks.kernel.configuration_records import (
     NO_VERSION,
@@ -15,14 +14,13 @@
     name_stream,
 )
 from firworks.kernel.fleet import (
-    MEMBER_DEAD,
-    MEMBER_LEAVING,
     TOPIC_CONFIGURATION,
     ConfigurationAccepted,
     FactChanged,
     FactLearned,
     MemberChanged,
 )
+from firworks.kernel.live_members import LiveMembers
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
@@ -50,11 +48,6 @@
 CONSULT_TIMEOUT_S = 1.0
 FACT_TTL_S = 30.0
 WAITERS_LIMIT = 64
-CARRY_ENTRIES = 32
-CARRY_RETENTION_SHARE = 0.125
-CARRY_DELAY_S = 10.0
-CARRY_BACKUP_SHARE_MIN = 1 / 64
-CARRY_BACKUP_SHARE_MAX = 1 / 16
 
 
 class ConfigurationFollower(Part):
@@ -72,16 +65,13 @@
     def __init__(self, settings, rng, checks=CHECKS):
         self.accepted = None
         self._name = settings.name
-        self._domain = settings.failure_domain
-        self._retention_s = settings.log_retention_s
+        self._members = LiveMembers(settings.name, settings.failure_domain)
         self._stream = name_stream(settings.environment)
         self._rng = rng
         self._reader = ConfigurationReader(checks=checks)
         self._next_read_s = 0.0
         self._read_until_s = None
         self._log_failed = False
-        self._domains = {}
-        self._gone = set()
         self._peers = {}
         self._waiters = {}
         self._wanted = NO_VERSION
@@ -89,8 +79,8 @@
         self._pulls = 0
         self._hold_until_s = None
         self._next_fact_s = 0.0
-        self._carry_at_s = None
-        self._carries = 0
+        self._carries = CarrySchedule(settings.log_retention_s, rng)
+        self._appends = 0
         self._unknown_formats = 0
 
     @property
@@ -110,14 +100,7 @@
 
     def follows_log(self):
         """Return whether this daemon follows the log for its failure domain."""
-        rivals = [
-            name
-            for name, domain in self._domains.items()
-            if domain == self._domain and name not in self._gone
-        ]
-        weight = _weigh(self._name)
-        above = [n for n in rivals if n != self._name and _weigh(n) > weight]
-        return len(above) < FOLLOWERS_PER_DOMAIN
+        return self._members.rank("configuration") < FOLLOWERS_PER_DOMAIN
 
     @singledispatchmethod
     def handle(self, event, now):
@@ -163,21 +146,17 @@
 
     @handle.register
     def _handle_vms(self, event: VmsListed, now):
-        entries = [vm for vm in event.vms if vm.role == "entry"]
-        self._domains = {vm.name: vm.failure_domain for vm in entries}
+        self._members.take_vms(event)
         return []
 
     @handle.register
     def _handle_member(self, event: MemberChanged, now):
-        if event.status in (MEMBER_DEAD, MEMBER_LEAVING):
-            self._gone.add(event.member)
-        else:
-            self._gone.discard(event.member)
+        self._members.take_change(event)
         return []
 
     @handle.register
     def _handle_connected(self, event: PeerConnected, now):
-        self._peers[event.peer] = self._domains.get(event.peer, "")
+        self._peers[event.peer] = self._members.find_domain(event.peer)
         domains = list(self._peers.values())
         consulted = domains.count(self._peers[event.peer]) > CONSULTED_PER_DOMAIN
         if self.ready or consulted:
@@ -301,47 +280,20 @@
         return [LogCatalogued(LogEvent.CONFIGURATION_FORMAT_UNKNOWN, fields)]
 
     def _append_carry(self, wall_s, now):
-        """Append a carry when the newest one is old, at a random moment."""
-        if not self._carry_due(wall_s):
-            self._carry_at_s = None
+        """Append a carry when one is due and no other daemon made it first."""
+        history = self.history
+        if not self._reader.at_head or not history.known:
             return []
-        if self._carry_at_s is None:
-            self._carry_at_s = now + self._choose_carry_delay()
-        if now < self._carry_at_s:
+        if not self._carries.choose(history.state, wall_s, self.follows_log, now):
             return []
-        self._carry_at_s = None
-        self._carries += 1
-        carry = self.history.state.make_carry(wall_s)
-        append_id = f"configuration-{self._name}-{self._carries}"
+        carry = history.state.make_carry(wall_s)
+        self._appends += 1
+        append_id = f"configuration-{self._name}-{self._appends}"
         return [AppendRecords(append_id, self._stream, (carry,))]
 
-    def _carry_due(self, wall_s):
-        history = self.history
-        if not self._reader.at_head or not history.known:
-            return False
-        state = history.state
-        if state.version == NO_VERSION:
-            return False
-        age_s = wall_s - state.carried_s
-        entries = state.position - state.carried_position
-        due_s = self._retention_s * CARRY_RETENTION_SHARE
-        return age_s >= due_s or entries >= CARRY_ENTRIES
-
-    def _choose_carry_delay(self):
-        earliest_s = self._retention_s * CARRY_BACKUP_SHARE_MIN
-        if self.follows_log():
-            return self._rng.uniform(0.0, min(CARRY_DELAY_S, earliest_s))
-        latest_s = self._retention_s * CARRY_BACKUP_SHARE_MAX
-        return self._rng.uniform(earliest_s, latest_s)
-
     @handle.register(RecordsAppended)
     @handle.register(AppendFailed)
     def _handle_append(self, event, now):
         if event.append_id.startswith(f"configuration-{self._name}-"):
             self._next_read_s = now
         return []
-
-
-def _weigh(name):
-    """Return a daemon's rendezvous weight."""
-    return xxh64_intdigest(f"configuration/{name}".encode())
--- a/firworks/kernel/orders.py
+++ b/firworks/kernel/orders.py
@@ -2,17 +2,14 @@
 
 from functools import singledispatchmethod
 
-from xxhash import xxh64_intdigest
-
 from firworks.events import LogEvent
 from firworks.kernel.engine_orders import EngineOrders
 from firworks.kernel.fleet import (
-    MEMBER_DEAD,
-    MEMBER_LEAVING,
     ConfigurationAccepted,
     DrainStarted,
     MemberChanged,
 )
+from firworks.kernel.live_members import LiveMembers
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
@@ -54,7 +51,6 @@
     """
 
     def __init__(self, settings, incarnation, rng):
-        self._name = settings.name
         self._incarnation = incarnation
         self._rng = rng
         stream = name_control_stream(settings.environment)
@@ -65,8 +61,7 @@
         self._scopes = {}
         self._delays_s = {}
         self._engines = {}
-        self._members = {}
-        self._gone = set()
+        self._members = LiveMembers(settings.name)
         self._draining = False
         self._count = 0
 
@@ -147,15 +142,12 @@
 
     @handle.register
     def _handle_vms(self, event: VmsListed, now):
-        self._members = {vm.name: True for vm in event.vms if vm.role == "entry"}
+        self._members.take_vms(event)
         return []
 
     @handle.register
     def _handle_member(self, event: MemberChanged, now):
-        if event.status in (MEMBER_DEAD, MEMBER_LEAVING):
-            self._gone.add(event.member)
-        else:
-            self._gone.discard(event.member)
+        self._members.take_change(event)
         return []
 
     @handle.register
@@ -201,9 +193,7 @@
 
     def _choose_delay(self, name):
         """Return how long this daemon leaves a free scope to the preferred one."""
-        alive = [member for member in self._members if member not in self._gone]
-        mine = _weigh(name, self._name)
-        if all(_weigh(name, member) <= mine for member in alive):
+        if self._members.rank(f"orders/{name}") == 0:
             return 0.0
         return self._rng.uniform(BACKUP_DELAY_MIN_S, BACKUP_DELAY_MAX_S)
 
@@ -232,8 +222,3 @@
     def _make_id(self):
         self._count += 1
         return f"{self._incarnation}-{self._count}"
-
-
-def _weigh(scope, name):
-    """Return a daemon's rendezvous weight for a scope."""
-    return xxh64_intdigest(f"orders/{scope}/{name}".encode())
--- a/firworks/tests/test_configuration.py
+++ b/firworks/tests/test_configuration.py
@@ -7,8 +7,8 @@
 
 from firworks.document import parse_document
 from firworks.errors import SettingsError
+from firworks.kernel.configuration_carries import CARRY_RETENTION_SHARE
 from firworks.kernel.configuration_follower import (
-    CARRY_RETENTION_SHARE,
     FOLLOWERS_PER_DOMAIN,
     ConfigurationFollower,
 )
