Hold a loan only up to the least need stated since it was asked for

Cause: a loan granted on an old demand arrived after the borrower had stated a smaller and again a larger need; the lender had taken back what exceeded the smaller one, the borrower cut the loan to the larger one only.

--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -35,6 +35,7 @@
 HEADROOM = 1.2
 PRESSED_PERIOD_S = 3.0
 ENTRY_LIMIT = 32
+HISTORY_LIMIT = 32
 CONCURRENCY_RETRY_S = 1.0
 
 
@@ -210,17 +211,30 @@
 
     def _take_loans(self, lender, loans, now):
         """Use what another daemon lends, counted from when it was asked for."""
-        until_s = self._published_s.get(loans.sequence, now - LOAN_S) + LOAN_S
+        until_s = self._published_s.get(loans.sequence, float("-inf")) + LOAN_S
         usable = until_s > now
         entries = [e for e in loans.entries if usable and e.account in self._shares]
         for entry in entries:
             share = self._active[entry.account] = self._shares[entry.account]
-            most_rate, most_places = _find_lack(share, self._wants.get(entry.account))
+            most_rate, most_places = self._find_least_lack(share, loans.sequence)
             rate = min(max(entry.rate, 0.0), most_rate)
             concurrency = min(max(entry.concurrency, 0.0), most_places)
             share.borrow(lender, Loan(rate, concurrency, until_s, until_s), now)
         self._return_loans(lender, [entry.account for entry in entries], now)
 
+    def _find_least_lack(self, share, sequence):
+        """Return the least need stated since a sequence; lenders may know any of it.
+
+        A lender takes back what exceeds a stated need, so a loan that it granted
+        before holds only up to the least need stated since, even if more is needed
+        again when the loan arrives.
+        """
+        name = share.account.name
+        stated = range(sequence, self._sequence + 1)
+        lacks = [_find_lack(share, self._wants.get(n, {}).get(name)) for n in stated]
+        rates, places = zip(*lacks, strict=True)
+        return min(rates), min(places)
+
     def _return_loans(self, lender, kept, now):
         """Drop what was borrowed from a daemon, but for the accounts kept."""
         for name in self._borrowings.pop(lender, ()):
@@ -258,11 +272,13 @@
         self._stated = bool(entries)
         self._sequence += 1
         self._published_s[self._sequence] = now
-        self._published_s.pop(self._sequence - ENTRY_LIMIT, None)
+        self._published_s.pop(self._sequence - HISTORY_LIMIT, None)
         demands = Demands(self._sequence, tuple(entries[:ENTRY_LIMIT]))
-        self._wants = {entry.account: entry for entry in demands.entries}
+        wants = {entry.account: entry for entry in demands.entries}
+        self._wants[self._sequence] = wants
+        self._wants.pop(self._sequence - HISTORY_LIMIT, None)
         for name, share in self._active.items():
-            share.clip_borrowed(*_find_lack(share, self._wants.get(name)), now)
+            share.clip_borrowed(*_find_lack(share, wants.get(name)), now)
         return [FactChanged(TOPIC_DEMAND, "", demands, LOAN_S)]
 
     def _lend_all(self, now):
--- a/firworks/tests/test_limits.py
+++ b/firworks/tests/test_limits.py
@@ -141,6 +141,21 @@
                 6, rates, hold_s=rng.choice([0.1, 3.0]), step_s=0.2, check=check
             )
 
+    @pytest.mark.parametrize("seed", [1, 3, 6, 7, 8])
+    def test_shares_stay_below_the_limit_while_demands_jump(self, seed):
+        fleet = start_fleet(9, seed=seed)
+        rng = Random(seed)
+        hot = rng.sample(sorted(fleet.daemons), 3)
+        callers = Callers(fleet)
+
+        def check():
+            assert sum_shares(fleet, "big")[0] <= RATE * (1 + 1e-9)
+
+        for _ in range(30):
+            rates = {(n, "big"): rng.choice([0.0, 9.0, 15.0, 25.0]) for n in hot}
+            span_s = rng.choice([0.3, 1.0])
+            callers.run(span_s, rates, hold_s=0.02, step_s=0.1, check=check)
+
     def test_shares_follow_demand(self):
         fleet = start_fleet()
         callers = Callers(fleet)
