Look at a slow call again when its hedge window opens

Cause: calls were looked at every 0.2 s, longer than the window of a fast stage, so that their hedge was missed; a test with constant latencies showed it. Change: the next look is at the window's start.

--- a/firworks/kernel/scheduling_hedges.py
+++ b/firworks/kernel/scheduling_hedges.py
@@ -57,7 +57,9 @@
         if not weight or not self._is_slow(placed, pool, silent, usual, weight, now):
             return False
         slack = HEDGE_SLACK * weight
-        if placed.due_s - now > slack * pool.typical(call, HEDGE_QUANTILE):
+        latest_s = placed.due_s - slack * pool.typical(call, HEDGE_QUANTILE)
+        if now < latest_s:
+            placed.check_s = min(placed.check_s, latest_s)
             return False
         return pool.has_spare(1.0, now) and self._budgets.spend_hedge()
 
