--- a/firworks/kernel/scheduling_hedges.py
+++ b/firworks/kernel/scheduling_hedges.py
@@ -35,7 +35,7 @@
                 continue
             placed.check_s = now + CHECK_PERIOD_S
             pool = pools.get(placed.call.pool)
-            if pool is None or not pool.pool.hedge_share:
+            if pool is None:
                 continue
             if self._is_due(placed, pool, weigh(placed.call), now):
                 placed.hedged = True
@@ -48,6 +48,8 @@
         usual = self._usual(placed, pool)
         self._check_silence(placed, pool, usual, silent, now)
         call = placed.call
+        if not pool.pool.hedge_share:
+            return False
         if placed.hedged or not call.repeatable or call.hedge_of or call.deferred:
             return False
         if now + pool.typical(call) > call.deadline_s or not pool.knows(call):
--- a/firworks/tests/test_health.py
+++ b/firworks/tests/test_health.py
@@ -75,6 +75,16 @@
         calls = [make_call(i, deadline_s=20.0) for i in range(6)]
         assert {placed(site.send(c, 5.0))[0].target for c in calls} == {"t0"}
 
+    def test_silence_is_noticed_also_where_hedges_are_off(self):
+        site = Site(targets=3, hedge_share=0.0)
+        for number in range(60):
+            now = 0.1 * number
+            choice = placed(site.send(make_call(number, deadline_s=60.0), now))[0]
+            if number < 30 or choice.target != "t0":
+                site.end(choice, now + 0.05, latency_s=0.05)
+            site.send(Tick(0.0), now + 0.06)
+        assert site.scheduler.pools["p"].by_name["t0"].health.ejected
+
 
 class TestReturn:
     def test_half_open_lets_one_call_through_then_starts_slowly(self):
