Let some calls through when measured latencies say none can be met

Cause: after a slow spell every request would be refused for its measured latency, and without answers it would never be measured again. Change: one request in ten is let through at arrival, and a call that has not waited is tried; a test of each.

--- a/firworks/kernel/budgets.py
+++ b/firworks/kernel/budgets.py
@@ -10,6 +10,7 @@
 SLOW_QUANTILE = 0.7
 FEWEST_SAMPLES = 10
 CACHED_SAMPLES = 8
+PROBE_EVERY = 10
 
 
 class LatencyHistogram:
@@ -64,6 +65,7 @@
 
     def __init__(self):
         self._histograms = {}
+        self._refused = {}
 
     def observe(self, pipeline_name, stage_name, latency_s):
         """Count the latency of one stage, from request to whole answer.
@@ -82,12 +84,19 @@
     def can_meet(self, pipeline, remaining_s):
         """Return whether a request of the pipeline can be answered in time.
 
+        One in `PROBE_EVERY` of those that cannot is let through all the same:
+        without answers the measured latencies would never fall again.
+
         Args:
             pipeline (Pipeline): The pipeline.
             remaining_s (float): Seconds until the deadline.
         """
         needed = self._sum(pipeline, pipeline.stages, TYPICAL_QUANTILE)
-        return remaining_s > needed
+        if remaining_s > needed:
+            return True
+        refused = self._refused.get(pipeline.name, 0) + 1
+        self._refused[pipeline.name] = refused
+        return remaining_s > 0 and refused % PROBE_EVERY == 0
 
     def stage_budget(self, pipeline, stage_index, remaining_s):
         """Return the seconds that a stage may use.
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -340,23 +340,27 @@
         """Refuse waiting calls that can no longer be answered in time."""
         if not pool.queue:
             return []
-        fair = pool.queue.fair
-        late = pool.queue.discard(
-            lambda entry: (
-                now + (self._least_latency(pool, entry.call) if fair else 0)
-                > entry.due_s
-            )
-        )
         results = []
-        for entry in late:
-            wait = estimate_wait(
-                len(pool.queue), pool.in_flight, pool.typical(entry.call)
-            )
+        for entry in pool.queue.discard(lambda e: self._is_late(pool, e, now)):
+            typical = pool.typical(entry.call)
+            wait = estimate_wait(len(pool.queue), pool.in_flight, typical)
             retry_after = max(SHORTEST_RETRY_AFTER_S, wait)
             call_id = entry.call.call_id
             results.append(CallRejected(call_id, Code.OVERLOADED, retry_after))
         return results
 
+    def _is_late(self, pool, entry, now):
+        """Return whether a waiting call is not worth starting any more.
+
+        One that has not waited is tried whatever its chance: without answers the
+        measured latencies would never fall again.
+        """
+        if now > entry.due_s:
+            return True
+        if not pool.queue.fair or entry.queued_s == now:
+            return False
+        return now + self._least_latency(pool, entry.call) > entry.due_s
+
     def _place(self, pool, entry, target, now):
         call = entry.call
         crowding = max(1.0, (pool.load(target, now) + 1) / target.capacity)
--- a/firworks/tests/test_admission.py
+++ b/firworks/tests/test_admission.py
@@ -97,6 +97,17 @@
         assert not rejected(site.send(Tick(0.0), 21.0))
         assert rejected(site.send(Tick(0.0), 22.5))[0].call_id == 30
 
+    def test_slow_spell_does_not_refuse_for_ever(self):
+        site = Site(targets=1)
+        for number in range(20):
+            now = 10.0 * number
+            choice = placed(site.send(make_call(number, deadline_s=now + 60), now))[0]
+            site.end(choice, now + 9.0, latency_s=9.0)
+        for number in range(20, 60):
+            now = 10.0 * number
+            choice = placed(site.send(make_call(number, deadline_s=now + 2), now))[0]
+            site.end(choice, now + 0.1, latency_s=0.1)
+
     def test_withdrawn_call_is_not_placed(self):
         site = _busy_site()
         site.send(make_call(30, deadline_s=60.0), 20.0)
--- a/firworks/tests/test_budgets.py
+++ b/firworks/tests/test_budgets.py
@@ -29,6 +29,17 @@
         assert _learned().can_meet(PIPELINE, 1.5)
         assert not _learned().can_meet(PIPELINE, 0.9)
 
+    def test_slow_spell_does_not_refuse_for_ever(self):
+        budgets = StageBudgets()
+        for _ in range(50):
+            budgets.observe("ask", "encode", 20.0)
+        answered = 0
+        for _ in range(2000):
+            if budgets.can_meet(PIPELINE, 8.0):
+                budgets.observe("ask", "encode", 0.1)
+                answered += 1
+        assert answered > 1000
+
     def test_later_stages_keep_what_they_need(self):
         assert _learned().stage_budget(PIPELINE, 0, 8.0) == pytest.approx(7.0, 0.1)
         assert _learned().stage_budget(PIPELINE, 1, 3.0) == 3.0
