--- a/firworks/settings.py
+++ b/firworks/settings.py
@@ -7,9 +7,9 @@
 from firworks.checks import check_table, parse_toml
 from firworks.errors import SettingsError
 
-_TEXT = {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"}
-_ADDRESS = {"type": "string", "pattern": r"^([0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}$"}
-_URL = {"type": "string", "pattern": r"^https?://[0-9.]+:[0-9]+(/.*)?$"}
+_TEXT = {"type": "string", "pattern": r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z"}
+_ADDRESS = {"type": "string", "pattern": r"^([0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}\Z"}
+_URL = {"type": "string", "pattern": r"^https?://[0-9.]+:[0-9]+(/.*)?\Z"}
 _SECONDS = {"type": "number", "exclusiveMinimum": 0}
 _BYTES = {"type": "integer", "minimum": 1}
 
--- a/firworks/tests/test_document.py
+++ b/firworks/tests/test_document.py
@@ -93,6 +93,7 @@
             ('operation = "rerank"', 'operation = "r"\nmodel = "m"', "only for engine"),
             ('operation = "rerank"', 'operation = "r"\nrepeatable = false', "deferred"),
             ('name = "rerank"', 'name = "encode"', "'encode' names two stages"),
+            ("[pools.orders]", '[pools."orders\\n"]', "'orders\\n' is not allowed"),
             ("objective = 0.99", "objective = 1", "objective: 1 is not allowed"),
             ("format = 1", "format = 2", "format: 2 is not allowed; allowed: only 1"),
         ],
@@ -142,6 +143,7 @@
         [
             ({"callers": "10.0.0.1:70000"}, "callers: '10.0.0.1:70000'"),
             ({"callers": "999.0.0.1:80"}, "callers: '999.0.0.1:80'"),
+            ({"name": "d1\n"}, "name: 'd1\\n' is not allowed"),
             ({"addresses": {"e1": "1.2.3.4:99999"}}, "addresses.e1"),
             ({"callers": "127.0.0.1:8081"}, "admin: '127.0.0.1:8081' is also callers"),
             ({"dedupe_window_s": 700_000}, "dedupe_window_s"),
