--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -4,10 +4,10 @@
 
 CONTENTION = 1.0
 JITTER = 0.1
-QUEUE_S = 0.5
+QUEUE_S = 1.0
+UNREPORTED_QUEUE_S = 1.5
 SLOWNESS_TOLERANCE = 1.5
-AFFINITY_BASE = 2.0
-AFFINITY_RANGE = 4.0
+AFFINITY_STRENGTH = 8.0
 DEFAULT_WEIGHT = 0.5
 AFFINITY_BOUND = 1.25
 AFFINITY_SLACK = 1.0
@@ -91,7 +91,7 @@
         if not call.prefix:
             return {}
         frugality = 1.0 - pool.weights.get(call.pipeline, DEFAULT_WEIGHT)
-        strength = AFFINITY_BASE + AFFINITY_RANGE * frugality
+        strength = AFFINITY_STRENGTH * frugality
         prefill = strength * pool.typical_first_token(call)
         if not prefill:
             return {}
@@ -110,4 +110,5 @@
     """Return whether a target may get a call: its own share and the total allow."""
     if len(target.calls) >= target.capacity:
         return False
-    return load < (1 + max(1.0, QUEUE_S / typical_s)) * target.capacity
+    queue_s = QUEUE_S if target.report_capacity else UNREPORTED_QUEUE_S
+    return load < (1 + max(1.0, queue_s / typical_s)) * target.capacity
