--- a/firworks/document.py
+++ b/firworks/document.py
@@ -10,7 +10,7 @@
 from firworks.document_memory import check_document
 from firworks.document_references import check_references
 from firworks.document_schema import FORMAT as FORMAT
-from firworks.document_schema import LIMIT_BYTES, SCHEMA
+from firworks.document_schema import LIMIT_BYTES, MAX_ACCOUNTS, SCHEMA
 from firworks.errors import SettingsError
 from firworks.kernel.messages import Struct
 
--- a/firworks/tests/test_ctl.py
+++ b/firworks/tests/test_ctl.py
@@ -175,6 +175,9 @@
                 async with Caller(target, "zwolle-arbiters") as caller:
                     await caller.send("register-loan", {}, Idempotency_Key=key)
                 wanted = ("arbiters", "register-loan", key)
+                # The outcome is appended after the caller has its answer.
+                while not daemon.parts.idle:
+                    await asyncio.sleep(0.01)
                 reports = [
                     await start_command(command)
                     for command in (
