--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -34,6 +34,8 @@
 RESERVE_SHARE = 0.25
 HEADROOM = 1.2
 PRESSED_PERIOD_S = 3.0
+STEADY_RATE = 1.0
+STEADY_PLACES = 2.0
 ENTRY_LIMIT = 32
 HISTORY_LIMIT = 32
 CONCURRENCY_RETRY_S = 1.0
@@ -264,7 +266,7 @@
         entries = [
             Demand(name, round(s.wanted_rate, 2), round(s.wanted_concurrency, 1))
             for name, s in self._active.items()
-            if now - s.pressed_s < PRESSED_PERIOD_S
+            if now - s.pressed_s < PRESSED_PERIOD_S or _needs_loans(s)
         ]
         if not entries and not self._stated:
             return []
@@ -350,6 +352,14 @@
     return max(rate, share.wanted_concurrency / share.base_concurrency)
 
 
+def _needs_loans(share):
+    """Whether a steady demand exceeds the base share."""
+    rate, places = share.wanted_rate, share.wanted_concurrency
+    return (rate >= STEADY_RATE and HEADROOM * rate > share.base_rate) or (
+        places >= STEADY_PLACES and HEADROOM * places > share.base_concurrency
+    )
+
+
 def _find_lack(share, want):
     """Return rate and places that a `Demand`, or None, asks for beyond the base."""
     if want is None:
