--- a/bench/fleet_limits.py
+++ b/bench/fleet_limits.py
@@ -33,15 +33,7 @@
         tuple of float: Admitted requests and the largest sum of shares, both as a
         multiple of the limit.
     """
-    fleet = VirtualFleet(
-        make_vms(size, regions, 2),
-        seed=seed,
-        loss=loss,
-        extras=lambda daemon: (AccountLimits(daemon.name),),
-    )
-    fleet.run(5)
-    for name in list(fleet.daemons):
-        fleet.feed(name, make_accounts([RATE]))
+    fleet = _start(size, regions, seed, loss)
     rng = Random(seed)
     names = sorted(fleet.daemons)
     chosen = rng.sample(names, hot)
@@ -60,6 +52,20 @@
     return admitted / MEASURED_S / RATE, largest / RATE
 
 
+def _start(size, regions, seed, loss):
+    """Return a settled fleet whose daemons know the account."""
+    fleet = VirtualFleet(
+        make_vms(size, regions, 2),
+        seed=seed,
+        loss=loss,
+        extras=lambda daemon: (AccountLimits(daemon.name),),
+    )
+    fleet.run(5)
+    for name in list(fleet.daemons):
+        fleet.feed(name, make_accounts([RATE]))
+    return fleet
+
+
 def _offer(fleet, chosen, rng, offered):
     """Send one step's requests, Poisson by many small chances; return admissions."""
     admitted = 0
--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -11,7 +11,6 @@
 
 from firworks.codes import Code
 from firworks.kernel.cells import CELL_LIMIT
-from firworks.kernel.codec import register_record
 from firworks.kernel.fleet import (
     MEMBER_DEAD,
     TOPIC_DEMAND,
@@ -22,7 +21,8 @@
     MemberChanged,
 )
 from firworks.kernel.lending import divide_fairly, find_spare
-from firworks.kernel.messages import Record, Struct, Tick, VmsListed
+from firworks.kernel.limit_records import Demand, Demands, Loans, PeerDemands
+from firworks.kernel.messages import Struct, Tick, VmsListed
 from firworks.kernel.node import Part
 from firworks.kernel.shares import AccountShare, Loan
 
@@ -41,30 +41,6 @@
 CONCURRENCY_RETRY_S = 1.0
 
 
-@register_record
-class Demand(Record):
-    """What callers want of one account at one daemon: rate and concurrency."""
-
-    __slots__ = ("account", "rate", "concurrency")
-    TYPES = (str, float, float)
-
-
-@register_record
-class Demands(Record):
-    """One daemon's demands; `sequence` (int) is echoed by loans."""
-
-    __slots__ = ("sequence", "entries")
-    TYPES = (int, (Demand,))
-
-
-@register_record
-class Loans(Record):
-    """What one daemon lends another, as far as the demands `sequence` (int) ask."""
-
-    __slots__ = ("sequence", "entries")
-    TYPES = (int, (Demand,))
-
-
 class AdmissionVerdict(Struct):
     """Whether a request may run.
 
@@ -79,17 +55,6 @@
 ADMITTED = AdmissionVerdict(None, 0.0)
 
 
-class _PeerDemands:
-    """The last demands of a daemon and when they arrived."""
-
-    __slots__ = ("sequence", "by_account", "arrived_s")
-
-    def __init__(self, demands, now):
-        self.sequence = demands.sequence
-        self.by_account = {entry.account: entry for entry in demands.entries}
-        self.arrived_s = now
-
-
 class AccountLimits(Part):
     """Admits requests within the limits of their client accounts.
 
@@ -197,7 +162,7 @@
     @handle.register
     def _learn_fact(self, event: FactLearned, now):
         if event.topic == TOPIC_DEMAND and isinstance(event.value, Demands):
-            self._peers[event.origin] = _PeerDemands(event.value, now)
+            self._peers[event.origin] = PeerDemands(event.value, now)
             self._take_back(event.origin, now)
         elif event.topic == TOPIC_LOAN and isinstance(event.value, Loans):
             if event.key == self.name:
--- a/firworks/tests/test_limits.py
+++ b/firworks/tests/test_limits.py
@@ -149,12 +149,15 @@
         callers = Callers(fleet)
 
         def check():
-            assert sum_shares(fleet, "big")[0] <= RATE * (1 + 1e-9)
+            rate, places = sum_shares(fleet, "big")
+            assert rate <= RATE * (1 + 1e-9)
+            assert max(places, callers.count_running("big")) <= PLACES
 
         for _ in range(30):
             rates = {(n, "big"): rng.choice([0.0, 9.0, 15.0, 25.0]) for n in hot}
             span_s = rng.choice([0.3, 1.0])
-            callers.run(span_s, rates, hold_s=0.02, step_s=0.1, check=check)
+            hold_s = rng.choice([0.02, 2.0])
+            callers.run(span_s, rates, hold_s=hold_s, step_s=0.1, check=check)
 
     def test_shares_follow_demand(self):
         fleet = start_fleet()
