Close all peer links at once when a daemon stops

Cause: a link with queued messages waited 0.2 s at the stop, one link after another. Change: links stop together, each as soon as its queue is empty.

--- a/firworks/plugins/peer_links.py
+++ b/firworks/plugins/peer_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from contextlib import suppress
 
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
@@ -18,6 +19,8 @@
 RETRY_FIRST_S = 0.2
 RETRY_LIMIT_S = 5.0
 IDLE_LIMIT_S = 60.0
+FLUSH_TIMEOUT_S = 0.5
+FLUSH_POLL_S = 0.005
 
 
 class PeerLink:
@@ -54,9 +57,11 @@
         self._task.cancel()
 
     async def stop(self):
-        """Send what is queued, as far as possible at once, and close."""
-        if self._connection is not None and self._queue:
-            await asyncio.wait([self._task], timeout=RETRY_FIRST_S)
+        """Send what is queued on an open connection, within a moment, and close."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_TIMEOUT_S):
+                while self._queue and self._connection is not None:
+                    await asyncio.sleep(FLUSH_POLL_S)
         self.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -4,6 +4,7 @@
 accepted, so that a connection that went silent is replaced by its sender alone.
 """
 
+import asyncio
 import ssl
 from functools import singledispatchmethod
 
@@ -73,8 +74,7 @@
 
     async def stop(self):
         """Close all connections and stop listening."""
-        for link in list(self._links.values()):
-            await link.stop()
+        await asyncio.gather(*(link.stop() for link in self._links.values()))
         self._links.clear()
         if self._server is not None:
             self._server.close()
--- a/firworks/tests/test_peers.py
+++ b/firworks/tests/test_peers.py
@@ -98,6 +98,17 @@
 
         asyncio.run(run_pair(body))
 
+    def test_what_is_queued_at_the_stop_is_sent(self):
+        async def body(one, one_inbox, two, two_inbox):
+            one.carry_out(ConnectPeer("two", make_address(two)))
+            await one_inbox.get()
+            for key in "abc":
+                one.carry_out(SendPeer("two", MESSAGE.replace(key=key)))
+            await one.stop()
+            assert [(await two_inbox.get()).message.key for _ in "abc"] == list("abc")
+
+        asyncio.run(run_pair(body))
+
     def test_a_send_without_a_link_connects_on_demand(self):
         async def body(one, one_inbox, two, two_inbox):
             one.carry_out(SendPeer("two", MESSAGE))
