--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits.py
@@ -11,7 +11,6 @@
 
 from firworks.codes import Code
 from firworks.kernel.cells import CELL_LIMIT
-from firworks.kernel.codec import register_record
 from firworks.kernel.fleet import (
     MEMBER_DEAD,
     TOPIC_DEMAND,
@@ -22,7 +21,8 @@
     MemberChanged,
 )
 from firworks.kernel.lending import divide_fairly, find_spare
-from firworks.kernel.messages import Record, Struct, Tick, VmsListed
+from firworks.kernel.limit_records import Demand, Demands, Loans, PeerDemands
+from firworks.kernel.messages import Struct, Tick, VmsListed
 from firworks.kernel.node import Part
 from firworks.kernel.shares import AccountShare, Loan
 
@@ -34,35 +34,13 @@
 RESERVE_SHARE = 0.25
 HEADROOM = 1.2
 PRESSED_PERIOD_S = 3.0
+STEADY_RATE = 1.0
+STEADY_PLACES = 2.0
 ENTRY_LIMIT = 32
 HISTORY_LIMIT = 32
 CONCURRENCY_RETRY_S = 1.0
 
 
-@register_record
-class Demand(Record):
-    """What callers want of one account at one daemon: rate and concurrency."""
-
-    __slots__ = ("account", "rate", "concurrency")
-    TYPES = (str, float, float)
-
-
-@register_record
-class Demands(Record):
-    """One daemon's demands; `sequence` (int) is echoed by loans."""
-
-    __slots__ = ("sequence", "entries")
-    TYPES = (int, (Demand,))
-
-
-@register_record
-class Loans(Record):
-    """What one daemon lends another, as far as the demands `sequence` (int) ask."""
-
-    __slots__ = ("sequence", "entries")
-    TYPES = (int, (Demand,))
-
-
 class AdmissionVerdict(Struct):
     """Whether a request may run.
 
@@ -77,17 +55,6 @@
 ADMITTED = AdmissionVerdict(None, 0.0)
 
 
-class _PeerDemands:
-    """The last demands of a daemon and when they arrived."""
-
-    __slots__ = ("sequence", "by_account", "arrived_s")
-
-    def __init__(self, demands, now):
-        self.sequence = demands.sequence
-        self.by_account = {entry.account: entry for entry in demands.entries}
-        self.arrived_s = now
-
-
 class AccountLimits(Part):
     """Admits requests within the limits of their client accounts.
 
@@ -195,7 +162,7 @@
     @handle.register
     def _learn_fact(self, event: FactLearned, now):
         if event.topic == TOPIC_DEMAND and isinstance(event.value, Demands):
-            self._peers[event.origin] = _PeerDemands(event.value, now)
+            self._peers[event.origin] = PeerDemands(event.value, now)
             self._take_back(event.origin, now)
         elif event.topic == TOPIC_LOAN and isinstance(event.value, Loans):
             if event.key == self.name:
@@ -264,7 +231,7 @@
         entries = [
             Demand(name, round(s.wanted_rate, 2), round(s.wanted_concurrency, 1))
             for name, s in self._active.items()
-            if now - s.pressed_s < PRESSED_PERIOD_S
+            if now - s.pressed_s < PRESSED_PERIOD_S or _needs_loans(s)
         ]
         if not entries and not self._stated:
             return []
@@ -350,6 +317,14 @@
     return max(rate, share.wanted_concurrency / share.base_concurrency)
 
 
+def _needs_loans(share):
+    """Whether a steady demand exceeds the base share."""
+    rate, places = share.wanted_rate, share.wanted_concurrency
+    return (rate >= STEADY_RATE and HEADROOM * rate > share.base_rate) or (
+        places >= STEADY_PLACES and HEADROOM * places > share.base_concurrency
+    )
+
+
 def _find_lack(share, want):
     """Return rate and places that a `Demand`, or None, asks for beyond the base."""
     if want is None:
