--- a/firworks/kernel/health.py
+++ b/firworks/kernel/health.py
@@ -6,7 +6,7 @@
 OUTLIER_RATIO = 3.0
 FEWEST_SAMPLES = 3
 SMOOTHING = 0.3
-EJECTION_S = 2.0
+EJECTION_S = 3.0
 LONGEST_EJECTION_S = 60.0
 SLOW_START_S = 5.0
 SMALLEST_WEIGHT = 0.1
@@ -215,8 +215,12 @@
             for other in self._targets
             if other is not health and now - other.pace_s <= PACE_TTL_S
         ]
-        if known and health.pace > OUTLIER_RATIO * median_low(known):
-            self.eject(health, now)
+        if not known or health.pace <= OUTLIER_RATIO * median_low(known):
+            return
+        if health.probe:
+            health.probe = 0
+            self._extend(health, now)
+        self.eject(health, now)
 
     def keep_out(self, health, now):
         """Eject a target, or keep it ejected, while it stays silent."""
--- a/firworks/kernel/routing_adaptive.py
+++ b/firworks/kernel/routing_adaptive.py
@@ -14,6 +14,7 @@
 UNKNOWN_HOLDER_SHARE = 0.5
 MOST_CANDIDATES = 48
 SPILL_SIZE = 24
+PROBE_SHARE = 0.1
 
 
 class AdaptiveRouting:
@@ -48,8 +49,22 @@
         """
         if len(candidates) > MOST_CANDIDATES:
             candidates = self._random.sample(candidates, SPILL_SIZE)
+        candidates = self._split_probation(call, candidates)
         return self._choose_among(pool, call, candidates, now)
 
+    def _split_probation(self, call, candidates):
+        """Return the sound candidates, or now and then those to be probed.
+
+        Only first attempts that may repeat probe an ejected target.
+        """
+        probation = [target for target in candidates if target.health.ejected]
+        if not probation or len(probation) == len(candidates):
+            return candidates
+        if call.repeatable and call.identity.attempt == 1:
+            if self._random.random() < PROBE_SHARE:
+                return probation
+        return [target for target in candidates if not target.health.ejected]
+
     def _choose_among(self, pool, call, targets, now):
         typical = pool.typical(call)
         loads = {target.name: pool.load(target, now) for target in targets}
--- a/firworks/kernel/scheduling_state.py
+++ b/firworks/kernel/scheduling_state.py
@@ -19,6 +19,7 @@
 FEWEST_SAMPLES = 5
 REPORT_HALF_LIFE_S = 1.0
 REPORT_CHECK_S = 0.5
+UNREPORTED_PROBE_S = 30.0
 
 
 class PoolState:
@@ -89,31 +90,40 @@
         self.health = PoolHealth(health, self.pool.ejection_share)
 
     def check_reports(self, now):
-        """Eject targets that stopped reporting while others of the pool report."""
+        """Eject targets that stopped reporting while others of the pool report.
+
+        Only those count that this daemon watches, and that do not answer calls.
+        """
         if not self.report_interval_s or now < self._check_s:
             return
         self._check_s = now + REPORT_CHECK_S
-        silence = max(
-            REPORT_SILENCE_S, REPORT_SILENCE_INTERVALS * self.report_interval_s
-        )
-        for target in self.targets:
-            if target.report_s == float("-inf"):
+        silence = REPORT_SILENCE_INTERVALS * self.report_interval_s
+        earliest = self.newest_report_s - max(REPORT_SILENCE_S, silence)
+        for target in self.subset:
+            if target.report_s == float("-inf") or target.report_s >= earliest:
                 continue
-            if self.newest_report_s - target.report_s > silence:
+            if target.health.answered_s < earliest and not self._is_overdue(
+                target, now
+            ):
                 self.health.keep_out(target.health, now)
 
     def has_reported_since_ejection(self, target, now):
         """Return whether an ejected target shows a sign of life by a report.
 
-        True also where reports do not tell: it never reported, or the whole pool
-        is silent.
+        True also where reports do not tell: it never reported, is not watched, has
+        been out for long, or the whole pool is silent.
         """
-        if target.report_s == float("-inf"):
+        if target.report_s == float("-inf") or not target.in_subset:
             return True
-        if now - self.newest_report_s > HISTORY_S:
+        if now - self.newest_report_s > HISTORY_S or self._is_overdue(target, now):
             return True
         return target.report_s > target.health.ejected_s
 
+    def _is_overdue(self, target, now):
+        """Return whether a target is to be probed even though it does not report."""
+        health = target.health
+        return health.ejected and now - health.ejected_s > UNREPORTED_PROBE_S
+
     def has_spare(self, share, now):
         """Return whether less than `share` of the capacity is in use."""
         usable = [t for t in self.subset if not t.leaving and not t.health.ejected]
--- a/firworks/tests/test_health.py
+++ b/firworks/tests/test_health.py
@@ -75,6 +75,20 @@
         calls = [make_call(i, deadline_s=20.0) for i in range(6)]
         assert {placed(site.send(c, 5.0))[0].target for c in calls} == {"t0"}
 
+    def test_target_that_only_fails_to_report_returns_after_a_while(self):
+        site = Site(targets=2)
+        for step in range(200):
+            now = 0.25 * step
+            for name in ("t0", "t1")[: 2 if step < 4 else 1]:
+                site.send(TargetReported(name, now, 0, 0, 8), now)
+            site.send(Tick(0.0), now)
+        chosen = set()
+        for number in range(40):
+            choice = placed(site.send(make_call(number, deadline_s=60.0), 50.0))[0]
+            chosen.add(choice.target)
+            site.end(choice, 50.0)
+        assert chosen == {"t0", "t1"}
+
     def test_silence_is_noticed_also_where_hedges_are_off(self):
         site = Site(targets=3, hedge_share=0.0)
         for number in range(60):
