Judge a learned limit by the pace of streams, not by their length

Change: streams count by seconds per token; a limit never falls below a quarter of the document's concurrency.

--- a/firworks/kernel/admission.py
+++ b/firworks/kernel/admission.py
@@ -213,6 +213,7 @@
     FAST_RATIO = 1.3
     BACKOFF = 0.85
     SMALLEST = 1.0
+    SMALLEST_SHARE = 0.25
 
     def __init__(self, initial):
         self.value = float(initial)
@@ -237,5 +238,6 @@
 
     def back_off(self, now):
         """Lower the limit; also when the target refuses work."""
-        self.value = max(self.SMALLEST, self.value * self.BACKOFF)
+        smallest = max(self.SMALLEST, self.SMALLEST_SHARE * self._largest)
+        self.value = max(smallest, self.value * self.BACKOFF)
         self._lowered_s = now
--- a/firworks/kernel/scheduling_results.py
+++ b/firworks/kernel/scheduling_results.py
@@ -7,6 +7,9 @@
     RESULT_REFUSED,
 )
 
+# A ratio that neither lowers nor raises a learned limit.
+UNTOLD_RATIO = 1.5
+
 
 def record_end(pool, placed, ended, now):
     """Count a call's end for latency, health and learned concurrency."""
@@ -17,7 +20,8 @@
     if ended.result == RESULT_OK:
         pool.observe(call, ended.latency_s, ended.first_token_s)
         load = pool.load(target, now) + 1
-        target.limit.observe(ratio, load, ended.latency_s, now)
+        crowded = _compare_pace(pool, call, ended) if ended.tokens else ratio
+        target.limit.observe(crowded, load, ended.latency_s, now)
         pool.health.record_success(target.health, call.call_id, ratio, now)
     elif ended.result == RESULT_REFUSED:
         target.limit.back_off(now)
@@ -29,3 +33,17 @@
         pool.health.record_crash(target.health, call.call_id, now)
     else:
         pool.health.record_failure(target.health, call.call_id, now)
+
+
+def _compare_pace(pool, call, ended):
+    """Return a stream's seconds per token relative to the stage's typical ones.
+
+    A longer answer takes longer at the same pace, so that its latency says nothing
+    about the target's load. An answer without a second token says nothing either.
+    """
+    if ended.tokens < 2:
+        return UNTOLD_RATIO
+    pace = (ended.latency_s - ended.first_token_s) / (ended.tokens - 1)
+    typical = pool.typical_pace(call)
+    pool.observe_pace(call, pace)
+    return pace / typical if typical else UNTOLD_RATIO
--- a/firworks/kernel/scheduling_state.py
+++ b/firworks/kernel/scheduling_state.py
@@ -44,6 +44,7 @@
         self.weights = {}
         self.latencies = {}
         self.first_tokens = {}
+        self.paces = {}
         self.in_flight = 0
         self.newest_report_s = float("-inf")
         self.report_interval_s = 0.0
@@ -63,6 +64,7 @@
         """
         self.latencies = old.latencies
         self.first_tokens = old.first_tokens
+        self.paces = old.paces
         self.prefixes = old.prefixes
         self.in_flight = old.in_flight
         for index, target in enumerate(self.targets):
@@ -144,6 +146,15 @@
         """Return a quantile of the time to first token in seconds; 0 when unknown."""
         return self._quantile(self.first_tokens, call, quantile)
 
+    def typical_pace(self, call):
+        """Return the median seconds per token of the call's stage; 0 when unknown."""
+        return self._quantile(self.paces, call, 0.5)
+
+    def observe_pace(self, call, pace):
+        """Count a stream's seconds per token."""
+        key = (call.pipeline, call.stage)
+        self.paces.setdefault(key, LatencyHistogram()).add(pace)
+
     def knows(self, call):
         """Return whether enough latencies of the call's stage were measured."""
         histogram = self.latencies.get((call.pipeline, call.stage))
