--- a/firworks/kernel/calls.py
+++ b/firworks/kernel/calls.py
@@ -29,8 +29,7 @@
 
     def encode(self):
         """Return the text form that a target echoes."""
-        parts = (self.incarnation, self.request_id, self.stage, self.attempt)
-        return "/".join(str(part) for part in parts)
+        return f"{self.incarnation}/{self.request_id}/{self.stage}/{self.attempt}"
 
 
 class CallRequested(Signal):
--- a/firworks/kernel/flights.py
+++ b/firworks/kernel/flights.py
@@ -8,7 +8,8 @@
 
     Attributes:
         call_id (int): Unique within the daemon.
-        identity (CallIdentity): Echoed by the target.
+        identity (CallIdentity): Sent to the target.
+        echo (str): Its text form, which the target echoes.
         request (Request): The request it belongs to.
         target (str): Where it was placed, or "" while it waits.
         started_s (float): Kernel time of placement.
@@ -20,6 +21,7 @@
     __slots__ = (
         "call_id",
         "identity",
+        "echo",
         "request",
         "target",
         "started_s",
@@ -31,6 +33,7 @@
     def __init__(self, call_id, identity, request):
         self.call_id = call_id
         self.identity = identity
+        self.echo = identity.encode()
         self.request = request
         self.target = ""
         self.started_s = 0.0
--- a/firworks/kernel/stages.py
+++ b/firworks/kernel/stages.py
@@ -173,7 +173,7 @@
         call = self.calls.get(part.call_id)
         if call is None:
             return []
-        if part.identity != call.identity.encode():
+        if part.identity != call.echo:
             return self._drop_answer(call, now)
         request = call.request
         results = self._prefer_call(call, now)
@@ -198,7 +198,7 @@
             self.dropped_answers += 1
             return []
         request = call.request
-        if answered.identity != call.identity.encode():
+        if answered.identity != call.echo:
             return self._drop_answer(call, now)
         streamed = request.pool.kind == "engine"
         if streamed and answered.count != len(request.stream.tokens):
@@ -291,7 +291,7 @@
         self.dropped_answers += 1
         note = LogCatalogued(
             LogEvent.ANSWER_MISMATCHED,
-            {"target": call.target, "call": call.identity.encode()},
+            {"target": call.target, "call": call.echo},
         )
         return [note, *self._fail_call(call, "answer of another call", now)]
 
--- a/firworks/plugins/http_engines.py
+++ b/firworks/plugins/http_engines.py
@@ -29,30 +29,37 @@
 
     async def _read_stream(self, action, response):
         buffer = b""
+        identity = action.identity.encode()
         async for chunk in response.content.iter_any():
             *lines, buffer = (buffer + chunk).split(b"\n")
             if len(buffer) > EVENT_LIMIT_BYTES:
                 raise CallBrokenError("an event is too large")
-            if self._feed_lines(action, lines):
+            if self._feed_lines(action, identity, lines):
                 return
         raise CallBrokenError("the stream ended early")
 
-    def _feed_lines(self, action, lines):
-        """Feed the events in some lines; return whether the stream is whole."""
+    def _feed_lines(self, action, identity, lines):
+        """Feed the events in some lines; return whether the stream is whole.
+
+        Args:
+            action (StartCall): The call.
+            identity (str): The call's, for events that echo none.
+            lines (list of bytes): Whole lines.
+        """
         parts = PartMerger(action)
         for line in lines:
             if not line.startswith(b"data:"):
                 continue
             event = _parse_event(line[len(b"data:") :])
-            identity = event.get("call", action.identity.encode())
+            echoed = event.get("call", identity)
             if event.get("done"):
                 self._feed_all(parts.take())
                 count = event["count"]
                 self.context.feed(
-                    CallAnswered(action.call_id, identity, None, count=count)
+                    CallAnswered(action.call_id, echoed, None, count=count)
                 )
                 return True
-            parts.add(identity, event["offset"], event["tokens"])
+            parts.add(echoed, event["offset"], event["tokens"])
         self._feed_all(parts.take())
         return False
 
