--- a/firworks/kernel/deferred.py
+++ b/firworks/kernel/deferred.py
@@ -106,8 +106,6 @@
 
     def handle(self, event, now):
         """Take one event; see `Part.handle`."""
-        if type(event) not in HANDLED_EVENTS:
-            return []
         results = self._take(event, now)
         return results + self._settle(now)
 
@@ -356,6 +354,3 @@
         for assigner, request_ids in runs.items():
             results += self._tell(assigner, DeferredBeat(tuple(request_ids)), now)
         return results
-
-
-HANDLED_EVENTS = frozenset(Deferred.__dict__["_take"].dispatcher.registry) - {object}
--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -115,8 +115,6 @@
 
     def handle(self, event, now):
         """Take one event; see `Part.handle`."""
-        if type(event) not in HANDLED_EVENTS:
-            return []
         results = self._take(event, now)
         return results + self._settle(now)
 
@@ -323,6 +321,3 @@
         for name, stream in list(self._streams.items()):
             if stream.idle and now > stream.used_s + IDLE_S:
                 del self._streams[name]
-
-
-HANDLED_EVENTS = frozenset(Ledger.__dict__["_take"].dispatcher.registry) - {object}
