--- a/bench/policy_report.py
+++ b/bench/policy_report.py
@@ -51,10 +51,10 @@
 
 
 def _judge(scenario, policies):
-    """Compare the product with the baseline of the highest attainment."""
+    """Compare the product with the best baseline; among equals the cheapest."""
     ours = policies[PRODUCT]
     plain = {name: runs for name, runs in policies.items() if name != PRODUCT}
-    best = max(plain, key=lambda name: _attainment(plain[name]))
+    best = max(plain, key=lambda n: (_attainment(plain[n]), -_cost(plain[n])))
     missed = 1 - _attainment(plain[best])
     gone = 1 - (1 - _attainment(ours)) / missed if missed else 0.0
     gain = _attainment(ours) - _attainment(plain[best])
