Be exact on deferred refusals, lookups in an outage and overdue claims

Cause: found by the ledger's review: a deferred request that may yet reach the log was said not to have run; a lookup during an outage looked like a missing result; a claim won past the deadline was called expired; the monotonic clock stops while a VM is suspended. Change: each said as it is; the kernel's clock counts suspension.

--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -91,8 +91,12 @@
         self._tick_task = asyncio.create_task(self._tick())
 
     def clock(self):
-        """Return the kernel's monotonic time, in seconds."""
-        return time.monotonic()
+        """Return the kernel's monotonic time, in seconds.
+
+        It goes on while the VM is suspended: a daemon that resumes must not take
+        its deadlines and leases for younger than they are.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def feed(self, event):
         """Hand an event to the kernel and carry out what follows."""
--- a/firworks/kernel/deferrals.py
+++ b/firworks/kernel/deferrals.py
@@ -22,6 +22,12 @@
 LOOKUP_RETRY_AFTER_S = 1.0
 ID_CHARACTERS = 32
 
+_LOOKUP_CODES = {
+    "open": Code.IN_PROGRESS,
+    "unavailable": Code.LEDGER_UNAVAILABLE,
+    "missing": Code.UNKNOWN_RESULT,
+}
+
 
 class Deferrals:
     """Connects deferred requests with the part that keeps them in the log.
@@ -102,16 +108,17 @@
         """Answer a lookup."""
         if found.state == "done":
             return [finish_whole(found.lookup_id, decode_answer(found.answer))]
-        code = Code.IN_PROGRESS if found.state == "open" else Code.UNKNOWN_RESULT
-        retry_after_s = LOOKUP_RETRY_AFTER_S if found.state == "open" else 0.0
-        ending = finish_failed(found.lookup_id, code, True, "", retry_after_s)
-        return [ending]
+        code = _LOOKUP_CODES[found.state]
+        lasting = code is Code.UNKNOWN_RESULT
+        retry_after_s = 0.0 if lasting else LOOKUP_RETRY_AFTER_S
+        return [finish_failed(found.lookup_id, code, True, "", retry_after_s)]
 
     def _describe(self, decision, deferral_id, request):
         if isinstance(decision, DeferAccepted):
             answer = WholeAnswer(body={"request_id": deferral_id})
             return finish_whole("", answer, Code.ACCEPTED)
-        return finish_failed("", Code.LEDGER_UNAVAILABLE, began=request.resent)
+        may_run = decision.may_run or request.resent
+        return finish_failed("", Code.LEDGER_UNAVAILABLE, began=may_run)
 
 
 def name_deferral(request, idempotency_key):
--- a/firworks/kernel/requests.py
+++ b/firworks/kernel/requests.py
@@ -240,8 +240,13 @@
         return request.claimed and self.ledger.may_dispatch(request.claim_id, now)
 
     def expire_claim(self, request, now):
-        """End a request whose key left the window before it was dispatched."""
-        return self.fail(request, Code.IDEMPOTENCY_KEY_EXPIRED, now)
+        """End a request whose claim no longer allows a dispatch.
+
+        Either its deadline has passed or its key left the window.
+        """
+        overdue = now >= request.deadline_s
+        code = Code.DEADLINE_EXCEEDED if overdue else Code.IDEMPOTENCY_KEY_EXPIRED
+        return self.fail(request, code, now)
 
     def check_quarantine(self, request, now):
         """Return the code that refuses a suspected request, or None."""
--- a/firworks/tests/test_requests.py
+++ b/firworks/tests/test_requests.py
@@ -29,6 +29,7 @@
     DeferAccepted,
     DeferredDone,
     DeferredReady,
+    DeferRefused,
     DeferRequested,
     OutcomeReached,
     OutcomeUnknown,
@@ -309,6 +310,16 @@
         (ending,) = harness.endings("r1")
         assert (ending.code, ending.ran) == (Code.IDEMPOTENCY_KEY_EXPIRED, "no")
 
+    def test_claim_won_past_the_deadline_is_not_dispatched(self, harness):
+        harness.gates.dispatch = False
+        harness.arrive("r1", "lend", **self.KEY)
+        claim = harness.tap.find(ClaimRequested)[0]
+        harness.now += 4.5
+        harness.feed(ClaimWon(claim.claim_id))
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran) == (Code.DEADLINE_EXCEEDED, "no")
+        assert harness.started() == []
+
     def test_caller_is_answered_at_the_deadline_and_the_late_outcome_kept(
         self, harness
     ):
@@ -376,6 +387,18 @@
             assert ending.code is Code.ACCEPTED
             assert ending.body == {"request_id": first.request_id}
 
+    @pytest.mark.parametrize(("may_run", "ran"), [(True, "unknown"), (False, "no")])
+    def test_refusal_says_whether_it_may_yet_run(self, harness, may_run, ran):
+        harness.arrive("r1", "quote")
+        name = harness.tap.find(DeferRequested)[0].request_id
+        harness.feed(DeferRefused(name, may_run))
+        assert harness.endings("r1")[0].ran == ran
+
+    def test_log_outage_is_no_missing_result(self, harness):
+        harness.feed(ResultFound("l1", "unavailable"))
+        (ending,) = harness.endings("l1")
+        assert ending.code is Code.LEDGER_UNAVAILABLE and ending.retry_after_s > 0
+
     def test_run_has_no_caller_and_reports_its_outcome(self, harness):
         harness.feed(DeferredReady("q1", "club", "quote", b'{"plaque": 1}'))
         (call,) = harness.started()
