Count refusals and deferred runs for attainment; never say not run of a resend

Cause: requests refused at arrival were not in the burn report, the runs of deferred requests were counted as missed, and refusals at the HTTP level said ran: no of a key that an earlier send may have run. Change: refusals are summed up like other ends; a deferred run is met when it delivers and a failed one is not counted; HTTP refusals follow the kernel's rule. A refused body is read for 1 s at most, not 10.

--- a/firworks/burn.py
+++ b/firworks/burn.py
@@ -96,7 +96,7 @@
         self.stages = {}
 
     def add(self, finished):
-        if finished.code in EXCLUDED:
+        if finished.code in EXCLUDED or not finished.counted:
             self.excluded += 1
         else:
             self.total += 1
--- a/firworks/kernel/messages.py
+++ b/firworks/kernel/messages.py
@@ -246,6 +246,7 @@
         latency_s (float): From arrival to the end.
         first_token_s (float): From arrival to the first token; 0 without one.
         costs (tuple of StageCost): Cost by stage, of all attempts.
+        counted (bool): Whether it counts for attainment; its costs always do.
     """
 
     __slots__ = (
@@ -257,8 +258,9 @@
         "latency_s",
         "first_token_s",
         "costs",
+        "counted",
     )
-    DEFAULTS = {"first_token_s": 0.0, "costs": ()}
+    DEFAULTS = {"first_token_s": 0.0, "costs": (), "counted": True}
 
 
 class StageCost(Struct):
--- a/firworks/kernel/requests.py
+++ b/firworks/kernel/requests.py
@@ -10,7 +10,7 @@
     finish_failed,
     finish_whole,
 )
-from firworks.kernel.arrivals import make_request, may_be_resend, refuse_arrival
+from firworks.kernel.arrivals import make_request, refuse_arrival
 from firworks.kernel.callers import CallerLeft, RequestArrived, ResultAsked
 from firworks.kernel.calls import (
     CallAnswered,
@@ -46,15 +46,14 @@
 )
 from firworks.kernel.deferrals import Deferrals
 from firworks.kernel.fleet import ConfigurationAccepted, DrainExpired, DrainStarted
-from firworks.kernel.messages import RequestFinished, Tick
+from firworks.kernel.messages import Tick
 from firworks.kernel.node import Part
 from firworks.kernel.stages import StageRunner
+from firworks.kernel.summaries import refuse_request, summarize_request
 
 RESULT_RETRY_AFTER_S = 1.0
 DECISION_GRACE_S = 1.0
 
-DELIVERED_CODES = (Code.OK, Code.ACCEPTED, Code.REPLAYED)
-
 # States in which the ledger does not know the fate of earlier sends of the key.
 UNDECIDED_STATES = (CLAIM_UNAVAILABLE, CLAIM_EXPIRED)
 
@@ -134,11 +133,11 @@
     def _(self, event: RequestArrived, now):
         code = refuse_arrival(event, self.document, self.draining)
         if code is not None:
-            return [self._refuse_with(event, code, 0.0)]
+            return refuse_request(event, self.document, code)
         request = make_request(event, self.document, self.version, now)
         refusal = self._refuse(event, request, now)
         if refusal is not None:
-            return [refusal]
+            return refusal
         self.add(request)
         if request.pipeline.deferred:
             return self.deferrals.ask(request, event.idempotency_key)
@@ -290,34 +289,30 @@
         if not request.deferral_id:
             self.limits.finish(request.account.name, now)
         results = self._answer(request, ending)
-        results.append(self._summarize(request, now))
+        results.append(summarize_request(request, now))
         return results
 
     # Arrival.
 
     def _refuse(self, event, request, now):
-        """Return the action that refuses a new request, or None to admit it."""
+        """Return the actions that refuse a new request, or None to admit it."""
         verdict = self.quarantine.check(request.fingerprint, now)
         if verdict.refused:
-            return self._refuse_with(event, Code.QUARANTINED, verdict.retry_after_s)
+            return refuse_request(
+                event, self.document, Code.QUARANTINED, verdict.retry_after_s
+            )
         request.alone = verdict.alone
         remaining_s = request.deadline_s - now
         waits = request.pipeline.deferred
         if not waits and not self.budgets.can_meet(request.pipeline, remaining_s):
-            return self._refuse_with(event, Code.DEADLINE_TOO_SHORT, 0.0)
+            return refuse_request(event, self.document, Code.DEADLINE_TOO_SHORT)
         admission = self.limits.try_admit(request.account.name, now)
         if admission.code is not None:
-            return self._refuse_with(event, admission.code, admission.retry_after_s)
+            return refuse_request(
+                event, self.document, admission.code, admission.retry_after_s
+            )
         return None
 
-    def _refuse_with(self, event, code, retry_after_s):
-        return finish_failed(
-            event.request_id,
-            code,
-            began=may_be_resend(event),
-            retry_after_s=retry_after_s,
-        )
-
     def _claim(self, request, event):
         request.claim_id = f"{self.incarnation}/{request.request_id}"
         self._by_claim[request.claim_id] = request
@@ -366,19 +361,3 @@
         if not request.caller:
             return []
         return [ending.replace(request_id=request.request_id)]
-
-    def _summarize(self, request, now):
-        first_s = 0.0
-        if request.first_token_s:
-            first_s = request.first_token_s - request.arrived_s
-        delivered = request.code in DELIVERED_CODES and request.caller
-        return RequestFinished(
-            request_id=request.request_id,
-            pipeline=request.pipeline.name,
-            account=request.account.name,
-            code=request.code,
-            met=delivered and now <= request.deadline_s,
-            latency_s=now - request.arrived_s,
-            first_token_s=first_s,
-            costs=tuple(request.costs),
-        )
--- /dev/null
+++ b/firworks/kernel/summaries.py
@@ -0,0 +1,60 @@
+"""What the burn report and the metrics learn of a request that is over."""
+
+from firworks.codes import Code
+from firworks.kernel.answers import finish_failed
+from firworks.kernel.arrivals import may_be_resend
+from firworks.kernel.messages import RequestFinished
+
+DELIVERED_CODES = (Code.OK, Code.ACCEPTED, Code.REPLAYED)
+
+
+def refuse_request(event, document, code, retry_after_s=0.0):
+    """Return the actions that refuse a request at its arrival.
+
+    Args:
+        event (RequestArrived): The request.
+        document (Document): The document in force, or None.
+        code (Code): Why.
+        retry_after_s (float): When to come back; 0 when not known.
+    """
+    began = may_be_resend(event)
+    ending = finish_failed(event.request_id, code, began, retry_after_s=retry_after_s)
+    known = document is not None and event.pipeline in document.pipelines
+    account = document.find_account(event.token) if document is not None else None
+    summary = RequestFinished(
+        request_id=event.request_id,
+        pipeline=event.pipeline if known else "",
+        account=account.name if account is not None else "",
+        code=code,
+        met=False,
+        latency_s=0.0,
+    )
+    return [ending, summary]
+
+
+def summarize_request(request, now):
+    """Return the summary of a request that has ended.
+
+    The run of a deferred request is met when it delivers, however late; one that
+    fails runs again and is not counted.
+    """
+    delivered = request.code in DELIVERED_CODES
+    if request.deferral_id:
+        met = counted = delivered
+    else:
+        met = delivered and request.caller and now <= request.deadline_s
+        counted = True
+    first_s = 0.0
+    if request.first_token_s:
+        first_s = request.first_token_s - request.arrived_s
+    return RequestFinished(
+        request_id=request.request_id,
+        pipeline=request.pipeline.name,
+        account=request.account.name,
+        code=request.code,
+        met=met,
+        latency_s=now - request.arrived_s,
+        first_token_s=first_s,
+        costs=tuple(request.costs),
+        counted=counted,
+    )
--- a/firworks/plugins/caller_protocol.py
+++ b/firworks/plugins/caller_protocol.py
@@ -9,6 +9,9 @@
 from firworks.codes import Code
 from firworks.plugins.caller_answers import JSON_TYPE, make_error_text
 
+# How long what is left of a refused body is read before the connection closes.
+LINGERING_S = 1.0
+
 
 class BoundedRequestHandler(RequestHandler):
     """Closes a connection whose request head does not arrive in time.
@@ -97,5 +100,6 @@
             loop=asyncio.get_running_loop(),
             head_timeout_s=self._head_timeout_s,
             access_log=None,
+            lingering_time=LINGERING_S,
             **self._limits,
         )
--- a/firworks/plugins/caller_requests.py
+++ b/firworks/plugins/caller_requests.py
@@ -47,10 +47,20 @@
         issued_s=issued_s,
         deadline_ms=deadline_ms,
         wall_s=time.time(),
-        first_send=request.headers.get("Firworks-First-Send", "") == "1",
+        first_send=is_first_send(request),
     )
 
 
+def is_first_send(request):
+    """Whether the caller states that it never sent the request's key before."""
+    return request.headers.get("Firworks-First-Send", "") == "1"
+
+
+def is_resend(request):
+    """Whether an earlier send of the request's key may have run."""
+    return "Idempotency-Key" in request.headers and not is_first_send(request)
+
+
 def read_token(request):
     """Return the bearer token of a request; empty when there is none."""
     value = request.headers.get("Authorization", "")
--- a/firworks/plugins/http_callers.py
+++ b/firworks/plugins/http_callers.py
@@ -9,6 +9,8 @@
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.kernel.callers import (
+    RAN_NO,
+    RAN_UNKNOWN,
     CallerLeft,
     FinishAnswer,
     ResultAsked,
@@ -26,6 +28,7 @@
 from firworks.plugins.caller_requests import (
     PIPELINES_PATH,
     RESULTS_PATH,
+    is_resend,
     read_request,
     read_token,
 )
@@ -91,7 +94,7 @@
         try:
             return await self._route(request)
         except RequestError as error:
-            return _make_error(error.code, error.detail)
+            return _make_error(request, error)
         finally:
             request.protocol.end_request()
 
@@ -270,10 +273,13 @@
     )
 
 
-def _make_error(code, detail):
+def _make_error(request, error):
+    """Return the answer to a request that is refused before the kernel sees it."""
+    # An earlier send of the same key may have run, as for refusals by the kernel.
+    ran = RAN_UNKNOWN if is_resend(request) else RAN_NO
     response = Response(
-        status=code.http_status,
-        text=make_error_text(code, detail),
+        status=error.code.http_status,
+        text=make_error_text(error.code, error.detail, ran),
         content_type=JSON_TYPE,
     )
     # What is left of a refused request's body is not read.
