--- a/firworks/tests/test_requests.py
+++ b/firworks/tests/test_requests.py
@@ -29,6 +29,7 @@
     DeferAccepted,
     DeferredDone,
     DeferredReady,
+    DeferRefused,
     DeferRequested,
     OutcomeReached,
     OutcomeUnknown,
@@ -36,7 +37,7 @@
     ResultRequested,
 )
 from firworks.kernel.fleet import DrainExpired, DrainStarted
-from firworks.kernel.messages import Tick
+from firworks.kernel.messages import RequestFinished, Tick
 from firworks.tests.kit import OTHER_TOKEN, RequestHarness, Verdict
 
 
@@ -202,12 +203,13 @@
     )
     def test_bad_requests_are_refused_as_not_run(self, harness, fields, code):
         fields = {"pipeline": "look", **fields}
-        (ending,) = harness.arrive("r1", **fields)
+        ending, summary = harness.arrive("r1", **fields)
+        assert isinstance(summary, RequestFinished) and not summary.met
         assert (ending.code, ending.ran) == (code, "no")
 
     def test_limits_refuse_with_the_time_to_come_back(self, harness):
         harness.gates.admission = Verdict(code=Code.RATE_LIMITED, retry_after_s=2.0)
-        (ending,) = harness.arrive("r1", "look")
+        ending, _ = harness.arrive("r1", "look")
         assert (ending.code, ending.retry_after_s) == (Code.RATE_LIMITED, 2.0)
 
     def test_refused_resend_does_not_say_not_run(self, harness):
@@ -309,6 +311,16 @@
         (ending,) = harness.endings("r1")
         assert (ending.code, ending.ran) == (Code.IDEMPOTENCY_KEY_EXPIRED, "no")
 
+    def test_claim_won_past_the_deadline_is_not_dispatched(self, harness):
+        harness.gates.dispatch = False
+        harness.arrive("r1", "lend", **self.KEY)
+        claim = harness.tap.find(ClaimRequested)[0]
+        harness.now += 4.5
+        harness.feed(ClaimWon(claim.claim_id))
+        (ending,) = harness.endings("r1")
+        assert (ending.code, ending.ran) == (Code.DEADLINE_EXCEEDED, "no")
+        assert harness.started() == []
+
     def test_caller_is_answered_at_the_deadline_and_the_late_outcome_kept(
         self, harness
     ):
@@ -376,6 +388,18 @@
             assert ending.code is Code.ACCEPTED
             assert ending.body == {"request_id": first.request_id}
 
+    @pytest.mark.parametrize(("may_run", "ran"), [(True, "unknown"), (False, "no")])
+    def test_refusal_says_whether_it_may_yet_run(self, harness, may_run, ran):
+        harness.arrive("r1", "quote")
+        name = harness.tap.find(DeferRequested)[0].request_id
+        harness.feed(DeferRefused(name, may_run))
+        assert harness.endings("r1")[0].ran == ran
+
+    def test_log_outage_is_no_missing_result(self, harness):
+        harness.feed(ResultFound("l1", "unavailable"))
+        (ending,) = harness.endings("l1")
+        assert ending.code is Code.LEDGER_UNAVAILABLE and ending.retry_after_s > 0
+
     def test_run_has_no_caller_and_reports_its_outcome(self, harness):
         harness.feed(DeferredReady("q1", "club", "quote", b'{"plaque": 1}'))
         (call,) = harness.started()
@@ -385,6 +409,16 @@
         assert done == DeferredDone("q1", encode_answer(WholeAnswer(tokens=("x",))))
         assert harness.gates.in_progress == 0
 
+    def test_runs_count_when_they_deliver(self, harness):
+        harness.feed(DeferredReady("q1", "club", "quote", b"1"))
+        fail_all = [fail(harness, harness.started()[-1]) for _ in range(4)]
+        harness.feed(DeferredReady("q1", "club", "quote", b"1"))
+        harness.now += 3.0
+        answer(harness, harness.started()[-1], count=0)
+        summaries = [a for a in harness.actions if isinstance(a, RequestFinished)]
+        assert [(s.counted, s.met) for s in summaries] == [(False, False), (True, True)]
+        assert len(fail_all) == 4
+
     def test_failed_run_is_given_back(self, harness):
         harness.feed(DeferredReady("q1", "club", "quote", b"1"))
         harness.now += 60.0
@@ -405,7 +439,7 @@
         call = start_generate(harness)
         harness.feed(DrainStarted())
         assert not harness.requests.ready
-        (ending,) = harness.arrive("r2", "look")
+        ending, _ = harness.arrive("r2", "look")
         assert (ending.code, ending.ran) == (Code.DRAINING, "no")
         send_part(harness, call, 0, "a")
         answer(harness, call, count=1)
