Keep the pools of older versions for the requests that began with them

Cause: a configuration that drops a pool refused the later stages of requests that had begun under the version before. Change: a dropped pool serves on for the longest deadline. The version of a daemon without a configuration is -1, as offset 0 is a real version. Conclusion: a request keeps the version that it started with, pools included.

--- a/firworks/admin.py
+++ b/firworks/admin.py
@@ -25,7 +25,7 @@
         failure_domain (str): Failure domain of its VM.
         ready (bool): Whether callers' requests are taken.
         draining (bool): Whether it has been told to stop.
-        version (int): Configuration version in force; 0 for none.
+        version (int): Configuration version in force; -1 for none.
         digest (str): Digest of the document in force.
         in_progress (int): Requests in progress.
         members (tuple of MemberStatus): Its peers.
--- a/firworks/kernel/requests.py
+++ b/firworks/kernel/requests.py
@@ -44,6 +44,7 @@
     ResultFound,
     WorkKey,
 )
+from firworks.kernel.configuration_records import NO_VERSION
 from firworks.kernel.deferrals import Deferrals
 from firworks.kernel.fleet import ConfigurationAccepted, DrainExpired, DrainStarted
 from firworks.kernel.messages import Tick
@@ -91,7 +92,7 @@
         self.deferrals = Deferrals(self)
         self.requests = {}
         self.document = None
-        self.version = 0
+        self.version = NO_VERSION
         self.draining = False
         self._by_claim = {}
         self._deadlines = []
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling.py
@@ -19,6 +19,7 @@
     TargetLeaving,
     TargetReported,
 )
+from firworks.kernel.claims import LONGEST_DEADLINE_S
 from firworks.kernel.fleet import (
     TOPIC_LOAD,
     ConfigurationAccepted,
@@ -68,6 +69,7 @@
         self.pools = {}
         self._placed = {}
         self._held = []
+        self._retired_s = {}
         self._domains = {}
         self._gone = {}
         self._budgets = AttemptBudgets()
@@ -95,7 +97,9 @@
         for name, pool in event.document.pools.items():
             self.pools[name] = self._make_pool(pool, old.get(name))
             self.pools[name].weights = weights
-        return self._move_queues(old, now) + self._place_all(now)
+        self._retire_pools(old, now)
+        self._move_queues(old, now)
+        return self._place_all(now)
 
     @handle.register
     def _(self, event: VmsListed, now):
@@ -187,7 +191,7 @@
 
     @handle.register
     def _(self, event: Tick, now):
-        results = self._retry_held(now)
+        results = self._retry_held(now) + self._drop_retired(now)
         for pool in self.pools.values():
             pool.expire_peer_loads(now)
             pool.check_reports(now)
@@ -213,20 +217,33 @@
             name = "adaptive"
         return self._registry.get("routing", name)(self._random)
 
+    def _retire_pools(self, old_pools, now):
+        """Keep pools that the new document lacks, for requests that began before."""
+        retired = {name: self._retired_s.get(name, now) for name in old_pools}
+        self._retired_s = {
+            name: since_s for name, since_s in retired.items() if name not in self.pools
+        }
+        for name in self._retired_s:
+            self.pools[name] = old_pools[name]
+
+    def _drop_retired(self, now):
+        """Drop retired pools once no request can still need them."""
+        results = []
+        for name, since_s in list(self._retired_s.items()):
+            if now < since_s + LONGEST_DEADLINE_S:
+                continue
+            del self._retired_s[name]
+            for entry in self.pools.pop(name).queue.discard(lambda entry: True):
+                results.append(CallRejected(entry.call.call_id, Code.NO_TARGET))
+        return results
+
     def _move_queues(self, old_pools, now):
         """Move waiting calls to the pools of the new document."""
-        results = []
         for name, old in old_pools.items():
-            new = self.pools.get(name)
-            if new is old:
-                continue
-            for entry in old.queue.discard(lambda entry: True):
-                if new is None:
-                    code = Code.NO_TARGET
-                    results.append(CallRejected(entry.call.call_id, code))
-                else:
+            new = self.pools[name]
+            if new is not old:
+                for entry in old.queue.discard(lambda entry: True):
                     new.queue.push(entry)
-        return results
 
     def _all_targets(self):
         for pool in self.pools.values():
--- a/firworks/metrics.py
+++ b/firworks/metrics.py
@@ -163,7 +163,7 @@
         Args:
             ready (bool): Whether the daemon is ready.
             in_progress (int): Requests in progress.
-            version (int): Configuration version in force; 0 for none.
+            version (int): Configuration version in force; -1 for none.
         """
         self.ready.set(1 if ready else 0)
         self.in_progress.set(in_progress)
--- a/firworks/tests/test_scheduling.py
+++ b/firworks/tests/test_scheduling.py
@@ -12,6 +12,7 @@
     CallRequested,
     TargetLeaving,
 )
+from firworks.kernel.claims import LONGEST_DEADLINE_S
 from firworks.kernel.fleet import ConfigurationAccepted
 from firworks.kernel.messages import Tick
 from firworks.kernel.node import Kernel
@@ -86,6 +87,18 @@
         results = Site().send(make_call(1, pool="none"), 0.0)
         assert rejected(results)[0].code == Code.NO_TARGET
 
+    def test_pool_of_an_older_version_serves_requests_that_began_with_it(self):
+        site = Site(targets=1, concurrency=1)
+        first = placed(site.send(make_call(1), 0.0))[0]
+        assert site.send(make_call(2, deadline_s=1e9), 0.0) == []
+        document = Document("y", {}, {}, {})
+        assert site.send(ConfigurationAccepted(2, "y", document), 0.1) == []
+        assert placed(site.end(first, 0.2))[0].call_id == 2
+        site.send(make_call(3, deadline_s=1e9), 0.3)
+        results = site.send(Tick(0.0), 0.1 + LONGEST_DEADLINE_S)
+        assert [r.call_id for r in rejected(results)] == [3]
+        assert rejected(site.send(make_call(4), 700.0))[0].code == Code.NO_TARGET
+
     def test_queued_call_is_refused_when_its_deadline_passes(self):
         site = Site(targets=1, concurrency=1)
         site.send(make_call(1), 0.0)
