--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -29,7 +29,7 @@
 from firworks.settings import load_settings
 from firworks.view import DaemonView
 
-TICK_INTERVAL_S = 0.05
+TICK_INTERVAL_S = 0.1
 DRAIN_POLL_S = 0.02
 FAREWELL_S = 0.2
 ADAPTER_KINDS = ("log", "vms", "peers", "targets", "orders", "callers")
