Keep a daemon going when a part or an adapter fails

Cause: read-through; an unexpected exception in the kernel ended the tick task or a call's task without a word, and the daemon went on as a zombie.

--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -5,6 +5,7 @@
 import sys
 import time
 import uuid
+from traceback import format_exception
 
 from firworks.adapter import AdapterContext
 from firworks.addresses import AddressBook
@@ -99,15 +100,30 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def feed(self, event):
-        """Hand an event to the kernel and carry out what follows."""
+        """Hand an event to the kernel and carry out what follows.
+
+        A fault in a part or an adapter is logged and costs this event or action
+        only: the daemon must go on serving its other requests.
+        """
         self.metrics.observe(event)
         if isinstance(event, PeerConnected):
             self.connected_peers.add(event.peer)
         elif isinstance(event, PeerDisconnected):
             self.connected_peers.discard(event.peer)
-        for action in self.parts.kernel.handle(event, self.clock()):
-            self.metrics.observe(action)
+        try:
+            actions = self.parts.kernel.handle(event, self.clock())
+        except Exception as error:
+            log_fault(event, error)
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action):
+        self.metrics.observe(action)
+        try:
             self._carriers[type(action)](action)
+        except Exception as error:
+            log_fault(action, error)
 
     @property
     def ready(self):
@@ -204,6 +220,13 @@
         self._was_ready = self.ready
 
 
+def log_fault(message, error):
+    """Log a fault met while an event or action was handled."""
+    trace = "".join(format_exception(error))
+    kind = type(message).__name__
+    log_event(LogEvent.PART_FAILED, message=kind, error=repr(error), trace=trace)
+
+
 async def run_daemon(settings):
     """Run a daemon until a signal or an operator has drained it.
 
--- a/firworks/plugins/target_calls.py
+++ b/firworks/plugins/target_calls.py
@@ -5,7 +5,6 @@
 import aiohttp
 
 from firworks.adapter import Adapter
-from firworks.errors import CodecError
 from firworks.events import LogEvent, log_event
 from firworks.kernel.calls import (
     RESULT_CRASHED,
@@ -179,10 +178,10 @@
         except TimeoutError:
             self.sessions.retire(address)
             self._fail(action, RESULT_TIMEOUT, True, "the target did not answer")
-        except (CallBrokenError, CodecError, ValueError) as error:
-            self._fail(action, RESULT_FAILED, True, str(error))
         except (aiohttp.ClientError, OSError) as error:
             await self._report_broken(action, address, error)
+        except Exception as error:  # whatever else goes wrong, the call must end
+            self._fail(action, RESULT_FAILED, True, repr(error))
 
     async def _run_in_session(self, action, address):
         if action.repeatable:
