--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -224,7 +224,7 @@
     """Log a fault met while an event or action was handled."""
     trace = "".join(format_exception(error))
     kind = type(message).__name__
-    log_event(LogEvent.PART_FAILED, message=kind, error=repr(error), trace=trace)
+    log_event(LogEvent.PART_FAILED, handled=kind, error=repr(error), trace=trace)
 
 
 async def run_daemon(settings):
