Let the ledger and deferred requests share how they serve records

Cause: read-through; handling, delivery, settling and the check for unsent records stood twice, alike. Behaviour and tests are as before.

--- a/firworks/kernel/deferred.py
+++ b/firworks/kernel/deferred.py
@@ -43,11 +43,10 @@
     PeerDisconnected,
     PeerReceived,
     RecordsAppended,
-    SendPeer,
     Struct,
     Tick,
 )
-from firworks.kernel.node import Part
+from firworks.kernel.record_server import RecordServer
 
 STREAM = "deferred-0"
 BEAT_INTERVAL_S = 2.0
@@ -64,7 +63,7 @@
     __slots__ = ("record", "deadline_s")
 
 
-class Deferred(Part):
+class Deferred(RecordServer):
     """Keeps deferred requests in the log and sees that each gets an answer.
 
     The stream's usual writer follows the stream, hands open requests to live
@@ -75,8 +74,6 @@
             dedupe_window_s and log_retention_s.
     """
 
-    DISPATCHER = "_take"
-
     def __init__(self, settings):
         self._name = settings.name
         self._keep_s = settings.dedupe_window_s
@@ -99,16 +96,6 @@
         self._started_s = None
         self._beat_s = 0.0
 
-    @property
-    def flushed(self):
-        """Whether every answer of this daemon is in the log."""
-        return not len(self._outbox)
-
-    def handle(self, event, now):
-        """Take one event; see `Part.handle`."""
-        results = self._take(event, now)
-        return results + self._settle(now)
-
     @singledispatchmethod
     def _take(self, event, now):
         return []
@@ -260,28 +247,8 @@
     def _(self, message: DeferredFound, peer, now):
         return self._lookups.finish(message)
 
-    def _tell(self, peer, message, now):
-        """Send a message to a peer, or take it at once when it is for this daemon."""
-        if peer == self._name:
-            return self._hear(message, peer, now)
-        return [SendPeer(peer, message)]
-
-    def _deliver(self, replies, now):
-        results = []
-        for reply in replies:
-            results += self._tell(reply.origin, reply.message, now)
-        return results
-
-    def _settle(self, now):
-        results = []
-        submissions = self._outbox.poll(now)
-        while submissions:
-            for action in submissions:
-                results += self._tell(action.peer, action.message, now)
-            submissions = self._outbox.poll(now)
-        if self._stream is not None:
-            results += self._stream.poll(now)
-        return results
+    def _list_streams(self):
+        return () if self._stream is None else (self._stream,)
 
     def _open_stream(self, now):
         if self._stream is None:
--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger.py
@@ -44,7 +44,7 @@
     SendPeer,
     Tick,
 )
-from firworks.kernel.node import Part
+from firworks.kernel.record_server import RecordServer
 
 IDLE_S = 60.0
 WARM_AFTER_S = 2.0
@@ -53,7 +53,7 @@
 STREAM_PREFIX = "ledger-"
 
 
-class Ledger(Part):
+class Ledger(RecordServer):
     """Decides claims through the log's order and keeps their outcomes.
 
     Args:
@@ -64,8 +64,6 @@
         standbys (int): Daemons next in line that follow each stream as well.
     """
 
-    DISPATCHER = "_take"
-
     def __init__(self, settings, relay=True, standbys=STANDBYS):
         self._name = settings.name
         self._standbys = standbys
@@ -103,21 +101,11 @@
             return False
         return self._in_window(request.issued_s, now)
 
-    @property
-    def flushed(self):
-        """Whether the log has all that this daemon has to tell it."""
-        return not self._outbox
-
     @property
     def size_bytes(self):
         """Estimate of the memory that remembered claims take."""
         return sum(stream.state.size_bytes for stream in self._streams.values())
 
-    def handle(self, event, now):
-        """Take one event; see `Part.handle`."""
-        results = self._take(event, now)
-        return results + self._settle(now)
-
     @singledispatchmethod
     def _take(self, event, now):
         return []
@@ -243,30 +231,8 @@
     def _(self, message: LedgerDecision, peer, now):
         return self._holder.take_decision(message, now)
 
-    def _deliver(self, replies, now):
-        """Send replies to peers and take this daemon's own at once."""
-        results = []
-        for reply in replies:
-            if reply.origin == self._name:
-                results += self._hear(reply.message, self._name, now)
-            else:
-                results.append(SendPeer(reply.origin, reply.message))
-        return results
-
-    def _settle(self, now):
-        """Act on what is due until nothing more is."""
-        results = []
-        submissions = self._outbox.poll(now)
-        while submissions:
-            for action in submissions:
-                if action.peer == self._name:
-                    results += self._hear(action.message, self._name, now)
-                else:
-                    results.append(action)
-            submissions = self._outbox.poll(now)
-        for stream in self._streams.values():
-            results += stream.poll(now)
-        return results
+    def _list_streams(self):
+        return self._streams.values()
 
     def name_stream(self, key):
         """Return the stream of a `WorkKey`."""
