--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -13,8 +13,8 @@
 import fire
 
 from firworks.document import parse_document
-from firworks.kernel.configuration_follower import ConfigurationFollower
-from firworks.kernel.configuration_records import (
+from firworks.kernel.configuration.follower import ConfigurationFollower
+from firworks.kernel.configuration.records import (
     NO_VERSION,
     ConfigurationSent,
     Publish,
--- a/bench/fleet_detection.py
+++ b/bench/fleet_detection.py
@@ -11,8 +11,8 @@
 import fire
 
 from firworks.kernel.calls import TargetLeaving
-from firworks.kernel.departures import Departures
-from firworks.kernel.fleet import MEMBER_DEAD, MEMBER_SUSPECT, MemberChanged
+from firworks.kernel.fleet.departures import Departures
+from firworks.kernel.fleet.events import MEMBER_DEAD, MEMBER_SUSPECT, MemberChanged
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
 
 SEEDS = 50
--- a/bench/fleet_limits.py
+++ b/bench/fleet_limits.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from bench.fleet_model import make_accounts, name_account
-from firworks.kernel.limits import AccountLimits
+from firworks.kernel.limits.limits import AccountLimits
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
 
 RATE = 360.0
--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -6,12 +6,12 @@
 
 from firworks.document import Account, Document
 from firworks.kernel.codec import decode_record, encode_record
-from firworks.kernel.departures import Departures
-from firworks.kernel.fleet import TOPIC_LOAD, ConfigurationAccepted, FactChanged
-from firworks.kernel.limits import AccountLimits
+from firworks.kernel.fleet.departures import Departures
+from firworks.kernel.fleet.events import TOPIC_LOAD, ConfigurationAccepted, FactChanged
+from firworks.kernel.limits.limits import AccountLimits
 from firworks.kernel.messages import PeerReceived
 from firworks.kernel.quarantine import Quarantine
-from firworks.kernel.scheduling_loads import PoolLoad
+from firworks.kernel.scheduling.loads import PoolLoad
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
 
 DAEMON_TICK_S = 0.05
--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -22,10 +22,10 @@
 
 from bench.ledger_model import EPOCH_S, LedgerFleet
 from firworks.kernel.appends import BUDGET_SHARE
-from firworks.kernel.claims import WorkKey
 from firworks.kernel.codec import decode_record, encode_record
-from firworks.kernel.ledger_records import ClaimRecord, OutcomeRecord
-from firworks.kernel.ledger_state import LedgerState
+from firworks.kernel.ledger.claims import WorkKey
+from firworks.kernel.ledger.records import ClaimRecord, OutcomeRecord
+from firworks.kernel.ledger.state import LedgerState
 from firworks.kernel.messages import LogEntry
 
 SEED = 1
--- a/bench/ledger_model.py
+++ b/bench/ledger_model.py
@@ -4,10 +4,15 @@
 from random import Random
 from time import perf_counter
 
-from firworks.kernel.claims import ClaimRefused, ClaimRequested, ClaimWon, WorkKey
-from firworks.kernel.fleet import MEMBER_ALIVE, MEMBER_DEAD, MemberChanged
-from firworks.kernel.ledger import Ledger
-from firworks.kernel.ledger_members import rank_members
+from firworks.kernel.fleet.events import MEMBER_ALIVE, MEMBER_DEAD, MemberChanged
+from firworks.kernel.ledger.claims import (
+    ClaimRefused,
+    ClaimRequested,
+    ClaimWon,
+    WorkKey,
+)
+from firworks.kernel.ledger.ledger import Ledger
+from firworks.kernel.ledger.members import rank_members
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
--- a/bench/policy_cost.py
+++ b/bench/policy_cost.py
@@ -16,10 +16,10 @@
     CallRequested,
     TargetReported,
 )
-from firworks.kernel.fleet import ConfigurationAccepted
+from firworks.kernel.fleet.events import ConfigurationAccepted
 from firworks.kernel.messages import Tick
 from firworks.kernel.node import Kernel
-from firworks.kernel.scheduling import Scheduler
+from firworks.kernel.scheduling.scheduler import Scheduler
 
 SIZES = (5, 50, 650)
 POOLS = 5
--- a/bench/policy_driver.py
+++ b/bench/policy_driver.py
@@ -16,9 +16,9 @@
     CallWithdrawn,
     HedgeWanted,
 )
-from firworks.kernel.fleet import FactChanged
+from firworks.kernel.fleet.events import FactChanged
 from firworks.kernel.node import Kernel, Part
-from firworks.kernel.scheduling import Scheduler
+from firworks.kernel.scheduling.scheduler import Scheduler
 
 NETWORK_S = 0.002
 MOST_ATTEMPTS = 4
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -7,7 +7,7 @@
 from bench.policy_site import name_targets as name_pool_targets
 from bench.policy_targets import Clock, FakeTarget
 from firworks.codes import Code
-from firworks.kernel.fleet import ConfigurationAccepted, FactLearned
+from firworks.kernel.fleet.events import ConfigurationAccepted, FactLearned
 from firworks.kernel.messages import Tick, VmEntry, VmsListed
 
 TICK_S = 0.1
--- a/firworks/admin.py
+++ b/firworks/admin.py
@@ -51,7 +51,7 @@
     """What the ledger knows of a key.
 
     Attributes:
-        state (str): A ``CLAIM_`` constant of `firworks.kernel.claims`, or "free".
+        state (str): A ``CLAIM_`` constant of the ledger, or "free".
         answer (str): The kept answer of work that ran, else "".
     """
 
--- a/firworks/assembly.py
+++ b/firworks/assembly.py
@@ -3,20 +3,20 @@
 from random import Random
 
 from firworks.kernel.budgets import StageBudgets
-from firworks.kernel.configuration_follower import ConfigurationFollower
-from firworks.kernel.deferred import Deferred
-from firworks.kernel.departures import Departures
-from firworks.kernel.dissemination import Dissemination
-from firworks.kernel.ledger import Ledger
-from firworks.kernel.limits import AccountLimits
-from firworks.kernel.membership import Membership
+from firworks.kernel.configuration.follower import ConfigurationFollower
+from firworks.kernel.deferred.deferred import Deferred
+from firworks.kernel.fleet.departures import Departures
+from firworks.kernel.fleet.dissemination import Dissemination
+from firworks.kernel.fleet.membership import Membership
+from firworks.kernel.ledger.ledger import Ledger
+from firworks.kernel.limits.limits import AccountLimits
 from firworks.kernel.node import Kernel
 from firworks.kernel.operators import Operators
-from firworks.kernel.orders import Orders
+from firworks.kernel.orders.orders import Orders
 from firworks.kernel.quarantine import Quarantine
 from firworks.kernel.reports import Reports
 from firworks.kernel.requests import Requests
-from firworks.kernel.scheduling import Scheduler
+from firworks.kernel.scheduling.scheduler import Scheduler
 
 BUILTIN_PLUGINS = (
     "firworks.plugins.http_callers",
--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -14,7 +14,7 @@
 from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event
 from firworks.kernel.calls import CancelCall, StartCall
-from firworks.kernel.fleet import DrainExpired, DrainFinished, DrainStarted
+from firworks.kernel.fleet.events import DrainExpired, DrainFinished, DrainStarted
 from firworks.kernel.messages import (
     LogCatalogued,
     PeerConnected,
--- /dev/null
+++ b/firworks/kernel/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Publication and spread of environment documents."""
--- a/firworks/kernel/configuration_carries.py
+++ b/firworks/kernel/configuration/carries.py
@@ -1,6 +1,6 @@
 """When a daemon appends a carry, so that one is made in time, and by few."""
 
-from firworks.kernel.configuration_records import NO_VERSION
+from firworks.kernel.configuration.records import NO_VERSION
 
 CARRY_ENTRIES = 32
 CARRY_RETENTION_SHARE = 0.125
--- a/firworks/kernel/configuration.py
+++ b/firworks/kernel/configuration/configuration.py
@@ -6,14 +6,14 @@
 from firworks.codes import Code
 from firworks.document import FORMAT, parse_document
 from firworks.errors import SettingsError
-from firworks.kernel.configuration_records import (
+from firworks.kernel.configuration.records import (
     NO_VERSION,
     Carry,
     Publish,
     Restore,
     unpack_document,
 )
-from firworks.kernel.configuration_state import (
+from firworks.kernel.configuration.state import (
     Candidate,
     ConfigurationState,
     Decision,
--- a/firworks/kernel/configuration_follower.py
+++ b/firworks/kernel/configuration/follower.py
@@ -3,24 +3,24 @@
 from functools import singledispatchmethod
 
 from firworks.events import LogEvent
-from firworks.kernel.configuration import CHECKS
-from firworks.kernel.configuration_carries import CarrySchedule
-from firworks.kernel.configuration_reader import ConfigurationReader
-from firworks.kernel.configuration_records import (
+from firworks.kernel.configuration.carries import CarrySchedule
+from firworks.kernel.configuration.configuration import CHECKS
+from firworks.kernel.configuration.reader import ConfigurationReader
+from firworks.kernel.configuration.records import (
     NO_VERSION,
     ConfigurationFact,
     ConfigurationSent,
     ConfigurationWanted,
     name_stream,
 )
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.events import (
     TOPIC_CONFIGURATION,
     ConfigurationAccepted,
     FactChanged,
     FactLearned,
     MemberChanged,
 )
-from firworks.kernel.live_members import LiveMembers
+from firworks.kernel.fleet.live import LiveMembers
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
--- a/firworks/kernel/configuration_reader.py
+++ b/firworks/kernel/configuration/reader.py
@@ -1,6 +1,6 @@
 """Chooses what to read of a configuration stream, so that a short tail is enough."""
 
-from firworks.kernel.configuration import CHECKS, ConfigurationHistory
+from firworks.kernel.configuration.configuration import CHECKS, ConfigurationHistory
 
 TAIL_ENTRIES = 64
 
--- a/firworks/kernel/configuration_state.py
+++ b/firworks/kernel/configuration/state.py
@@ -2,7 +2,7 @@
 
 from firworks.codes import Code
 from firworks.document import FORMAT
-from firworks.kernel.configuration_records import NO_VERSION, Carry
+from firworks.kernel.configuration.records import NO_VERSION, Carry
 from firworks.kernel.messages import Struct
 
 
--- /dev/null
+++ b/firworks/kernel/deferred/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that are answered later."""
--- a/firworks/kernel/deferrals.py
+++ b/firworks/kernel/deferred/deferrals.py
@@ -11,13 +11,13 @@
     finish_failed,
     finish_whole,
 )
-from firworks.kernel.arrivals import build_request, stamp_request
-from firworks.kernel.claims import (
+from firworks.kernel.ledger.claims import (
     DeferAccepted,
     DeferredDone,
     DeferRequested,
     ResultRequested,
 )
+from firworks.kernel.limits.arrivals import build_request, stamp_request
 
 LOOKUP_RETRY_AFTER_S = 1.0
 ID_CHARACTERS = 32
--- a/firworks/kernel/deferred.py
+++ b/firworks/kernel/deferred/deferred.py
@@ -3,16 +3,8 @@
 from functools import singledispatchmethod
 
 from firworks.kernel.appends import compute_interval_s
-from firworks.kernel.claims import (
-    DeferAccepted,
-    DeferredDone,
-    DeferredReady,
-    DeferRefused,
-    DeferRequested,
-    ResultRequested,
-)
-from firworks.kernel.deferred_lookups import ResultLookups, ResultQuestions
-from firworks.kernel.deferred_records import (
+from firworks.kernel.deferred.lookups import ResultLookups, ResultQuestions
+from firworks.kernel.deferred.records import (
     DEFERRED_RECORDS,
     AcceptRecord,
     DeferredBeat,
@@ -22,13 +14,21 @@
     DeferredStopped,
     DoneRecord,
 )
-from firworks.kernel.deferred_runs import Assignments
-from firworks.kernel.deferred_state import DeferredState
-from firworks.kernel.deferred_stream import DeferredStream
-from firworks.kernel.fleet import DrainStarted, MemberChanged
-from firworks.kernel.ledger_holder import Outbox
-from firworks.kernel.ledger_members import WriterChoice
-from firworks.kernel.ledger_records import (
+from firworks.kernel.deferred.runs import Assignments
+from firworks.kernel.deferred.state import DeferredState
+from firworks.kernel.deferred.stream import DeferredStream
+from firworks.kernel.fleet.events import DrainStarted, MemberChanged
+from firworks.kernel.ledger.claims import (
+    DeferAccepted,
+    DeferredDone,
+    DeferredReady,
+    DeferRefused,
+    DeferRequested,
+    ResultRequested,
+)
+from firworks.kernel.ledger.holder import Outbox
+from firworks.kernel.ledger.members import WriterChoice
+from firworks.kernel.ledger.records import (
     LedgerDecision,
     LedgerHeard,
     LedgerStalled,
--- a/firworks/kernel/deferred_lookups.py
+++ b/firworks/kernel/deferred/lookups.py
@@ -1,9 +1,9 @@
 """Lookups of deferred results: the asking and the answering side."""
 
-from firworks.kernel.claims import ResultFound
-from firworks.kernel.deferred_records import DeferredFound, DeferredLookup
-from firworks.kernel.deferred_state import RESULT_MISSING, RESULT_UNAVAILABLE
-from firworks.kernel.ledger_records import Reply
+from firworks.kernel.deferred.records import DeferredFound, DeferredLookup
+from firworks.kernel.deferred.state import RESULT_MISSING, RESULT_UNAVAILABLE
+from firworks.kernel.ledger.claims import ResultFound
+from firworks.kernel.ledger.records import Reply
 from firworks.kernel.messages import Struct
 
 LOOKUP_TIMEOUT_S = 5.0
--- a/firworks/kernel/deferred_runs.py
+++ b/firworks/kernel/deferred/runs.py
@@ -2,7 +2,7 @@
 
 from xxhash import xxh64_intdigest
 
-from firworks.kernel.deferred_records import DeferredRun
+from firworks.kernel.deferred.records import DeferredRun
 from firworks.kernel.messages import SendPeer, Struct
 
 BEAT_TIMEOUT_S = 6.0
--- a/firworks/kernel/deferred_state.py
+++ b/firworks/kernel/deferred/state.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatchmethod
 
-from firworks.kernel.deferred_records import AcceptRecord, DoneRecord
+from firworks.kernel.deferred.records import AcceptRecord, DoneRecord
 from firworks.kernel.messages import Struct
 
 LATE_LIMIT_S = 3_600.0
--- a/firworks/kernel/deferred_stream.py
+++ b/firworks/kernel/deferred/stream.py
@@ -1,9 +1,9 @@
 """Serves the deferred stream: appends records and reads it."""
 
-from firworks.kernel.claims import CLAIM_FULL
-from firworks.kernel.deferred_records import AcceptRecord
-from firworks.kernel.ledger_records import LedgerDecision, Reply
-from firworks.kernel.ledger_stream import LedgerStream
+from firworks.kernel.deferred.records import AcceptRecord
+from firworks.kernel.ledger.claims import CLAIM_FULL
+from firworks.kernel.ledger.records import LedgerDecision, Reply
+from firworks.kernel.ledger.stream import LedgerStream
 
 
 class DeferredStream(LedgerStream):
--- /dev/null
+++ b/firworks/kernel/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, cells and dissemination."""
--- a/firworks/kernel/departures.py
+++ b/firworks/kernel/fleet/departures.py
@@ -5,7 +5,7 @@
 from firworks.events import LogEvent
 from firworks.kernel.calls import TargetLeaving
 from firworks.kernel.codec import register_record
-from firworks.kernel.fleet import TOPIC_TARGET_LEAVING, FactChanged, FactLearned
+from firworks.kernel.fleet.events import TOPIC_TARGET_LEAVING, FactChanged, FactLearned
 from firworks.kernel.messages import LogCatalogued, Record, Tick, VmsListed
 from firworks.kernel.node import Part
 
--- a/firworks/kernel/detector.py
+++ b/firworks/kernel/fleet/detector.py
@@ -1,7 +1,7 @@
 """Detects daemons that fall silent and connections that carry nothing any more."""
 
 from firworks.events import LogEvent
-from firworks.kernel.digests import RANK_DEAD, RANK_SUSPECT, Probe, ProbeReply
+from firworks.kernel.fleet.digests import RANK_DEAD, RANK_SUSPECT, Probe, ProbeReply
 from firworks.kernel.messages import LogCatalogued, SendPeer
 
 PROBE_AFTER_S = 2.2
--- a/firworks/kernel/digests.py
+++ b/firworks/kernel/fleet/digests.py
@@ -3,7 +3,7 @@
 from xxhash import xxh32_intdigest
 
 from firworks.kernel.codec import register_record
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.events import (
     MEMBER_ALIVE,
     MEMBER_DEAD,
     MEMBER_LEAVING,
--- a/firworks/kernel/dissemination.py
+++ b/firworks/kernel/fleet/dissemination.py
@@ -11,15 +11,15 @@
 
 from firworks.errors import CodecError
 from firworks.kernel.codec import decode_record
-from firworks.kernel.digests import (
+from firworks.kernel.fleet.digests import (
     TOPIC_MEMBER,
     Digest,
     Fact,
     FactStated,
     TableSummary,
 )
-from firworks.kernel.fact_table import FactTable
-from firworks.kernel.fleet import MEMBER_DEAD, FactChanged, FactLearned
+from firworks.kernel.fleet.events import MEMBER_DEAD, FactChanged, FactLearned
+from firworks.kernel.fleet.facts import FactTable
 from firworks.kernel.messages import PeerReceived, SendPeer, Tick
 from firworks.kernel.node import Part
 from firworks.kernel.outboxes import Outboxes
--- a/firworks/kernel/live_members.py
+++ b/firworks/kernel/fleet/live.py
@@ -2,7 +2,7 @@
 
 from xxhash import xxh64_intdigest
 
-from firworks.kernel.fleet import MEMBER_DEAD, MEMBER_LEAVING
+from firworks.kernel.fleet.events import MEMBER_DEAD, MEMBER_LEAVING
 
 
 class LiveMembers:
--- a/firworks/kernel/members.py
+++ b/firworks/kernel/fleet/members.py
@@ -1,6 +1,11 @@
 """What a daemon knows about one other daemon."""
 
-from firworks.kernel.digests import RANK_ALIVE, RANK_DEAD, STATUS_OF_RANK, make_tag
+from firworks.kernel.fleet.digests import (
+    RANK_ALIVE,
+    RANK_DEAD,
+    STATUS_OF_RANK,
+    make_tag,
+)
 from firworks.kernel.messages import VmEntry
 
 
--- a/firworks/kernel/membership.py
+++ b/firworks/kernel/fleet/membership.py
@@ -11,8 +11,8 @@
 from functools import singledispatchmethod
 
 from firworks.events import LogEvent
-from firworks.kernel.detector import FailureDetector
-from firworks.kernel.digests import (
+from firworks.kernel.fleet.detector import FailureDetector
+from firworks.kernel.fleet.digests import (
     MEMBER_TTL_S,
     RANK_ALIVE,
     RANK_DEAD,
@@ -27,14 +27,16 @@
     ProbeReply,
     make_member_fact,
 )
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.events import (
     MEMBER_DEAD,
     DrainFinished,
     DrainStarted,
     FactLearned,
     MemberChanged,
 )
-from firworks.kernel.members import Member
+from firworks.kernel.fleet.members import Member
+from firworks.kernel.fleet.neighbours import Neighbours
+from firworks.kernel.fleet.own_state import OwnState
 from firworks.kernel.messages import (
     LogCatalogued,
     PeerConnected,
@@ -44,9 +46,7 @@
     VmEntry,
     VmsListed,
 )
-from firworks.kernel.neighbours import Neighbours
 from firworks.kernel.node import Part
-from firworks.kernel.own_state import OwnState
 
 CHECK_PERIOD_S = 0.2
 DEAD_PERIOD_FACTOR = 5.0
--- a/firworks/kernel/neighbours.py
+++ b/firworks/kernel/fleet/neighbours.py
@@ -1,6 +1,11 @@
 """Which daemons this one exchanges digests with: its cell, links and guests."""
 
-from firworks.kernel.cells import LINKS_PER_DAEMON, choose_links, find_cell, make_cells
+from firworks.kernel.fleet.cells import (
+    LINKS_PER_DAEMON,
+    choose_links,
+    find_cell,
+    make_cells,
+)
 from firworks.kernel.messages import ConnectPeer, DisconnectPeer
 
 GUEST_TIMEOUT_S = 10.0
--- a/firworks/kernel/own_state.py
+++ b/firworks/kernel/fleet/own_state.py
@@ -1,6 +1,6 @@
 """What a daemon says about itself, and how it answers what others believe."""
 
-from firworks.kernel.digests import (
+from firworks.kernel.fleet.digests import (
     RANK_ALIVE,
     RANK_DRAINED,
     RANK_SUSPECT,
--- a/firworks/kernel/placement.py
+++ b/firworks/kernel/fleet/placement.py
@@ -1,6 +1,6 @@
 """The state that each managed engine is to have, from the document."""
 
-from firworks.kernel.orders_records import EngineState
+from firworks.kernel.orders.records import EngineState
 
 
 def make_wanted_state(pool):
--- a/firworks/kernel/summaries.py
+++ b/firworks/kernel/fleet/summaries.py
@@ -2,7 +2,7 @@
 
 from firworks.codes import Code
 from firworks.kernel.answers import finish_failed
-from firworks.kernel.arrivals import may_be_resend
+from firworks.kernel.limits.arrivals import may_be_resend
 from firworks.kernel.messages import RequestFinished
 
 DELIVERED_CODES = (Code.OK, Code.ACCEPTED, Code.REPLAYED)
--- /dev/null
+++ b/firworks/kernel/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The ledger of work that may not repeat."""
--- a/firworks/kernel/ledger_entries.py
+++ b/firworks/kernel/ledger/entries.py
@@ -3,7 +3,7 @@
 from hashlib import blake2b
 from sys import intern
 
-from firworks.kernel.claims import (
+from firworks.kernel.ledger.claims import (
     CLAIM_EXPIRED,
     CLAIM_IN_PROGRESS,
     CLAIM_REUSED,
@@ -11,7 +11,7 @@
     LATE_OUTCOME_GRACE_S,
     LONGEST_DEADLINE_S,
 )
-from firworks.kernel.ledger_records import DECISION_VOID
+from firworks.kernel.ledger.records import DECISION_VOID
 from firworks.kernel.messages import Struct
 
 DIGEST_BYTES = 16
--- a/firworks/kernel/ledger_holder.py
+++ b/firworks/kernel/ledger/holder.py
@@ -1,13 +1,13 @@
 """The holder's side of claims: from a request's wish to its final word."""
 
-from firworks.kernel.claims import (
+from firworks.kernel.ledger.claims import (
     CLAIM_IN_PROGRESS,
     CLAIM_OUTCOME,
     CLAIM_UNAVAILABLE,
     ClaimRefused,
     ClaimWon,
 )
-from firworks.kernel.ledger_records import (
+from firworks.kernel.ledger.records import (
     DECISION_FREE,
     DECISION_VOID,
     DECISION_WON,
--- a/firworks/kernel/ledger.py
+++ b/firworks/kernel/ledger/ledger.py
@@ -6,7 +6,9 @@
 
 from firworks.events import LogEvent
 from firworks.kernel.appends import compute_interval_s
-from firworks.kernel.claims import (
+from firworks.kernel.codec import encode_record
+from firworks.kernel.fleet.events import MemberChanged
+from firworks.kernel.ledger.claims import (
     CLAIM_EXPIRED,
     CLAIM_UNAVAILABLE,
     ClaimRefused,
@@ -15,12 +17,10 @@
     OutcomeReached,
     OutcomeUnknown,
 )
-from firworks.kernel.codec import encode_record
-from firworks.kernel.fleet import MemberChanged
-from firworks.kernel.ledger_holder import ClaimHolder, Outbox
-from firworks.kernel.ledger_lookups import Lookups
-from firworks.kernel.ledger_members import WriterChoice
-from firworks.kernel.ledger_records import (
+from firworks.kernel.ledger.holder import ClaimHolder, Outbox
+from firworks.kernel.ledger.lookups import Lookups
+from firworks.kernel.ledger.members import WriterChoice
+from firworks.kernel.ledger.records import (
     LEDGER_RECORDS,
     LedgerDecision,
     LedgerHeard,
@@ -31,8 +31,8 @@
     ResolutionRequested,
     name_record,
 )
-from firworks.kernel.ledger_state import LedgerState
-from firworks.kernel.ledger_stream import LedgerStream
+from firworks.kernel.ledger.state import LedgerState
+from firworks.kernel.ledger.stream import LedgerStream
 from firworks.kernel.messages import (
     AppendFailed,
     LogCatalogued,
--- a/firworks/kernel/ledger_lookups.py
+++ b/firworks/kernel/ledger/lookups.py
@@ -1,7 +1,7 @@
 """Operators' open questions to the ledger."""
 
-from firworks.kernel.claims import CLAIM_UNAVAILABLE
-from firworks.kernel.ledger_records import (
+from firworks.kernel.ledger.claims import CLAIM_UNAVAILABLE
+from firworks.kernel.ledger.records import (
     DECISION_FREE,
     LookupAnswered,
     ResolutionRecord,
--- a/firworks/kernel/ledger_records.py
+++ b/firworks/kernel/ledger/records.py
@@ -1,7 +1,7 @@
 """Records of the ledger's streams and messages between ledgers."""
 
-from firworks.kernel.claims import WorkKey
 from firworks.kernel.codec import register_record
+from firworks.kernel.ledger.claims import WorkKey
 from firworks.kernel.messages import Record, Signal, Struct
 
 # Values of `LedgerDecision.state` besides the ``CLAIM_`` constants.
--- a/firworks/kernel/ledger_state.py
+++ b/firworks/kernel/ledger/state.py
@@ -2,14 +2,14 @@
 
 from functools import singledispatch
 
-from firworks.kernel.claims import (
+from firworks.kernel.ledger.claims import (
     CLAIM_IN_PROGRESS,
     CLAIM_NOT_RUN,
     CLAIM_OUTCOME,
     CLAIM_REUSED,
     CLAIM_UNKNOWN,
 )
-from firworks.kernel.ledger_entries import (
+from firworks.kernel.ledger.entries import (
     EXPIRED,
     REUSED,
     VOID,
@@ -19,7 +19,7 @@
     digest_text,
     find_holder,
 )
-from firworks.kernel.ledger_records import (
+from firworks.kernel.ledger.records import (
     DECISION_FREE,
     DECISION_WON,
     ClaimRecord,
--- a/firworks/kernel/ledger_stream.py
+++ b/firworks/kernel/ledger/stream.py
@@ -3,8 +3,8 @@
 from functools import singledispatchmethod
 
 from firworks.kernel.appends import Appender
-from firworks.kernel.claims import CLAIM_FULL, CLAIM_IN_PROGRESS
-from firworks.kernel.ledger_records import (
+from firworks.kernel.ledger.claims import CLAIM_FULL, CLAIM_IN_PROGRESS
+from firworks.kernel.ledger.records import (
     ClaimRecord,
     LedgerDecision,
     LedgerStalled,
--- /dev/null
+++ b/firworks/kernel/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts across the fleet."""
--- a/firworks/kernel/limits.py
+++ b/firworks/kernel/limits/limits.py
@@ -10,8 +10,8 @@
 from functools import singledispatchmethod
 
 from firworks.codes import Code
-from firworks.kernel.cells import CELL_LIMIT
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.cells import CELL_LIMIT
+from firworks.kernel.fleet.events import (
     MEMBER_DEAD,
     TOPIC_DEMAND,
     TOPIC_LOAN,
@@ -20,11 +20,11 @@
     FactLearned,
     MemberChanged,
 )
-from firworks.kernel.lending import divide_fairly, find_spare
-from firworks.kernel.limit_records import Demand, Demands, Loans, PeerDemands
+from firworks.kernel.limits.lending import divide_fairly, find_spare
+from firworks.kernel.limits.records import Demand, Demands, Loans, PeerDemands
+from firworks.kernel.limits.shares import AccountShare, Loan
 from firworks.kernel.messages import Struct, Tick, VmsListed
 from firworks.kernel.node import Part
-from firworks.kernel.shares import AccountShare, Loan
 
 PERIOD_S = 1.0
 DEMAND_PERIOD_S = 1.0
--- a/firworks/kernel/operators.py
+++ b/firworks/kernel/operators.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatchmethod
 
-from firworks.kernel.ledger_records import LookupAnswered
+from firworks.kernel.ledger.records import LookupAnswered
 from firworks.kernel.messages import Action
 from firworks.kernel.node import Part
 
--- a/firworks/kernel/engine_orders.py
+++ b/firworks/kernel/orders/engines.py
@@ -1,14 +1,14 @@
 """Brings one engine to its wanted state: when to inspect, load and order."""
 
-from firworks.kernel.orders_records import InspectEngine, OrderEngine
-from firworks.kernel.placement import matches
-from firworks.kernel.slots import (
+from firworks.kernel.fleet.placement import matches
+from firworks.kernel.orders.records import InspectEngine, OrderEngine
+from firworks.kernel.orders.slots import (
     REQUEST_TIMEOUT_S,
     RETRY_S,
     SLOT_ASKED,
     SLOT_REFUSED,
 )
-from firworks.kernel.terms import ORDER_TIMEOUT_S
+from firworks.kernel.orders.terms import ORDER_TIMEOUT_S
 
 INSPECT_INTERVAL_S = 10.0
 INSPECT_SOON_S = 1.0
--- a/firworks/kernel/orders.py
+++ b/firworks/kernel/orders/orders.py
@@ -3,13 +3,13 @@
 from functools import singledispatchmethod
 
 from firworks.events import LogEvent
-from firworks.kernel.engine_orders import EngineOrders
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.events import (
     ConfigurationAccepted,
     DrainStarted,
     MemberChanged,
 )
-from firworks.kernel.live_members import LiveMembers
+from firworks.kernel.fleet.live import LiveMembers
+from firworks.kernel.fleet.placement import list_managed_pools, make_wanted_state
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
@@ -21,17 +21,17 @@
     VmsListed,
 )
 from firworks.kernel.node import Part
-from firworks.kernel.orders_records import (
+from firworks.kernel.orders.engines import EngineOrders
+from firworks.kernel.orders.records import (
     ORDER_STALE,
     EngineShown,
     OrderAnswered,
     Term,
     name_control_stream,
 )
-from firworks.kernel.placement import list_managed_pools, make_wanted_state
-from firworks.kernel.slots import Slots
+from firworks.kernel.orders.slots import Slots
+from firworks.kernel.orders.terms import ScopeTerms
 from firworks.kernel.tail_reader import TailReader
-from firworks.kernel.terms import ScopeTerms
 
 TAIL_ENTRIES = 256
 POLL_INTERVAL_S = 2.0
--- a/firworks/kernel/slots.py
+++ b/firworks/kernel/orders/slots.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 from firworks.kernel.messages import Struct
-from firworks.kernel.orders_records import SlotRelease, SlotRequest
+from firworks.kernel.orders.records import SlotRelease, SlotRequest
 
 SLOT_TTL_S = 600.0
 LOAD_TIMEOUT_S = 300.0
--- a/firworks/kernel/terms.py
+++ b/firworks/kernel/orders/terms.py
@@ -1,7 +1,7 @@
 """Terms: which daemon may give orders in a scope, settled by the log's order."""
 
 from firworks.kernel.messages import Struct
-from firworks.kernel.orders_records import Term
+from firworks.kernel.orders.records import Term
 
 TERM_S = 30.0
 RENEW_BEFORE_S = 20.0
--- a/firworks/kernel/quarantine.py
+++ b/firworks/kernel/quarantine.py
@@ -18,7 +18,7 @@
     CallWithdrawn,
 )
 from firworks.kernel.codec import register_record
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.events import (
     TOPIC_QUARANTINE,
     FactChanged,
     FactLearned,
--- a/firworks/kernel/reports.py
+++ b/firworks/kernel/reports.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatchmethod
 
-from firworks.kernel.fleet import ConfigurationAccepted
+from firworks.kernel.fleet.events import ConfigurationAccepted
 from firworks.kernel.messages import Action, Tick
 from firworks.kernel.node import Part
 
--- a/firworks/kernel/requests.py
+++ b/firworks/kernel/requests.py
@@ -10,7 +10,6 @@
     finish_failed,
     finish_whole,
 )
-from firworks.kernel.arrivals import make_request, refuse_arrival
 from firworks.kernel.callers import CallerLeft, RequestArrived, ResultAsked
 from firworks.kernel.calls import (
     CallAnswered,
@@ -21,7 +20,15 @@
     CallRejected,
     HedgeWanted,
 )
-from firworks.kernel.claims import (
+from firworks.kernel.configuration.records import NO_VERSION
+from firworks.kernel.deferred.deferrals import Deferrals
+from firworks.kernel.fleet.events import (
+    ConfigurationAccepted,
+    DrainExpired,
+    DrainStarted,
+)
+from firworks.kernel.fleet.summaries import refuse_request, summarize_request
+from firworks.kernel.ledger.claims import (
     CLAIM_EXPIRED,
     CLAIM_FULL,
     CLAIM_IN_PROGRESS,
@@ -44,13 +51,10 @@
     ResultFound,
     WorkKey,
 )
-from firworks.kernel.configuration_records import NO_VERSION
-from firworks.kernel.deferrals import Deferrals
-from firworks.kernel.fleet import ConfigurationAccepted, DrainExpired, DrainStarted
+from firworks.kernel.limits.arrivals import make_request, refuse_arrival
 from firworks.kernel.messages import Tick
 from firworks.kernel.node import Part
 from firworks.kernel.stages import StageRunner
-from firworks.kernel.summaries import refuse_request, summarize_request
 
 RESULT_RETRY_AFTER_S = 1.0
 DECISION_GRACE_S = 1.0
--- /dev/null
+++ b/firworks/kernel/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for each call."""
--- a/firworks/kernel/scheduling_loads.py
+++ b/firworks/kernel/scheduling/loads.py
@@ -1,7 +1,7 @@
 """Tells the fleet how many of this daemon's calls are in flight at each target."""
 
 from firworks.kernel.codec import register_record
-from firworks.kernel.fleet import TOPIC_LOAD, FactChanged
+from firworks.kernel.fleet.events import TOPIC_LOAD, FactChanged
 from firworks.kernel.messages import Record
 
 LOAD_PERIOD_S = 0.5
--- a/firworks/kernel/scheduling.py
+++ b/firworks/kernel/scheduling/scheduler.py
@@ -19,25 +19,25 @@
     TargetLeaving,
     TargetReported,
 )
-from firworks.kernel.claims import LONGEST_DEADLINE_S
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.events import (
     TOPIC_LOAD,
     ConfigurationAccepted,
     FactLearned,
 )
+from firworks.kernel.ledger.claims import LONGEST_DEADLINE_S
 from firworks.kernel.messages import Tick, VmsListed
 from firworks.kernel.node import Part
 from firworks.kernel.registry import Registry
 from firworks.kernel.retries import AttemptBudgets
 from firworks.kernel.routing import register
-from firworks.kernel.scheduling_choice import choose_target, has_any_target
-from firworks.kernel.scheduling_hedges import HedgeWatch
-from firworks.kernel.scheduling_loads import LoadTeller, PoolLoad
-from firworks.kernel.scheduling_results import record_end
-from firworks.kernel.scheduling_state import (
+from firworks.kernel.scheduling.choice import choose_target, has_any_target
+from firworks.kernel.scheduling.hedges import HedgeWatch
+from firworks.kernel.scheduling.loads import LoadTeller, PoolLoad
+from firworks.kernel.scheduling.results import record_end
+from firworks.kernel.scheduling.state import (
     PoolState,
 )
-from firworks.kernel.scheduling_targets import PlacedCall
+from firworks.kernel.scheduling.targets import PlacedCall
 
 SKIPS_PER_ROUND = 8
 SPARE_SHARE = 0.7
--- a/firworks/kernel/scheduling_state.py
+++ b/firworks/kernel/scheduling/state.py
@@ -10,7 +10,7 @@
     PoolHealth,
 )
 from firworks.kernel.prefixes import PrefixIndex, rank_target
-from firworks.kernel.scheduling_targets import HISTORY_S, TargetState
+from firworks.kernel.scheduling.targets import HISTORY_S, TargetState
 
 PEER_LOAD_TTL_S = 3.0
 SUBSET_SIZE = 24
--- a/firworks/kernel/stages.py
+++ b/firworks/kernel/stages.py
@@ -19,8 +19,8 @@
     CancelCall,
     StartCall,
 )
-from firworks.kernel.claims import LATE_OUTCOME_GRACE_S
 from firworks.kernel.flights import Call
+from firworks.kernel.ledger.claims import LATE_OUTCOME_GRACE_S
 from firworks.kernel.messages import LogCatalogued, StageCost
 from firworks.kernel.prompts import hash_prefix, make_prompt
 from firworks.kernel.streams import StreamGapError
--- a/firworks/kernel/topics.py
+++ b/firworks/kernel/topics.py
@@ -1,7 +1,7 @@
 """How the facts of each topic travel."""
 
-from firworks.kernel.digests import TOPIC_MEMBER
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.digests import TOPIC_MEMBER
+from firworks.kernel.fleet.events import (
     TOPIC_CONFIGURATION,
     TOPIC_DEMAND,
     TOPIC_LOAD,
--- a/firworks/plugins/admin.py
+++ b/firworks/plugins/admin.py
@@ -12,7 +12,7 @@
 from firworks.codes import Code
 from firworks.errors import FirworksError, RequestError
 from firworks.events import LogEvent, log_event
-from firworks.kernel.claims import WorkKey
+from firworks.kernel.ledger.claims import WorkKey
 
 BODY_LIMIT_BYTES = 1_048_576
 SHUTDOWN_TIMEOUT_S = 1.0
--- a/firworks/plugins/http_orders.py
+++ b/firworks/plugins/http_orders.py
@@ -6,7 +6,7 @@
 
 from firworks.adapter import Adapter
 from firworks.events import LogEvent, log_event
-from firworks.kernel.orders_records import (
+from firworks.kernel.orders.records import (
     ORDER_ACCEPTED,
     ORDER_EXPIRED,
     ORDER_FAILED,
--- a/firworks/publication.py
+++ b/firworks/publication.py
@@ -18,8 +18,8 @@
     NotPromotableError,
     SettingsError,
 )
-from firworks.kernel.configuration_reader import ConfigurationReader
-from firworks.kernel.configuration_records import (
+from firworks.kernel.configuration.reader import ConfigurationReader
+from firworks.kernel.configuration.records import (
     NO_VERSION,
     Publish,
     Restore,
--- a/firworks/tests/kit.py
+++ b/firworks/tests/kit.py
@@ -6,7 +6,7 @@
 from firworks.kernel.budgets import StageBudgets
 from firworks.kernel.callers import FinishAnswer, RequestArrived, SendPart
 from firworks.kernel.calls import CallPlaced, CallRequested, StartCall
-from firworks.kernel.fleet import ConfigurationAccepted
+from firworks.kernel.fleet.events import ConfigurationAccepted
 from firworks.kernel.messages import Signal, Struct
 from firworks.kernel.node import Kernel, Part
 from firworks.kernel.requests import Requests
--- a/firworks/tests/ledger_world.py
+++ b/firworks/tests/ledger_world.py
@@ -1,6 +1,7 @@
 """Several real kernels around a log model that shows every fault; virtual time."""
 
-from firworks.kernel.claims import (
+from firworks.kernel.fleet.events import MEMBER_ALIVE, MemberChanged
+from firworks.kernel.ledger.claims import (
     CLAIM_NOT_RUN,
     CLAIM_OUTCOME,
     ClaimRefused,
@@ -9,9 +10,8 @@
     OutcomeReached,
     OutcomeUnknown,
 )
-from firworks.kernel.fleet import MEMBER_ALIVE, MemberChanged
-from firworks.kernel.ledger import Ledger
-from firworks.kernel.ledger_records import LookupAnswered
+from firworks.kernel.ledger.ledger import Ledger
+from firworks.kernel.ledger.records import LookupAnswered
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
--- a/firworks/tests/test_configuration.py
+++ b/firworks/tests/test_configuration.py
@@ -7,20 +7,20 @@
 
 from firworks.document import parse_document
 from firworks.errors import SettingsError
-from firworks.kernel.configuration_carries import CARRY_RETENTION_SHARE
-from firworks.kernel.configuration_follower import (
+from firworks.kernel.configuration.carries import CARRY_RETENTION_SHARE
+from firworks.kernel.configuration.follower import (
     FOLLOWERS_PER_DOMAIN,
     ConfigurationFollower,
 )
-from firworks.kernel.configuration_reader import ConfigurationReader
-from firworks.kernel.configuration_records import (
+from firworks.kernel.configuration.reader import ConfigurationReader
+from firworks.kernel.configuration.records import (
     NO_VERSION,
     Carry,
     ConfigurationFact,
     ConfigurationSent,
     ConfigurationWanted,
 )
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.events import (
     MEMBER_DEAD,
     TOPIC_CONFIGURATION,
     ConfigurationAccepted,
--- a/firworks/tests/test_configuration_history.py
+++ b/firworks/tests/test_configuration_history.py
@@ -12,9 +12,9 @@
 
 from firworks.codes import Code
 from firworks.document import parse_document
-from firworks.kernel import configuration
-from firworks.kernel.configuration import ConfigurationHistory
-from firworks.kernel.configuration_records import (
+from firworks.kernel.configuration import configuration
+from firworks.kernel.configuration.configuration import ConfigurationHistory
+from firworks.kernel.configuration.records import (
     NO_VERSION,
     Carry,
     Publish,
--- a/firworks/tests/test_configuration_machine.py
+++ b/firworks/tests/test_configuration_machine.py
@@ -15,10 +15,10 @@
     run_state_machine_as_test,
 )
 
-from firworks.kernel import configuration_follower
-from firworks.kernel.configuration_follower import ConfigurationFollower
-from firworks.kernel.configuration_records import NO_VERSION
-from firworks.kernel.fleet import ConfigurationAccepted, FactChanged, FactLearned
+from firworks.kernel.configuration import follower
+from firworks.kernel.configuration.follower import ConfigurationFollower
+from firworks.kernel.configuration.records import NO_VERSION
+from firworks.kernel.fleet.events import ConfigurationAccepted, FactChanged, FactLearned
 from firworks.kernel.messages import (
     AppendRecords,
     LogRead,
@@ -205,7 +205,7 @@
 class TestGuard:
     def test_without_it_what_is_in_force_falls(self, monkeypatch):
         guard = "state.document is None or state.version <= self.version"
-        copy = mutate(configuration_follower, (guard, "state.document is None"))
+        copy = mutate(follower, (guard, "state.document is None"))
         name = f"{__name__}.ConfigurationFollower"
         monkeypatch.setattr(name, copy.ConfigurationFollower)
         run = run_settings(max_examples=600, phases=[Phase.generate])
--- a/firworks/tests/test_deferred.py
+++ b/firworks/tests/test_deferred.py
@@ -6,7 +6,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from firworks.kernel.claims import (
+from firworks.kernel.deferred.deferred import Deferred
+from firworks.kernel.deferred.records import AcceptRecord, DoneRecord
+from firworks.kernel.deferred.state import (
+    RESULT_DONE,
+    RESULT_MISSING,
+    RESULT_OPEN,
+    RESULT_UNAVAILABLE,
+    DeferredState,
+)
+from firworks.kernel.fleet.events import MEMBER_DEAD
+from firworks.kernel.ledger.claims import (
     DeferAccepted,
     DeferredDone,
     DeferredReady,
@@ -15,16 +25,6 @@
     ResultFound,
     ResultRequested,
 )
-from firworks.kernel.deferred import Deferred
-from firworks.kernel.deferred_records import AcceptRecord, DoneRecord
-from firworks.kernel.deferred_state import (
-    RESULT_DONE,
-    RESULT_MISSING,
-    RESULT_OPEN,
-    RESULT_UNAVAILABLE,
-    DeferredState,
-)
-from firworks.kernel.fleet import MEMBER_DEAD
 from firworks.kernel.messages import LogEntry
 from firworks.kernel.node import Part
 from firworks.tests.ledger_world import EPOCH_S, RETENTION_S, World, settings_for
--- a/firworks/tests/test_dissemination.py
+++ b/firworks/tests/test_dissemination.py
@@ -7,18 +7,18 @@
 from hypothesis import strategies as st
 
 from firworks.kernel.calls import TargetLeaving
-from firworks.kernel.claims import WorkKey
-from firworks.kernel.departures import LEAVING_TTL_S, Departures
-from firworks.kernel.digests import Digest, Fact
-from firworks.kernel.dissemination import BUDGET_BYTES_PER_S
-from firworks.kernel.fact_table import FactTable
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.departures import LEAVING_TTL_S, Departures
+from firworks.kernel.fleet.digests import Digest, Fact
+from firworks.kernel.fleet.dissemination import BUDGET_BYTES_PER_S
+from firworks.kernel.fleet.events import (
     TOPIC_DEMAND,
     TOPIC_LOAD,
     TOPIC_QUARANTINE,
     TOPIC_TARGET_LEAVING,
     FactChanged,
 )
+from firworks.kernel.fleet.facts import FactTable
+from firworks.kernel.ledger.claims import WorkKey
 from firworks.kernel.messages import PeerReceived, SendPeer, Tick, VmEntry, VmsListed
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
 
--- a/firworks/tests/test_fleet_processes.py
+++ b/firworks/tests/test_fleet_processes.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from firworks.kernel.fleet import MEMBER_ALIVE, MEMBER_DEAD
+from firworks.kernel.fleet.events import MEMBER_ALIVE, MEMBER_DEAD
 from firworks.publication import publish
 from firworks.standins.site import Site
 from firworks.tests.kit import make_document, make_document_bytes
--- a/firworks/tests/test_http_log.py
+++ b/firworks/tests/test_http_log.py
@@ -6,7 +6,7 @@
 import pytest
 
 from firworks.errors import LogUnavailableError
-from firworks.kernel.claims import WorkKey
+from firworks.kernel.ledger.claims import WorkKey
 from firworks.kernel.messages import (
     AppendFailed,
     AppendRecords,
--- a/firworks/tests/test_http_orders.py
+++ b/firworks/tests/test_http_orders.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from firworks.adapter import AdapterContext
-from firworks.kernel.orders_records import (
+from firworks.kernel.orders.records import (
     ORDER_ACCEPTED,
     ORDER_EXPIRED,
     ORDER_FAILED,
--- a/firworks/tests/test_ledger.py
+++ b/firworks/tests/test_ledger.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from firworks.kernel.claims import (
+from firworks.kernel.fleet.events import MEMBER_ALIVE, MEMBER_DEAD, MemberChanged
+from firworks.kernel.ledger.claims import (
     CLAIM_EXPIRED,
     CLAIM_FULL,
     CLAIM_IN_PROGRESS,
@@ -20,12 +21,11 @@
     ClaimRequested,
     WorkKey,
 )
-from firworks.kernel.fleet import MEMBER_ALIVE, MEMBER_DEAD, MemberChanged
-from firworks.kernel.ledger import Ledger
-from firworks.kernel.ledger_entries import KeyEntry, digest_text
-from firworks.kernel.ledger_holder import QUEUE_LIMIT_RECORDS, ClaimHolder
-from firworks.kernel.ledger_members import WriterChoice
-from firworks.kernel.ledger_records import (
+from firworks.kernel.ledger.entries import KeyEntry, digest_text
+from firworks.kernel.ledger.holder import QUEUE_LIMIT_RECORDS, ClaimHolder
+from firworks.kernel.ledger.ledger import Ledger
+from firworks.kernel.ledger.members import WriterChoice
+from firworks.kernel.ledger.records import (
     ClaimRecord,
     LookupRequested,
     OutcomeRecord,
@@ -34,7 +34,7 @@
     ResolutionRequested,
     UnknownRecord,
 )
-from firworks.kernel.ledger_state import LedgerState
+from firworks.kernel.ledger.state import LedgerState
 from firworks.kernel.log_reader import StreamReader
 from firworks.kernel.messages import LogEntry, LogRead, RecordsAppended
 from firworks.tests.ledger_world import EPOCH_S, SKEW_S, WINDOW_S, World
--- a/firworks/tests/test_ledger_machine.py
+++ b/firworks/tests/test_ledger_machine.py
@@ -7,10 +7,15 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from firworks.kernel import ledger_entries
-from firworks.kernel.claims import CLAIM_NOT_RUN, ClaimReleased, ClaimRequested, WorkKey
-from firworks.kernel.fleet import MEMBER_ALIVE, MEMBER_DEAD
-from firworks.kernel.ledger_records import ResolutionRequested
+from firworks.kernel.fleet.events import MEMBER_ALIVE, MEMBER_DEAD
+from firworks.kernel.ledger import entries
+from firworks.kernel.ledger.claims import (
+    CLAIM_NOT_RUN,
+    ClaimReleased,
+    ClaimRequested,
+    WorkKey,
+)
+from firworks.kernel.ledger.records import ResolutionRequested
 from firworks.tests.ledger_world import EPOCH_S, WINDOW_S, World
 
 NAMES = ("a", "b", "c")
@@ -25,8 +30,8 @@
     def __init__(self):
         super().__init__()
         self.patches = [
-            patch.object(ledger_entries, "LONGEST_DEADLINE_S", LONGEST_DEADLINE_S),
-            patch.object(ledger_entries, "LATE_OUTCOME_GRACE_S", 5.0),
+            patch.object(entries, "LONGEST_DEADLINE_S", LONGEST_DEADLINE_S),
+            patch.object(entries, "LATE_OUTCOME_GRACE_S", 5.0),
         ]
         for one in self.patches:
             one.start()
--- a/firworks/tests/test_limits.py
+++ b/firworks/tests/test_limits.py
@@ -9,11 +9,11 @@
 
 from firworks.codes import Code
 from firworks.document import Account, Document
-from firworks.kernel.fleet import ConfigurationAccepted
-from firworks.kernel.lending import divide_fairly
-from firworks.kernel.limits import AccountLimits
+from firworks.kernel.fleet.events import ConfigurationAccepted
+from firworks.kernel.limits.lending import divide_fairly
+from firworks.kernel.limits.limits import AccountLimits
+from firworks.kernel.limits.shares import BURST_S, SMALLEST_BURST_REQUESTS
 from firworks.kernel.messages import Tick, VmsListed
-from firworks.kernel.shares import BURST_S, SMALLEST_BURST_REQUESTS
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
 
 RATE = 90.0
--- a/firworks/tests/test_malformed_records.py
+++ b/firworks/tests/test_malformed_records.py
@@ -15,8 +15,8 @@
 
 def list_record_types():
     """Return every record type of the kernel, sorted by name."""
-    for module in pkgutil.iter_modules(firworks.kernel.__path__):
-        import_module(f"firworks.kernel.{module.name}")
+    for module in pkgutil.walk_packages(firworks.kernel.__path__, "firworks.kernel."):
+        import_module(module.name)
     types = [cls for cls in Record.__subclasses__() if "kernel" in cls.__module__]
     return sorted(types, key=lambda cls: cls.__name__)
 
--- a/firworks/tests/test_membership.py
+++ b/firworks/tests/test_membership.py
@@ -7,8 +7,8 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from firworks.kernel.cells import CELL_LIMIT, choose_links, make_cells
-from firworks.kernel.fleet import (
+from firworks.kernel.fleet.cells import CELL_LIMIT, choose_links, make_cells
+from firworks.kernel.fleet.events import (
     MEMBER_ALIVE,
     MEMBER_DEAD,
     MEMBER_LEAVING,
--- a/firworks/tests/test_messages.py
+++ b/firworks/tests/test_messages.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from firworks.errors import CodecError
-from firworks.kernel.claims import ClaimWon, WorkKey
 from firworks.kernel.codec import decode_record, encode_record
+from firworks.kernel.ledger.claims import ClaimWon, WorkKey
 from firworks.kernel.messages import ReadLog, Tick
 from firworks.kernel.node import Kernel, Part
 from firworks.kernel.registry import Registry
--- a/firworks/tests/test_orders_machine.py
+++ b/firworks/tests/test_orders_machine.py
@@ -16,8 +16,8 @@
 )
 
 from firworks.document import parse_document
-from firworks.kernel import engine_orders, slots, terms
-from firworks.kernel.fleet import ConfigurationAccepted
+from firworks.kernel.fleet.events import ConfigurationAccepted
+from firworks.kernel.fleet.placement import matches
 from firworks.kernel.messages import (
     AppendRecords,
     LogEntry,
@@ -26,8 +26,9 @@
     ReadLog,
     Tick,
 )
-from firworks.kernel.orders import Orders
-from firworks.kernel.orders_records import (
+from firworks.kernel.orders import engines, slots, terms
+from firworks.kernel.orders.orders import Orders
+from firworks.kernel.orders.records import (
     ORDER_ACCEPTED,
     ORDER_EXPIRED,
     ORDER_STALE,
@@ -37,7 +38,6 @@
     OrderAnswered,
     OrderEngine,
 )
-from firworks.kernel.placement import matches
 from firworks.tests.test_configuration import make_settings_of
 
 ENGINES = ("e-0", "e-1", "e-2")
@@ -295,7 +295,7 @@
 GUARDS = {
     "waiting out": (terms, "WAIT_S", 0.0),
     "stopping before the end": (terms, "TERM_S", 10_000.0),
-    "longest order": (engine_orders, "ORDER_TIMEOUT_S", 120.0),
+    "longest order": (engines, "ORDER_TIMEOUT_S", 120.0),
 }
 
 
--- a/firworks/tests/test_peers.py
+++ b/firworks/tests/test_peers.py
@@ -13,7 +13,7 @@
 
 from firworks.adapter import AdapterContext
 from firworks.addresses import AddressBook
-from firworks.kernel.claims import WorkKey
+from firworks.kernel.ledger.claims import WorkKey
 from firworks.kernel.messages import (
     ConnectPeer,
     DisconnectPeer,
--- a/firworks/tests/test_publication.py
+++ b/firworks/tests/test_publication.py
@@ -18,7 +18,7 @@
     NotPromotableError,
     SettingsError,
 )
-from firworks.kernel.configuration_records import NO_VERSION
+from firworks.kernel.configuration.records import NO_VERSION
 from firworks.publication import history, promote, publish, read_current, restore
 from firworks.tests.test_configuration_history import LogModel, make_data, make_publish
 
--- a/firworks/tests/test_quarantine.py
+++ b/firworks/tests/test_quarantine.py
@@ -13,7 +13,7 @@
     CallIdentity,
     CallRequested,
 )
-from firworks.kernel.fleet import RequestQuarantined
+from firworks.kernel.fleet.events import RequestQuarantined
 from firworks.kernel.messages import Tick
 from firworks.kernel.quarantine import FORGET_AFTER_S, SUSPECT_LIMIT, Quarantine
 from firworks.tests.virtual_fleet import VirtualFleet, make_vms
--- a/firworks/tests/test_requests.py
+++ b/firworks/tests/test_requests.py
@@ -19,7 +19,8 @@
     HedgeWanted,
     StartCall,
 )
-from firworks.kernel.claims import (
+from firworks.kernel.fleet.events import DrainExpired, DrainStarted
+from firworks.kernel.ledger.claims import (
     CLAIM_OUTCOME,
     CLAIM_UNAVAILABLE,
     ClaimRefused,
@@ -36,7 +37,6 @@
     ResultFound,
     ResultRequested,
 )
-from firworks.kernel.fleet import DrainExpired, DrainStarted
 from firworks.kernel.messages import RequestFinished, Tick
 from firworks.tests.kit import OTHER_TOKEN, RequestHarness, Verdict
 
--- a/firworks/tests/test_routing.py
+++ b/firworks/tests/test_routing.py
@@ -5,10 +5,10 @@
 import pytest
 
 from firworks.kernel.calls import TargetReported
-from firworks.kernel.fleet import TOPIC_LOAD, FactLearned
+from firworks.kernel.fleet.events import TOPIC_LOAD, FactLearned
 from firworks.kernel.messages import Tick
 from firworks.kernel.prefixes import PrefixIndex
-from firworks.kernel.scheduling_state import SUBSET_SIZE
+from firworks.kernel.scheduling.state import SUBSET_SIZE
 from firworks.tests.test_scheduling import Site, make_call, placed
 
 POLICIES = ("random", "round-robin", "least-in-flight", "two-choices", "adaptive")
--- a/firworks/tests/test_scheduling.py
+++ b/firworks/tests/test_scheduling.py
@@ -12,11 +12,11 @@
     CallRequested,
     TargetLeaving,
 )
-from firworks.kernel.claims import LONGEST_DEADLINE_S
-from firworks.kernel.fleet import ConfigurationAccepted
+from firworks.kernel.fleet.events import ConfigurationAccepted
+from firworks.kernel.ledger.claims import LONGEST_DEADLINE_S
 from firworks.kernel.messages import Tick
 from firworks.kernel.node import Kernel
-from firworks.kernel.scheduling import Scheduler
+from firworks.kernel.scheduling.scheduler import Scheduler
 
 
 def make_call(call_id, account="a", pool="p", deadline_s=8.0, attempt=1, **fields):
--- a/firworks/tests/virtual_fleet.py
+++ b/firworks/tests/virtual_fleet.py
@@ -5,9 +5,9 @@
 from random import Random
 
 from firworks.kernel.codec import encode_record
-from firworks.kernel.dissemination import Dissemination
-from firworks.kernel.fleet import MEMBER_ALIVE, FactLearned, MemberChanged
-from firworks.kernel.membership import Membership
+from firworks.kernel.fleet.dissemination import Dissemination
+from firworks.kernel.fleet.events import MEMBER_ALIVE, FactLearned, MemberChanged
+from firworks.kernel.fleet.membership import Membership
 from firworks.kernel.messages import (
     ConnectPeer,
     DisconnectPeer,
--- a/firworks/view.py
+++ b/firworks/view.py
@@ -14,8 +14,8 @@
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.kernel.answers import WholeAnswer, encode_answer
-from firworks.kernel.claims import CLAIM_UNAVAILABLE, CLAIM_UNKNOWN
-from firworks.kernel.ledger_records import LookupRequested, ResolutionRequested
+from firworks.kernel.ledger.claims import CLAIM_UNAVAILABLE, CLAIM_UNKNOWN
+from firworks.kernel.ledger.records import LookupRequested, ResolutionRequested
 
 
 class DaemonView(AdminView):
