--- a/firworks/events.py
+++ b/firworks/events.py
@@ -13,7 +13,8 @@
     """A catalogued log event.
 
     Each area has a block of numbers: 100 daemon, 200 callers, 300 targets, 400
-    ledger, 500 configuration, 600 fleet, 700 policy, 800 orders.
+    ledger, 500 configuration, 600 fleet, 700 policy, 800 orders, 900
+    forwarding.
     """
 
     DAEMON_STARTED = 100
@@ -49,6 +50,20 @@
     REQUEST_SUSPECTED = 608
     REQUEST_QUARANTINED = 609
 
+    REQUEST_ANSWERED = 900
+    REQUEST_REFUSED = 901
+    ATTEMPT_FAILED = 902
+    ANSWER_BROKEN_OFF = 903
+    STAGE_CALL_FAILED = 904
+    RESULTS_NOT_FREED = 905
+    CONFIGURATION_APPLIED = 906
+    CONFIGURATION_UNREADABLE = 907
+    TARGET_GONE = 908
+    TARGET_UNREADABLE = 909
+    STORE_LOST = 910
+    STORE_REGAINED = 911
+    STORE_RECORD_SKIPPED = 912
+
     TERM_GRANTED = 800
     ORDER_STALE = 801
     STATE_UNREADABLE = 802
@@ -75,6 +90,13 @@
     LogEvent.PEER_SECRET_EMPTY: "WARNING",
     LogEvent.PEER_SILENT: "WARNING",
     LogEvent.REQUEST_QUARANTINED: "WARNING",
+    LogEvent.ANSWER_BROKEN_OFF: "WARNING",
+    LogEvent.STAGE_CALL_FAILED: "WARNING",
+    LogEvent.RESULTS_NOT_FREED: "WARNING",
+    LogEvent.CONFIGURATION_UNREADABLE: "WARNING",
+    LogEvent.TARGET_UNREADABLE: "WARNING",
+    LogEvent.STORE_LOST: "WARNING",
+    LogEvent.STORE_RECORD_SKIPPED: "WARNING",
     LogEvent.ORDER_STALE: "WARNING",
     LogEvent.STATE_UNREADABLE: "WARNING",
 }
--- /dev/null
+++ b/firworks/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to targets, through stages and pools."""
--- /dev/null
+++ b/firworks/gateway/__main__.py
@@ -0,0 +1,5 @@
+"""Runs a gateway: ``python -m firworks.gateway [SETTINGS.toml]``."""
+
+from firworks.gateway.process import main
+
+main()
--- /dev/null
+++ b/firworks/gateway/callers.py
@@ -0,0 +1,164 @@
+"""The listener for callers."""
+
+import asyncio
+
+from aiohttp.web import Response, Server
+
+from firworks.codes import Code
+from firworks.errors import RequestError
+from firworks.events import LogEvent, log_event
+from firworks.gateway.answers import BrokenOffError, make_refusal
+from firworks.gateway.tickets import Ticket
+from firworks.kernel.forwarding.admission import admit, choose_service
+from firworks.platform.headers import read_request
+
+# Beyond the idle time that callers are told, so that they close first.
+IDLE_EXTRA_S = 2.0
+DEFAULT_IDLE_S = 15.0
+HEADER_LIMIT_BYTES = 32_768
+BODY_TIMEOUT_S = 10.0
+BACKLOG = 1024
+READY_PATH = "/readyz"
+
+
+class CallersServer:
+    """Accepts callers' connections and answers their requests.
+
+    Args:
+        gateway (Gateway): Serves the requests.
+    """
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self._server = None
+        self._listener = None
+        self.in_progress = 0
+
+    async def start(self, address):
+        """Listen on an "ip:port"."""
+        host, port = address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self._server = Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=DEFAULT_IDLE_S + IDLE_EXTRA_S,
+            lingering_time=0,
+            auto_decompress=False,
+            max_line_size=HEADER_LIMIT_BYTES,
+            max_field_size=HEADER_LIMIT_BYTES,
+        )
+        self._listener = await loop.create_server(
+            self._server, host, int(port), backlog=BACKLOG
+        )
+
+    def close_idle(self):
+        """Close the connections on which no request is in progress."""
+        for connection in self._server.connections:
+            if connection._current_request is None:
+                connection.force_close()
+
+    async def stop(self):
+        """Stop listening and close all connections."""
+        if self._listener is not None:
+            self._listener.close()
+            await self._server.shutdown(0.1)
+
+    async def _handle(self, http):
+        self.in_progress += 1
+        try:
+            return await self._answer(http)
+        except BrokenOffError as error:
+            request_id = http.headers.get("X-Request-Id", "")
+            log_event(LogEvent.ANSWER_BROKEN_OFF, request=request_id, detail=str(error))
+            if http.transport is not None:
+                http.transport.abort()
+            raise ConnectionResetError(str(error)) from error
+        finally:
+            self.in_progress -= 1
+
+    async def _answer(self, http):
+        gateway = self._gateway
+        begun_s = gateway.clock()
+        request_id = http.headers.get("X-Request-Id", "")
+        try:
+            request = read_request(http.method, http.raw_path, http.headers)
+            admitted = admit(request, gateway.configuration, begun_s)
+            body = await self._read_body(http, gateway.configuration.limits)
+        except RequestError as error:
+            log_event(
+                LogEvent.REQUEST_REFUSED,
+                request=request_id,
+                code=int(error.code),
+                detail=error.detail,
+            )
+            response = make_refusal(request_id, error.code, error.detail)
+            gateway.prepare_response(http, response)
+            return response
+        service = choose_service(admitted.route, gateway.rng)
+        gateway.retry_budget.note_request(service, begun_s)
+        ticket = Ticket(http, admitted, service, body)
+        response = await gateway.relay.serve(ticket)
+        if not response.prepared:
+            gateway.prepare_response(http, response)
+        log_event(
+            LogEvent.REQUEST_ANSWERED,
+            request=request_id,
+            route=admitted.route.name,
+            version=admitted.version,
+            status=response.status,
+            sends=ticket.progress.sends,
+            took_s=round(gateway.clock() - begun_s, 3),
+        )
+        return response
+
+    async def _read_body(self, http, limits):
+        """Return the body, or None when the caller sent none.
+
+        Raises:
+            RequestError: When it is too long or does not come.
+        """
+        if not http.body_exists and "Content-Length" not in http.headers:
+            return None
+        parts, size = [], 0
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                while part := await http.content.readany():
+                    parts.append(part)
+                    size += len(part)
+                    if size > limits.body_bytes:
+                        raise RequestError(Code.BODY_TOO_LARGE, f"over {size} bytes")
+        except TimeoutError as error:
+            raise RequestError(Code.REQUEST_TIMEOUT, "the body did not come") from error
+        return b"".join(parts)
+
+
+class ReadinessServer:
+    """Tells the platform's balancer whether to send callers here.
+
+    Args:
+        gateway (Gateway): Knows whether it is ready.
+    """
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self._server = None
+        self._listener = None
+
+    async def start(self, address):
+        """Listen on an "ip:port"."""
+        host, port = address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self._server = Server(self._handle, access_log=None)
+        self._listener = await loop.create_server(self._server, host, int(port))
+
+    async def stop(self):
+        """Stop listening and close all connections."""
+        if self._listener is not None:
+            self._listener.close()
+            await self._server.shutdown(0.1)
+
+    async def _handle(self, http):
+        if http.path != READY_PATH:
+            return Response(status=404)
+        return Response(status=200 if self._gateway.ready else 503)
--- /dev/null
+++ b/firworks/gateway/connections.py
@@ -0,0 +1,158 @@
+"""Connections to targets: one request at a time, nothing sent twice."""
+
+import asyncio
+from collections import deque
+
+from aiohttp.client_exceptions import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
+
+from firworks.sockets import detect_silence
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_LINE_BYTES = 16_384
+# Left of the idle time that a target grants, so that no request meets its close.
+IDLE_MARGIN_S = 0.7
+DEFAULT_IDLE_S = 4.0
+MAX_IDLE_PER_TARGET = 8
+
+
+class ConnectError(Exception):
+    """No connection could be opened; nothing was sent."""
+
+
+class BrokenAnswerError(Exception):
+    """The answer ended early or is not one; the request may have run."""
+
+
+class TargetConnection(ResponseHandler):
+    """One HTTP connection to a target.
+
+    Data that arrives while no request is waiting belongs to no request and ends
+    the connection.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.busy = False
+        self.idle_until_s = 0.0
+
+    @property
+    def reusable(self):
+        """Whether another request may be sent."""
+        return self.is_connected() and not self.should_close
+
+    @property
+    def flushed(self):
+        """Whether everything written has been handed to the kernel."""
+        return self.transport is None or not self.transport.get_write_buffer_size()
+
+    def data_received(self, data):
+        """Take bytes from the target."""
+        if not self.busy:
+            self.abort()
+            return
+        super().data_received(data)
+
+    def connection_lost(self, exc):
+        """Mark an answer that was cut by a reset as incomplete."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            set_exception(payload, ClientPayloadError(f"connection lost: {exc!r}"))
+        super().connection_lost(exc)
+
+    def send(self, head, body, skip_body):
+        """Send a request.
+
+        Args:
+            head (bytes): Request line and headers.
+            body (bytes): Whole body; may be empty.
+            skip_body (bool): The answer has a head only.
+        """
+        self.busy = True
+        self.set_response_params(
+            skip_payload=skip_body,
+            read_until_eof=True,
+            auto_decompress=False,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        self.transport.write(head + body if body else head)
+
+
+class TargetConnections:
+    """Idle connections to targets, by address.
+
+    Attributes:
+        opened (int): Connections opened since the start.
+    """
+
+    def __init__(self):
+        self.opened = 0
+        self._idle = {}
+
+    async def open(self, address, clock, fresh=False, max_idle_s=None):
+        """Return an idle or a new connection to a target.
+
+        Args:
+            address (str): "ip:port".
+            clock (callable): Returns monotonic seconds.
+            fresh (bool): Take no idle one.
+            max_idle_s (float or None): Take none that has been idle for longer.
+
+        Raises:
+            ConnectError: When none can be opened.
+        """
+        idle = self._idle.get(address)
+        while idle and not fresh:
+            connection, since_s = idle.pop()
+            now = clock()
+            young = max_idle_s is None or now - since_s <= max_idle_s
+            if connection.reusable and now < connection.idle_until_s and young:
+                return connection
+            connection.abort()
+        return await self._connect(address)
+
+    async def _connect(self, address):
+        host, port = address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, connection = await loop.create_connection(
+                    lambda: TargetConnection(loop), host, int(port)
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectError(f"{address}: {error!r}") from error
+        detect_silence(transport.get_extra_info("socket"))
+        return connection
+
+    def release(self, address, connection, idle_s, now):
+        """Keep a connection whose answer was read whole, or close it.
+
+        Args:
+            address (str): "ip:port".
+            connection (TargetConnection): Its answer has ended.
+            idle_s (float or None): What the target grants an idle connection.
+            now (float): Monotonic seconds.
+        """
+        connection.busy = False
+        if not (connection.reusable and connection.flushed):
+            connection.abort()
+            return
+        granted_s = DEFAULT_IDLE_S if idle_s is None else idle_s
+        connection.idle_until_s = now + granted_s - IDLE_MARGIN_S
+        idle = self._idle.setdefault(address, deque())
+        idle.append((connection, now))
+        if len(idle) > MAX_IDLE_PER_TARGET:
+            idle.popleft()[0].abort()
+
+    def drop(self, address):
+        """Close the idle connections to a target that is gone."""
+        for connection, _ in self._idle.pop(address, ()):
+            connection.abort()
+
+    def close(self):
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.drop(address)
--- /dev/null
+++ b/firworks/gateway/exchanges.py
@@ -0,0 +1,117 @@
+"""One request to one target, and its answer."""
+
+import asyncio
+
+from aiohttp import ClientError
+from aiohttp.http_exceptions import HttpProcessingError
+
+from firworks.gateway.connections import ConnectError
+from firworks.kernel.forwarding.outcomes import BROKEN, NOT_RUN, AttemptError
+from firworks.platform.headers import NOT_RUN as NOT_RUN_HEADER
+from firworks.platform.headers import read_keep_alive_s
+
+MISDIRECTED = 421
+BROKEN_ERRORS = (ClientError, HttpProcessingError, OSError)
+
+
+class Exchange:
+    """A request that is sent and an answer that is read on one connection.
+
+    Args:
+        connections (TargetConnections): Where connections come from.
+        target (Target): Whom to ask.
+        clock (callable): Returns monotonic seconds.
+
+    Attributes:
+        status (int): Of the answer, once its head has come.
+        headers (CIMultiDictProxy): Of the answer.
+        raw_headers (tuple of (bytes, bytes)): Of the answer.
+        answered (bool): Bytes of an answer have come.
+    """
+
+    def __init__(self, connections, target, clock):
+        self.target = target
+        self.status = 0
+        self.reason = ""
+        self.headers = None
+        self.raw_headers = ()
+        self._connections = connections
+        self._clock = clock
+        self._connection = None
+        self._payload = None
+
+    async def send(self, head, body=b"", method="POST", max_idle_s=None):
+        """Send a request and wait for the head of its answer.
+
+        Args:
+            head (bytes): Request line and headers.
+            body (bytes): Whole body.
+            method (str): HTTP method.
+            max_idle_s (float or None): Use no connection idle for longer.
+
+        Raises:
+            AttemptError: When no connection opens or no answer comes.
+        """
+        address = self.target.address
+        try:
+            self._connection = await self._connections.open(
+                address, self._clock, max_idle_s=max_idle_s
+            )
+        except ConnectError as error:
+            raise AttemptError(NOT_RUN, False, str(error)) from error
+        self._connection.send(head, body, method == "HEAD")
+        try:
+            message, self._payload = await self._connection.read()
+        except BROKEN_ERRORS as error:
+            self.abort()
+            raise AttemptError(BROKEN, True, f"no answer: {error!r}") from error
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        self.status, self.reason = message.code, message.reason or ""
+        self.headers, self.raw_headers = message.headers, message.raw_headers
+
+    @property
+    def not_run(self):
+        """Whether the target states that it did not run the request."""
+        return self.status == MISDIRECTED or NOT_RUN_HEADER in self.headers
+
+    async def read_some(self):
+        """Return the next bytes of the body; empty at its end.
+
+        Raises:
+            AttemptError: When the body ends early.
+        """
+        try:
+            return await self._payload.readany()
+        except BROKEN_ERRORS as error:
+            self.abort()
+            raise AttemptError(BROKEN, True, f"cut answer: {error!r}") from error
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+
+    async def read_all(self):
+        """Return the whole body.
+
+        Raises:
+            AttemptError: When it ends early.
+        """
+        parts = []
+        while part := await self.read_some():
+            parts.append(part)
+        return b"".join(parts)
+
+    def finish(self):
+        """Keep the connection for another request, if it is fit for one."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            idle_s = read_keep_alive_s(self.headers)
+            now = self._clock()
+            self._connections.release(self.target.address, connection, idle_s, now)
+
+    def abort(self):
+        """Close the connection; most targets then drop the request."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
--- /dev/null
+++ b/firworks/gateway/followers.py
@@ -0,0 +1,85 @@
+"""Follows topics of the platform's store."""
+
+import asyncio
+
+from firworks.errors import CodecError
+from firworks.events import LogEvent, log_event
+from firworks.platform.records import decode_keyed
+from firworks.platform.store import StoreError, StoreGapError
+
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+
+
+class TopicFollower:
+    """Lists a keyed topic once and then reads what is added.
+
+    Args:
+        store (StoreClient): The store.
+        topic (str): A keyed topic.
+        listener (object): Gets ``take_listing(values)`` after a listing,
+            ``take_value(value)`` for each value that follows, and ``note_store(ok)``
+            after each call of the store.
+        wait_s (float): How long a read waits for records.
+        pause_s (float): Least time from one read to the next.
+    """
+
+    def __init__(self, store, topic, listener, wait_s, pause_s):
+        self._store = store
+        self._topic = topic
+        self._listener = listener
+        self._wait_s = wait_s
+        self._pause_s = pause_s
+        self._offset = None
+        self._failed = False
+
+    async def run(self):
+        """Follow the topic until cancelled."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            try:
+                await self._step()
+            except (StoreError, CodecError) as error:
+                self._note_failure(error)
+                await asyncio.sleep(pause_s)
+                pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+                continue
+            pause_s = FIRST_PAUSE_S
+            self._note_success()
+            await asyncio.sleep(self._pause_s)
+
+    async def _step(self):
+        if self._offset is None:
+            values, self._offset = await self._store.list_newest(self._topic)
+            self._listener.take_listing(values)
+            return
+        try:
+            part = await self._store.read(self._topic, self._offset, self._wait_s)
+        except StoreGapError:
+            self._offset = None
+            return
+        if part.end < self._offset:
+            self._offset = None
+            return
+        self._offset += len(part.records)
+        for record in part.records:
+            try:
+                value = decode_keyed(record)
+            except CodecError as error:
+                log_event(
+                    LogEvent.STORE_RECORD_SKIPPED, topic=self._topic, error=str(error)
+                )
+                continue
+            self._listener.take_value(value)
+
+    def _note_failure(self, error):
+        if not self._failed:
+            self._failed = True
+            log_event(LogEvent.STORE_LOST, topic=self._topic, error=str(error))
+        self._listener.note_store(False)
+
+    def _note_success(self):
+        if self._failed:
+            self._failed = False
+            log_event(LogEvent.STORE_REGAINED, topic=self._topic)
+        self._listener.note_store(True)
--- /dev/null
+++ b/firworks/gateway/process.py
@@ -0,0 +1,178 @@
+"""The gateway process: one loop, its listeners and what it follows."""
+
+import asyncio
+import gc
+import signal
+import sys
+import time
+import uuid
+from random import Random
+
+from firworks.errors import FirworksError
+from firworks.events import LogEvent, configure_logs, log_event
+from firworks.gateway.callers import CallersServer, ReadinessServer
+from firworks.gateway.connections import TargetConnections
+from firworks.gateway.followers import TopicFollower
+from firworks.gateway.pools import Pools
+from firworks.gateway.relays import Relay
+from firworks.gateway.settings import find_settings_path, load_gateway_settings
+from firworks.gateway.state import ConfigurationListener, TargetsListener
+from firworks.kernel.forwarding.balancer import Balancer
+from firworks.kernel.forwarding.retry_budget import RetryBudget
+from firworks.platform.store import CONFIGURATION_TOPIC, TARGETS_TOPIC, StoreClient
+
+TICK_S = 0.25
+# The balancer needs two misses, one a second, to stop sending new connections.
+ROTATION_S = 2.6
+# Kept of the drain limit for the process to end.
+EXIT_MARGIN_S = 0.4
+DRAIN_POLL_S = 0.02
+# A long read ends this often, so that a silent store is noticed.
+CONFIGURATION_WAIT_S = 2.0
+# Entries of targets change with each heartbeat; they are read in bundles.
+TARGETS_PAUSE_S = 0.5
+
+
+class Gateway:
+    """One gateway; several may share a loop in tests.
+
+    Args:
+        settings (GatewaySettings): Settings of the process.
+
+    Attributes:
+        incarnation (str): Unique name of this run.
+        relay (Relay): Carries requests to their answers.
+        pools (Pools): Schedulers of engines and stage pools.
+        balancer (Balancer): Chooses targets of other services.
+        retry_budget (RetryBudget): Bounds resends.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:8]}"
+        self.rng = Random(f"{settings.seed}/{self.incarnation}")
+        self.store = StoreClient(settings.store)
+        self.connections = TargetConnections()
+        self.balancer = Balancer(settings.failure_domain, self.rng)
+        self.retry_budget = RetryBudget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+        self._configurations = ConfigurationListener(self._apply_configuration)
+        self._targets = TargetsListener(self.clock, self._apply_targets)
+        self.pools = Pools(self.directory, self.connections, self.clock)
+        self.relay = Relay(self)
+        self.callers = CallersServer(self)
+        self._readiness = ReadinessServer(self)
+        self.draining = asyncio.Event()
+        self._tasks = []
+        self._was_ready = False
+
+    def clock(self):
+        """Return monotonic seconds that go on while the VM is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    @property
+    def configuration(self):
+        """The `Configuration` in force, or None."""
+        return self._configurations.holder.current
+
+    @property
+    def directory(self):
+        """The `TargetDirectory`."""
+        return self._targets.directory
+
+    @property
+    def ready(self):
+        """Whether callers may be sent here."""
+        known = self.configuration is not None and self._targets.listed
+        return known and not self.draining.is_set()
+
+    def prepare_response(self, http, response):
+        """Set what every answer to a caller carries."""
+        response.headers.setdefault("Server", "firworks")
+        if self.draining.is_set():
+            response.force_close()
+
+    async def start(self):
+        """Open the listeners and begin to follow the store.
+
+        Raises:
+            OSError: When an address cannot be bound.
+        """
+        log_event(
+            LogEvent.DAEMON_STARTED,
+            name=self.settings.name,
+            incarnation=self.incarnation,
+        )
+        await self.store.start()
+        self._follow(CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_WAIT_S, 0)
+        self._follow(TARGETS_TOPIC, self._targets, 0, TARGETS_PAUSE_S)
+        self._tasks.append(asyncio.ensure_future(self._tick()))
+        await self.callers.start(self.settings.callers)
+        await self._readiness.start(self.settings.readiness)
+
+    async def drain(self):
+        """Leave the rotation, let requests in progress end, then stop."""
+        self.draining.set()
+        begun_s = self.clock()
+        log_event(LogEvent.DAEMON_DRAINING, name=self.settings.name)
+        limit_s = begun_s + self.settings.drain_limit_s - EXIT_MARGIN_S
+        await asyncio.sleep(min(ROTATION_S, self.settings.drain_limit_s / 2))
+        while self.callers.in_progress and self.clock() < limit_s:
+            self.callers.close_idle()
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self.stop()
+
+    async def stop(self):
+        """Close everything."""
+        for task in self._tasks:
+            task.cancel()
+        self.pools.close()
+        await self.callers.stop()
+        await self._readiness.stop()
+        self.connections.close()
+        await self.store.close()
+        log_event(LogEvent.DAEMON_STOPPED, name=self.settings.name)
+
+    def _follow(self, topic, listener, wait_s, pause_s):
+        follower = TopicFollower(self.store, topic, listener, wait_s, pause_s)
+        self._tasks.append(asyncio.ensure_future(follower.run()))
+
+    def _apply_configuration(self, configuration):
+        self.pools.configure(configuration.services)
+
+    def _apply_targets(self):
+        self.pools.refresh()
+
+    async def _tick(self):
+        while True:
+            self._targets.expire()
+            if self.ready and not self._was_ready:
+                log_event(LogEvent.DAEMON_READY, name=self.settings.name)
+            self._was_ready = self.ready
+            await asyncio.sleep(TICK_S)
+
+
+async def run_gateway(settings):
+    """Run a gateway until a signal has drained it."""
+    gateway = Gateway(settings)
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await gateway.start()
+    # What exists by now lives as long as the process.
+    gc.freeze()
+    await stopping.wait()
+    await gateway.drain()
+
+
+def main():
+    """Entry point of ``python -m firworks.gateway [SETTINGS.toml]``."""
+    try:
+        settings = load_gateway_settings(find_settings_path(sys.argv[1:]))
+    except FirworksError as error:
+        print(f"firworks: {error}", file=sys.stderr)
+        sys.exit(2)
+    configure_logs(settings.log_format, sys.stdout)
+    asyncio.run(run_gateway(settings))
--- /dev/null
+++ b/firworks/gateway/relays.py
@@ -0,0 +1,319 @@
+"""Carries one request through its stages and attempts to its answer."""
+
+import asyncio
+
+from firworks.codes import Code
+from firworks.events import LogEvent, log_event
+from firworks.gateway.answers import BrokenOffError, make_forwarded, make_refusal
+from firworks.gateway.exchanges import Exchange
+from firworks.gateway.pools import PoolRefusedError
+from firworks.gateway.stage_runs import StageRun
+from firworks.kernel.forwarding.event_stream import EventSplitter
+from firworks.kernel.forwarding.outcomes import (
+    BROKEN,
+    FAILED,
+    INPUTS_GONE,
+    NOT_RUN,
+    AttemptError,
+)
+from firworks.kernel.pools.engines import EngineJob
+from firworks.platform.headers import (
+    REQUEST_ID,
+    STAMP,
+    TargetHeaders,
+    build_head,
+)
+
+# Time of an engine to read a prompt and make the first token, at the least.
+ENGINE_LEAST_S = 0.06
+# Connections that idled longer may have been closed by the target meanwhile; work that
+# may not repeat is not risked on them.
+UNREPEATABLE_IDLE_S = 1.0
+# Wait for an engine to get room.
+ENGINE_POLL_S = 0.03
+# A larger answer is passed on while it is read.
+BUFFERED_ANSWER_BYTES = 1_048_576
+INPUT_STATUSES = (400, 409)
+
+
+class Relay:
+    """Serves requests by forwarding them.
+
+    Args:
+        gateway (Gateway): Owns pools, connections and the directory.
+    """
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self._clock = gateway.clock
+
+    async def serve(self, ticket):
+        """Return the answer to a request (aiohttp StreamResponse).
+
+        Raises:
+            BrokenOffError: When an answer that has begun cannot be completed.
+        """
+        left_s = ticket.left_s(self._clock())
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await self._serve(ticket)
+        except TimeoutError:
+            return self._end_late(ticket)
+        finally:
+            if ticket.stages is not None:
+                ticket.stages.free()
+
+    async def _serve(self, ticket):
+        while True:
+            try:
+                await self._run_stages(ticket)
+                return await self._attempt(ticket)
+            except PoolRefusedError as error:
+                return self._refuse(ticket, error)
+            except AttemptError as failure:
+                ticket.progress.note(failure)
+                verdict = self._judge(ticket, failure)
+                if not verdict.again:
+                    return self._give_up(ticket, verdict.code, failure.detail)
+                if failure.kind == INPUTS_GONE:
+                    ticket.stages.free()
+                    ticket.stages = None
+
+    def _judge(self, ticket, failure):
+        now = self._clock()
+        budget = self._gateway.retry_budget
+        within = not failure.sent or budget.take(ticket.service, now)
+        verdict = ticket.progress.judge(failure, ticket.left_s(now), within)
+        log_event(
+            LogEvent.ATTEMPT_FAILED,
+            request=ticket.request_id,
+            kind=failure.kind,
+            sends=ticket.progress.sends,
+            left_s=round(ticket.left_s(now), 3),
+            budget=within,
+            again=verdict.again,
+            detail=failure.detail,
+        )
+        return verdict
+
+    async def _run_stages(self, ticket):
+        if not ticket.admitted.route.stages or ticket.stages is not None:
+            return
+        gateway = self._gateway
+        ticket.stages = StageRun(
+            gateway.pools,
+            ticket.admitted,
+            gateway.settings.failure_domain,
+            gateway.incarnation,
+            ENGINE_LEAST_S,
+        )
+        ticket.inputs = await ticket.stages.run()
+
+    async def _attempt(self, ticket):
+        engines = self._gateway.pools.get_engines(ticket.service)
+        if engines is None:
+            return await self._attempt_service(ticket)
+        return await self._attempt_engine(ticket, engines)
+
+    async def _attempt_service(self, ticket):
+        balancer = self._gateway.balancer
+        targets = self._gateway.directory.get_usable(ticket.service)
+        target = balancer.choose(targets, ticket.excluded, self._clock())
+        if target is None:
+            raise PoolRefusedError("no target", 0.5)
+        ticket.excluded.add(target.run)
+        balancer.begin(target)
+        begun_s, failed = self._clock(), False
+        try:
+            return await self._send(ticket, target, None)
+        except AttemptError:
+            failed = True
+            raise
+        finally:
+            now = self._clock()
+            balancer.end(target, failed, now - begun_s, now)
+
+    async def _attempt_engine(self, ticket, engines):
+        job = self._make_engine_job(ticket)
+        placed = engines.place(job, self._clock())
+        while placed is None:
+            await asyncio.sleep(ENGINE_POLL_S)
+            placed = engines.place(job, self._clock())
+        ticket.excluded.add(placed.target.run)
+        failed = False
+
+        def note_begun():
+            engines.note_begun(job.job_id)
+            if ticket.stages is not None:
+                ticket.stages.free()
+
+        try:
+            return await self._send(ticket, placed.target, note_begun)
+        except AttemptError:
+            failed = True
+            raise
+        finally:
+            engines.end(job.job_id, failed, self._clock())
+
+    def _make_engine_job(self, ticket):
+        prompt = ticket.admitted.request.prompt
+        parts = () if prompt is None else prompt.parts
+        return EngineJob(
+            f"{self._gateway.incarnation}/{ticket.request_id}/{ticket.progress.sends}",
+            tuple(part for part, _ in parts),
+            tuple(tokens for _, tokens in parts),
+            0 if prompt is None else prompt.tokens_in,
+            0 if prompt is None else prompt.tokens_out,
+            ticket.admitted.priority,
+            tuple(target_id for target_id, _ in ticket.excluded),
+            self._gateway.settings.failure_domain,
+        )
+
+    async def _send(self, ticket, target, note_begun):
+        """Send the request to a target and pass its answer on."""
+        if self._gateway.directory.find(target.target_id) is None:
+            raise AttemptError(NOT_RUN, False, f"{target.target_id} is leaving")
+        head = self._build_head(ticket, target)
+        exchange = Exchange(self._gateway.connections, target, self._clock)
+        max_idle_s = None if ticket.progress.repeatable else UNREPEATABLE_IDLE_S
+        method = ticket.admitted.request.method
+        try:
+            await exchange.send(head, ticket.body or b"", method, max_idle_s)
+            return await self._take_answer(ticket, exchange, note_begun)
+        except BaseException:
+            exchange.abort()
+            raise
+
+    def _build_head(self, ticket, target):
+        admitted = ticket.admitted
+        configuration = self._gateway.configuration
+        account = None if admitted.account is None else admitted.account.name
+        own = TargetHeaders(
+            ticket.left_s(self._clock()),
+            target.target_id,
+            account,
+            admitted.priority if admitted.request.prompt is not None else None,
+            ticket.last_event_id,
+            ticket.inputs,
+        )
+        length = None if ticket.body is None else len(ticket.body)
+        return build_head(
+            admitted.request, ticket.http.raw_headers, length, own, configuration.keyed
+        )
+
+    async def _take_answer(self, ticket, exchange, note_begun):
+        self._check_identity(ticket, exchange)
+        if exchange.not_run or exchange.status >= 500:
+            body = await exchange.read_all()
+            exchange.finish()
+            self._raise_failure(exchange)
+            return await self._answer_whole(ticket, exchange, body)
+        if not 200 <= exchange.status < 300 or not ticket.admitted.route.streaming:
+            return await self._pass_on(ticket, exchange)
+        if note_begun is not None:
+            note_begun()
+        return await self._stream(ticket, exchange)
+
+    def _check_identity(self, ticket, exchange):
+        """Drop an answer that belongs to another request."""
+        echoed = exchange.headers.get(REQUEST_ID)
+        foreign = echoed is not None and echoed != ticket.request_id
+        success = 200 <= exchange.status < 300
+        unproved = success and (echoed is None or STAMP not in exchange.headers)
+        if foreign or unproved:
+            log_event(
+                LogEvent.ANSWER_MISMATCHED,
+                target=exchange.target.target_id,
+                request=ticket.request_id,
+                echoed=echoed,
+                status=exchange.status,
+            )
+            raise AttemptError(BROKEN, True, f"answer to {echoed!r}")
+
+    def _raise_failure(self, exchange):
+        """Raise the `AttemptError` that a target's answer states."""
+        detail = f"{exchange.target.target_id}: status {exchange.status}"
+        if exchange.not_run and exchange.status in INPUT_STATUSES:
+            raise AttemptError(INPUTS_GONE, True, detail)
+        if exchange.not_run:
+            raise AttemptError(NOT_RUN, True, detail)
+        raise AttemptError(FAILED, True, detail)
+
+    async def _pass_on(self, ticket, exchange):
+        """Pass on an answer once it is known to be whole."""
+        parts, size = [], 0
+        while part := await exchange.read_some():
+            parts.append(part)
+            size += len(part)
+            if size > BUFFERED_ANSWER_BYTES:
+                return await self._pass_on_long(ticket, exchange, parts)
+        exchange.finish()
+        return await self._answer_whole(ticket, exchange, b"".join(parts))
+
+    async def _answer_whole(self, ticket, exchange, body):
+        response = make_forwarded(exchange, len(body))
+        await self._begin_answer(ticket, response)
+        await response.write_eof(body)
+        return response
+
+    async def _pass_on_long(self, ticket, exchange, parts):
+        response = make_forwarded(exchange, None)
+        await self._begin_answer(ticket, response)
+        for part in parts:
+            await response.write(part)
+        while part := await exchange.read_some():
+            await response.write(part)
+        exchange.finish()
+        await response.write_eof()
+        return response
+
+    async def _begin_answer(self, ticket, response):
+        ticket.response = response
+        ticket.progress.begun_answer = True
+        self._gateway.prepare_response(ticket.http, response)
+        await response.prepare(ticket.http)
+
+    async def _stream(self, ticket, exchange):
+        """Pass on whole events as they come."""
+        splitter = EventSplitter(ticket.last_event_id)
+        if ticket.response is None:
+            await self._begin_answer(ticket, make_forwarded(exchange, None))
+        while part := await exchange.read_some():
+            events = splitter.feed(part)
+            if events:
+                await ticket.response.write(events)
+                ticket.last_event_id = splitter.last_id
+        if splitter.cut:
+            raise AttemptError(BROKEN, True, "the stream ended inside an event")
+        exchange.finish()
+        await ticket.response.write_eof()
+        return ticket.response
+
+    def _end_late(self, ticket):
+        detail = "the deadline has passed"
+        if ticket.response is not None:
+            raise BrokenOffError(detail)
+        if ticket.progress.sends or ticket.excluded:
+            return self._give_up(ticket, Code.DEADLINE_EXCEEDED, detail)
+        return self._give_up(ticket, Code.OVERLOADED, detail)
+
+    def _refuse(self, ticket, error):
+        if ticket.response is not None:
+            raise BrokenOffError(error.reason)
+        if ticket.progress.ran:
+            return self._give_up(ticket, Code.TARGET_FAILED, error.reason)
+        return self._give_up(ticket, Code.OVERLOADED, error.reason, error.retry_after_s)
+
+    def _give_up(self, ticket, code, detail, retry_after_s=None):
+        if ticket.response is not None:
+            raise BrokenOffError(detail)
+        log_event(
+            LogEvent.REQUEST_REFUSED,
+            request=ticket.request_id,
+            code=int(code),
+            detail=detail,
+            sends=ticket.progress.sends,
+            ran=ticket.progress.ran,
+            retry_after_s=retry_after_s,
+        )
+        return make_refusal(ticket.request_id, code, detail, retry_after_s)
--- /dev/null
+++ b/firworks/gateway/settings.py
@@ -0,0 +1,108 @@
+"""Settings of one gateway process: defaults and checks."""
+
+import os
+
+from firworks.checks import check_table, parse_toml
+from firworks.errors import SettingsError
+
+PATH_VARIABLE = "FIRWORKS_NODE_FILE"
+
+_ADDRESS = {"type": "string", "pattern": r"^([0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}\Z"}
+_SECONDS = {"type": "number", "exclusiveMinimum": 0}
+_NAME = {"type": "string", "minLength": 1, "maxLength": 200}
+
+DEFAULTS = {
+    "log_format": "json",
+    "drain_limit_s": 8.0,
+    "retry_ratio": 0.2,
+    "retry_slack": 100.0,
+    "retry_window_s": 10.0,
+    "cpu_share": 1.0,
+    "link_mbps": 100.0,
+    "peer_secret": "",
+    "seed": 0,
+}
+
+SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": [
+        "name",
+        "region",
+        "failure_domain",
+        "callers",
+        "readiness",
+        "peers",
+        "metrics",
+        "store",
+    ],
+    "properties": {
+        "name": _NAME,
+        "region": _NAME,
+        "failure_domain": _NAME,
+        "callers": _ADDRESS,
+        "readiness": _ADDRESS,
+        "peers": _ADDRESS,
+        "metrics": _ADDRESS,
+        "store": _ADDRESS,
+        "log_format": {"enum": ["text", "json"]},
+        "drain_limit_s": _SECONDS,
+        "retry_ratio": {"type": "number", "minimum": 0},
+        "retry_slack": {"type": "number", "minimum": 0},
+        "retry_window_s": _SECONDS,
+        "cpu_share": _SECONDS,
+        "link_mbps": _SECONDS,
+        "peer_secret": {"type": "string"},
+        "seed": {"type": "integer"},
+    },
+}
+
+
+class GatewaySettings:
+    """Checked settings of one gateway; each key of ``SCHEMA`` is an attribute."""
+
+    __slots__ = tuple(SCHEMA["properties"])
+
+    def __init__(self, table):
+        for name in self.__slots__:
+            setattr(self, name, table[name])
+
+
+def make_gateway_settings(table, source="settings"):
+    """Check a table, fill in the defaults and return `GatewaySettings`.
+
+    Raises:
+        SettingsError: When a key is unknown or a value not allowed.
+    """
+    check_table(table, SCHEMA, source)
+    return GatewaySettings({**DEFAULTS, **table})
+
+
+def load_gateway_settings(path):
+    """Read gateway settings from a TOML file.
+
+    Raises:
+        SettingsError: When the file cannot be read or is not valid.
+    """
+    try:
+        with open(path, "rb") as file:
+            data = file.read()
+    except OSError as error:
+        raise SettingsError(str(path), "(file)", error.strerror) from error
+    return make_gateway_settings(parse_toml(data, str(path)), str(path))
+
+
+def find_settings_path(arguments):
+    """Return the path given as the only argument or in ``PATH_VARIABLE``.
+
+    Raises:
+        SettingsError: When there is none.
+    """
+    if len(arguments) == 1:
+        return arguments[0]
+    path = os.environ.get(PATH_VARIABLE)
+    if arguments or not path:
+        raise SettingsError(
+            "(command line)", PATH_VARIABLE, "no settings file is named"
+        )
+    return path
--- /dev/null
+++ b/firworks/gateway/stage_pools.py
@@ -0,0 +1,183 @@
+"""Runs the calls of a stage pool's scheduler."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from firworks.errors import CodecError
+from firworks.events import LogEvent, log_event
+from firworks.gateway.exchanges import Exchange
+from firworks.kernel.forwarding.outcomes import BROKEN, AttemptError
+from firworks.kernel.pools.stages import (
+    FreeResults,
+    JobDone,
+    JobRefused,
+    StageScheduler,
+)
+from firworks.kernel.pools.workers import StageCall
+from firworks.platform.headers import build_call_head
+from firworks.platform.stages import (
+    FREE_PATH,
+    RUN_PATH,
+    decode_run,
+    encode_free,
+    encode_run,
+)
+
+# Longest time that a target may take to free results.
+FREE_TIMEOUT_S = 1.0
+# Results that are given up within this time are named in one call.
+FREE_DELAY_S = 0.05
+
+
+class StagePoolRunner:
+    """Carries out what a pool's scheduler decides.
+
+    Args:
+        service (Service): The pool.
+        connections (TargetConnections): Where connections come from.
+        clock (callable): Returns monotonic seconds.
+        deliver (callable): ``deliver(result)`` takes each `JobDone` and `JobRefused`.
+    """
+
+    def __init__(self, service, connections, clock, deliver):
+        self.service = service
+        self.scheduler = StageScheduler(service.stage_pool)
+        self._connections = connections
+        self._clock = clock
+        self._deliver = deliver
+        self._tasks = set()
+        self._timer = None
+        self._to_free = {}
+
+    def set_targets(self, targets):
+        """Take in the usable targets."""
+        self._carry_out(self.scheduler.set_targets(targets, self._clock()))
+
+    def submit(self, job):
+        """Take in a `PieceJob`."""
+        self._carry_out(self.scheduler.submit(job, self._clock()))
+
+    def cancel(self, job_id):
+        """Drop a job, or free its results when it is finished."""
+        self._carry_out(self.scheduler.cancel(job_id, self._clock()))
+
+    def close(self):
+        """Stop all calls."""
+        for task in self._tasks:
+            task.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _carry_out(self, actions):
+        for action in actions:
+            self._do(action)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        now = self._clock()
+        due_s = self.scheduler.next_due_s(now)
+        if due_s is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.0, due_s - now), self._wake)
+
+    def _wake(self):
+        self._timer = None
+        self._carry_out(self.scheduler.plan(self._clock()))
+
+    @singledispatchmethod
+    def _do(self, action):
+        raise TypeError(f"not a pool action: {action!r}")
+
+    @_do.register
+    def _(self, action: StageCall):
+        self._spawn(self._call(action))
+
+    @_do.register
+    def _(self, action: JobDone):
+        self._deliver(action)
+
+    @_do.register
+    def _(self, action: JobRefused):
+        self._deliver(action)
+
+    @_do.register
+    def _(self, action: FreeResults):
+        key = (action.target.run, action.target.address)
+        waiting = self._to_free.setdefault(key, [])
+        if not waiting:
+            loop = asyncio.get_running_loop()
+            loop.call_later(FREE_DELAY_S, self._start_free, action.target, key)
+        waiting += action.handles
+
+    def _start_free(self, target, key):
+        handles = self._to_free.pop(key, ())
+        if handles:
+            self._spawn(self._free(target, handles))
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _call(self, call):
+        now = self._clock()
+        try:
+            async with asyncio.timeout(call.overdue_s - now):
+                results = await self._exchange(call)
+        except (AttemptError, CodecError, TimeoutError) as error:
+            sent = not isinstance(error, AttemptError) or error.sent
+            log_event(
+                LogEvent.STAGE_CALL_FAILED,
+                target=call.target.target_id,
+                pieces=len(call.pieces),
+                sent=sent,
+                error=repr(error),
+                took_s=round(self._clock() - call.started_s, 3),
+            )
+            actions = self.scheduler.take_failure(call.call_id, self._clock())
+        else:
+            now = self._clock()
+            if results is None:
+                actions = self.scheduler.take_full(call.call_id, now)
+            else:
+                actions = self.scheduler.take_answer(call.call_id, results, now)
+        self._carry_out(actions)
+
+    async def _exchange(self, call):
+        """Return the results of a call, or None when the target did not run it."""
+        target = call.target
+        body = encode_run(call.pieces, self._clock())
+        head = build_call_head(
+            "POST", RUN_PATH, target.address, len(body), target.target_id
+        )
+        exchange = Exchange(self._connections, target, self._clock)
+        try:
+            await exchange.send(head, body)
+            data = await exchange.read_all()
+        except TimeoutError:
+            exchange.abort()
+            raise
+        exchange.finish()
+        if exchange.status == 200:
+            return decode_run(data, len(call.pieces))
+        if exchange.not_run:
+            return None
+        raise AttemptError(BROKEN, True, f"status {exchange.status}")
+
+    async def _free(self, target, handles):
+        body = encode_free(handles)
+        head = build_call_head("POST", FREE_PATH, target.address, len(body))
+        exchange = Exchange(self._connections, target, self._clock)
+        try:
+            async with asyncio.timeout(FREE_TIMEOUT_S):
+                await exchange.send(head, body)
+                await exchange.read_all()
+            exchange.finish()
+        except (AttemptError, TimeoutError) as error:
+            exchange.abort()
+            log_event(
+                LogEvent.RESULTS_NOT_FREED,
+                target=target.target_id,
+                results=len(handles),
+                error=repr(error),
+            )
--- /dev/null
+++ b/firworks/gateway/tickets.py
@@ -0,0 +1,55 @@
+"""What one request carries through its attempts."""
+
+from firworks.kernel.forwarding.outcomes import Progress
+
+
+class Ticket:
+    """A request in progress.
+
+    Attributes:
+        http (BaseRequest): The caller's request.
+        admitted (Admitted): The request with its route.
+        service (str): Where it is forwarded.
+        body (bytes or None): None when the caller sent none.
+        progress (Progress): What has happened so far.
+        excluded (set of tuple): Runs of targets that have had it.
+        stages (StageRun or None): Its stages.
+        inputs (tuple of str): Results of its stages.
+        last_event_id (str or None): Event after which a stream goes on.
+        response (StreamResponse or None): Once its head has gone to the caller.
+    """
+
+    __slots__ = (
+        "http",
+        "admitted",
+        "service",
+        "body",
+        "progress",
+        "excluded",
+        "stages",
+        "inputs",
+        "last_event_id",
+        "response",
+    )
+
+    def __init__(self, http, admitted, service, body):
+        self.http = http
+        self.admitted = admitted
+        self.service = service
+        self.body = body
+        route = admitted.route
+        self.progress = Progress(route.repeatable, route.max_attempts)
+        self.excluded = set()
+        self.stages = None
+        self.inputs = ()
+        self.last_event_id = admitted.request.last_event_id
+        self.response = None
+
+    @property
+    def request_id(self):
+        """The caller's id of the request."""
+        return self.admitted.request.request_id
+
+    def left_s(self, now):
+        """Return the seconds until its deadline."""
+        return self.admitted.deadline_s - now
--- /dev/null
+++ b/firworks/kernel/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on forwarded requests: routes, targets, retries and refusals."""
--- /dev/null
+++ b/firworks/kernel/forwarding/directory.py
@@ -0,0 +1,152 @@
+"""The targets that may be used, from entries that they refresh in the store.
+
+Load pattern: targets are replaced, emptied and crash while the store is away, slow or
+forgets entries. A target that says it is leaving gets no new work at once. An entry
+that vanishes while the store is in trouble may only have lapsed, so its target stays
+usable until the store has been back for ``LAPSE_GRACE_S``.
+"""
+
+from firworks.kernel.messages import Struct
+
+# Live targets are listed again about two seconds after the store returns.
+LAPSE_GRACE_S = 2.3
+# An outage can end entries that expired just before it was noticed.
+OUTAGE_MEMORY_S = 4.0
+
+
+class Target(Struct):
+    """One target as its entry tells.
+
+    Attributes:
+        target_id (str): Unique name of this run of the target, in most cases.
+        service (str): The service that it belongs to.
+        address (str): "ip:port".
+        failure_domain (str): Where it runs.
+        version (str): Version of its software.
+        slots (int): Requests that it runs at once.
+        leaving (bool): It is emptied and will stop.
+        born_ms (int): Unix time of its start in milliseconds; 0 if unknown.
+    """
+
+    __slots__ = (
+        "target_id",
+        "service",
+        "address",
+        "failure_domain",
+        "version",
+        "slots",
+        "leaving",
+        "born_ms",
+    )
+
+    @property
+    def run(self):
+        """Identity of this run: a target may start again under the same name."""
+        return (self.target_id, self.born_ms)
+
+
+class TargetDirectory:
+    """Known targets by service.
+
+    Attributes:
+        changes (int): Rises with each change of the usable targets.
+    """
+
+    def __init__(self):
+        self.changes = 0
+        self._targets = {}
+        self._lapsed = {}
+        self._trouble_s = None
+        self._returned_s = None
+        self._by_service = {}
+
+    def find(self, target_id):
+        """Return the usable `Target` of that name, or None."""
+        target = self._targets.get(target_id)
+        return None if target is None or target.leaving else target
+
+    def get_usable(self, service):
+        """Return the usable targets of a service as a tuple."""
+        return self._by_service.get(service, ())
+
+    def note_outage(self, now):
+        """Take in that the store does not answer."""
+        self._trouble_s = now
+        self._returned_s = None
+
+    def note_return(self, now):
+        """Take in that the store answers again."""
+        if self._trouble_s is not None and self._returned_s is None:
+            self._returned_s = now
+            for target_id in self._lapsed:
+                self._lapsed[target_id] = now + LAPSE_GRACE_S
+
+    def put(self, target):
+        """Take in a target's entry; return whether anything changed."""
+        self._lapsed.pop(target.target_id, None)
+        if self._targets.get(target.target_id) == target:
+            return False
+        self._targets[target.target_id] = target
+        self._rebuild()
+        return True
+
+    def remove(self, target_id, now):
+        """Take in that an entry is gone; return whether its target is gone too."""
+        if target_id not in self._targets:
+            return False
+        if self._in_trouble(now) and not self._targets[target_id].leaving:
+            returned_s = self._returned_s
+            due_s = None if returned_s is None else returned_s + LAPSE_GRACE_S
+            self._lapsed.setdefault(target_id, due_s)
+            return False
+        self._forget(target_id)
+        return True
+
+    def replace_all(self, targets, unreadable, now):
+        """Take in a full listing; return the ids of those that are gone.
+
+        Args:
+            targets (iterable of Target): Whose entries could be read.
+            unreadable (iterable of str): Ids whose entries could not be read.
+            now (float): Monotonic seconds.
+        """
+        listed = set(unreadable)
+        for target in targets:
+            listed.add(target.target_id)
+            self.put(target)
+        missing = [name for name in self._targets if name not in listed]
+        return [name for name in missing if self.remove(name, now)]
+
+    def expire(self, now):
+        """Forget targets whose entries did not come back; return their ids."""
+        due = [
+            target_id
+            for target_id, due_s in self._lapsed.items()
+            if due_s is not None and due_s <= now
+        ]
+        for target_id in due:
+            self._forget(target_id)
+        return due
+
+    def _in_trouble(self, now):
+        if self._trouble_s is None:
+            return False
+        if self._returned_s is None:
+            return True
+        return now - self._returned_s < OUTAGE_MEMORY_S
+
+    def _forget(self, target_id):
+        self._lapsed.pop(target_id, None)
+        del self._targets[target_id]
+        self._rebuild()
+
+    def _rebuild(self):
+        by_service = {}
+        for target in self._targets.values():
+            if not target.leaving:
+                by_service.setdefault(target.service, []).append(target)
+        self._by_service = {
+            name: tuple(sorted(found, key=lambda target: target.target_id))
+            for name, found in by_service.items()
+        }
+        self.changes += 1
--- /dev/null
+++ b/firworks/kernel/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Schedulers of target pools: queues, batches and placement."""
--- /dev/null
+++ b/firworks/kernel/pools/jobs.py
@@ -0,0 +1,71 @@
+"""Work that a pool's scheduler takes in."""
+
+from firworks.kernel.codec import register_record
+from firworks.kernel.messages import Record
+
+
+@register_record
+class PieceJob(Record):
+    """The pieces of one stage of one request.
+
+    Attributes:
+        job_id (str): Unique to the daemon that has the request and to the try.
+        request_id (str): The caller's request.
+        stage (int): Number of the stage in its route.
+        count (int): How many pieces the stage has.
+        key (str): Input of a stage that follows no other; else empty.
+        inputs (tuple of str): Handles of the results that the stage needs.
+        result_bytes (int): Approximate size of one result.
+        priority (int): 0 is the most urgent.
+        aim_s (float): When the request's answer would still be on time; monotonic
+            seconds of the scheduler, relative to now on the wire.
+        deadline_s (float): When the request ends; likewise.
+        later_s (float): Time that the stages after this one and the target need.
+        failure_domain (str): Where the caller's daemon runs.
+    """
+
+    __slots__ = (
+        "job_id",
+        "request_id",
+        "stage",
+        "count",
+        "key",
+        "inputs",
+        "result_bytes",
+        "priority",
+        "aim_s",
+        "deadline_s",
+        "later_s",
+        "failure_domain",
+    )
+    TYPES = (
+        str,
+        str,
+        int,
+        int,
+        str,
+        (str,),
+        int,
+        int,
+        float,
+        float,
+        float,
+        str,
+    )
+
+
+class Piece:
+    """One piece of a job.
+
+    Attributes:
+        job (PieceJob): The job.
+        number (int): Number of the piece, from 0.
+        tries (int): Calls that have failed to make it.
+    """
+
+    __slots__ = ("job", "number", "tries")
+
+    def __init__(self, job, number):
+        self.job = job
+        self.number = number
+        self.tries = 0
--- /dev/null
+++ b/firworks/kernel/pools/stages.py
@@ -0,0 +1,352 @@
+"""Schedules the pieces of a stage pool.
+
+Load pattern: a call costs a fixed time whatever it carries, far more than a piece, and
+each daemon sees only one or two requests a second. One scheduler therefore forms the
+batches of all daemons. A batch is closed as late as possible, when a target is about
+to become free, so that the most urgent pieces go first and late arrivals still ride
+along. Work whose request can no longer be answered is dropped and not begun.
+"""
+
+from firworks.kernel.messages import Struct
+from firworks.kernel.pools.jobs import Piece
+from firworks.kernel.pools.workers import (
+    OVERDUE_FACTOR,
+    OVERDUE_MARGIN_S,
+    StageCall,
+    StageWorker,
+)
+
+# Time between sending a call and its begin at the target: the way there and wake-ups.
+SEND_AHEAD_S = 0.008
+# Tries of one piece, the first included.
+MAX_TRIES = 3
+# A target that is slower by more is used only while no faster one is about to be free.
+REASON_LATE = "late"
+REASON_GONE = "gone"
+REASON_ROOM = "room"
+REASON_ERROR = "error"
+# A full target is asked again after this time at the latest.
+FULL_PAUSE_S = 0.1
+
+
+class JobDone(Struct):
+    """All pieces of a job are made.
+
+    Attributes:
+        job (PieceJob): The job.
+        handles (tuple of str): Results by number of the piece.
+    """
+
+    __slots__ = ("job", "handles")
+
+
+class JobRefused(Struct):
+    """A job will not be finished.
+
+    Attributes:
+        job (PieceJob): The job.
+        reason (str): A ``REASON_`` constant, or why the target's answer failed.
+        retry_after_s (float): When there will be room again.
+    """
+
+    __slots__ = ("job", "reason", "retry_after_s")
+
+
+class FreeResults(Struct):
+    """Results that a target need not keep any longer.
+
+    Attributes:
+        target (Target): Where they are.
+        handles (tuple of str): The results.
+    """
+
+    __slots__ = ("target", "handles")
+
+
+class _JobState:
+    """Progress of one job."""
+
+    __slots__ = ("job", "handles", "waiting", "made_by", "arrived_s")
+
+    def __init__(self, job, now):
+        self.job = job
+        self.handles = [None] * job.count
+        self.waiting = [Piece(job, number) for number in range(job.count)]
+        self.made_by = {}
+        self.arrived_s = now
+
+
+class StageScheduler:
+    """Forms the calls of one pool from the jobs of many daemons.
+
+    Methods that change something return a list of `StageCall`, `JobDone`,
+    `JobRefused` and `FreeResults` to carry out.
+
+    Args:
+        spec (StagePoolSpec): What each target can do.
+    """
+
+    def __init__(self, spec):
+        self.spec = spec
+        self._workers = {}
+        self._usable = set()
+        self._jobs = {}
+        self._finished = {}
+        self._next_call = 0
+
+    @property
+    def queued_pieces(self):
+        """How many pieces wait for a call."""
+        return sum(len(state.waiting) for state in self._jobs.values())
+
+    def set_targets(self, targets, now):
+        """Take in the usable targets of the pool."""
+        known = {target.run: target for target in targets}
+        gone = [run for run in self._workers if run not in known]
+        results = []
+        for run in gone:
+            worker = self._workers[run]
+            if not worker.calls:
+                del self._workers[run]
+        for run, target in known.items():
+            worker = self._workers.get(run)
+            if worker is None:
+                self._workers[run] = StageWorker(target)
+            else:
+                worker.target = target
+        self._usable = set(known)
+        return results + self.plan(now)
+
+    def submit(self, job, now):
+        """Take in a job."""
+        wait_s = self.estimate_wait(job, now)
+        if now + wait_s + job.later_s > job.deadline_s:
+            return [JobRefused(job, REASON_LATE, max(0.1, wait_s))]
+        self._jobs[job.job_id] = _JobState(job, now)
+        return self.plan(now)
+
+    def cancel(self, job_id, now):
+        """Drop a job whose request has ended, and free what it made."""
+        state = self._jobs.pop(job_id, None)
+        if state is None:
+            return self.release(job_id, now)
+        return self._free(state, now)
+
+    def release(self, job_id, now):
+        """Free the results of a finished job."""
+        state = self._finished.pop(job_id, None)
+        return [] if state is None else self._free(state, now) + self.plan(now)
+
+    def take_answer(self, call_id, results, now):
+        """Take in a call's results: a (handle or None, reason) for each piece."""
+        worker, call = self._end_call(call_id)
+        if call is None:
+            return []
+        worker.note_answer(call, self.get_nominal_s(len(call.pieces)), now)
+        actions = []
+        for piece, (handle, reason) in zip(call.pieces, results, strict=True):
+            actions += self._take_piece(worker, piece, handle, reason, now)
+        return actions + self.plan(now)
+
+    def take_full(self, call_id, now):
+        """Take in that a target had no room for a call and did not run it."""
+        worker, call = self._end_call(call_id)
+        if call is None:
+            return []
+        worker.note_full(max(now + FULL_PAUSE_S, worker.free_s))
+        self._requeue(call.pieces, count_try=False)
+        return self.plan(now)
+
+    def take_failure(self, call_id, now):
+        """Take in that a call broke off or was given up."""
+        worker, call = self._end_call(call_id)
+        if call is None:
+            return []
+        worker.note_failure(now)
+        actions = self._requeue(call.pieces, count_try=True)
+        return actions + self.plan(now)
+
+    def estimate_wait(self, job, now):
+        """Return the seconds until a job that arrives now would be made.
+
+        Args:
+            job (PieceJob): The job.
+            now (float): Monotonic seconds.
+        """
+        workers = self._list_usable(now)
+        if not workers:
+            return self.get_nominal_s(job.count)
+        ahead = job.count + sum(
+            len(state.waiting)
+            for state in self._jobs.values()
+            if self._rank(state, now) <= self._rank_job(job, now)
+        )
+        frees = sorted(max(now, worker.free_s) for worker in workers)
+        calls_needed = -(-ahead // self.spec.batch)
+        full_s = self.get_nominal_s(self.spec.batch)
+        rounds, index = divmod(calls_needed - 1, len(frees))
+        last_size = ahead - (calls_needed - 1) * self.spec.batch
+        return frees[index] - now + rounds * full_s + self.get_nominal_s(last_size)
+
+    def plan(self, now):
+        """Return the calls to send now, and the jobs that are past saving."""
+        actions = self._drop_lost(now)
+        while True:
+            worker = self._choose_worker(now)
+            if worker is None:
+                return actions
+            pieces = self._choose_pieces(worker, now)
+            if not pieces:
+                return actions
+            actions.append(self._make_call(worker, pieces, now))
+
+    def next_due_s(self, now):
+        """Return when `plan` should be called again, or None."""
+        if not any(state.waiting for state in self._jobs.values()):
+            return None
+        times = [
+            max(worker.paused_until_s, worker.free_s - SEND_AHEAD_S)
+            for run, worker in self._workers.items()
+            if run in self._usable
+        ]
+        later = [time_s for time_s in times if time_s > now]
+        deadlines = [state.job.deadline_s for state in self._jobs.values()]
+        return min([*later, *deadlines], default=None)
+
+    def get_nominal_s(self, count):
+        """Return the seconds of a call for some pieces at a target of usual speed."""
+        return self.spec.call_s + count * self.spec.piece_s
+
+    def _list_usable(self, now):
+        return [
+            worker
+            for run, worker in self._workers.items()
+            if run in self._usable and worker.paused_until_s <= now
+        ]
+
+    def _rank(self, state, now):
+        return self._rank_job(state.job, now)
+
+    def _rank_job(self, job, now):
+        """Order: still on time first, then priority, then earliest aim."""
+        nominal_s = self.get_nominal_s(job.count) + job.later_s
+        lost = now + nominal_s > job.aim_s
+        return (lost, job.priority, job.aim_s, job.job_id)
+
+    def _choose_worker(self, now):
+        """Return the target that a call should go to now, or None."""
+        ready = [
+            worker
+            for worker in self._list_usable(now)
+            if len(worker.calls) < self.spec.slots
+            or (
+                len(worker.calls) == self.spec.slots
+                and worker.free_s - SEND_AHEAD_S <= now
+            )
+        ]
+        if not ready:
+            return None
+        nominal_s = self.get_nominal_s(self.spec.batch // 2)
+        best = min(
+            self._list_usable(now), key=lambda worker: worker.predict(nominal_s, now)
+        )
+        return best if best in ready else None
+
+    def _choose_pieces(self, worker, now):
+        room = self.spec.memory_bytes - worker.held_bytes
+        pieces = []
+        waiting = [state for state in self._jobs.values() if state.waiting]
+        for state in sorted(waiting, key=lambda state: self._rank(state, now)):
+            size = max(1, state.job.result_bytes)
+            space = min(self.spec.batch - len(pieces), room // size)
+            taken = state.waiting[: max(0, space)]
+            pieces += taken
+            room -= size * len(taken)
+            if len(pieces) == self.spec.batch:
+                break
+        return pieces
+
+    def _make_call(self, worker, pieces, now):
+        for piece in pieces:
+            self._jobs[piece.job.job_id].waiting.remove(piece)
+            worker.held_bytes += piece.job.result_bytes
+        self._next_call += 1
+        nominal_s = self.get_nominal_s(len(pieces))
+        due_s = worker.predict(nominal_s, now)
+        begun_s = max(now, worker.free_s)
+        allowed_s = nominal_s * max(1.0, worker.speed) * OVERDUE_FACTOR
+        overdue_s = begun_s + allowed_s + OVERDUE_MARGIN_S
+        call = StageCall(self._next_call, worker.target, pieces, now, due_s, overdue_s)
+        worker.add(call)
+        return call
+
+    def _end_call(self, call_id):
+        for worker in self._workers.values():
+            call = worker.calls.pop(call_id, None)
+            if call is not None:
+                for piece in call.pieces:
+                    worker.held_bytes -= piece.job.result_bytes
+                return worker, call
+        return None, None
+
+    def _take_piece(self, worker, piece, handle, reason, now):
+        job = piece.job
+        state = self._jobs.get(job.job_id)
+        if state is None:
+            return [] if handle is None else [FreeResults(worker.target, (handle,))]
+        if handle is None:
+            return self._take_failed_piece(piece, reason)
+        state.handles[piece.number] = handle
+        state.made_by[handle] = worker
+        worker.held_bytes += job.result_bytes
+        if None in state.handles:
+            return []
+        del self._jobs[job.job_id]
+        self._finished[job.job_id] = state
+        return [JobDone(job, tuple(state.handles))]
+
+    def _take_failed_piece(self, piece, reason):
+        if reason in (REASON_LATE, REASON_GONE):
+            state = self._jobs.pop(piece.job.job_id)
+            return [*self._free(state, 0.0), JobRefused(piece.job, reason, 0.0)]
+        return self._requeue([piece], count_try=reason != REASON_ROOM)
+
+    def _requeue(self, pieces, count_try):
+        actions = []
+        for piece in pieces:
+            state = self._jobs.get(piece.job.job_id)
+            if state is None:
+                continue
+            piece.tries += count_try
+            if piece.tries < MAX_TRIES:
+                state.waiting.append(piece)
+                continue
+            del self._jobs[piece.job.job_id]
+            actions += self._free(state, 0.0)
+            actions.append(JobRefused(piece.job, REASON_ERROR, FULL_PAUSE_S))
+        return actions
+
+    def _free(self, state, now):
+        by_worker = {}
+        for handle, worker in state.made_by.items():
+            worker.held_bytes -= state.job.result_bytes
+            by_worker.setdefault(worker, []).append(handle)
+        return [
+            FreeResults(worker.target, tuple(handles))
+            for worker, handles in by_worker.items()
+        ]
+
+    def _drop_lost(self, now):
+        """Refuse the jobs whose pieces, begun now, would be made too late."""
+        lost = [
+            state
+            for state in self._jobs.values()
+            if state.waiting
+            and now + self.get_nominal_s(1) + state.job.later_s > state.job.deadline_s
+        ]
+        actions = []
+        for state in lost:
+            del self._jobs[state.job.job_id]
+            actions += self._free(state, now)
+            actions.append(JobRefused(state.job, REASON_LATE, 1.0))
+        return actions
--- /dev/null
+++ b/firworks/kernel/pools/workers.py
@@ -0,0 +1,96 @@
+"""What a scheduler knows of each target of a stage pool."""
+
+# Weight of the newest call in the measured speed of a target.
+SPEED_WEIGHT = 0.5
+SPEED_LIMIT = 20.0
+# A call that exceeds its prediction by this factor and time has failed.
+OVERDUE_FACTOR = 2.5
+OVERDUE_MARGIN_S = 0.35
+# Pause after a failure, doubled by each further one.
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 8.0
+
+
+class StageCall:
+    """One call of a target for several pieces.
+
+    Attributes:
+        call_id (int): Unique in the scheduler.
+        target (Target): Whom to call.
+        pieces (list of Piece): What to make.
+        started_s (float): When it was sent.
+        due_s (float): When its answer is expected.
+        overdue_s (float): When to give it up.
+    """
+
+    __slots__ = ("call_id", "target", "pieces", "started_s", "due_s", "overdue_s")
+
+    def __init__(self, call_id, target, pieces, started_s, due_s, overdue_s):
+        self.call_id = call_id
+        self.target = target
+        self.pieces = pieces
+        self.started_s = started_s
+        self.due_s = due_s
+        self.overdue_s = overdue_s
+
+
+class StageWorker:
+    """One target of a stage pool.
+
+    Attributes:
+        target (Target): The target.
+        calls (dict of int to StageCall): In progress or waiting there.
+        speed (float): Measured time of calls over their nominal time.
+        held_bytes (int): Size of the results that it keeps for requests.
+        paused_until_s (float): No call before, after failures.
+    """
+
+    __slots__ = (
+        "target",
+        "calls",
+        "speed",
+        "held_bytes",
+        "paused_until_s",
+        "_failures",
+    )
+
+    def __init__(self, target):
+        self.target = target
+        self.calls = {}
+        self.speed = 1.0
+        self.held_bytes = 0
+        self.paused_until_s = 0.0
+        self._failures = 0
+
+    @property
+    def free_s(self):
+        """When its last call is expected to end; 0 without calls."""
+        return max((call.due_s for call in self.calls.values()), default=0.0)
+
+    def predict(self, nominal_s, now):
+        """Return when a call that is sent now is expected to end."""
+        return max(now, self.free_s) + nominal_s * self.speed
+
+    def add(self, call):
+        """Take in a call that is being sent."""
+        self.calls[call.call_id] = call
+
+    def note_answer(self, call, nominal_s, now):
+        """Take in the answer to a call."""
+        begun_s = max(
+            [call.started_s]
+            + [other.due_s for other in self.calls.values() if other.due_s < call.due_s]
+        )
+        measured = min(SPEED_LIMIT, max(0.1, (now - begun_s) / nominal_s))
+        self.speed += SPEED_WEIGHT * (measured - self.speed)
+        self._failures = 0
+
+    def note_failure(self, now):
+        """Take in that a call failed; the target rests for a time."""
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+        self._failures += 1
+        self.paused_until_s = now + pause_s
+
+    def note_full(self, until_s):
+        """Take in that the target has no room for a call until then."""
+        self.paused_until_s = max(self.paused_until_s, until_s)
--- /dev/null
+++ b/firworks/platform/configuration.py
@@ -0,0 +1,126 @@
+"""Decodes the operator's configuration record."""
+
+from firworks.errors import CodecError
+from firworks.kernel.forwarding.configuration import (
+    Account,
+    CallerLimits,
+    Configuration,
+    EngineSpec,
+    Route,
+    Service,
+    StagePoolSpec,
+    StageSpec,
+)
+from firworks.platform.fields import (
+    get_list,
+    get_number,
+    get_table,
+    get_text,
+    parse_object,
+)
+
+# Taken where a record leaves a limit out.
+DEFAULT_LIMITS = CallerLimits(16_384, 4_194_304, 3.0, 15.0)
+
+
+def decode_configuration(data):
+    """Return the `Configuration` held in a record's bytes.
+
+    Raises:
+        CodecError: When a field is missing or not of its type.
+    """
+    table = parse_object(data)
+    version = table.get("version")
+    if type(version) is not int:
+        raise CodecError(f"version: {version!r} is not a whole number")
+    routes = [_decode_route(row) for row in get_list(table, "routes")]
+    services = [_decode_service(row) for row in get_list(table, "services")]
+    limits = _decode_limits(get_table(table, "limits"))
+    accounts = _decode_accounts(get_list(table, "tenants"))
+    return Configuration(version, routes, services, limits, accounts, bool(accounts))
+
+
+def _decode_route(row):
+    # "traffic-split" replaces "service" on routes that several services share.
+    split = [
+        (get_text(part, "service"), float(get_number(part, "weight")))
+        for part in get_list(row, "traffic-split")
+    ]
+    if not split:
+        split = [(get_text(row, "service"), 1.0)]
+    timeout_s = get_number(row, "timeout-ms") / 1000
+    return Route(
+        name=get_text(row, "name"),
+        host=get_text(row, "host"),
+        prefix=get_text(row, "path-prefix"),
+        kind=get_text(row, "kind"),
+        timeout_s=timeout_s,
+        goal_s=get_number(row, "goal-ms", timeout_s * 1000) / 1000,
+        priority=int(get_number(row, "priority", 0)),
+        services=tuple(split),
+        max_attempts=max(1, int(get_number(row, "max-attempts", 1))),
+        stages=tuple(_decode_stage(stage) for stage in get_list(row, "stages")),
+        public=row.get("public") is True,
+        resumable=row.get("resumable") is True,
+        gap_s=get_number(row, "gap-aim-ms", 0) / 1000,
+    )
+
+
+def _decode_stage(row):
+    after = tuple(int(number) for number in get_list(row, "after"))
+    return StageSpec(get_text(row, "service"), after, int(get_number(row, "bytes", 0)))
+
+
+def _decode_service(row):
+    return Service(
+        name=get_text(row, "name"),
+        health_path=get_text(row, "health-path"),
+        # Counted at one target, over the connections of all daemons.
+        max_connections=int(get_number(row, "max-conns", 0)),
+        engine=_decode_engine(get_table(row, "engine")),
+        stage_pool=_decode_stage_pool(get_table(row, "pieces")),
+    )
+
+
+def _decode_engine(row):
+    if row is None:
+        return None
+    slots = int(get_number(row, "slots"))
+    return EngineSpec(slots, int(get_number(row, "kv-capacity")))
+
+
+def _decode_stage_pool(row):
+    if row is None:
+        return None
+    return StagePoolSpec(
+        slots=int(get_number(row, "slots")),
+        queue=int(get_number(row, "queue")),
+        batch=max(1, int(get_number(row, "batch"))),
+        call_s=get_number(row, "call-ms") / 1000,
+        piece_s=get_number(row, "item-ms") / 1000,
+        memory_bytes=int(get_number(row, "headroom-mb", 0) * 1_000_000),
+        handle_s=get_number(row, "handle-s", 0),
+    )
+
+
+def _decode_limits(row):
+    if row is None:
+        return DEFAULT_LIMITS
+    return CallerLimits(
+        int(get_number(row, "max-header-bytes", DEFAULT_LIMITS.header_bytes)),
+        int(get_number(row, "max-body-bytes", DEFAULT_LIMITS.body_bytes)),
+        get_number(row, "header-timeout-ms", 3000) / 1000,
+        get_number(row, "idle-timeout-ms", 15_000) / 1000,
+    )
+
+
+def _decode_accounts(rows):
+    by_key = {}
+    for row in rows:
+        priority = row.get("priority")
+        account = Account(
+            get_text(row, "name"), priority if type(priority) is int else None
+        )
+        for key in get_list(row, "api-keys"):
+            by_key[key] = account
+    return by_key
--- /dev/null
+++ b/firworks/platform/store.py
@@ -0,0 +1,124 @@
+"""The client of the platform's store."""
+
+import asyncio
+
+import aiohttp
+
+from firworks.errors import FirworksError
+from firworks.platform.records import (
+    decode_newest,
+    decode_slice,
+    encode_keyed,
+    encode_records,
+)
+from firworks.sockets import open_socket
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+TARGETS_TOPIC = "keyed.servers"
+MEMBERS_TOPIC = "keyed.firworks-members"
+
+# An answer takes a few milliseconds; a store that is slow takes up to 100 times that.
+CALL_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 30.0
+
+
+class StoreError(FirworksError):
+    """The store gave no usable answer."""
+
+
+class StoreGapError(StoreError):
+    """The records that were asked for are no longer kept."""
+
+
+class StoreClient:
+    """Calls of the platform's store.
+
+    Args:
+        address (str): "ip:port".
+
+    Attributes:
+        calls (int): Calls made since the start.
+        read_bytes (int): Bytes of their answers.
+    """
+
+    def __init__(self, address):
+        self.calls = 0
+        self.read_bytes = 0
+        self._base = f"http://{address}"
+        self._session = None
+
+    async def start(self):
+        """Open the session; must run on the loop that uses it."""
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=IDLE_TIMEOUT_S, socket_factory=open_socket
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+        )
+
+    async def close(self):
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def list_newest(self, topic):
+        """Return ([KeyedValue], offset to read on from) of a keyed topic.
+
+        Raises:
+            StoreError: When the store gave no usable answer.
+        """
+        values, start, after, more = [], None, None, True
+        while more:
+            query = {"topic": topic, "part": "0"}
+            if after is not None:
+                query["after"] = after
+            data = await self._call("GET", "/log-newest", query)
+            page, more, end = decode_newest(data)
+            # Pages are not a snapshot: read on from before the first one.
+            start = end if start is None else start
+            values += page
+            more = more and bool(page)
+            after = page[-1].key if page else None
+        return values, start
+
+    async def read(self, topic, offset, wait_s):
+        """Return the `Slice` from an offset, waiting for records.
+
+        Raises:
+            StoreGapError: When the offset is no longer kept.
+            StoreError: When the store gave no usable answer.
+        """
+        query = {"topic": topic, "part": "0", "from": str(offset)}
+        if wait_s > 0:
+            query["wait-ms"] = str(int(wait_s * 1000))
+        timeout_s = CALL_TIMEOUT_S + wait_s
+        data = await self._call("GET", "/log-read", query, timeout_s=timeout_s)
+        return decode_slice(data)
+
+    async def put_value(self, topic, key, value):
+        """Set a key of a keyed topic; an empty value drops it.
+
+        Raises:
+            StoreError: When it is not known to be stored.
+        """
+        body = encode_records([encode_keyed(key, value)])
+        await self._call("POST", "/log-append", {"topic": topic, "part": "0"}, body)
+
+    async def _call(self, method, path, query, body=None, timeout_s=CALL_TIMEOUT_S):
+        self.calls += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.request(
+                    method, self._base + path, params=query, data=body
+                ) as answer:
+                    data = await answer.read()
+                    status = answer.status
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise StoreError(f"{path}: {error!r}") from error
+        self.read_bytes += len(data)
+        if status == 410:
+            raise StoreGapError(f"{path}: the offset is no longer kept")
+        if status != 200:
+            raise StoreError(f"{path}: status {status}")
+        return data
--- /dev/null
+++ b/firworks/platform/targets.py
@@ -0,0 +1,50 @@
+"""Decodes the entries by which targets register themselves."""
+
+from firworks.errors import CodecError
+from firworks.kernel.forwarding.directory import Target
+from firworks.platform.fields import get_number, get_text, parse_object
+
+STATES = ("ready", "draining")
+MAX_PORT = 65_535
+
+
+def decode_target(target_id, data):
+    """Return the `Target` held in an entry's bytes.
+
+    Args:
+        target_id (str): Key of the entry; it appears nowhere else.
+        data (bytes): Value of the entry.
+
+    Raises:
+        CodecError: When a field is missing or not of its type, or the state unknown.
+    """
+    table = parse_object(data)
+    state = get_text(table, "state")
+    if state not in STATES:
+        raise CodecError(f"state: {state!r} is unknown")
+    address = get_text(table, "address")
+    _check_address(address)
+    born = table.get("born", 0)
+    if type(born) is not int:
+        raise CodecError(f"born: {born!r} is not a whole number")
+    slots = get_number(table, "slots", 1)
+    return Target(
+        target_id=target_id,
+        service=get_text(table, "service"),
+        address=address,
+        failure_domain=get_text(table, "zone"),
+        version=get_text(table, "version") if "version" in table else "",
+        slots=max(1, int(slots)),
+        leaving=state == "draining",
+        born_ms=born,
+    )
+
+
+def _check_address(address):
+    host, _, port = address.rpartition(":")
+    parts = host.split(".")
+    numbers = [*parts, port]
+    if len(parts) != 4 or not all(part.isdecimal() for part in numbers):
+        raise CodecError(f"address: {address!r} is not IP:PORT")
+    if max(map(int, parts)) > 255 or not 0 < int(port) <= MAX_PORT:
+        raise CodecError(f"address: {address!r} is not IP:PORT")
