Schedule each stage pool in one daemon, chosen by rendezvous hash

Cause: a call to a stage costs 200 ms whatever it carries, and each daemon called for its own requests: 14,041 of 16,313 calls found the server full. Daemons find each other by their entries in the store, talk over WebSockets, and hand pieces to the pool's scheduler; a scheduler that does not take a job or answer a ping loses its jobs to the next in rank.

--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -5,14 +5,13 @@
 import sys
 import time
 import uuid
-from traceback import format_exception
 
 from firworks.adapter import AdapterContext
 from firworks.addresses import AddressBook
 from firworks.assembly import BUILTIN_PLUGINS, build_kernel
 from firworks.burn import BurnRecorder
 from firworks.errors import FirworksError
-from firworks.events import LogEvent, configure_logs, log_event
+from firworks.events import LogEvent, configure_logs, log_event, log_fault
 from firworks.kernel.calls import CancelCall, StartCall
 from firworks.kernel.fleet.events import DrainExpired, DrainFinished, DrainStarted
 from firworks.kernel.messages import (
@@ -113,7 +112,7 @@
         try:
             actions = self.parts.kernel.handle(event, self.clock())
         except Exception as error:
-            log_fault(event, error)
+            log_fault(type(event).__name__, error)
             return
         for action in actions:
             self._carry_out(action)
@@ -123,7 +122,7 @@
         try:
             self._carriers[type(action)](action)
         except Exception as error:
-            log_fault(action, error)
+            log_fault(type(action).__name__, error)
 
     @property
     def ready(self):
@@ -220,13 +219,6 @@
         self._was_ready = self.ready
 
 
-def log_fault(message, error):
-    """Log a fault met while an event or action was handled."""
-    trace = "".join(format_exception(error))
-    kind = type(message).__name__
-    log_event(LogEvent.PART_FAILED, handled=kind, error=repr(error), trace=trace)
-
-
 async def run_daemon(settings):
     """Run a daemon until a signal or an operator has drained it.
 
--- a/firworks/events.py
+++ b/firworks/events.py
@@ -3,6 +3,7 @@
 import json
 import sys
 from enum import IntEnum
+from traceback import format_exception
 
 from loguru import logger
 
@@ -63,6 +64,9 @@
     STORE_LOST = 910
     STORE_REGAINED = 911
     STORE_RECORD_SKIPPED = 912
+    MEMBER_SUSPECTED = 913
+    MEMBER_CLEARED = 914
+    MEMBER_UNREADABLE = 915
 
     TERM_GRANTED = 800
     ORDER_STALE = 801
@@ -97,6 +101,8 @@
     LogEvent.TARGET_UNREADABLE: "WARNING",
     LogEvent.STORE_LOST: "WARNING",
     LogEvent.STORE_RECORD_SKIPPED: "WARNING",
+    LogEvent.MEMBER_SUSPECTED: "WARNING",
+    LogEvent.MEMBER_UNREADABLE: "WARNING",
     LogEvent.ORDER_STALE: "WARNING",
     LogEvent.STATE_UNREADABLE: "WARNING",
 }
@@ -115,6 +121,17 @@
     bound.log(level, "{:03d} {} {}", int(event), event.name, text)
 
 
+def log_fault(handled, error):
+    """Log an unexpected exception.
+
+    Args:
+        handled (str): What was being handled.
+        error (Exception): The exception.
+    """
+    trace = "".join(format_exception(error))
+    log_event(LogEvent.PART_FAILED, handled=handled, error=repr(error), trace=trace)
+
+
 def configure_logs(log_format, sink=None):
     """Send all logs to one sink, as text or as JSON lines.
 
--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -6,7 +6,7 @@
 
 from firworks.codes import Code
 from firworks.errors import RequestError
-from firworks.events import LogEvent, log_event
+from firworks.events import LogEvent, log_event, log_fault
 from firworks.gateway.answers import BrokenOffError, make_refusal
 from firworks.gateway.tickets import Ticket
 from firworks.kernel.forwarding.admission import admit, choose_service
@@ -74,9 +74,21 @@
             if http.transport is not None:
                 http.transport.abort()
             raise ConnectionResetError(str(error)) from error
+        except (ConnectionError, asyncio.CancelledError):
+            raise
+        except Exception as error:
+            return self._fail(http, error)
         finally:
             self.in_progress -= 1
 
+    def _fail(self, http, error):
+        """Answer a request that met a fault of the system's own."""
+        request_id = http.headers.get("X-Request-Id", "")
+        log_fault(request_id, error)
+        response = make_refusal(request_id, Code.INTERNAL, "internal error")
+        response.force_close()
+        return response
+
     async def _answer(self, http):
         gateway = self._gateway
         begun_s = gateway.clock()
--- /dev/null
+++ b/firworks/gateway/members.py
@@ -0,0 +1,104 @@
+"""How gateways find each other through the store."""
+
+import asyncio
+
+from firworks.errors import CodecError
+from firworks.events import LogEvent, log_event
+from firworks.kernel.codec import decode_record, encode_record
+from firworks.kernel.pools.messages import MemberEntry
+from firworks.platform.store import MEMBERS_TOPIC, StoreError
+
+# Pause after a registration that was not confirmed.
+RETRY_S = 0.5
+
+
+class MembersListener:
+    """Keeps the roster and this daemon's own entry.
+
+    Args:
+        roster (Roster): The members.
+        store (StoreClient): The store.
+        on_member (callable): ``on_member(name)``, after a member appeared.
+    """
+
+    def __init__(self, roster, store, on_member):
+        self._roster = roster
+        self._store = store
+        self._on_member = on_member
+        self._registering = None
+
+    def take_listing(self, values):
+        """Take the newest values of the topic."""
+        listed = set()
+        for value in values:
+            if value.value:
+                listed.add(value.key)
+                self.take_value(value)
+        for name in self._roster.names:
+            if name not in listed:
+                self._remove(name)
+        if self._roster.own.name not in listed:
+            self.register()
+
+    def take_value(self, value):
+        """Take one entry, or that a member has left."""
+        if value.key == self._roster.own.name:
+            self._check_own(value)
+            return
+        if not value.value:
+            self._remove(value.key)
+            return
+        try:
+            entry = decode_record(value.value)
+            if not isinstance(entry, MemberEntry) or entry.name != value.key:
+                raise CodecError(f"not the entry of {value.key!r}")
+        except CodecError as error:
+            log_event(LogEvent.MEMBER_UNREADABLE, member=value.key, error=str(error))
+            return
+        if self._roster.put(entry):
+            log_event(
+                LogEvent.MEMBER_CHANGED,
+                member=entry.name,
+                incarnation=entry.incarnation,
+                status="listed",
+            )
+            self._on_member(entry.name)
+
+    def note_store(self, ok):
+        """Take in whether the store answered."""
+
+    def register(self):
+        """Begin to write this daemon's own entry."""
+        if self._registering is None or self._registering.done():
+            self._registering = asyncio.ensure_future(self._register())
+
+    async def leave(self):
+        """Withdraw this daemon's own entry, if the store answers."""
+        if self._registering is not None:
+            self._registering.cancel()
+        try:
+            await self._store.put_value(MEMBERS_TOPIC, self._roster.own.name, b"")
+        except StoreError as error:
+            log_event(LogEvent.STORE_LOST, topic=MEMBERS_TOPIC, error=str(error))
+
+    async def _register(self):
+        own = self._roster.own
+        value = encode_record(own)
+        while True:
+            try:
+                await self._store.put_value(MEMBERS_TOPIC, own.name, value)
+                return
+            except StoreError as error:
+                log_event(LogEvent.STORE_LOST, topic=MEMBERS_TOPIC, error=str(error))
+                await asyncio.sleep(RETRY_S)
+
+    def _check_own(self, value):
+        """Write the own entry again where that of another run has replaced it."""
+        if value.value != encode_record(self._roster.own):
+            self.register()
+
+    def _remove(self, name):
+        if self._roster.remove(name):
+            log_event(
+                LogEvent.MEMBER_CHANGED, member=name, incarnation="", status="left"
+            )
--- /dev/null
+++ b/firworks/gateway/peers.py
@@ -0,0 +1,73 @@
+"""Connections to the other gateways."""
+
+from firworks.adapter import AdapterContext
+from firworks.kernel.messages import (
+    ConnectPeer,
+    DisconnectPeer,
+    PeerReceived,
+    SendPeer,
+)
+from firworks.plugins.websocket_peers import WebsocketPeers
+
+
+class RosterAddresses:
+    """Addresses of the members of a roster.
+
+    Args:
+        roster (Roster): The members.
+    """
+
+    def __init__(self, roster):
+        self._roster = roster
+
+    def find(self, name):
+        """Return the "ip:port" of a member, or None."""
+        entry = self._roster.find(name)
+        return None if entry is None else entry.address
+
+
+class Peers:
+    """Sends records to other gateways and takes theirs.
+
+    Args:
+        settings (GatewaySettings): Of this process.
+        roster (Roster): The members.
+        receive (callable): ``receive(peer, record)`` takes what comes.
+        clock (callable): Returns monotonic seconds.
+    """
+
+    def __init__(self, settings, roster, receive, clock):
+        self._roster = roster
+        self._receive = receive
+        addresses = RosterAddresses(roster)
+        context = AdapterContext(
+            settings, roster.own.incarnation, self._feed, clock, addresses
+        )
+        self._adapter = WebsocketPeers(context)
+
+    async def start(self):
+        """Listen for other gateways."""
+        await self._adapter.start()
+
+    async def stop(self):
+        """Close all connections."""
+        await self._adapter.stop()
+
+    def connect(self, peer):
+        """Keep a connection to a member."""
+        entry = self._roster.find(peer)
+        if entry is not None:
+            self._adapter.carry_out(ConnectPeer(peer, entry.address))
+
+    def reconnect(self, peer):
+        """Replace the connection to a member."""
+        self._adapter.carry_out(DisconnectPeer(peer))
+        self.connect(peer)
+
+    def send(self, peer, record):
+        """Send a record to a member."""
+        self._adapter.carry_out(SendPeer(peer, record))
+
+    def _feed(self, event):
+        if isinstance(event, PeerReceived):
+            self._receive(event.peer, event.message)
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -13,15 +13,24 @@
 from firworks.gateway.callers import CallersServer, ReadinessServer
 from firworks.gateway.connections import TargetConnections
 from firworks.gateway.followers import TopicFollower
+from firworks.gateway.members import MembersListener
+from firworks.gateway.peers import Peers
 from firworks.gateway.pools import Pools
 from firworks.gateway.relays import Relay
 from firworks.gateway.settings import find_settings_path, load_gateway_settings
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.kernel.forwarding.balancer import Balancer
 from firworks.kernel.forwarding.retry_budget import RetryBudget
-from firworks.platform.store import CONFIGURATION_TOPIC, TARGETS_TOPIC, StoreClient
-
-TICK_S = 0.25
+from firworks.kernel.pools.messages import MemberEntry
+from firworks.kernel.pools.roster import Roster
+from firworks.platform.store import (
+    CONFIGURATION_TOPIC,
+    MEMBERS_TOPIC,
+    TARGETS_TOPIC,
+    StoreClient,
+)
+
+TICK_S = 0.1
 # The balancer needs two misses, one a second, to stop sending new connections.
 ROTATION_S = 2.6
 # Kept of the drain limit for the process to end.
@@ -29,6 +38,7 @@
 DRAIN_POLL_S = 0.02
 # A long read ends this often, so that a silent store is noticed.
 CONFIGURATION_WAIT_S = 2.0
+MEMBERS_WAIT_S = 10.0
 # Entries of targets change with each heartbeat; they are read in bundles.
 TARGETS_PAUSE_S = 0.5
 
@@ -59,7 +69,10 @@
         )
         self._configurations = ConfigurationListener(self._apply_configuration)
         self._targets = TargetsListener(self.clock, self._apply_targets)
-        self.pools = Pools(self.directory, self.connections, self.clock)
+        self.roster = Roster(self._make_entry())
+        self.pools = Pools(self.directory, self.connections, self.clock, self.roster)
+        self.pools.peers = Peers(settings, self.roster, self.pools.receive, self.clock)
+        self._members = MembersListener(self.roster, self.store, self._welcome_member)
         self.relay = Relay(self)
         self.callers = CallersServer(self)
         self._readiness = ReadinessServer(self)
@@ -107,7 +120,9 @@
         await self.store.start()
         self._follow(CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_WAIT_S, 0)
         self._follow(TARGETS_TOPIC, self._targets, 0, TARGETS_PAUSE_S)
+        self._follow(MEMBERS_TOPIC, self._members, MEMBERS_WAIT_S, 0)
         self._tasks.append(asyncio.ensure_future(self._tick()))
+        await self.pools.peers.start()
         await self.callers.start(self.settings.callers)
         await self._readiness.start(self.settings.readiness)
 
@@ -117,6 +132,7 @@
         begun_s = self.clock()
         log_event(LogEvent.DAEMON_DRAINING, name=self.settings.name)
         limit_s = begun_s + self.settings.drain_limit_s - EXIT_MARGIN_S
+        await self._members.leave()
         await asyncio.sleep(min(ROTATION_S, self.settings.drain_limit_s / 2))
         while self.callers.in_progress and self.clock() < limit_s:
             self.callers.close_idle()
@@ -128,6 +144,7 @@
         for task in self._tasks:
             task.cancel()
         self.pools.close()
+        await self.pools.peers.stop()
         await self.callers.stop()
         await self._readiness.stop()
         self.connections.close()
@@ -144,9 +161,24 @@
     def _apply_targets(self):
         self.pools.refresh()
 
+    def _make_entry(self):
+        settings = self.settings
+        return MemberEntry(
+            settings.name,
+            self.incarnation,
+            settings.peers,
+            settings.failure_domain,
+            settings.cpu_share,
+        )
+
+    def _welcome_member(self, name):
+        self.retry_budget.set_members(self.roster.count)
+        self.pools.peers.connect(name)
+
     async def _tick(self):
         while True:
             self._targets.expire()
+            self.pools.tick()
             if self.ready and not self._was_ready:
                 log_event(LogEvent.DAEMON_READY, name=self.settings.name)
             self._was_ready = self.ready
--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -20,6 +20,9 @@
     "cpu_share": 1.0,
     "link_mbps": 100.0,
     "peer_secret": "",
+    "tls_certificate": "",
+    "tls_key": "",
+    "tls_authority": "",
     "seed": 0,
 }
 
@@ -53,6 +56,9 @@
         "cpu_share": _SECONDS,
         "link_mbps": _SECONDS,
         "peer_secret": {"type": "string"},
+        "tls_certificate": {"type": "string"},
+        "tls_key": {"type": "string"},
+        "tls_authority": {"type": "string"},
         "seed": {"type": "integer"},
     },
 }
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -59,8 +59,8 @@
 
     def free(self):
         """Give up all results."""
-        for service, job_id in self._jobs:
-            self._pools.free(service, job_id)
+        for job_id in self._jobs:
+            self._pools.free(job_id)
         self._jobs.clear()
 
     async def _make(self, number):
@@ -87,5 +87,5 @@
             self._later_s[number],
             self._failure_domain,
         )
-        self._jobs.append((stage.service, job.job_id))
+        self._jobs.append(job.job_id)
         return await self._pools.make_pieces(stage.service, job)
--- a/firworks/kernel/pools/jobs.py
+++ b/firworks/kernel/pools/jobs.py
@@ -53,6 +53,12 @@
         str,
     )
 
+    def shift(self, seconds):
+        """Return a copy whose times are later by some seconds."""
+        return self.replace(
+            aim_s=self.aim_s + seconds, deadline_s=self.deadline_s + seconds
+        )
+
 
 class Piece:
     """One piece of a job.
--- /dev/null
+++ b/firworks/kernel/pools/messages.py
@@ -0,0 +1,99 @@
+"""Messages between a daemon and the scheduler of a pool."""
+
+from firworks.kernel.codec import register_record
+from firworks.kernel.messages import Record
+from firworks.kernel.pools.jobs import PieceJob
+
+
+@register_record
+class MemberEntry(Record):
+    """How a daemon makes itself known in the store.
+
+    Attributes:
+        name (str): Of the daemon.
+        incarnation (str): Unique name of this run.
+        address (str): "ip:port" for other daemons.
+        failure_domain (str): Where it runs.
+        weight (float): Its share of a core.
+    """
+
+    __slots__ = ("name", "incarnation", "address", "failure_domain", "weight")
+    TYPES = (str, str, str, str, float)
+
+
+@register_record
+class Ping(Record):
+    """Asks whether a daemon is alive.
+
+    Attributes:
+        number (int): Echoed by `Pong`.
+        unheard (bool): The sender has not heard from it lately: its connection
+            to the sender may carry nothing.
+    """
+
+    __slots__ = ("number", "unheard")
+    TYPES = (int, bool)
+
+
+@register_record
+class Pong(Record):
+    """Answers a `Ping`."""
+
+    __slots__ = ("number",)
+    TYPES = (int,)
+
+
+@register_record
+class SubmitPieces(Record):
+    """Hands a job to a pool's scheduler; its times count from now.
+
+    Attributes:
+        service (str): The pool.
+        job (PieceJob): The job.
+    """
+
+    __slots__ = ("service", "job")
+    TYPES = (str, PieceJob)
+
+
+@register_record
+class JobTaken(Record):
+    """The scheduler has the job (str)."""
+
+    __slots__ = ("job_id",)
+    TYPES = (str,)
+
+
+@register_record
+class DropJob(Record):
+    """A job (str), or its results, are not needed any longer."""
+
+    __slots__ = ("job_id",)
+    TYPES = (str,)
+
+
+@register_record
+class PiecesMade(Record):
+    """A job is done.
+
+    Attributes:
+        job_id (str): The job.
+        handles (tuple of str): Results by number of the piece.
+    """
+
+    __slots__ = ("job_id", "handles")
+    TYPES = (str, (str,))
+
+
+@register_record
+class PiecesRefused(Record):
+    """A job will not be finished.
+
+    Attributes:
+        job_id (str): The job.
+        reason (str): Why.
+        retry_after_s (float): When there will be room again.
+    """
+
+    __slots__ = ("job_id", "reason", "retry_after_s")
+    TYPES = (str, str, float)
--- /dev/null
+++ b/firworks/kernel/pools/roster.py
@@ -0,0 +1,101 @@
+"""Which daemon schedules a pool.
+
+Load pattern: daemons come, go, freeze and are cut off at any time. Each daemon ranks
+the members by itself; the first that is not suspected schedules the pool. Daemons that
+disagree cost efficiency only: two schedulers then form smaller batches.
+"""
+
+from math import log
+
+from xxhash import xxh64_intdigest
+
+# Hashes are mapped to numbers between 0 and 1.
+_HASH_RANGE = float(2**64)
+
+
+class Roster:
+    """Members and whom this daemon suspects.
+
+    Args:
+        own (MemberEntry): This daemon; it is never suspected.
+    """
+
+    def __init__(self, own):
+        self.own = own
+        self._members = {own.name: own}
+        self._suspected = set()
+        self._ranks = {}
+
+    @property
+    def count(self):
+        """How many members are known."""
+        return len(self._members)
+
+    @property
+    def names(self):
+        """Names of the other members."""
+        return [name for name in self._members if name != self.own.name]
+
+    def find(self, name):
+        """Return the `MemberEntry` of a daemon, or None."""
+        return self._members.get(name)
+
+    def put(self, entry):
+        """Take in a member; return whether it is new or has started anew."""
+        known = self._members.get(entry.name)
+        if entry.name == self.own.name or known == entry:
+            return False
+        self._members[entry.name] = entry
+        self._suspected.discard(entry.name)
+        self._ranks.clear()
+        return True
+
+    def remove(self, name):
+        """Take in that a member has left; return whether it was known."""
+        if name == self.own.name or name not in self._members:
+            return False
+        del self._members[name]
+        self._suspected.discard(name)
+        self._ranks.clear()
+        return True
+
+    def suspect(self, name):
+        """Take in that a member does not answer; return whether that is new."""
+        if name == self.own.name or name in self._suspected:
+            return False
+        self._suspected.add(name)
+        return True
+
+    def clear(self, name):
+        """Take in that a member answers; return whether it was suspected."""
+        known = name in self._suspected
+        self._suspected.discard(name)
+        return known
+
+    def is_suspected(self, name):
+        """Return whether a member is taken for unreachable."""
+        return name in self._suspected
+
+    def rank(self, pool):
+        """Return the names of all members, the pool's first scheduler first."""
+        ranked = self._ranks.get(pool)
+        if ranked is None:
+            ranked = sorted(
+                self._members.values(),
+                key=lambda entry: (-_score(pool, entry), entry.name),
+            )
+            ranked = self._ranks[pool] = [entry.name for entry in ranked]
+        return ranked
+
+    def choose(self, pool):
+        """Return the name of the daemon that schedules a pool."""
+        for name in self.rank(pool):
+            if name not in self._suspected:
+                return name
+        return self.own.name
+
+
+def _score(pool, entry):
+    """Return the weighted rendezvous score of a member for a pool."""
+    digest = xxh64_intdigest(f"{pool}/{entry.name}".encode())
+    return -entry.weight / log((digest + 0.5) / _HASH_RANGE)
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -66,14 +66,14 @@
 class _JobState:
     """Progress of one job."""
 
-    __slots__ = ("job", "handles", "waiting", "made_by", "arrived_s")
+    __slots__ = ("job", "handles", "waiting", "made_by", "finished_s")
 
-    def __init__(self, job, now):
+    def __init__(self, job):
         self.job = job
         self.handles = [None] * job.count
         self.waiting = [Piece(job, number) for number in range(job.count)]
         self.made_by = {}
-        self.arrived_s = now
+        self.finished_s = None
 
 
 class StageScheduler:
@@ -122,7 +122,7 @@
         wait_s = self.estimate_wait(job, now)
         if now + wait_s + job.later_s > job.deadline_s:
             return [JobRefused(job, REASON_LATE, max(0.1, wait_s))]
-        self._jobs[job.job_id] = _JobState(job, now)
+        self._jobs[job.job_id] = _JobState(job)
         return self.plan(now)
 
     def cancel(self, job_id, now):
@@ -190,7 +190,7 @@
 
     def plan(self, now):
         """Return the calls to send now, and the jobs that are past saving."""
-        actions = self._drop_lost(now)
+        actions = [*self._drop_lost(now), *self._drop_expired(now)]
         while True:
             worker = self._choose_worker(now)
             if worker is None:
@@ -302,6 +302,7 @@
         if None in state.handles:
             return []
         del self._jobs[job.job_id]
+        state.finished_s = now
         self._finished[job.job_id] = state
         return [JobDone(job, tuple(state.handles))]
 
@@ -336,6 +337,17 @@
             for worker, handles in by_worker.items()
         ]
 
+    def _drop_expired(self, now):
+        """Forget results that their targets no longer keep."""
+        limit_s = now - self.spec.handle_s
+        # Jobs finish in the order in which the dict holds them.
+        while self._finished:
+            job_id = next(iter(self._finished))
+            if self._finished[job_id].finished_s > limit_s:
+                break
+            self._free(self._finished.pop(job_id), now)
+        return []
+
     def _drop_lost(self, now):
         """Refuse the jobs whose pieces, begun now, would be made too late."""
         lost = [
--- a/firworks/platform/stages.py
+++ b/firworks/platform/stages.py
@@ -21,7 +21,8 @@
         job = piece.job
         item = {"id": job.request_id, "stage": job.stage, "piece": piece.number}
         # How long the piece is still of use; the target skips it afterwards.
-        item["left-ms"] = max(1, int((job.deadline_s - now) * 1000))
+        left_s = job.deadline_s - job.later_s - now
+        item["left-ms"] = max(1, int(left_s * 1000))
         if job.inputs:
             item["inputs"] = list(job.inputs)
         else:
