Take stage jobs by their latest begin, whole, in spaced calls

Cause: jobs were ordered by priority before their aim and divided among calls, so that half a job waited for the next call; targets that became free together were all given small batches together; results counted as gone before their target had freed them, and 544 pieces found no room.

--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -102,17 +102,17 @@
 
     @_do.register
     def _(self, action: FreeResults):
-        key = (action.target.run, action.target.address)
+        key = action.target.run
         waiting = self._to_free.setdefault(key, [])
         if not waiting:
             loop = asyncio.get_running_loop()
-            loop.call_later(FREE_DELAY_S, self._start_free, action.target, key)
-        waiting += action.handles
+            loop.call_later(FREE_DELAY_S, self._start_free, key)
+        waiting.append(action)
 
-    def _start_free(self, target, key):
-        handles = self._to_free.pop(key, ())
-        if handles:
-            self._spawn(self._free(target, handles))
+    def _start_free(self, key):
+        waiting = self._to_free.pop(key, ())
+        if waiting:
+            self._spawn(self._free(waiting))
 
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
@@ -164,7 +164,10 @@
             return None
         raise AttemptError(BROKEN, True, f"status {exchange.status}")
 
-    async def _free(self, target, handles):
+    async def _free(self, waiting):
+        """Tell a target to give up results (list of FreeResults, all its own)."""
+        target = waiting[0].target
+        handles = [handle for freed in waiting for handle in freed.handles]
         body = encode_free(handles)
         head = build_call_head("POST", FREE_PATH, target.address, len(body))
         exchange = Exchange(self._connections, target, self._clock)
@@ -181,3 +184,6 @@
                 results=len(handles),
                 error=repr(error),
             )
+        now = self._clock()
+        for freed in waiting:
+            self._carry_out(self.scheduler.note_freed(freed, now))
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -9,6 +9,7 @@
 
 from firworks.kernel.messages import Struct
 from firworks.kernel.pools.jobs import Piece
+from firworks.kernel.pools.ordering import rank_job
 from firworks.kernel.pools.workers import (
     OVERDUE_FACTOR,
     OVERDUE_MARGIN_S,
@@ -18,9 +19,12 @@
 
 # Time between sending a call and its begin at the target: the way there and wake-ups.
 SEND_AHEAD_S = 0.008
+# Calls that carry less than a batch begin at least this share of a call's fixed time,
+# divided by the number of targets, after one another: begun together they would end
+# together, and all that arrives meanwhile would wait for them.
+SPACING = 1.3
 # Tries of one piece, the first included.
 MAX_TRIES = 3
-# A target that is slower by more is used only while no faster one is about to be free.
 REASON_LATE = "late"
 REASON_GONE = "gone"
 REASON_ROOM = "room"
@@ -58,9 +62,10 @@
     Attributes:
         target (Target): Where they are.
         handles (tuple of str): The results.
+        size_bytes (int): Their approximate size.
     """
 
-    __slots__ = ("target", "handles")
+    __slots__ = ("target", "handles", "size_bytes")
 
 
 class _JobState:
@@ -93,6 +98,7 @@
         self._jobs = {}
         self._finished = {}
         self._next_call = 0
+        self._last_call_s = float("-inf")
 
     @property
     def queued_pieces(self):
@@ -103,7 +109,6 @@
         """Take in the usable targets of the pool."""
         known = {target.run: target for target in targets}
         gone = [run for run in self._workers if run not in known]
-        results = []
         for run in gone:
             worker = self._workers[run]
             if not worker.calls:
@@ -115,7 +120,7 @@
             else:
                 worker.target = target
         self._usable = set(known)
-        return results + self.plan(now)
+        return self.plan(now)
 
     def submit(self, job, now):
         """Take in a job."""
@@ -130,12 +135,20 @@
         state = self._jobs.pop(job_id, None)
         if state is None:
             return self.release(job_id, now)
-        return self._free(state, now)
+        return self._free(state)
 
     def release(self, job_id, now):
         """Free the results of a finished job."""
         state = self._finished.pop(job_id, None)
-        return [] if state is None else self._free(state, now) + self.plan(now)
+        return [] if state is None else self._free(state) + self.plan(now)
+
+    def note_freed(self, freed, now):
+        """Take in that results were given up (FreeResults), or have expired."""
+        worker = self._workers.get(freed.target.run)
+        if worker is None:
+            return []
+        worker.held_bytes -= freed.size_bytes
+        return self.plan(now)
 
     def take_answer(self, call_id, results, now):
         """Take in a call's results: a (handle or None, reason) for each piece."""
@@ -176,10 +189,11 @@
         workers = self._list_usable(now)
         if not workers:
             return self.get_nominal_s(job.count)
+        own = self._rank(job, now)
         ahead = job.count + sum(
             len(state.waiting)
             for state in self._jobs.values()
-            if self._rank(state, now) <= self._rank_job(job, now)
+            if self._rank(state.job, now) <= own
         )
         frees = sorted(max(now, worker.free_s) for worker in workers)
         calls_needed = -(-ahead // self.spec.batch)
@@ -190,15 +204,11 @@
 
     def plan(self, now):
         """Return the calls to send now, and the jobs that are past saving."""
-        actions = [*self._drop_lost(now), *self._drop_expired(now)]
-        while True:
-            worker = self._choose_worker(now)
-            if worker is None:
-                return actions
-            pieces = self._choose_pieces(worker, now)
-            if not pieces:
-                return actions
-            actions.append(self._make_call(worker, pieces, now))
+        self._drop_expired(now)
+        actions = self._drop_lost(now)
+        while call := self._plan_call(now):
+            actions.append(call)
+        return actions
 
     def next_due_s(self, now):
         """Return when `plan` should be called again, or None."""
@@ -209,6 +219,7 @@
             for run, worker in self._workers.items()
             if run in self._usable
         ]
+        times = [max(time_s, self._spaced_s()) for time_s in times]
         later = [time_s for time_s in times if time_s > now]
         deadlines = [state.job.deadline_s for state in self._jobs.values()]
         return min([*later, *deadlines], default=None)
@@ -224,41 +235,60 @@
             if run in self._usable and worker.paused_until_s <= now
         ]
 
-    def _rank(self, state, now):
-        return self._rank_job(state.job, now)
+    def _rank(self, job, now):
+        return rank_job(job, self.get_nominal_s(job.count), now)
+
+    def _plan_call(self, now):
+        """Return one `StageCall` to send now, or None."""
+        if now < self._spaced_s() and self.queued_pieces < self.spec.batch:
+            return None
+        for worker in self._list_ready(now):
+            pieces = self._choose_pieces(worker, now)
+            if pieces:
+                return self._make_call(worker, pieces, now)
+        return None
+
+    def _spaced_s(self):
+        """Return when a call that is not full may begin."""
+        count = max(1, len(self._usable))
+        return self._last_call_s + SPACING * self.spec.call_s / count
 
-    def _rank_job(self, job, now):
-        """Order: still on time first, then priority, then earliest aim."""
-        nominal_s = self.get_nominal_s(job.count) + job.later_s
-        lost = now + nominal_s > job.aim_s
-        return (lost, job.priority, job.aim_s, job.job_id)
+    def _list_ready(self, now):
+        """Return the targets that a call may go to now, the soonest to answer first.
 
-    def _choose_worker(self, now):
-        """Return the target that a call should go to now, or None."""
+        A target that is so slow that waiting for another one takes less is left out.
+        """
+        nominal_s = self.get_nominal_s(self.spec.batch // 2)
+        ends = {
+            worker: worker.predict(nominal_s, now) for worker in self._list_usable(now)
+        }
+        if not ends:
+            return []
+        latest_s = min(ends.values()) + nominal_s
         ready = [
             worker
-            for worker in self._list_usable(now)
-            if len(worker.calls) < self.spec.slots
-            or (
-                len(worker.calls) == self.spec.slots
-                and worker.free_s - SEND_AHEAD_S <= now
-            )
+            for worker in ends
+            if self._is_ready(worker, now) and ends[worker] <= latest_s
         ]
-        if not ready:
-            return None
-        nominal_s = self.get_nominal_s(self.spec.batch // 2)
-        best = min(
-            self._list_usable(now), key=lambda worker: worker.predict(nominal_s, now)
-        )
-        return best if best in ready else None
+        return sorted(ready, key=lambda worker: (ends[worker], worker.target.target_id))
+
+    def _is_ready(self, worker, now):
+        if len(worker.calls) < self.spec.slots:
+            return True
+        about_to_end = worker.free_s - SEND_AHEAD_S <= now
+        return len(worker.calls) == self.spec.slots and about_to_end
 
     def _choose_pieces(self, worker, now):
+        """Return the pieces of the next call; a job is divided only if it must be."""
         room = self.spec.memory_bytes - worker.held_bytes
         pieces = []
         waiting = [state for state in self._jobs.values() if state.waiting]
-        for state in sorted(waiting, key=lambda state: self._rank(state, now)):
+        for state in sorted(waiting, key=lambda state: self._rank(state.job, now)):
             size = max(1, state.job.result_bytes)
             space = min(self.spec.batch - len(pieces), room // size)
+            wanted = len(state.waiting)
+            if wanted > space and not (wanted > self.spec.batch and not pieces):
+                continue
             taken = state.waiting[: max(0, space)]
             pieces += taken
             room -= size * len(taken)
@@ -271,6 +301,7 @@
             self._jobs[piece.job.job_id].waiting.remove(piece)
             worker.held_bytes += piece.job.result_bytes
         self._next_call += 1
+        self._last_call_s = now
         nominal_s = self.get_nominal_s(len(pieces))
         due_s = worker.predict(nominal_s, now)
         begun_s = max(now, worker.free_s)
@@ -293,7 +324,7 @@
         job = piece.job
         state = self._jobs.get(job.job_id)
         if state is None:
-            return [] if handle is None else [FreeResults(worker.target, (handle,))]
+            return [] if handle is None else self._give_back(worker, job, [handle])
         if handle is None:
             return self._take_failed_piece(piece, reason)
         state.handles[piece.number] = handle
@@ -309,7 +340,7 @@
     def _take_failed_piece(self, piece, reason):
         if reason in (REASON_LATE, REASON_GONE):
             state = self._jobs.pop(piece.job.job_id)
-            return [*self._free(state, 0.0), JobRefused(piece.job, reason, 0.0)]
+            return [*self._free(state), JobRefused(piece.job, reason, 0.0)]
         return self._requeue([piece], count_try=reason != REASON_ROOM)
 
     def _requeue(self, pieces, count_try):
@@ -323,19 +354,25 @@
                 state.waiting.append(piece)
                 continue
             del self._jobs[piece.job.job_id]
-            actions += self._free(state, 0.0)
+            actions += self._free(state)
             actions.append(JobRefused(piece.job, REASON_ERROR, FULL_PAUSE_S))
         return actions
 
-    def _free(self, state, now):
+    def _free(self, state):
+        """Give up all results of a job; they take up room until that is confirmed."""
         by_worker = {}
         for handle, worker in state.made_by.items():
-            worker.held_bytes -= state.job.result_bytes
             by_worker.setdefault(worker, []).append(handle)
-        return [
-            FreeResults(worker.target, tuple(handles))
-            for worker, handles in by_worker.items()
-        ]
+        actions = []
+        for worker, handles in by_worker.items():
+            size = state.job.result_bytes * len(handles)
+            actions.append(FreeResults(worker.target, tuple(handles), size))
+        return actions
+
+    def _give_back(self, worker, job, handles):
+        size = job.result_bytes * len(handles)
+        worker.held_bytes += size
+        return [FreeResults(worker.target, tuple(handles), size)]
 
     def _drop_expired(self, now):
         """Forget results that their targets no longer keep."""
@@ -345,8 +382,9 @@
             job_id = next(iter(self._finished))
             if self._finished[job_id].finished_s > limit_s:
                 break
-            self._free(self._finished.pop(job_id), now)
-        return []
+            state = self._finished.pop(job_id)
+            for worker in state.made_by.values():
+                worker.held_bytes -= state.job.result_bytes
 
     def _drop_lost(self, now):
         """Refuse the jobs whose pieces, begun now, would be made too late."""
@@ -359,6 +397,6 @@
         actions = []
         for state in lost:
             del self._jobs[state.job.job_id]
-            actions += self._free(state, now)
+            actions += self._free(state)
             actions.append(JobRefused(state.job, REASON_LATE, 1.0))
         return actions
--- /dev/null
+++ b/firworks/tests/pool_world.py
@@ -0,0 +1,432 @@
+"""A virtual world of stage pools: arrivals, targets and the real schedulers.
+
+Time is virtual and seeded. Requests go through their stages by the scheduler of each
+pool; the engine behind them is a fixed delay. It shows what becomes of each request,
+so that orders, batches and refusals can be compared on the same load.
+"""
+
+import heapq
+from itertools import count
+from random import Random
+
+from firworks.kernel.forwarding.configuration import StagePoolSpec, StageSpec
+from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.pools.jobs import PieceJob
+from firworks.kernel.pools.paths import compute_later_s
+from firworks.kernel.pools.stages import (
+    FreeResults,
+    JobDone,
+    JobRefused,
+    StageScheduler,
+)
+from firworks.kernel.pools.workers import StageCall
+
+WIRE_S = 0.002
+ENGINE_S = 0.12
+MEGABYTE = 1_000_000
+
+
+class Kind:
+    """A kind of request.
+
+    Args:
+        name (str): For reports.
+        per_s (float): Arrivals a second.
+        aim_s (float): Time within which an answer is on time.
+        deadline_s (float): Time within which it is of any use.
+        worth (float): Of an answer on time.
+        late_worth (float): Of a late one.
+        priority (int): 0 is the most urgent.
+        stages (tuple of StageSpec): The stages.
+        draw (callable): ``draw(rng)`` returns the pieces of each stage.
+        work (tuple of float): Time of a piece of each stage over the pool's usual.
+    """
+
+    def __init__(
+        self,
+        name,
+        per_s,
+        aim_s,
+        deadline_s,
+        worth,
+        late_worth,
+        priority,
+        stages,
+        draw,
+        work,
+    ):
+        self.name = name
+        self.per_s = per_s
+        self.aim_s = aim_s
+        self.deadline_s = deadline_s
+        self.worth = worth
+        self.late_worth = late_worth
+        self.priority = priority
+        self.stages = stages
+        self.draw = draw
+        self.work = work
+
+
+class Burst:
+    """More arrivals of a kind for a time.
+
+    Args:
+        kind (str or None): None for all kinds.
+        begin_s (float): Since the start.
+        end_s (float): Likewise.
+        factor (float): Arrivals over the usual.
+    """
+
+    def __init__(self, kind, begin_s, end_s, factor):
+        self.kind = kind
+        self.begin_s = begin_s
+        self.end_s = end_s
+        self.factor = factor
+
+
+class FakeTarget:
+    """A target of a stage pool: one call at a time, two that wait.
+
+    Args:
+        target (Target): Its entry.
+        spec (StagePoolSpec): What it can do.
+
+    Attributes:
+        slowness (float): Time of its calls over the usual.
+        broken (bool): Calls get no answer.
+    """
+
+    def __init__(self, target, spec):
+        self.target = target
+        self.spec = spec
+        self.slowness = 1.0
+        self.broken = False
+        self.waiting = []
+        self.current = None
+        self.held_bytes = 0
+
+    @property
+    def full(self):
+        """Whether a further call is turned away."""
+        return self.current is not None and len(self.waiting) >= self.spec.queue
+
+
+class _Request:
+    """Progress of one request."""
+
+    def __init__(self, kind, number, now, counts):
+        self.kind = kind
+        self.number = number
+        self.begun_s = now
+        self.counts = counts
+        self.done = {}
+        self.ended = False
+        self.jobs = []
+
+
+class PoolWorld:
+    """Runs a load through the schedulers.
+
+    Args:
+        pools (dict of str to StagePoolSpec): The pools.
+        target_count (int): Targets of each pool.
+        kinds (iterable of Kind): The load.
+        seed (int): Of all random numbers.
+        make_scheduler (callable): ``make_scheduler(spec)`` builds a scheduler.
+        clump (float): Mean number of requests that arrive together.
+
+    Attributes:
+        outcomes (list of (str, float, str)): Kind, arrival and "in aim", "late",
+            "refused" or "lost".
+        calls (int): Calls sent.
+        wasted_pieces (int): Pieces made for requests that failed.
+    """
+
+    def __init__(
+        self, pools, target_count, kinds, seed, make_scheduler=StageScheduler, clump=1.5
+    ):
+        self.now = 0.0
+        self.outcomes = []
+        self.calls = 0
+        self.pieces = 0
+        self.wasted_pieces = 0
+        self.busy_s = 0.0
+        self.rng = Random(seed)
+        self.kinds = list(kinds)
+        self.specs = pools
+        self.schedulers = {name: make_scheduler(spec) for name, spec in pools.items()}
+        self.targets = {}
+        self._clump = clump
+        self._agenda = []
+        self._order = count()
+        self._jobs = {}
+        self._requests = count()
+        self._timers = {}
+        for name, spec in pools.items():
+            entries = [
+                Target(f"{name}-{i}", name, f"10.0.0.{i + 1}:80", "fd", "", 1, False, 0)
+                for i in range(target_count)
+            ]
+            for entry in entries:
+                self.targets[entry.target_id] = FakeTarget(entry, spec)
+            self._carry_out(name, self.schedulers[name].set_targets(entries, 0.0))
+
+    def at(self, time_s, function, *arguments):
+        """Call a function at a virtual time."""
+        heapq.heappush(self._agenda, (time_s, next(self._order), function, arguments))
+
+    def run(self, length_s, bursts=()):
+        """Play arrivals for some seconds and let the requests end."""
+        for kind in self.kinds:
+            self._plan_arrivals(kind, length_s, bursts)
+        while self._agenda:
+            self.now, _, function, arguments = heapq.heappop(self._agenda)
+            function(*arguments)
+
+    def credit(self, kind=None):
+        """Return the share of the credit owed that was earned."""
+        by_name = {one.name: one for one in self.kinds}
+        earned = owed = 0.0
+        for name, _, outcome in self.outcomes:
+            if kind in (None, name):
+                owed += by_name[name].worth
+                if outcome == "in aim":
+                    earned += by_name[name].worth
+                elif outcome == "late":
+                    earned += by_name[name].late_worth
+        return earned / owed if owed else 0.0
+
+    def count(self, outcome, kind=None):
+        """Return how many requests ended in a way."""
+        return sum(
+            found == outcome and kind in (None, name)
+            for name, _, found in self.outcomes
+        )
+
+    def _plan_arrivals(self, kind, length_s, bursts):
+        time_s = 0.0
+        while True:
+            factor = 1.0
+            for burst in bursts:
+                inside = burst.begin_s <= time_s < burst.end_s
+                if inside and burst.kind in (None, kind.name):
+                    factor *= burst.factor
+            group = max(1, round(self.rng.expovariate(1 / self._clump)))
+            time_s += self.rng.expovariate(kind.per_s * factor / group)
+            if time_s >= length_s:
+                return
+            for _ in range(group):
+                self.at(time_s, self._arrive, kind)
+
+    def _arrive(self, kind):
+        counts = kind.draw(self.rng)
+        request = _Request(kind, next(self._requests), self.now, counts)
+        self.at(self.now + kind.deadline_s, self._end, request, "lost")
+        later = compute_later_s(
+            kind.stages,
+            counts,
+            lambda name, pieces: self.schedulers[name].get_nominal_s(pieces),
+            ENGINE_S,
+        )
+        request.later = later
+        self._advance(request)
+
+    def _advance(self, request):
+        stages = request.kind.stages
+        for number, stage in enumerate(stages):
+            if number in request.done or request.ended:
+                continue
+            if any(request.done.get(before) is None for before in stage.after):
+                continue
+            if not request.counts[number]:
+                request.done[number] = ()
+                self._advance(request)
+                return
+            request.done.setdefault(number, None)
+            self._submit(request, number)
+        if all(request.done.get(i) is not None for i in range(len(stages))):
+            self.at(self.now + ENGINE_S, self._finish, request)
+
+    def _submit(self, request, number):
+        stage = request.kind.stages[number]
+        inputs = [h for before in stage.after for h in request.done[before]]
+        job = PieceJob(
+            f"{request.number}/{number}",
+            str(request.number),
+            number,
+            request.counts[number],
+            "" if inputs else "key",
+            tuple(inputs),
+            stage.result_bytes,
+            request.kind.priority,
+            request.begun_s + request.kind.aim_s,
+            request.begun_s + request.kind.deadline_s,
+            request.later[number],
+            "fd",
+        )
+        self._jobs[job.job_id] = (request, number)
+        request.jobs.append((stage.service, job.job_id))
+        scheduler = self.schedulers[stage.service]
+        self._carry_out(stage.service, scheduler.submit(job, self.now))
+
+    def _finish(self, request):
+        in_aim = self.now - request.begun_s <= request.kind.aim_s
+        self._end(request, "in aim" if in_aim else "late")
+
+    def _end(self, request, outcome):
+        if request.ended:
+            return
+        request.ended = True
+        self.outcomes.append((request.kind.name, request.begun_s, outcome))
+        if outcome in ("lost", "refused"):
+            self.wasted_pieces += sum(len(done or ()) for done in request.done.values())
+        for service, job_id in request.jobs:
+            scheduler = self.schedulers[service]
+            self._carry_out(service, scheduler.cancel(job_id, self.now))
+
+    def _carry_out(self, name, actions):
+        for action in actions:
+            if isinstance(action, StageCall):
+                self.calls += 1
+                self.pieces += len(action.pieces)
+                self.at(self.now + WIRE_S, self._begin_call, name, action)
+                self.at(action.overdue_s, self._give_up, name, action)
+            elif isinstance(action, JobDone):
+                request, number = self._jobs[action.job.job_id]
+                if not request.ended:
+                    request.done[number] = action.handles
+                    self._advance(request)
+            elif isinstance(action, JobRefused):
+                request, _ = self._jobs[action.job.job_id]
+                self._end(request, "refused")
+            elif isinstance(action, FreeResults):
+                fake = self.targets[action.target.target_id]
+                fake.held_bytes -= sum(
+                    int(handle.rpartition("/")[2]) for handle in action.handles
+                )
+                self.at(self.now + WIRE_S, self._note_freed, name, action)
+        due_s = self.schedulers[name].next_due_s(self.now)
+        if due_s is not None and due_s != self._timers.get(name):
+            self._timers[name] = due_s
+            self.at(max(due_s, self.now + 1e-6), self._wake, name, due_s)
+
+    def _note_freed(self, name, freed):
+        scheduler = self.schedulers[name]
+        self._carry_out(name, scheduler.note_freed(freed, self.now))
+
+    def _wake(self, name, due_s):
+        if self._timers.get(name) == due_s:
+            self._timers[name] = None
+            self._carry_out(name, self.schedulers[name].plan(self.now))
+
+    def _begin_call(self, name, call):
+        fake = self.targets[call.target.target_id]
+        if fake.broken:
+            return
+        if fake.full:
+            scheduler = self.schedulers[name]
+            self._carry_out(name, scheduler.take_full(call.call_id, self.now))
+            return
+        fake.waiting.append((name, call))
+        self._start_next(fake)
+
+    def _start_next(self, fake):
+        if fake.current is not None or not fake.waiting:
+            return
+        name, call = fake.current = fake.waiting.pop(0)
+        seconds = fake.spec.call_s
+        for piece in call.pieces:
+            request, number = self._jobs[piece.job.job_id]
+            seconds += fake.spec.piece_s * request.kind.work[number]
+        self.busy_s += seconds
+        self.at(self.now + seconds * fake.slowness, self._end_call, fake, name, call)
+
+    def _end_call(self, fake, name, call):
+        fake.current = None
+        self._start_next(fake)
+        if fake.broken:
+            return
+        results = []
+        for piece in call.pieces:
+            size = piece.job.result_bytes
+            if fake.held_bytes + size > fake.spec.memory_bytes:
+                results.append((None, "room"))
+                continue
+            fake.held_bytes += size
+            handle = f"{fake.target.address}/{piece.job.job_id}/{piece.number}/{size}"
+            results.append((handle, ""))
+        self.at(self.now + WIRE_S, self._answer, name, call, results)
+
+    def _answer(self, name, call, results):
+        scheduler = self.schedulers[name]
+        self._carry_out(name, scheduler.take_answer(call.call_id, results, self.now))
+
+    def _give_up(self, name, call):
+        scheduler = self.schedulers[name]
+        self._carry_out(name, scheduler.take_failure(call.call_id, self.now))
+
+
+def make_zwolle(engine_free=False):
+    """Return (pools, kinds) like Zwolle's sheet of today."""
+    pools = {
+        "herstel": StagePoolSpec(1, 2, 8, 0.2, 0.02125, int(17.6 * MEGABYTE), 4.0),
+        "clubs": StagePoolSpec(1, 2, 22, 0.2, 0.0078, int(2.96 * MEGABYTE), 4.0),
+        "borg": StagePoolSpec(1, 2, 37, 0.2, 0.00464, int(0.496 * MEGABYTE), 4.0),
+    }
+
+    def spread(rng, mean, most):
+        return min(most, max(1, round(rng.lognormvariate(0, 0.5) * mean * 0.88)))
+
+    dossier = StageSpec("herstel", (), 1_500_000)
+    light = StageSpec("herstel", (), 8_000)
+    clubs = StageSpec("clubs", (0,), 60_000)
+    borg = StageSpec("borg", (1,), 6_000)
+    kinds = [
+        Kind(
+            "arbiter",
+            9.88,
+            0.91,
+            6.0,
+            3.2,
+            0.48,
+            1,
+            (dossier,),
+            lambda rng: (spread(rng, 2.5, 10) if rng.random() < 0.7 else 0,),
+            (1.0,),
+        ),
+        Kind(
+            "advice",
+            10.9,
+            1.8,
+            6.0,
+            1.9,
+            0.28,
+            0,
+            (light, clubs, borg),
+            lambda rng: (1, 6, spread(rng, 10, 25)),
+            (0.3, 1.0, 1.0),
+        ),
+        Kind(
+            "chat",
+            4.42,
+            1.7,
+            20.0,
+            0.95,
+            0.14,
+            2,
+            (
+                dossier,
+                light,
+                StageSpec("clubs", (1,), 60_000),
+                StageSpec("borg", (2,), 6_000),
+            ),
+            lambda rng: (
+                spread(rng, 1.5, 6) if rng.random() < 0.4 else 0,
+                1,
+                6,
+                spread(rng, 10, 25),
+            ),
+            (1.0, 0.3, 1.0, 1.0),
+        ),
+    ]
+    return pools, kinds
