Order stage jobs by aim and reckon with waits at later stages

Results filled the room of the clubs targets: calls of 22 pieces carried 14. What follows a stage now counts the wait for a place in a call, results are given up once the stages after them are done, jobs wait for a target near large inputs (each borg piece fetches all clubs results), and one scheduler places requests on engines, near their inputs.

--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -1,9 +1,10 @@
 """The pools that this gateway sends work to, and those that it schedules."""
 
 import asyncio
-from functools import singledispatchmethod
+from functools import singledispatch, singledispatchmethod
 
 from firworks.events import LogEvent, log_event
+from firworks.gateway.engine_pools import EnginePoolRunner
 from firworks.gateway.stage_pools import StagePoolRunner
 from firworks.kernel.pools.clients import (
     Deliver,
@@ -13,7 +14,7 @@
     Reconnect,
     SendTo,
 )
-from firworks.kernel.pools.engines import EngineScheduler
+from firworks.kernel.pools.engines import NotPlaced, Placed
 from firworks.kernel.pools.messages import (
     DropJob,
     JobTaken,
@@ -21,9 +22,18 @@
     PiecesRefused,
     Ping,
     Pong,
+    RequestBegun,
+    RequestEnded,
+    RequestPlaced,
+    RequestRefused,
+    RequestRunning,
     SubmitPieces,
+    SubmitRequest,
 )
-from firworks.kernel.pools.stages import JobDone
+from firworks.kernel.pools.stages import JobDone, JobRefused
+
+# Told to callers when no engine had room before their deadline.
+ENGINE_RETRY_AFTER_S = 1.0
 
 
 class PoolRefusedError(Exception):
@@ -68,31 +78,28 @@
         for name, service in services.items():
             if service.stage_pool is not None:
                 self._configure_stage(name, service)
-            elif service.engine is not None and name not in self._engines:
-                self._engines[name] = EngineScheduler(service.engine)
-        self._client.watch(self._stages)
+            elif service.engine is not None:
+                self._configure_engines(name, service)
+        self._client.watch([*self._stages, *self._engines])
         self.refresh()
 
     def refresh(self):
         """Take in a change of the usable targets."""
-        now = self._clock()
-        for name, runner in self._stages.items():
+        for name, runner in [*self._stages.items(), *self._engines.items()]:
             runner.set_targets(self._directory.get_usable(name))
-        for name, scheduler in self._engines.items():
-            scheduler.set_targets(self._directory.get_usable(name), now)
 
     def tick(self):
         """Ping schedulers and move jobs from those that fell silent."""
         self._carry_out(self._client.tick(self._clock()))
 
-    def get_nominal_s(self, service, pieces):
-        """Return the seconds that an idle target of a stage pool needs."""
+    def get_stage_spec(self, service):
+        """Return the `StagePoolSpec` of a service, or None."""
         runner = self._stages.get(service)
-        return 0.0 if runner is None else runner.scheduler.get_nominal_s(pieces)
+        return None if runner is None else runner.scheduler.spec
 
-    def get_engines(self, service):
-        """Return the `EngineScheduler` of a service, or None."""
-        return self._engines.get(service)
+    def has_engines(self, service):
+        """Return whether a service is a pool of engines."""
+        return service in self._engines
 
     async def make_pieces(self, service, job):
         """Return the handles (tuple of str) of a job's results.
@@ -102,6 +109,27 @@
         """
         if service not in self._stages:
             raise PoolRefusedError(f"no stage pool {service!r}", 1.0)
+        result = await self._run_job(service, job)
+        return result.handles
+
+    async def place_request(self, service, job):
+        """Return the id of the engine that a request is to go to.
+
+        Raises:
+            PoolRefusedError: When no engine has room in time.
+        """
+        result = await self._run_job(service, job)
+        return result.target_id
+
+    def note_begun(self, job_id):
+        """Take in that the first token of a placed request has come."""
+        self._carry_out(self._client.note_begun(job_id))
+
+    def end_request(self, job_id, failed):
+        """Take in that a request has left its engine, or is given up."""
+        self._carry_out(self._client.end_request(job_id, failed))
+
+    async def _run_job(self, service, job):
         future = asyncio.get_running_loop().create_future()
         self._waiting[job.job_id] = future
         try:
@@ -116,7 +144,7 @@
 
     def close(self):
         """Stop all calls."""
-        for runner in self._stages.values():
+        for runner in [*self._stages.values(), *self._engines.values()]:
             runner.close()
 
     def receive(self, peer, record):
@@ -149,10 +177,12 @@
         future = self._waiting.get(result.job_id)
         if future is None or future.done():
             return
-        if isinstance(result, PiecesMade):
-            future.set_result(result.handles)
-        else:
+        if isinstance(result, PiecesRefused):
             future.set_exception(PoolRefusedError(result.reason, result.retry_after_s))
+        elif isinstance(result, RequestRefused):
+            future.set_exception(PoolRefusedError("no room", result.retry_after_s))
+        else:
+            future.set_result(result)
 
     @_do.register
     def _(self, action: MemberSuspected):
@@ -175,13 +205,7 @@
 
     @_take.register
     def _(self, record: SubmitPieces, peer):
-        runner = self._stages.get(record.service)
-        if runner is None:
-            return
-        job_id = record.job.job_id
-        self._owners[job_id] = (peer, runner)
-        self._carry_out([SendTo(peer, JobTaken(job_id))])
-        runner.submit(record.job.shift(self._clock()))
+        self._submit(peer, record.job, self._stages.get(record.service))
 
     @_take.register
     def _(self, record: DropJob, peer):
@@ -189,6 +213,45 @@
         if owner is not None:
             owner[1].cancel(record.job_id)
 
+    @_take.register
+    def _(self, record: SubmitRequest, peer):
+        self._submit(peer, record.job, self._engines.get(record.service))
+
+    @_take.register
+    def _(self, record: RequestRunning, peer):
+        runner = self._engines.get(record.service)
+        if runner is not None:
+            job = record.job.shift(self._clock())
+            self._owners[job.job_id] = (peer, runner)
+            runner.adopt(job, record.target_id, record.begun)
+
+    @_take.register
+    def _(self, record: RequestBegun, peer):
+        owner = self._owners.get(record.job_id)
+        if owner is not None:
+            owner[1].note_begun(record.job_id)
+
+    @_take.register
+    def _(self, record: RequestEnded, peer):
+        owner = self._owners.pop(record.job_id, None)
+        if owner is not None:
+            owner[1].end(record.job_id, record.failed)
+
+    def _submit(self, peer, job, runner):
+        """Take in another gateway's job, or one of this gateway."""
+        if runner is None:
+            return
+        self._owners[job.job_id] = (peer, runner)
+        self._carry_out([SendTo(peer, JobTaken(job.job_id))])
+        runner.submit(job.shift(self._clock()))
+
+    def _configure_engines(self, name, service):
+        runner = self._engines.get(name)
+        if runner is None:
+            self._engines[name] = EnginePoolRunner(service, self._clock, self._deliver)
+        else:
+            runner.scheduler.spec = service.engine
+
     def _configure_stage(self, name, service):
         runner = self._stages.get(name)
         if runner is None:
@@ -204,9 +267,33 @@
         owner = self._owners.get(job_id)
         if owner is None:
             return
-        if isinstance(result, JobDone):
-            record = PiecesMade(job_id, result.handles)
-        else:
+        self._carry_out([SendTo(owner[0], make_reply(result))])
+        if not isinstance(result, JobDone | Placed):
             self._owners.pop(job_id)
-            record = PiecesRefused(job_id, result.reason, result.retry_after_s)
-        self._carry_out([SendTo(owner[0], record)])
+
+
+@singledispatch
+def make_reply(result):
+    """Return the record that tells a gateway of a scheduler's result."""
+    raise TypeError(f"not a result: {result!r}")
+
+
+@make_reply.register
+def _(result: JobDone):
+    return PiecesMade(result.job.job_id, result.handles)
+
+
+@make_reply.register
+def _(result: JobRefused):
+    return PiecesRefused(result.job.job_id, result.reason, result.retry_after_s)
+
+
+@make_reply.register
+def _(result: Placed):
+    target_id = result.target.target_id
+    return RequestPlaced(result.job.job_id, target_id, result.cached_tokens)
+
+
+@make_reply.register
+def _(result: NotPlaced):
+    return RequestRefused(result.job.job_id, ENGINE_RETRY_AFTER_S)
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -23,6 +23,7 @@
 from firworks.kernel.forwarding.retry_budget import RetryBudget
 from firworks.kernel.pools.messages import MemberEntry
 from firworks.kernel.pools.roster import Roster
+from firworks.platform.stages import locate_handle
 from firworks.platform.store import (
     CONFIGURATION_TOPIC,
     MEMBERS_TOPIC,
@@ -106,6 +107,11 @@
         if self.draining.is_set():
             response.force_close()
 
+    def locate_result(self, handle):
+        """Return the failure domain (str) of a stage result, or None."""
+        target = self.directory.find_address(locate_handle(handle))
+        return None if target is None else target.failure_domain
+
     async def start(self):
         """Open the listeners and begin to follow the store.
 
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -1,6 +1,7 @@
 """Carries one request through its stages and attempts to its answer."""
 
 import asyncio
+from itertools import count
 
 from firworks.codes import Code
 from firworks.events import LogEvent, log_event
@@ -16,7 +17,7 @@
     NOT_RUN,
     AttemptError,
 )
-from firworks.kernel.pools.engines import EngineJob
+from firworks.kernel.pools.jobs import EngineJob
 from firworks.platform.headers import (
     REQUEST_ID,
     STAMP,
@@ -29,8 +30,6 @@
 # Connections that idled longer may have been closed by the target meanwhile; work that
 # may not repeat is not risked on them.
 UNREPEATABLE_IDLE_S = 1.0
-# Wait for an engine to get room.
-ENGINE_POLL_S = 0.03
 # A larger answer is passed on while it is read.
 BUFFERED_ANSWER_BYTES = 1_048_576
 INPUT_STATUSES = (400, 409)
@@ -46,6 +45,7 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._clock = gateway.clock
+        self._job_numbers = count(1)
 
     async def serve(self, ticket):
         """Return the answer to a request (aiohttp StreamResponse).
@@ -103,17 +103,16 @@
         ticket.stages = StageRun(
             gateway.pools,
             ticket.admitted,
-            gateway.settings.failure_domain,
+            gateway.locate_result,
             gateway.incarnation,
             ENGINE_LEAST_S,
         )
         ticket.inputs = await ticket.stages.run()
 
     async def _attempt(self, ticket):
-        engines = self._gateway.pools.get_engines(ticket.service)
-        if engines is None:
-            return await self._attempt_service(ticket)
-        return await self._attempt_engine(ticket, engines)
+        if self._gateway.pools.has_engines(ticket.service):
+            return await self._attempt_engine(ticket)
+        return await self._attempt_service(ticket)
 
     async def _attempt_service(self, ticket):
         balancer = self._gateway.balancer
@@ -133,40 +132,47 @@
             now = self._clock()
             balancer.end(target, failed, now - begun_s, now)
 
-    async def _attempt_engine(self, ticket, engines):
+    async def _attempt_engine(self, ticket):
+        pools = self._gateway.pools
         job = self._make_engine_job(ticket)
-        placed = engines.place(job, self._clock())
-        while placed is None:
-            await asyncio.sleep(ENGINE_POLL_S)
-            placed = engines.place(job, self._clock())
-        ticket.excluded.add(placed.target.run)
         failed = False
 
         def note_begun():
-            engines.note_begun(job.job_id)
+            pools.note_begun(job.job_id)
             if ticket.stages is not None:
                 ticket.stages.free()
 
         try:
-            return await self._send(ticket, placed.target, note_begun)
-        except AttemptError:
-            failed = True
+            target_id = await pools.place_request(ticket.service, job)
+            target = self._gateway.directory.find(target_id)
+            if target is None:
+                ticket.excluded.add((target_id, 0))
+                raise AttemptError(NOT_RUN, False, f"{target_id} is not usable")
+            ticket.excluded.add(target.run)
+            return await self._send(ticket, target, note_begun)
+        except AttemptError as error:
+            failed = error.sent or error.kind != NOT_RUN
             raise
         finally:
-            engines.end(job.job_id, failed, self._clock())
+            pools.end_request(job.job_id, failed)
 
     def _make_engine_job(self, ticket):
         prompt = ticket.admitted.request.prompt
         parts = () if prompt is None else prompt.parts
+        domains, sizes = (), ()
+        if ticket.stages is not None:
+            domains, sizes = ticket.stages.weigh_inputs(ticket.inputs)
         return EngineJob(
-            f"{self._gateway.incarnation}/{ticket.request_id}/{ticket.progress.sends}",
+            f"{self._gateway.incarnation}/{next(self._job_numbers)}",
             tuple(part for part, _ in parts),
             tuple(tokens for _, tokens in parts),
             0 if prompt is None else prompt.tokens_in,
             0 if prompt is None else prompt.tokens_out,
             ticket.admitted.priority,
+            ticket.admitted.deadline_s,
             tuple(target_id for target_id, _ in ticket.excluded),
-            self._gateway.settings.failure_domain,
+            domains,
+            sizes,
         )
 
     async def _send(self, ticket, target, note_begun):
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -140,9 +140,24 @@
             if results is None:
                 actions = self.scheduler.take_full(call.call_id, now)
             else:
+                self._log_answer(call, results, now)
                 actions = self.scheduler.take_answer(call.call_id, results, now)
         self._carry_out(actions)
 
+    def _log_answer(self, call, results, now):
+        reasons = [reason for handle, reason in results if handle is None]
+        log_event(
+            LogEvent.STAGE_CALL_ANSWERED,
+            service=self.service.name,
+            target=call.target.target_id,
+            jobs=sorted({piece.job.request_id for piece in call.pieces}),
+            pieces=len(call.pieces),
+            failed=reasons,
+            took_s=round(now - call.started_s, 3),
+            predicted_s=round(call.due_s - call.started_s, 3),
+            queued=self.scheduler.queued_pieces,
+        )
+
     async def _exchange(self, call):
         """Return the results of a call, or None when the target did not run it."""
         target = call.target
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -15,24 +15,30 @@
     Args:
         pools (Pools): Make the pieces.
         admitted (Admitted): The request.
-        failure_domain (str): This daemon's.
+        locate (callable): ``locate(handle)`` returns the failure domain (str) of a
+            result, or None.
         owner (str): Unique name of this run of the daemon.
         last_s (float): Time that the target of the request itself needs.
     """
 
-    def __init__(self, pools, admitted, failure_domain, owner, last_s):
+    def __init__(self, pools, admitted, locate, owner, last_s):
         self._pools = pools
         self._admitted = admitted
-        self._failure_domain = failure_domain
+        self._locate = locate
         self._owner = owner
         self._later_s = compute_later_s(
             admitted.route.stages,
             admitted.request.piece_counts,
-            pools.get_nominal_s,
+            pools.get_stage_spec,
             last_s,
         )
         self._tasks = {}
-        self._jobs = []
+        self._jobs = {}
+        self._unread = {
+            number: sum(number in stage.after for stage in admitted.route.stages)
+            for number in range(len(admitted.route.stages))
+        }
+        self._sizes = {}
 
     async def run(self):
         """Return the handles (tuple of str) that the request's target needs.
@@ -57,12 +63,38 @@
         ]
         return tuple(handle for handles in wanted for handle in handles)
 
+    def weigh_inputs(self, handles, fetches=1):
+        """Return where results are.
+
+        Args:
+            handles (iterable of str): The results.
+            fetches (int): How often each of them is fetched.
+
+        Returns:
+            tuple: The failure domains (tuple of str) that hold some, and the size of
+            those in each of them in bytes (tuple of int).
+        """
+        sizes = {}
+        for handle in handles:
+            domain = self._locate(handle)
+            if domain is not None:
+                size = self._sizes.get(handle, 0) * fetches
+                sizes[domain] = sizes.get(domain, 0) + size
+        return tuple(sizes), tuple(sizes.values())
+
     def free(self):
         """Give up all results."""
-        for job_id in self._jobs:
+        for job_id in self._jobs.values():
             self._pools.free(job_id)
         self._jobs.clear()
 
+    def _free_read(self, number):
+        """Give up the results that no other stage has still to read."""
+        for before in self._admitted.route.stages[number].after:
+            self._unread[before] -= 1
+            if not self._unread[before] and before in self._jobs:
+                self._pools.free(self._jobs.pop(before))
+
     async def _make(self, number):
         counts = self._admitted.request.piece_counts
         pieces = counts[number] if number < len(counts) else 0
@@ -71,6 +103,7 @@
         for before in stage.after:
             inputs += await asyncio.shield(self._tasks[before])
         if pieces <= 0:
+            self._free_read(number)
             return ()
         request = self._admitted.request
         job = PieceJob(
@@ -85,7 +118,11 @@
             self._admitted.aim_s,
             self._admitted.deadline_s,
             self._later_s[number],
-            self._failure_domain,
+            # Each piece fetches all inputs.
+            *self.weigh_inputs(inputs, pieces),
         )
-        self._jobs.append(job.job_id)
-        return await self._pools.make_pieces(stage.service, job)
+        self._jobs[number] = job.job_id
+        handles = await self._pools.make_pieces(stage.service, job)
+        self._sizes.update(dict.fromkeys(handles, stage.result_bytes))
+        self._free_read(number)
+        return handles
--- a/firworks/kernel/forwarding/directory.py
+++ b/firworks/kernel/forwarding/directory.py
@@ -59,12 +59,17 @@
         self._trouble_s = None
         self._returned_s = None
         self._by_service = {}
+        self._by_address = {}
 
     def find(self, target_id):
         """Return the usable `Target` of that name, or None."""
         target = self._targets.get(target_id)
         return None if target is None or target.leaving else target
 
+    def find_address(self, address):
+        """Return the known `Target` at an "ip:port", or None."""
+        return self._by_address.get(address)
+
     def get_usable(self, service):
         """Return the usable targets of a service as a tuple."""
         return self._by_service.get(service, ())
@@ -149,4 +154,5 @@
             name: tuple(sorted(found, key=lambda target: target.target_id))
             for name, found in by_service.items()
         }
+        self._by_address = {target.address: target for target in self._targets.values()}
         self.changes += 1
--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -5,9 +5,10 @@
 goes to the next in rank at once; pieces may be made twice, so this costs time only.
 """
 
-from functools import singledispatchmethod
+from functools import singledispatch, singledispatchmethod
 
 from firworks.kernel.messages import Struct
+from firworks.kernel.pools.jobs import EngineJob, PieceJob
 from firworks.kernel.pools.messages import (
     DropJob,
     JobTaken,
@@ -15,7 +16,13 @@
     PiecesRefused,
     Ping,
     Pong,
+    RequestBegun,
+    RequestEnded,
+    RequestPlaced,
+    RequestRefused,
+    RequestRunning,
     SubmitPieces,
+    SubmitRequest,
 )
 
 # A round trip between daemons takes a few milliseconds, a busy one's some tens.
@@ -86,6 +93,19 @@
         self.taken = False
 
 
+class _Running:
+    """A request that is at an engine."""
+
+    __slots__ = ("service", "job", "peer", "target_id", "begun")
+
+    def __init__(self, service, job, peer, target_id):
+        self.service = service
+        self.job = job
+        self.peer = peer
+        self.target_id = target_id
+        self.begun = False
+
+
 class _Contact:
     """When a peer was heard and pinged."""
 
@@ -110,6 +130,7 @@
         self._roster = roster
         self._pending = {}
         self._finished = {}
+        self._running = {}
         self._contacts = {}
         self._watched = {}
         self._ping_number = 0
@@ -122,7 +143,7 @@
         """Hand over a job; its times are monotonic seconds of this daemon."""
         peer = self._roster.choose(service)
         self._pending[job.job_id] = _Pending(service, job, peer, now)
-        return [SendTo(peer, SubmitPieces(service, job.shift(-now)))]
+        return [SendTo(peer, make_submission(job.shift(-now), service))]
 
     def drop(self, job_id):
         """Give up a job, or its results."""
@@ -130,6 +151,26 @@
         peer = pending.peer if pending is not None else self._finished.pop(job_id, None)
         return [] if peer is None else [SendTo(peer, DropJob(job_id))]
 
+    def note_begun(self, job_id):
+        """Take in that the first token of a placed request has come."""
+        running = self._running.get(job_id)
+        if running is None or running.begun:
+            return []
+        running.begun = True
+        return [SendTo(running.peer, RequestBegun(job_id))]
+
+    def end_request(self, job_id, failed):
+        """Take in that a request has left its engine, or is given up.
+
+        Args:
+            job_id (str): The job.
+            failed (bool): The engine broke it off or could not be reached.
+        """
+        found = self._pending.pop(job_id, None) or self._running.pop(job_id, None)
+        return (
+            [] if found is None else [SendTo(found.peer, RequestEnded(job_id, failed))]
+        )
+
     def hear(self, peer, now):
         """Take in that something came from a peer."""
         contact = self._contacts.setdefault(peer, _Contact(now))
@@ -168,7 +209,25 @@
         return actions
 
     @take.register
-    def _(self, record: PiecesRefused, peer, now):
+    def _(self, record: RequestPlaced, peer, now):
+        pending = self._pending.pop(record.job_id, None)
+        if pending is None:
+            running = self._running.get(record.job_id)
+            if running is not None and running.peer == peer:
+                return []
+            return [SendTo(peer, RequestEnded(record.job_id, False))]
+        self._running[record.job_id] = _Running(
+            pending.service, pending.job, peer, record.target_id
+        )
+        actions = [Deliver(record)]
+        if pending.peer != peer:
+            ended = RequestEnded(record.job_id, False)
+            actions.append(SendTo(pending.peer, ended))
+        return actions
+
+    @take.register(PiecesRefused)
+    @take.register(RequestRefused)
+    def _(self, record, peer, now):
         pending = self._pending.get(record.job_id)
         if pending is None or pending.peer != peer:
             return []
@@ -180,7 +239,7 @@
         actions = []
         for peer in self._list_silent(now):
             actions += self._abandon(peer, now)
-        return actions + self._ping_due(now)
+        return actions + self._move_running(now) + self._ping_due(now)
 
     def _list_silent(self, now):
         silent = set()
@@ -208,6 +267,25 @@
             actions += self.submit(pending.service, pending.job, now)
         return actions
 
+    def _move_running(self, now):
+        """Tell the schedulers of today which requests are at engines."""
+        actions = []
+        for job_id, running in self._running.items():
+            peer = self._roster.choose(running.service)
+            if peer == running.peer:
+                continue
+            if not self._roster.is_suspected(running.peer):
+                actions.append(SendTo(running.peer, RequestEnded(job_id, False)))
+            running.peer = peer
+            record = RequestRunning(
+                running.service,
+                running.job.shift(-now),
+                running.target_id,
+                running.begun,
+            )
+            actions.append(SendTo(peer, record))
+        return actions
+
     def _ping_due(self, now):
         actions = []
         for peer, every_s in self._list_watched(now).items():
@@ -236,3 +314,19 @@
             if pending.peer != self._roster.own.name:
                 watched[pending.peer] = QUIET_LIMIT_S
         return watched
+
+
+@singledispatch
+def make_submission(job, service):
+    """Return the record that hands a job, with times that count from now, over."""
+    raise TypeError(f"not a job: {job!r}")
+
+
+@make_submission.register
+def _(job: PieceJob, service):
+    return SubmitPieces(service, job)
+
+
+@make_submission.register
+def _(job: EngineJob, service):
+    return SubmitRequest(service, job)
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -4,61 +4,48 @@
 prompts delay the tokens of all requests beside them, and what engines report is
 already old when it arrives. The scheduler therefore reckons with what it has placed
 itself: prompt tokens that are still to be read, requests running, memory, and which
-parts each engine has read.
+parts each engine has read. Stage results are large, so an engine near them is better.
 """
 
 from collections import OrderedDict
 
-from firworks.kernel.codec import register_record
-from firworks.kernel.messages import Record, Struct
+from firworks.kernel.messages import Struct
+from firworks.kernel.pools.jobs import sum_remote_bytes
 
 # One running request slows an engine's steps like this many prompt tokens to read.
 TOKENS_PER_RUNNING = 150
+# Fetching a result from another failure domain weighs like reading this many tokens.
+TOKENS_PER_REMOTE_MB = 400
 # Share of an engine's memory that placements may fill.
 MEMORY_SHARE = 0.92
 # An engine that failed gets nothing for this time, doubled by each further failure.
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 8.0
+# After its deadline a request is forgotten, if its daemon does not tell of its end.
+EXPIRY_S = 1.0
+MEGABYTE = 1_000_000
 
 
-@register_record
-class EngineJob(Record):
-    """A request that needs an engine.
+class Placed(Struct):
+    """The engine that a request is to go to.
 
     Attributes:
-        job_id (str): Unique to the daemon and the attempt.
-        part_ids (tuple of str): Hashes of the prompt's parts, in order.
-        part_tokens (tuple of int): Their tokens.
-        tokens_in (int): Prompt tokens.
-        tokens_out (int): Most tokens to generate.
-        priority (int): 0 is the most urgent.
-        excluded (tuple of str): Targets that have failed this request.
-        failure_domain (str): Where the caller's daemon runs.
+        job (EngineJob): The request.
+        target (Target): The engine.
+        cached_tokens (int): Prompt tokens that it is believed to have read.
     """
 
-    __slots__ = (
-        "job_id",
-        "part_ids",
-        "part_tokens",
-        "tokens_in",
-        "tokens_out",
-        "priority",
-        "excluded",
-        "failure_domain",
-    )
-    TYPES = (str, (str,), (int,), int, int, int, (str,), str)
+    __slots__ = ("job", "target", "cached_tokens")
 
 
-class Placed(Struct):
-    """The engine that a request is to go to.
+class NotPlaced(Struct):
+    """A request whose deadline passed before an engine had room.
 
     Attributes:
         job (EngineJob): The request.
-        target (Target): The engine.
-        cached_tokens (int): Prompt tokens that it is believed to have read.
     """
 
-    __slots__ = ("job", "target", "cached_tokens")
+    __slots__ = ("job",)
 
 
 class _Engine:
@@ -82,6 +69,17 @@
     def used_tokens(self):
         return sum(job.tokens_in + job.tokens_out for job in self.jobs.values())
 
+    def add(self, job, unread, capacity):
+        """Take in a request and the parts of its prompt."""
+        self.jobs[job.job_id] = job
+        self.unread[job.job_id] = unread
+        for part_id, tokens in zip(job.part_ids, job.part_tokens, strict=True):
+            self.parts[part_id] = tokens
+            self.parts.move_to_end(part_id)
+        kept = sum(self.parts.values())
+        while kept > capacity and self.parts:
+            kept -= self.parts.popitem(last=False)[1]
+
     def count_cached(self, job):
         """Return how many tokens of the prompt's first parts have been read."""
         cached = 0
@@ -91,18 +89,12 @@
             cached += tokens
         return min(cached, job.tokens_in)
 
-    def remember_parts(self, job, capacity):
-        for part_id, tokens in zip(job.part_ids, job.part_tokens, strict=True):
-            self.parts[part_id] = tokens
-            self.parts.move_to_end(part_id)
-        kept = sum(self.parts.values())
-        while kept > capacity and self.parts:
-            kept -= self.parts.popitem(last=False)[1]
-
 
 class EngineScheduler:
     """Chooses an engine for each request of one pool.
 
+    Methods that may place requests return a list of `Placed` and `NotPlaced`.
+
     Args:
         spec (EngineSpec): What each engine can do.
     """
@@ -112,6 +104,7 @@
         self._engines = {}
         self._usable = ()
         self._by_job = {}
+        self._waiting = {}
 
     def set_targets(self, targets, now):
         """Take in the usable targets of the pool."""
@@ -123,30 +116,26 @@
             engine = self._engines.setdefault(run, _Engine(target))
             engine.target = target
         self._usable = tuple(known)
+        return self.plan(now)
 
-    def place(self, job, now):
-        """Return the `Placed` engine of a request, or None when none has room.
+    def submit(self, job, now):
+        """Take in a request (EngineJob)."""
+        self._waiting[job.job_id] = job
+        return self.plan(now)
+
+    def adopt(self, job, target_id, begun):
+        """Take in a request that another scheduler has placed.
 
         Args:
             job (EngineJob): The request.
-            now (float): Monotonic seconds.
+            target_id (str): Its engine.
+            begun (bool): Its first token has come.
         """
-        best, best_cost = None, None
-        for run in self._usable:
-            engine = self._engines[run]
-            if not self._fits(engine, job, now):
-                continue
-            cost = self._cost(engine, job)
-            if best is None or cost < best_cost:
-                best, best_cost = engine, cost
-        if best is None:
-            return None
-        cached = best.count_cached(job)
-        best.jobs[job.job_id] = job
-        best.unread[job.job_id] = job.tokens_in - cached
-        best.remember_parts(job, self.spec.memory_tokens)
-        self._by_job[job.job_id] = best
-        return Placed(job, best.target, cached)
+        for engine in self._engines.values():
+            if engine.target.target_id == target_id and job.job_id not in self._by_job:
+                unread = 0 if begun else job.tokens_in - engine.count_cached(job)
+                engine.add(job, unread, self.spec.memory_tokens)
+                self._by_job[job.job_id] = engine
 
     def note_begun(self, job_id):
         """Take in that a request's first token has come."""
@@ -156,16 +145,17 @@
             engine.failures = 0
 
     def end(self, job_id, failed, now):
-        """Take in that a request has left its engine.
+        """Take in that a request has left its engine, or is given up.
 
         Args:
             job_id (str): The job.
             failed (bool): The engine broke it off or could not be reached.
             now (float): Monotonic seconds.
         """
+        self._waiting.pop(job_id, None)
         engine = self._by_job.pop(job_id, None)
         if engine is None:
-            return
+            return []
         engine.jobs.pop(job_id, None)
         engine.unread.pop(job_id, None)
         if failed:
@@ -173,6 +163,63 @@
             engine.failures += 1
             engine.paused_until_s = now + pause_s
             engine.parts.clear()
+        return self.plan(now)
+
+    def plan(self, now):
+        """Place the requests that wait, the most urgent first."""
+        self._drop_expired(now)
+        actions = []
+        order = sorted(
+            self._waiting.values(), key=lambda job: (job.priority, job.deadline_s)
+        )
+        for job in order:
+            if job.deadline_s <= now:
+                del self._waiting[job.job_id]
+                actions.append(NotPlaced(job))
+            elif (engine := self._choose(job, now)) is not None:
+                del self._waiting[job.job_id]
+                actions.append(self._place(job, engine))
+        return actions
+
+    def next_due_s(self, now):
+        """Return when `plan` should be called again, or None."""
+        if not self._waiting:
+            return None
+        times = [job.deadline_s for job in self._waiting.values()]
+        times += [
+            engine.paused_until_s
+            for engine in self._engines.values()
+            if engine.paused_until_s > now
+        ]
+        return min(times)
+
+    def _drop_expired(self, now):
+        """Forget requests whose daemons have not told of their end."""
+        expired = [
+            (job_id, engine)
+            for job_id, engine in self._by_job.items()
+            if engine.jobs[job_id].deadline_s + EXPIRY_S <= now
+        ]
+        for job_id, engine in expired:
+            del self._by_job[job_id]
+            del engine.jobs[job_id]
+            engine.unread.pop(job_id, None)
+
+    def _choose(self, job, now):
+        fitting = [
+            self._engines[run]
+            for run in self._usable
+            if self._fits(self._engines[run], job, now)
+        ]
+        if not fitting:
+            return None
+        return min(fitting, key=lambda engine: self._cost(engine, job))
+
+    def _place(self, job, engine):
+        cached = engine.count_cached(job)
+        engine.add(job, job.tokens_in - cached, self.spec.memory_tokens)
+        self._by_job[job.job_id] = engine
+        return Placed(job, engine.target, cached)
 
     def _fits(self, engine, job, now):
         if engine.target.target_id in job.excluded or engine.paused_until_s > now:
@@ -186,4 +233,6 @@
         """Return the work before the first token, in prompt tokens."""
         unread = job.tokens_in - engine.count_cached(job)
         running = TOKENS_PER_RUNNING * len(engine.jobs)
-        return engine.unread_tokens + unread + running
+        remote = sum_remote_bytes(job, engine.target.failure_domain)
+        fetching = TOKENS_PER_REMOTE_MB * remote / MEGABYTE
+        return engine.unread_tokens + unread + running + fetching
--- a/firworks/kernel/pools/jobs.py
+++ b/firworks/kernel/pools/jobs.py
@@ -21,7 +21,8 @@
             seconds of the scheduler, relative to now on the wire.
         deadline_s (float): When the request ends; likewise.
         later_s (float): Time that the stages after this one and the target need.
-        failure_domain (str): Where the caller's daemon runs.
+        input_domains (tuple of str): Failure domains that hold its inputs.
+        input_bytes (tuple of int): Size of the inputs in each of them.
     """
 
     __slots__ = (
@@ -36,7 +37,8 @@
         "aim_s",
         "deadline_s",
         "later_s",
-        "failure_domain",
+        "input_domains",
+        "input_bytes",
     )
     TYPES = (
         str,
@@ -50,7 +52,8 @@
         float,
         float,
         float,
-        str,
+        (str,),
+        (int,),
     )
 
     def shift(self, seconds):
@@ -60,6 +63,60 @@
         )
 
 
+@register_record
+class EngineJob(Record):
+    """A request that needs an engine.
+
+    Attributes:
+        job_id (str): Unique to the daemon and the attempt.
+        part_ids (tuple of str): Hashes of the prompt's parts, in order.
+        part_tokens (tuple of int): Their tokens.
+        tokens_in (int): Prompt tokens.
+        tokens_out (int): Most tokens to generate.
+        priority (int): 0 is the most urgent.
+        deadline_s (float): When the request ends; monotonic seconds of the scheduler,
+            relative to now on the wire.
+        excluded (tuple of str): Targets that have failed this request.
+        input_domains (tuple of str): Failure domains that hold its stage results.
+        input_bytes (tuple of int): Size of the results in each of them.
+    """
+
+    __slots__ = (
+        "job_id",
+        "part_ids",
+        "part_tokens",
+        "tokens_in",
+        "tokens_out",
+        "priority",
+        "deadline_s",
+        "excluded",
+        "input_domains",
+        "input_bytes",
+    )
+    TYPES = (
+        str,
+        (str,),
+        (int,),
+        int,
+        int,
+        int,
+        float,
+        (str,),
+        (str,),
+        (int,),
+    )
+
+    def shift(self, seconds):
+        """Return a copy whose deadline is later by some seconds."""
+        return self.replace(deadline_s=self.deadline_s + seconds)
+
+
+def sum_remote_bytes(job, failure_domain):
+    """Return how many bytes of a job's inputs lie in other failure domains."""
+    sizes = zip(job.input_domains, job.input_bytes, strict=True)
+    return sum(size for domain, size in sizes if domain != failure_domain)
+
+
 class Piece:
     """One piece of a job.
 
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -2,7 +2,7 @@
 
 from firworks.kernel.codec import register_record
 from firworks.kernel.messages import Record
-from firworks.kernel.pools.jobs import PieceJob
+from firworks.kernel.pools.jobs import EngineJob, PieceJob
 
 
 @register_record
@@ -97,3 +97,79 @@
 
     __slots__ = ("job_id", "reason", "retry_after_s")
     TYPES = (str, str, float)
+
+
+@register_record
+class SubmitRequest(Record):
+    """Asks a pool's scheduler for an engine; the job's deadline counts from now.
+
+    Attributes:
+        service (str): The pool.
+        job (EngineJob): The request.
+    """
+
+    __slots__ = ("service", "job")
+    TYPES = (str, EngineJob)
+
+
+@register_record
+class RequestPlaced(Record):
+    """The engine for a request.
+
+    Attributes:
+        job_id (str): The job.
+        target_id (str): The engine.
+        cached_tokens (int): Prompt tokens that it is believed to have read.
+    """
+
+    __slots__ = ("job_id", "target_id", "cached_tokens")
+    TYPES = (str, str, int)
+
+
+@register_record
+class RequestRefused(Record):
+    """No engine had room for a request in time.
+
+    Attributes:
+        job_id (str): The job.
+        retry_after_s (float): When there will be room again.
+    """
+
+    __slots__ = ("job_id", "retry_after_s")
+    TYPES = (str, float)
+
+
+@register_record
+class RequestBegun(Record):
+    """The first token of a request (str) has come."""
+
+    __slots__ = ("job_id",)
+    TYPES = (str,)
+
+
+@register_record
+class RequestEnded(Record):
+    """A request has left its engine.
+
+    Attributes:
+        job_id (str): The job.
+        failed (bool): The engine broke it off or could not be reached.
+    """
+
+    __slots__ = ("job_id", "failed")
+    TYPES = (str, bool)
+
+
+@register_record
+class RequestRunning(Record):
+    """A request that another scheduler has placed, for one that takes over.
+
+    Attributes:
+        service (str): The pool.
+        job (EngineJob): The request; its deadline counts from now.
+        target_id (str): Its engine.
+        begun (bool): Its first token has come.
+    """
+
+    __slots__ = ("service", "job", "target_id", "begun")
+    TYPES = (str, EngineJob, str, bool)
--- a/firworks/kernel/pools/ordering.py
+++ b/firworks/kernel/pools/ordering.py
@@ -1,14 +1,14 @@
 """The order in which the jobs of a stage pool are taken.
 
 Load pattern: bursts of one kind of request for some seconds, above what the pool can
-make. What can still be answered on time goes first, by the latest moment at which it
-must begin; urgent kinds are put forward by a fixed time a level, which keeps a burst
-of them from holding up all others. What is already late follows and uses what room is
-left: it is served, but never in place of a request that can be on time.
+make. What can still be answered on time goes first, by the moment at which its answer
+is due; urgent kinds are put forward by a little, as a large step would let a burst of
+them hold up all others. What is already late follows and uses what room is left: it is
+served, but never in place of a request that can be on time.
 """
 
 # Each level of priority puts a job back by this time.
-PRIORITY_STEP_S = 0.15
+PRIORITY_STEP_S = 0.03
 
 
 def rank_job(job, nominal_s, now):
@@ -19,8 +19,7 @@
         nominal_s (float): Time of a call that makes it.
         now (float): Monotonic seconds.
     """
-    begin_by_s = job.aim_s - job.later_s - nominal_s
-    if begin_by_s < now:
+    if job.aim_s - job.later_s - nominal_s < now:
         # The newest first: under load the oldest are the nearest to being given up.
-        return (True, job.priority, -job.aim_s, job.job_id)
-    return (False, 0, begin_by_s + PRIORITY_STEP_S * job.priority, job.job_id)
+        return (True, -job.aim_s, job.job_id)
+    return (False, job.aim_s + PRIORITY_STEP_S * job.priority, job.job_id)
--- a/firworks/kernel/pools/paths.py
+++ b/firworks/kernel/pools/paths.py
@@ -1,20 +1,35 @@
-"""How long the rest of a request's stages takes at least."""
+"""How long the rest of a request's stages takes.
 
+Load pattern: under a burst, jobs taken in the order of their deadlines all reach the
+next stage with no time left to wait there, and all are late. What is reckoned for a
+later stage therefore includes a wait for a place in a call.
+"""
 
-def compute_later_s(stages, counts, nominal_s, last_s):
-    """Return, for each stage, the least time that what follows it needs.
+# Wait for a place in a call of a later stage, in units of the call's fixed time: the
+# rest of the calls in progress and one full call.
+EXPECTED_WAIT_CALLS = 2.0
+
+
+def compute_later_s(stages, counts, get_spec, last_s):
+    """Return, for each stage, the time that what follows it is expected to need.
 
     Args:
         stages (tuple of StageSpec): Stages of a route; each comes after those it needs.
         counts (tuple of int): Pieces of each stage.
-        nominal_s (callable): ``nominal_s(service, pieces)`` returns the seconds that
-            an idle pool needs.
+        get_spec (callable): ``get_spec(service)`` returns the `StagePoolSpec` of a
+            pool, or None.
         last_s (float): Time that the target of the request itself needs.
     """
     later = [last_s] * len(stages)
     for number in range(len(stages) - 1, -1, -1):
         pieces = counts[number] if number < len(counts) else 0
-        own_s = nominal_s(stages[number].service, pieces) if pieces > 0 else 0.0
+        own_s = _expect_s(get_spec(stages[number].service), pieces)
         for before in stages[number].after:
             later[before] = max(later[before], own_s + later[number])
     return later
+
+
+def _expect_s(spec, pieces):
+    if spec is None or pieces <= 0:
+        return 0.0
+    return spec.call_s * (1.0 + EXPECTED_WAIT_CALLS) + pieces * spec.piece_s
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -8,7 +8,7 @@
 """
 
 from firworks.kernel.messages import Struct
-from firworks.kernel.pools.jobs import Piece
+from firworks.kernel.pools.jobs import Piece, sum_remote_bytes
 from firworks.kernel.pools.ordering import rank_job
 from firworks.kernel.pools.workers import (
     OVERDUE_FACTOR,
@@ -23,6 +23,10 @@
 # divided by the number of targets, after one another: begun together they would end
 # together, and all that arrives meanwhile would wait for them.
 SPACING = 1.3
+# Fetching less than this from another failure domain is not worth a wait.
+REMOTE_LIMIT_BYTES = 400_000
+# Kept free before the limit of a job that waits for a nearer target.
+NEARER_MARGIN_S = 0.02
 # Tries of one piece, the first included.
 MAX_TRIES = 3
 REASON_LATE = "late"
@@ -155,7 +159,11 @@
         worker, call = self._end_call(call_id)
         if call is None:
             return []
-        worker.note_answer(call, self.get_nominal_s(len(call.pieces)), now)
+        made = sum(handle is not None for handle, _ in results)
+        if made:
+            worker.note_answer(call, self.get_nominal_s(made), now)
+        elif any(reason == REASON_ROOM for _, reason in results):
+            worker.note_full(now + FULL_PAUSE_S)
         actions = []
         for piece, (handle, reason) in zip(call.pieces, results, strict=True):
             actions += self._take_piece(worker, piece, handle, reason, now)
@@ -287,6 +295,8 @@
             size = max(1, state.job.result_bytes)
             space = min(self.spec.batch - len(pieces), room // size)
             wanted = len(state.waiting)
+            if self._awaits_nearer(state.job, worker, now):
+                continue
             if wanted > space and not (wanted > self.spec.batch and not pieces):
                 continue
             taken = state.waiting[: max(0, space)]
@@ -296,6 +306,23 @@
                 break
         return pieces
 
+    def _awaits_nearer(self, job, worker, now):
+        """Return whether a job is better left to a target near its inputs."""
+        domain = worker.target.failure_domain
+        if sum_remote_bytes(job, domain) < REMOTE_LIMIT_BYTES:
+            return False
+        _, nearest = max(zip(job.input_bytes, job.input_domains, strict=True))
+        if nearest == domain:
+            return False
+        nominal_s = self.get_nominal_s(job.count)
+        late = job.aim_s - job.later_s - nominal_s < now
+        limit_s = (job.deadline_s if late else job.aim_s) - job.later_s
+        return any(
+            other.predict(nominal_s, now) + NEARER_MARGIN_S <= limit_s
+            for other in self._list_usable(now)
+            if other.target.failure_domain == nearest
+        )
+
     def _make_call(self, worker, pieces, now):
         for piece in pieces:
             self._jobs[piece.job.job_id].waiting.remove(piece)
--- a/firworks/tests/pool_world.py
+++ b/firworks/tests/pool_world.py
@@ -11,7 +11,7 @@
 
 from firworks.kernel.forwarding.configuration import StagePoolSpec, StageSpec
 from firworks.kernel.forwarding.directory import Target
-from firworks.kernel.pools.jobs import PieceJob
+from firworks.kernel.pools.jobs import PieceJob, sum_remote_bytes
 from firworks.kernel.pools.paths import compute_later_s
 from firworks.kernel.pools.stages import (
     FreeResults,
@@ -140,6 +140,7 @@
             "refused" or "lost".
         calls (int): Calls sent.
         wasted_pieces (int): Pieces made for requests that failed.
+        remote_bytes (float): Results fetched from other failure domains.
     """
 
     def __init__(
@@ -151,6 +152,7 @@
         self.pieces = 0
         self.wasted_pieces = 0
         self.busy_s = 0.0
+        self.remote_bytes = 0.0
         self.rng = Random(seed)
         self.kinds = list(kinds)
         self.specs = pools
@@ -164,7 +166,7 @@
         self._timers = {}
         for name, spec in pools.items():
             entries = [
-                Target(f"{name}-{i}", name, f"10.0.0.{i + 1}:80", "fd", "", 1, False, 0)
+                Target(f"{name}-{i}", name, f"{name}-{i}", f"fd-{i}", "", 1, False, 0)
                 for i in range(target_count)
             ]
             for entry in entries:
@@ -225,7 +227,7 @@
         later = compute_later_s(
             kind.stages,
             counts,
-            lambda name, pieces: self.schedulers[name].get_nominal_s(pieces),
+            lambda name: self.schedulers[name].spec,
             ENGINE_S,
         )
         request.later = later
@@ -262,13 +264,32 @@
             request.begun_s + request.kind.aim_s,
             request.begun_s + request.kind.deadline_s,
             request.later[number],
-            "fd",
+            *self._weigh(inputs, request.counts[number]),
         )
         self._jobs[job.job_id] = (request, number)
         request.jobs.append((stage.service, job.job_id))
         scheduler = self.schedulers[stage.service]
         self._carry_out(stage.service, scheduler.submit(job, self.now))
 
+    def _free_read(self, request, number):
+        """Give up the results that no other stage has still to read."""
+        stages = request.kind.stages
+        for before in stages[number].after:
+            followers = [i for i, stage in enumerate(stages) if before in stage.after]
+            if all(request.done.get(i) is not None for i in followers):
+                service, job_id = stages[before].service, f"{request.number}/{before}"
+                scheduler = self.schedulers[service]
+                self._carry_out(service, scheduler.cancel(job_id, self.now))
+
+    def _weigh(self, handles, pieces):
+        """Return domains and bytes: each piece fetches all its inputs."""
+        sizes = {}
+        for handle in handles:
+            domain = self.targets[handle.partition("/")[0]].target.failure_domain
+            size = int(handle.rpartition("/")[2]) * pieces
+            sizes[domain] = sizes.get(domain, 0) + size
+        return tuple(sizes), tuple(sizes.values())
+
     def _finish(self, request):
         in_aim = self.now - request.begun_s <= request.kind.aim_s
         self._end(request, "in aim" if in_aim else "late")
@@ -295,6 +316,7 @@
                 request, number = self._jobs[action.job.job_id]
                 if not request.ended:
                     request.done[number] = action.handles
+                    self._free_read(request, number)
                     self._advance(request)
             elif isinstance(action, JobRefused):
                 request, _ = self._jobs[action.job.job_id]
@@ -336,6 +358,10 @@
         name, call = fake.current = fake.waiting.pop(0)
         seconds = fake.spec.call_s
         for piece in call.pieces:
+            job = piece.job
+            self.remote_bytes += (
+                sum_remote_bytes(job, fake.target.failure_domain) / job.count
+            )
             request, number = self._jobs[piece.job.job_id]
             seconds += fake.spec.piece_s * request.kind.work[number]
         self.busy_s += seconds
