Stop requests that crash targets, pass on failures, prove the gateway on loopback

Suspects spread to all daemons; long reads end when the frequent one finds the store silent. Stand-ins of the store, services, engines and stages carry 41 tests.

--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -12,9 +12,8 @@
 from firworks.kernel.forwarding.admission import admit, choose_service
 from firworks.platform.headers import read_request
 
-# Beyond the idle time that callers are told, so that they close first.
-IDLE_EXTRA_S = 2.0
-DEFAULT_IDLE_S = 15.0
+# Well beyond the idle time that callers are granted, so that they close first.
+IDLE_LIMIT_S = 90.0
 HEADER_LIMIT_BYTES = 32_768
 BODY_TIMEOUT_S = 10.0
 BACKLOG = 1024
@@ -42,7 +41,7 @@
             self._handle,
             handler_cancellation=True,
             access_log=None,
-            keepalive_timeout=DEFAULT_IDLE_S + IDLE_EXTRA_S,
+            keepalive_timeout=IDLE_LIMIT_S,
             lingering_time=0,
             auto_decompress=False,
             max_line_size=HEADER_LIMIT_BYTES,
@@ -52,6 +51,11 @@
             self._server, host, int(port), backlog=BACKLOG
         )
 
+    @property
+    def port(self):
+        """The bound port."""
+        return self._listener.sockets[0].getsockname()[1]
+
     def close_idle(self):
         """Close the connections on which no request is in progress."""
         for connection in self._server.connections:
--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -32,6 +32,12 @@
         self._pause_s = pause_s
         self._offset = None
         self._failed = False
+        self._reading = None
+
+    def interrupt(self):
+        """End a read that waits: the store's connections may carry nothing."""
+        if self._reading is not None:
+            self._reading.cancel()
 
     async def run(self):
         """Follow the topic until cancelled."""
@@ -54,7 +60,7 @@
             self._listener.take_listing(values)
             return
         try:
-            part = await self._store.read(self._topic, self._offset, self._wait_s)
+            part = await self._read()
         except StoreGapError:
             self._offset = None
             return
@@ -72,6 +78,18 @@
                 continue
             self._listener.take_value(value)
 
+    async def _read(self):
+        read = self._store.read(self._topic, self._offset, self._wait_s)
+        self._reading = asyncio.ensure_future(read)
+        try:
+            return await self._reading
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            raise StoreError(f"{self._topic}: the read was interrupted") from None
+        finally:
+            self._reading = None
+
     def _note_failure(self, error):
         if not self._failed:
             self._failed = True
--- a/firworks/gateway/members.py
+++ b/firworks/gateway/members.py
@@ -26,6 +26,7 @@
         self._store = store
         self._on_member = on_member
         self._registering = None
+        self._leaving = False
 
     def take_listing(self, values):
         """Take the newest values of the topic."""
@@ -69,11 +70,14 @@
 
     def register(self):
         """Begin to write this daemon's own entry."""
+        if self._leaving:
+            return
         if self._registering is None or self._registering.done():
             self._registering = asyncio.ensure_future(self._register())
 
     async def leave(self):
         """Withdraw this daemon's own entry, if the store answers."""
+        self._leaving = True
         if self._registering is not None:
             self._registering.cancel()
         try:
--- a/firworks/gateway/peers.py
+++ b/firworks/gateway/peers.py
@@ -53,6 +53,11 @@
         """Close all connections."""
         await self._adapter.stop()
 
+    @property
+    def port(self):
+        """The bound port."""
+        return self._adapter.port
+
     def connect(self, peer):
         """Keep a connection to a member."""
         entry = self._roster.find(peer)
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from functools import singledispatch, singledispatchmethod
+from itertools import count
 
 from firworks.events import LogEvent, log_event
 from firworks.gateway.engine_pools import EnginePoolRunner
@@ -72,6 +73,16 @@
         self._engines = {}
         self._waiting = {}
         self._owners = {}
+        self._job_numbers = count(1)
+
+    @property
+    def busy(self):
+        """Whether stage calls for some gateway are in progress or wait."""
+        return any(runner.scheduler.busy for runner in self._stages.values())
+
+    def make_job_id(self):
+        """Return a name for a job that no other job of any gateway has."""
+        return f"{self._roster.own.incarnation}/{next(self._job_numbers)}"
 
     def configure(self, services):
         """Take in the services (dict of str to Service) of a new configuration."""
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -11,7 +11,7 @@
 from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event
 from firworks.gateway.callers import CallersServer, ReadinessServer
-from firworks.gateway.connections import TargetConnections
+from firworks.gateway.connections import ConnectError, TargetConnections
 from firworks.gateway.followers import TopicFollower
 from firworks.gateway.members import MembersListener
 from firworks.gateway.peers import Peers
@@ -21,7 +21,12 @@
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.kernel.forwarding.balancer import Balancer
 from firworks.kernel.forwarding.retry_budget import RetryBudget
-from firworks.kernel.pools.messages import MemberEntry
+from firworks.kernel.forwarding.suspects import Suspects
+from firworks.kernel.pools.messages import (
+    MemberEntry,
+    SuspectCleared,
+    TargetCrashed,
+)
 from firworks.kernel.pools.roster import Roster
 from firworks.platform.stages import locate_handle
 from firworks.platform.store import (
@@ -37,11 +42,11 @@
 # Kept of the drain limit for the process to end.
 EXIT_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.02
-# A long read ends this often, so that a silent store is noticed.
-CONFIGURATION_WAIT_S = 2.0
-MEMBERS_WAIT_S = 10.0
-# Entries of targets change with each heartbeat; they are read in bundles.
-TARGETS_PAUSE_S = 0.5
+# Longest wait of a read for records that seldom come.
+LONG_WAIT_S = 25.0
+# Entries of targets change with each heartbeat; they are read in bundles. A target that
+# is leaving must get no new work two seconds after it said so.
+TARGETS_PAUSE_S = 1.0
 
 
 class Gateway:
@@ -64,21 +69,26 @@
         self.rng = Random(f"{settings.seed}/{self.incarnation}")
         self.store = StoreClient(settings.store)
         self.connections = TargetConnections()
+        self.suspects = Suspects()
         self.balancer = Balancer(settings.failure_domain, self.rng)
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self._configurations = ConfigurationListener(self._apply_configuration)
-        self._targets = TargetsListener(self.clock, self._apply_targets)
+        self._targets = TargetsListener(
+            self.clock, self._apply_targets, self._interrupt_reads
+        )
         self.roster = Roster(self._make_entry())
         self.pools = Pools(self.directory, self.connections, self.clock, self.roster)
-        self.pools.peers = Peers(settings, self.roster, self.pools.receive, self.clock)
+        self.pools.peers = Peers(settings, self.roster, self._receive, self.clock)
         self._members = MembersListener(self.roster, self.store, self._welcome_member)
         self.relay = Relay(self)
         self.callers = CallersServer(self)
         self._readiness = ReadinessServer(self)
         self.draining = asyncio.Event()
         self._tasks = []
+        self._followers = []
+        self._spawned = set()
         self._was_ready = False
 
     def clock(self):
@@ -112,6 +122,51 @@
         target = self.directory.find_address(locate_handle(handle))
         return None if target is None else target.failure_domain
 
+    def check_crash(self, fingerprint, target):
+        """Find out whether a target that broke off a request has gone down."""
+        self._spawn(self._check_crash(fingerprint, target))
+
+    def clear_suspect(self, fingerprint):
+        """Take in that a request was answered."""
+        if self.suspects.clear(fingerprint):
+            self._tell_peers(SuspectCleared(fingerprint))
+
+    async def _check_crash(self, fingerprint, target):
+        try:
+            connection = await self.connections.open(
+                target.address, self.clock, fresh=True
+            )
+        except ConnectError:
+            run = f"{target.target_id}/{target.born_ms}"
+            self._note_crash(fingerprint, run)
+            self._tell_peers(TargetCrashed(fingerprint, run))
+        else:
+            connection.abort()
+
+    def _note_crash(self, fingerprint, run):
+        if self.suspects.note_crash(fingerprint, run, self.clock()):
+            log_event(
+                LogEvent.REQUEST_SUSPECTED, fingerprint=fingerprint.hex(), target=run
+            )
+
+    def _receive(self, peer, record):
+        """Take a record from another gateway."""
+        if isinstance(record, TargetCrashed):
+            self._note_crash(record.fingerprint, record.run)
+        elif isinstance(record, SuspectCleared):
+            self.suspects.clear(record.fingerprint)
+        else:
+            self.pools.receive(peer, record)
+
+    def _tell_peers(self, record):
+        for name in self.roster.names:
+            self.pools.peers.send(name, record)
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._spawned.add(task)
+        task.add_done_callback(self._spawned.discard)
+
     async def start(self):
         """Open the listeners and begin to follow the store.
 
@@ -123,12 +178,14 @@
             name=self.settings.name,
             incarnation=self.incarnation,
         )
+        await self.pools.peers.start()
+        host = self.settings.peers.rsplit(":", 1)[0]
+        self.roster.set_own_address(f"{host}:{self.pools.peers.port}")
         await self.store.start()
-        self._follow(CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_WAIT_S, 0)
+        self._follow(CONFIGURATION_TOPIC, self._configurations, LONG_WAIT_S, 0)
         self._follow(TARGETS_TOPIC, self._targets, 0, TARGETS_PAUSE_S)
-        self._follow(MEMBERS_TOPIC, self._members, MEMBERS_WAIT_S, 0)
+        self._follow(MEMBERS_TOPIC, self._members, LONG_WAIT_S, 0)
         self._tasks.append(asyncio.ensure_future(self._tick()))
-        await self.pools.peers.start()
         await self.callers.start(self.settings.callers)
         await self._readiness.start(self.settings.readiness)
 
@@ -140,11 +197,15 @@
         limit_s = begun_s + self.settings.drain_limit_s - EXIT_MARGIN_S
         await self._members.leave()
         await asyncio.sleep(min(ROTATION_S, self.settings.drain_limit_s / 2))
-        while self.callers.in_progress and self.clock() < limit_s:
+        while self._is_busy() and self.clock() < limit_s:
             self.callers.close_idle()
             await asyncio.sleep(DRAIN_POLL_S)
         await self.stop()
 
+    def _is_busy(self):
+        """Whether callers or other gateways still wait for this one."""
+        return self.callers.in_progress > 0 or self.pools.busy
+
     async def stop(self):
         """Close everything."""
         for task in self._tasks:
@@ -159,11 +220,17 @@
 
     def _follow(self, topic, listener, wait_s, pause_s):
         follower = TopicFollower(self.store, topic, listener, wait_s, pause_s)
+        self._followers.append(follower)
         self._tasks.append(asyncio.ensure_future(follower.run()))
 
     def _apply_configuration(self, configuration):
         self.pools.configure(configuration.services)
 
+    def _interrupt_reads(self):
+        """Begin the long reads anew: the frequent one found the store silent."""
+        for follower in self._followers:
+            follower.interrupt()
+
     def _apply_targets(self):
         self.pools.refresh()
 
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -1,7 +1,6 @@
 """Carries one request through its stages and attempts to its answer."""
 
 import asyncio
-from itertools import count
 
 from firworks.codes import Code
 from firworks.events import LogEvent, log_event
@@ -30,6 +29,8 @@
 # Connections that idled longer may have been closed by the target meanwhile; work that
 # may not repeat is not risked on them.
 UNREPEATABLE_IDLE_S = 1.0
+# A request that crashes targets may be tried again when suspicion has faded.
+SUSPENDED_RETRY_S = 60.0
 # A larger answer is passed on while it is read.
 BUFFERED_ANSWER_BYTES = 1_048_576
 INPUT_STATUSES = (400, 409)
@@ -45,7 +46,6 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._clock = gateway.clock
-        self._job_numbers = count(1)
 
     async def serve(self, ticket):
         """Return the answer to a request (aiohttp StreamResponse).
@@ -64,6 +64,10 @@
                 ticket.stages.free()
 
     async def _serve(self, ticket):
+        suspects = self._gateway.suspects
+        if suspects.is_refused(ticket.fingerprint, self._clock()):
+            detail = "the request has crashed several targets"
+            return self._give_up(ticket, Code.SUSPENDED, detail, SUSPENDED_RETRY_S)
         while True:
             try:
                 await self._run_stages(ticket)
@@ -74,15 +78,23 @@
                 ticket.progress.note(failure)
                 verdict = self._judge(ticket, failure)
                 if not verdict.again:
-                    return self._give_up(ticket, verdict.code, failure.detail)
+                    return await self._end_failed(ticket, failure, verdict.code)
                 if failure.kind == INPUTS_GONE:
                     ticket.stages.free()
                     ticket.stages = None
 
+    async def _end_failed(self, ticket, failure, code):
+        """Pass on a target's own answer of a failure, or give one of the system's."""
+        if failure.answer is not None and ticket.response is None:
+            exchange, body = failure.answer
+            return await self._answer_whole(ticket, exchange, body)
+        return self._give_up(ticket, code, failure.detail)
+
     def _judge(self, ticket, failure):
         now = self._clock()
         budget = self._gateway.retry_budget
-        within = not failure.sent or budget.take(ticket.service, now)
+        harmless = not self._gateway.suspects.is_refused(ticket.fingerprint, now)
+        within = harmless and (not failure.sent or budget.take(ticket.service, now))
         verdict = ticket.progress.judge(failure, ticket.left_s(now), within)
         log_event(
             LogEvent.ATTEMPT_FAILED,
@@ -104,7 +116,6 @@
             gateway.pools,
             ticket.admitted,
             gateway.locate_result,
-            gateway.incarnation,
             ENGINE_LEAST_S,
         )
         ticket.inputs = await ticket.stages.run()
@@ -163,7 +174,7 @@
         if ticket.stages is not None:
             domains, sizes = ticket.stages.weigh_inputs(ticket.inputs)
         return EngineJob(
-            f"{self._gateway.incarnation}/{next(self._job_numbers)}",
+            self._gateway.pools.make_job_id(),
             tuple(part for part, _ in parts),
             tuple(tokens for _, tokens in parts),
             0 if prompt is None else prompt.tokens_in,
@@ -186,6 +197,11 @@
         try:
             await exchange.send(head, ticket.body or b"", method, max_idle_s)
             return await self._take_answer(ticket, exchange, note_begun)
+        except AttemptError as error:
+            exchange.abort()
+            if error.kind == BROKEN and not exchange.status:
+                self._gateway.check_crash(ticket.fingerprint, target)
+            raise
         except BaseException:
             exchange.abort()
             raise
@@ -212,8 +228,7 @@
         if exchange.not_run or exchange.status >= 500:
             body = await exchange.read_all()
             exchange.finish()
-            self._raise_failure(exchange)
-            return await self._answer_whole(ticket, exchange, body)
+            self._raise_failure(exchange, body)
         if not 200 <= exchange.status < 300 or not ticket.admitted.route.streaming:
             return await self._pass_on(ticket, exchange)
         if note_begun is not None:
@@ -236,14 +251,14 @@
             )
             raise AttemptError(BROKEN, True, f"answer to {echoed!r}")
 
-    def _raise_failure(self, exchange):
+    def _raise_failure(self, exchange, body):
         """Raise the `AttemptError` that a target's answer states."""
         detail = f"{exchange.target.target_id}: status {exchange.status}"
         if exchange.not_run and exchange.status in INPUT_STATUSES:
             raise AttemptError(INPUTS_GONE, True, detail)
         if exchange.not_run:
             raise AttemptError(NOT_RUN, True, detail)
-        raise AttemptError(FAILED, True, detail)
+        raise AttemptError(FAILED, True, detail, (exchange, body))
 
     async def _pass_on(self, ticket, exchange):
         """Pass on an answer once it is known to be whole."""
@@ -277,6 +292,7 @@
         ticket.response = response
         ticket.progress.begun_answer = True
         self._gateway.prepare_response(ticket.http, response)
+        self._gateway.clear_suspect(ticket.fingerprint)
         await response.prepare(ticket.http)
 
     async def _stream(self, ticket, exchange):
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -1,13 +1,10 @@
 """Runs the stages of one request in the order that their inputs allow."""
 
 import asyncio
-from itertools import count
 
 from firworks.kernel.pools.jobs import PieceJob
 from firworks.kernel.pools.paths import compute_later_s
 
-_job_numbers = count(1)
-
 
 class StageRun:
     """The stages of one request.
@@ -17,15 +14,13 @@
         admitted (Admitted): The request.
         locate (callable): ``locate(handle)`` returns the failure domain (str) of a
             result, or None.
-        owner (str): Unique name of this run of the daemon.
         last_s (float): Time that the target of the request itself needs.
     """
 
-    def __init__(self, pools, admitted, locate, owner, last_s):
+    def __init__(self, pools, admitted, locate, last_s):
         self._pools = pools
         self._admitted = admitted
         self._locate = locate
-        self._owner = owner
         self._later_s = compute_later_s(
             admitted.route.stages,
             admitted.request.piece_counts,
@@ -107,7 +102,7 @@
             return ()
         request = self._admitted.request
         job = PieceJob(
-            f"{self._owner}/{next(_job_numbers)}",
+            self._pools.make_job_id(),
             request.request_id,
             number,
             pieces,
--- a/firworks/gateway/state.py
+++ b/firworks/gateway/state.py
@@ -49,13 +49,16 @@
     Args:
         clock (callable): Returns monotonic seconds.
         on_change (callable): Called without arguments after each change.
+        on_outage (callable): Called without arguments when the store falls silent.
     """
 
-    def __init__(self, clock, on_change):
+    def __init__(self, clock, on_change, on_outage):
         self.directory = TargetDirectory()
         self.listed = False
         self._clock = clock
         self._on_change = on_change
+        self._on_outage = on_outage
+        self._answers = True
         self._unreadable = set()
 
     def take_listing(self, values):
@@ -91,6 +94,9 @@
             self.directory.note_return(self._clock())
         else:
             self.directory.note_outage(self._clock())
+        if self._answers and not ok:
+            self._on_outage()
+        self._answers = ok
 
     def expire(self):
         """Forget targets whose entries did not come back after an outage."""
--- a/firworks/gateway/tickets.py
+++ b/firworks/gateway/tickets.py
@@ -1,7 +1,11 @@
 """What one request carries through its attempts."""
 
+from hashlib import blake2b
+
 from firworks.kernel.forwarding.outcomes import Progress
 
+FINGERPRINT_BYTES = 16
+
 
 class Ticket:
     """A request in progress.
@@ -17,6 +21,7 @@
         inputs (tuple of str): Results of its stages.
         last_event_id (str or None): Event after which a stream goes on.
         response (StreamResponse or None): Once its head has gone to the caller.
+        fingerprint (bytes): Hash of path, caller and body, the same for each try.
     """
 
     __slots__ = (
@@ -30,6 +35,7 @@
         "inputs",
         "last_event_id",
         "response",
+        "fingerprint",
     )
 
     def __init__(self, http, admitted, service, body):
@@ -44,6 +50,7 @@
         self.inputs = ()
         self.last_event_id = admitted.request.last_event_id
         self.response = None
+        self.fingerprint = make_fingerprint(admitted.request, body)
 
     @property
     def request_id(self):
@@ -53,3 +60,18 @@
     def left_s(self, now):
         """Return the seconds until its deadline."""
         return self.admitted.deadline_s - now
+
+
+def make_fingerprint(request, body):
+    """Return a hash of what a caller's tries of one request have in common.
+
+    Args:
+        request (CallerRequest): The request.
+        body (bytes or None): Its body.
+    """
+    digest = blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (request.method, request.host, request.target_path, request.key or ""):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(body or b"")
+    return digest.digest()
--- a/firworks/kernel/forwarding/outcomes.py
+++ b/firworks/kernel/forwarding/outcomes.py
@@ -30,13 +30,15 @@
         kind (str): One of the kinds above.
         sent (bool): A target has read, or may have read, the request.
         detail (str): For the log.
+        answer (object): The target's own whole answer of a failure, or None.
     """
 
-    def __init__(self, kind, sent, detail):
+    def __init__(self, kind, sent, detail, answer=None):
         super().__init__(detail)
         self.kind = kind
         self.sent = sent
         self.detail = detail
+        self.answer = answer
 
 
 class Verdict(Struct):
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -173,3 +173,24 @@
 
     __slots__ = ("service", "job", "target_id", "begun")
     TYPES = (str, EngineJob, str, bool)
+
+
+@register_record
+class TargetCrashed(Record):
+    """A target went down with a request.
+
+    Attributes:
+        fingerprint (bytes): Of the request.
+        run (str): Name of the target's run.
+    """
+
+    __slots__ = ("fingerprint", "run")
+    TYPES = (bytes, str)
+
+
+@register_record
+class SuspectCleared(Record):
+    """A suspected request (bytes, its fingerprint) was answered."""
+
+    __slots__ = ("fingerprint",)
+    TYPES = (bytes,)
--- a/firworks/kernel/pools/roster.py
+++ b/firworks/kernel/pools/roster.py
@@ -40,6 +40,12 @@
         """Return the `MemberEntry` of a daemon, or None."""
         return self._members.get(name)
 
+    def set_own_address(self, address):
+        """Take in the "ip:port" at which this daemon listens for others."""
+        self.own = self.own.replace(address=address)
+        self._members[self.own.name] = self.own
+        self._ranks.clear()
+
     def put(self, entry):
         """Take in a member; return whether it is new or has started anew."""
         known = self._members.get(entry.name)
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -109,6 +109,11 @@
         """How many pieces wait for a call."""
         return sum(len(state.waiting) for state in self._jobs.values())
 
+    @property
+    def busy(self):
+        """Whether some job is not finished."""
+        return bool(self._jobs)
+
     def set_targets(self, targets, now):
         """Take in the usable targets of the pool."""
         known = {target.run: target for target in targets}
--- /dev/null
+++ b/firworks/standins/platform_store.py
@@ -0,0 +1,131 @@
+"""A stand-in of the platform's store: keyed topics with long reads, and faults."""
+
+import asyncio
+import base64
+import json
+
+from aiohttp.web import Response, get, json_response, post
+
+from firworks.platform.records import encode_keyed
+from firworks.platform.store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    TARGETS_TOPIC,
+)
+from firworks.standins.web import WebStandin, wait_for_ever
+
+LONGEST_WAIT_S = 30.0
+
+
+class PlatformStore(WebStandin):
+    """Keeps topics in memory.
+
+    Attributes:
+        down (bool): Every call is answered 503.
+        silent (bool): No call is answered.
+        calls (list of str): Paths, in order.
+    """
+
+    def __init__(self, port=0):
+        super().__init__(port)
+        self.down = False
+        self.silent = False
+        self.calls = []
+        self._topics = {}
+        self._first = {}
+        self._changed = asyncio.Event()
+
+    def make_routes(self):
+        """Return the routes."""
+        return [
+            post("/log-append", self._append),
+            get("/log-read", self._read),
+            get("/log-newest", self._list),
+        ]
+
+    def put(self, topic, key, value):
+        """Set a key, as the operator and the targets do; b"" drops it."""
+        self._add(topic, [encode_keyed(key, value)])
+
+    def put_configuration(self, table):
+        """Publish a configuration (dict)."""
+        value = json.dumps(table).encode()
+        self.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, value)
+
+    def put_target(self, target_id, table):
+        """Write a target's entry (dict), or drop it (None)."""
+        value = b"" if table is None else json.dumps(table).encode()
+        self.put(TARGETS_TOPIC, target_id, value)
+
+    def trim(self, topic):
+        """Forget the history of a topic; the newest value of each key stays."""
+        self._first[topic] = len(self._topics.get(topic, ()))
+
+    def get_values(self, topic):
+        """Return the newest value (bytes) of each key (str)."""
+        values = {}
+        for record in self._topics.get(topic, ()):
+            end = 1 + record[0]
+            values[record[1:end].decode()] = record[end:]
+        return {key: value for key, value in values.items() if value}
+
+    def _add(self, topic, records):
+        self._topics.setdefault(topic, []).extend(records)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _fail(self, request):
+        """Return the answer of a store in trouble, or None."""
+        self.calls.append(request.path)
+        if self.silent:
+            await wait_for_ever()
+        return Response(status=503) if self.down else None
+
+    async def _append(self, request):
+        body = await request.read()
+        failed = await self._fail(request)
+        if failed is not None:
+            return failed
+        records = []
+        while body:
+            length = int.from_bytes(body[:4], "big")
+            records.append(body[4 : 4 + length])
+            body = body[4 + length :]
+        topic = request.query["topic"]
+        offset = len(self._topics.get(topic, ()))
+        self._add(topic, records)
+        return json_response({"offset": offset, "end": offset + len(records)})
+
+    async def _read(self, request):
+        failed = await self._fail(request)
+        if failed is not None:
+            return failed
+        topic, start = request.query["topic"], int(request.query["from"])
+        if start < self._first.get(topic, 0):
+            return json_response({"first": self._first[topic]}, status=410)
+        wait_s = min(LONGEST_WAIT_S, int(request.query.get("wait-ms", 0)) / 1000)
+        try:
+            async with asyncio.timeout(wait_s):
+                while len(self._topics.get(topic, ())) <= start:
+                    await self._changed.wait()
+        except TimeoutError:
+            pass  # nothing came: the answer holds no records
+        if self.down:
+            return Response(status=503)
+        records = self._topics.get(topic, [])
+        extent = len(records).to_bytes(8, "big")
+        extent += self._first.get(topic, 0).to_bytes(8, "big")
+        parts = [len(r).to_bytes(4, "big") + r for r in records[start:]]
+        return Response(body=extent + b"".join(parts))
+
+    async def _list(self, request):
+        failed = await self._fail(request)
+        if failed is not None:
+            return failed
+        topic = request.query["topic"]
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
+            for key, value in sorted(self.get_values(topic).items())
+        ]
+        end = len(self._topics.get(topic, ()))
+        return json_response({"items": items, "has-more": False, "end": end})
--- /dev/null
+++ b/firworks/standins/platform_targets.py
@@ -0,0 +1,208 @@
+"""Stand-ins of the platform's targets: services, engines and stage pools."""
+
+import asyncio
+import json
+from itertools import count
+
+from firworks.standins.web import LOOPBACK
+
+STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
+EVENTS = 5
+_HEAD_END = b"\r\n\r\n"
+
+
+class PlatformTarget:
+    """An HTTP server on raw sockets, so that it can break the protocol on demand.
+
+    Args:
+        target_id (str): Its id in the store.
+        service (str): The service that it belongs to.
+        failure_domain (str): Where it runs.
+
+    Attributes:
+        address (str): "127.0.0.1:port", once started.
+        received (list of (str, dict, bytes)): Request line, headers by lower-case
+            name, and body of each request.
+        fault (str): One of "", "busy", "fail", "reset", "hang", "cut", "foreign",
+            "surplus", "early", "unframed" and "torn".
+        connections (int): Accepted since the start.
+    """
+
+    def __init__(self, target_id, service, failure_domain="fd-1"):
+        self.target_id = target_id
+        self.service = service
+        self.failure_domain = failure_domain
+        self.address = ""
+        self.received = []
+        self.fault = ""
+        self.connections = 0
+        self.open_requests = 0
+        self._server = None
+        self._writers = set()
+
+    def make_entry(self, state="ready"):
+        """Return its entry in the store (dict)."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.failure_domain,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold-left-ms": 0,
+            "sequence": 1,
+        }
+
+    async def start(self, port=0):
+        """Open the listener."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, port)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{LOOPBACK}:{port}"
+
+    async def stop(self):
+        """Close the listener and all connections."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(_HEAD_END)
+                line, headers = _parse_head(head)
+                if self.fault == "early":
+                    self._answer(writer, headers, 503, b"{}", {"X-Not-Run": "1"})
+                    continue
+                length = int(headers.get("content-length", 0))
+                body = await reader.readexactly(length)
+                self.received.append((line, headers, body))
+                self.open_requests += 1
+                try:
+                    await self._respond(writer, line, headers, body)
+                finally:
+                    self.open_requests -= 1
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # the other end has closed
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _respond(self, writer, line, headers, body):
+        expected = headers.get("x-expect-instance")
+        if expected not in (None, self.target_id):
+            self._answer(writer, headers, 421, b"", {"X-Instance-Id": self.target_id})
+            return
+        if self.fault == "busy":
+            self._answer(writer, headers, 503, b"{}", {"X-Not-Run": "1"})
+        elif self.fault == "fail":
+            self._answer(writer, headers, 500, b"failed")
+        elif self.fault == "reset":
+            writer.transport.abort()
+        elif self.fault == "hang":
+            await asyncio.Event().wait()
+        else:
+            await self.serve(writer, line, headers, body)
+
+    async def serve(self, writer, line, headers, body):
+        """Answer a request that runs."""
+        answer = b"answer to " + line.encode()
+        if self.fault == "foreign":
+            headers = {**headers, "x-request-id": "another"}
+        if self.fault == "cut":
+            self._answer(writer, headers, 200, answer, cut=True)
+            writer.transport.close()
+        elif self.fault == "unframed":
+            self._answer(writer, headers, 200, answer, framed=False)
+            writer.transport.close()
+        else:
+            self._answer(writer, headers, 200, answer)
+        if self.fault == "surplus":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+
+    def _answer(
+        self, writer, headers, status, body, extra=None, cut=False, framed=True
+    ):
+        lines = [f"HTTP/1.1 {status} Status"]
+        names = {"X-Request-Id": headers.get("x-request-id", "")}
+        if status != 503:
+            names["X-Server-Stamp"] = STAMP
+        if framed:
+            names["Content-Length"] = str(len(body))
+        names.update(extra or {})
+        lines += [f"{name}: {value}" for name, value in names.items()]
+        data = "\r\n".join(lines).encode() + _HEAD_END + body
+        writer.write(data[:-3] if cut else data)
+
+
+class PlatformEngine(PlatformTarget):
+    """Streams ``EVENTS`` events; resumes after the event that a request names."""
+
+    async def serve(self, writer, line, headers, body):
+        """Answer with a stream; the fault "torn" breaks off inside an event."""
+        head = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            f"X-Request-Id: {headers.get('x-request-id', '')}",
+            f"X-Server-Stamp: {STAMP}",
+            "Transfer-Encoding: chunked",
+        ]
+        writer.write("\r\n".join(head).encode() + _HEAD_END)
+        begin = int(headers.get("last-event-id", 0)) + 1
+        for number in range(begin, EVENTS + 1):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if self.fault == "torn" and number == 3:
+                writer.write(_chunk(event[:-4]))
+                await writer.drain()
+                writer.transport.close()
+                return
+            writer.write(_chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+class PlatformStage(PlatformTarget):
+    """Makes stage results; the fault "gone" says that inputs are gone.
+
+    Attributes:
+        freed (list of str): Handles that were given up.
+        batches (list of int): Pieces of each call.
+    """
+
+    def __init__(self, target_id, service, failure_domain="fd-1"):
+        super().__init__(target_id, service, failure_domain)
+        self.freed = []
+        self.batches = []
+        self._numbers = count(1)
+
+    async def serve(self, writer, line, headers, body):
+        """Answer a call for pieces or one that frees results."""
+        table = json.loads(body)
+        if line.startswith("POST /stage-free"):
+            self.freed += table["handles"]
+            self._answer(writer, headers, 200, b"")
+            return
+        items = table["items"]
+        self.batches.append(len(items))
+        if self.fault == "gone":
+            results = [{"reason": "gone"} for _ in items]
+        else:
+            results = [
+                {"handle": f"{self.address}/{next(self._numbers)}"} for _ in items
+            ]
+        self._answer(writer, headers, 200, json.dumps({"items": results}).encode())
+
+
+def _chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _parse_head(head):
+    line, *rows = head[: -len(_HEAD_END)].decode("latin-1").split("\r\n")
+    headers = {}
+    for row in rows:
+        name, _, value = row.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    return line, headers
--- /dev/null
+++ b/firworks/tests/test_gateway.py
@@ -0,0 +1,479 @@
+"""The gateway on loopback: what callers and targets see, fault by fault."""
+
+import asyncio
+import json
+
+import pytest
+
+from firworks.platform.store import MEMBERS_TOPIC, TARGETS_TOPIC
+from firworks.standins.platform_targets import EVENTS, STAMP
+from firworks.tests.gateway_world import (
+    KEY,
+    make_configuration,
+    make_route,
+    run_world,
+    wait_until,
+)
+
+# Ends a wait for something that never happens.
+LIMIT_S = 60.0
+PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
+
+
+def play(scenario, gateways=1):
+    """Run ``scenario(world)`` on a site."""
+
+    async def run():
+        async with asyncio.timeout(LIMIT_S):
+            async with run_world(gateways) as world:
+                await scenario(world)
+
+    asyncio.run(run())
+
+
+def list_requests(world, service):
+    """Return the (line, headers, body) that targets of a service have read."""
+    return [
+        received
+        for target in world.targets.values()
+        if target.service == service
+        for received in target.received
+    ]
+
+
+def set_fault(world, service, fault, count=2):
+    """Make the first targets of a service show a fault."""
+    for target in list(world.targets.values()):
+        if target.service == service and count:
+            target.fault = fault
+            count -= 1
+
+
+class TestForwarding:
+    def test_a_request_reaches_its_service_unchanged(self):
+        async def scenario(world):
+            body = b"x" * 50_000
+            status, headers, answer = await world.ask(
+                "/stock/a%2fb?c=%20d", "POST", body=body
+            )
+            assert (status, headers["X-Server-Stamp"]) == (200, STAMP)
+            ((line, sent, read),) = list_requests(world, "loans")
+            assert line == "POST /stock/a%2fb?c=%20d HTTP/1.1"
+            assert (read, sent["host"], sent["x-tenant"]) == (
+                body,
+                "desk.example",
+                "club",
+            )
+            assert "authorization" not in sent
+            assert answer == b"answer to " + line.encode()
+            assert 0 < int(sent["x-deadline-ms"]) <= 4_000
+
+        play(scenario)
+
+    def test_headers_that_are_the_systems_own_never_pass(self):
+        async def scenario(world):
+            headers = {
+                "X-Tenant": "bank",
+                "X-Kv-Hold": "h",
+                "X-Pin-Ms": "1",
+                "X-Kv-Backup": "1.2.3.4:5",
+                "Kv-From": "a",
+                "Kv-Fetch": "b",
+                "X-Priority-Class": "0",
+                "X-Expect-Instance": "other",
+                "X-Inputs": "i",
+                "Connection": "X-Secret",
+                "X-Secret": "s",
+                "X-Kept": "yes",
+            }
+            assert (await world.ask("/stock/a", **headers))[0] == 200
+            ((_, sent, _),) = list_requests(world, "loans")
+            assert sent["x-tenant"] == "club" and sent["x-kept"] == "yes"
+            assert sent["x-expect-instance"] in world.targets
+            dropped = set(map(str.lower, headers)) - {"x-tenant", "x-kept"}
+            dropped -= {"x-expect-instance"}
+            assert not dropped & set(sent)
+
+        play(scenario)
+
+    @pytest.mark.parametrize(
+        ("path", "key", "status"),
+        [
+            ("/unknown/a", KEY, 404),
+            ("/stock/a", "bad", 401),
+            ("/stock/a", None, 401),
+            ("/open/a", None, 200),
+            ("/stock/", KEY, 200),
+        ],
+    )
+    def test_routes_and_keys(self, path, key, status):
+        async def scenario(world):
+            assert (await world.ask(path, key=key))[0] == status
+
+        play(scenario)
+
+    def test_a_body_over_the_limit_is_refused(self):
+        async def scenario(world):
+            answer = await world.ask("/stock/a", "POST", body=b"x" * 100_001)
+            assert answer[0] == 413
+            assert not list_requests(world, "loans")
+
+        play(scenario)
+
+    def test_an_answer_without_a_length_is_whole_at_a_clean_close(self):
+        async def scenario(world):
+            set_fault(world, "loans", "unframed")
+            status, _, body = await world.ask("/stock/a")
+            assert (status, body) == (200, b"answer to GET /stock/a HTTP/1.1")
+
+        play(scenario)
+
+
+class TestFailures:
+    @pytest.mark.parametrize("fault", ["reset", "cut", "foreign", "fail", "busy"])
+    def test_repeatable_work_goes_to_another_target(self, fault):
+        async def scenario(world):
+            set_fault(world, "loans", fault, count=1)
+            answers = [await world.ask("/stock/a") for _ in range(4)]
+            assert [answer[0] for answer in answers] == [200] * 4
+
+        play(scenario)
+
+    @pytest.mark.parametrize(
+        ("fault", "status"),
+        [("reset", 502), ("cut", 502), ("foreign", 502), ("busy", 503)],
+    )
+    def test_unrepeatable_work_is_sent_once(self, fault, status):
+        async def scenario(world):
+            set_fault(world, "loans", fault)
+            found, headers, _ = await world.ask("/book/a", "POST", body=b"loan")
+            assert found == status and "X-Server-Stamp" not in headers
+            assert ("Retry-After" in headers) == (status == 503)
+            assert len(list_requests(world, "loans")) == 1
+
+        play(scenario)
+
+    def test_a_targets_own_failure_is_passed_on(self):
+        async def scenario(world):
+            set_fault(world, "loans", "fail")
+            status, headers, body = await world.ask("/book/a", "POST", body=b"loan")
+            assert (status, body) == (500, b"failed")
+            assert headers["X-Server-Stamp"] == STAMP
+
+        play(scenario)
+
+    def test_a_surplus_answer_belongs_to_no_request(self):
+        async def scenario(world):
+            set_fault(world, "loans", "surplus")
+            for number in range(6):
+                path = f"/stock/{number}"
+                status, _, body = await world.ask(path)
+                assert (status, body) == (
+                    200,
+                    f"answer to GET {path} HTTP/1.1".encode(),
+                )
+
+        play(scenario)
+
+    def test_an_early_answer_leaves_no_bytes_for_the_next_request(self):
+        async def scenario(world):
+            set_fault(world, "loans", "early")
+            assert (await world.ask("/book/a", "POST", body=b"y" * 90_000))[0] == 503
+            set_fault(world, "loans", "")
+            for _ in range(4):
+                assert (await world.ask("/stock/b"))[0] == 200
+            lines = {line for line, _, _ in list_requests(world, "loans")}
+            assert lines == {"GET /stock/b HTTP/1.1"}
+
+        play(scenario)
+
+    def test_a_request_still_unanswered_at_its_deadline_gets_504(self):
+        async def scenario(world):
+            set_fault(world, "loans", "hang")
+            status, _, _ = await world.ask(
+                "/book/a", "POST", **{"X-Deadline-Ms": "200"}
+            )
+            assert status == 504
+
+        play(scenario)
+
+    def test_a_target_is_dropped_when_its_caller_leaves(self):
+        async def scenario(world):
+            set_fault(world, "loans", "hang")
+            task = asyncio.ensure_future(world.ask("/stock/a"))
+            targets = world.targets.values()
+            await wait_until(lambda: any(target.open_requests for target in targets))
+            task.cancel()
+            await wait_until(lambda: not world.gateways[0].callers.in_progress)
+
+        play(scenario)
+
+    def test_a_request_that_crashes_targets_is_stopped_in_the_whole_fleet(self):
+        async def scenario(world):
+            statuses = []
+            for number in range(8):
+                for name in ("loans-1", "loans-2"):
+                    target = world.targets[name]
+                    port = int(target.address.rpartition(":")[2])
+                    target.fault = "reset"
+                    target.target_id = f"{name}-{number}"
+                    if target._server is None or not target._server.is_serving():
+                        await target.start(port)
+                    target._server.close()
+                    for writer in list(target._writers):
+                        writer.transport.abort()
+                gateway = world.gateways[number % 2]
+                statuses.append((await world.ask("/book/poison", "POST", gateway))[0])
+            assert statuses[-1] == 503
+            assert len(list_requests(world, "loans")) <= 6
+
+        play(scenario, gateways=2)
+
+
+class TestStreams:
+    def test_events_arrive_whole_and_in_order(self):
+        async def scenario(world):
+            status, _, body = await world.ask("/rules/a", "POST", body=b"p", **PROMPT)
+            assert status == 200 and body.count(b"\n\n") == EVENTS
+            ((_, sent, _),) = list_requests(world, "engines")
+            assert (sent["x-priority-class"], sent["x-token-counts"]) == ("1", "40,20")
+
+        play(scenario)
+
+    def test_a_broken_stream_goes_on_elsewhere_in_the_same_answer(self):
+        async def scenario(world):
+            set_fault(world, "engines", "torn", count=1)
+            for _ in range(4):
+                status, _, body = await world.ask("/rules/a", "POST", **PROMPT)
+                ids = [line for line in body.splitlines() if line.startswith(b"id:")]
+                assert status == 200
+                assert ids == [f"id: {n}".encode() for n in range(1, EVENTS + 1)]
+            resumed = [
+                headers["last-event-id"]
+                for _, headers, _ in list_requests(world, "engines")
+                if "last-event-id" in headers
+            ]
+            assert resumed and set(resumed) == {"2"}
+
+        play(scenario)
+
+    def test_a_broken_stream_that_may_not_repeat_never_looks_complete(self):
+        async def scenario(world):
+            set_fault(world, "engines", "torn")
+            with pytest.raises(Exception, match="ayload|isconnected|losed"):
+                await world.ask("/once/a", "POST", **PROMPT)
+            assert len(list_requests(world, "engines")) == 1
+
+        play(scenario)
+
+    def test_a_caller_may_resume(self):
+        async def scenario(world):
+            answer = await world.ask(
+                "/rules/a", "POST", **PROMPT, **{"Last-Event-Id": "3"}
+            )
+            assert answer[2].startswith(b"id: 4\n")
+
+        play(scenario)
+
+
+class TestStages:
+    HEADERS = {**PROMPT, "X-Pieces": "2,3", "X-Piece-Key": "k"}
+
+    def test_results_reach_the_engine_and_are_freed(self):
+        async def scenario(world):
+            status, _, _ = await world.ask("/advice/a", "POST", **self.HEADERS)
+            assert status == 200
+            ((_, sent, _),) = list_requests(world, "engines")
+            handles = sent["x-inputs"].split(",")
+            assert len(handles) == 3
+            calls = [
+                item
+                for line, _, body in list_requests(world, "repair")
+                if line.startswith("POST /stage-run")
+                for item in json.loads(body)["items"]
+            ]
+            first = [item for item in calls if item["stage"] == 0]
+            second = [item for item in calls if item["stage"] == 1]
+            assert [item["key"] for item in first] == ["k", "k"]
+            assert all(len(item["inputs"]) == 2 for item in second)
+            made = {handle for item in second for handle in item["inputs"]}
+            stages = [t for t in world.targets.values() if t.service == "repair"]
+            await wait_until(
+                lambda: made | set(handles) <= {h for t in stages for h in t.freed}
+            )
+
+        play(scenario)
+
+    def test_batches_form_across_gateways(self):
+        async def scenario(world):
+            await wait_until(lambda: all(g.roster.count == 3 for g in world.gateways))
+            asks = [
+                world.ask("/advice/a", "POST", world.gateways[i % 3], **self.HEADERS)
+                for i in range(12)
+            ]
+            answers = await asyncio.gather(*asks)
+            assert {answer[0] for answer in answers} == {200}
+            stages = [t for t in world.targets.values() if t.service == "repair"]
+            batches = [size for target in stages for size in target.batches]
+            assert sum(batches) == 12 * 5
+            assert len(batches) < 24
+
+        play(scenario, gateways=3)
+
+    def test_inputs_that_are_gone_end_the_request_as_not_run(self):
+        async def scenario(world):
+            set_fault(world, "repair", "gone")
+            status, headers, _ = await world.ask("/advice/a", "POST", **self.HEADERS)
+            assert status == 503 and "Retry-After" in headers
+            assert not list_requests(world, "engines")
+
+        play(scenario)
+
+    def test_a_scheduler_that_dies_costs_no_request(self):
+        async def scenario(world):
+            await wait_until(lambda: all(g.roster.count == 3 for g in world.gateways))
+            name = world.gateways[0].roster.choose("repair")
+            dead = next(g for g in world.gateways if g.settings.name == name)
+            rest = [g for g in world.gateways if g is not dead]
+            asks = [
+                asyncio.ensure_future(
+                    world.ask("/advice/a", "POST", rest[i % 2], **self.HEADERS)
+                )
+                for i in range(6)
+            ]
+            await dead.stop()
+            world.gateways.remove(dead)
+            assert {(await ask)[0] for ask in asks} == {200}
+
+        play(scenario, gateways=3)
+
+
+class TestConfiguration:
+    def test_an_older_version_changes_nothing(self):
+        async def scenario(world):
+            gateway = world.gateways[0]
+            routes = [make_route("stock", "loans")]
+            world.store.put_configuration(make_configuration(5, routes=routes))
+            await wait_until(lambda: gateway.configuration.version == 5)
+            world.store.put_configuration(make_configuration(4))
+            world.store.put_configuration(make_configuration(6, tenants=[]))
+            await wait_until(lambda: gateway.configuration.version == 6)
+            assert (await world.ask("/stock/a", key=None))[0] == 200
+
+        play(scenario)
+
+    def test_one_that_cannot_be_read_leaves_the_last_in_force(self):
+        async def scenario(world):
+            gateway = world.gateways[0]
+            for value in (b"", b"{", b"[]", b'{"version":9,"routes":[{}]}'):
+                world.store.put("keyed.op", "config", value)
+            world.store.put_configuration(make_configuration(10))
+            await wait_until(lambda: gateway.configuration.version == 10)
+            assert (await world.ask("/stock/a"))[0] == 200
+
+        play(scenario)
+
+    def test_a_gateway_is_not_ready_before_it_knows_one(self):
+        async def scenario(world):
+            world.store.down = True
+            late = await world.add_gateway("late", ready=False)
+            await wait_until(lambda: "/log-newest" in world.store.calls[-3:])
+            assert not late.ready
+            assert (await world.ask("/stock/a", gateway=late))[0] == 503
+            world.store.down = False
+            await wait_until(lambda: late.ready)
+            assert (await world.ask("/stock/a", gateway=late))[0] == 200
+
+        play(scenario)
+
+
+class TestDiscovery:
+    def test_a_target_that_leaves_gets_no_new_work(self):
+        async def scenario(world):
+            gateway = world.gateways[0]
+            leaving = world.targets["loans-1"]
+            world.store.put_target("loans-1", leaving.make_entry("draining"))
+            await wait_until(lambda: gateway.directory.find("loans-1") is None)
+            for _ in range(6):
+                assert (await world.ask("/stock/a"))[0] == 200
+            assert not leaving.received
+
+        play(scenario)
+
+    def test_entries_of_other_writers_name_no_target(self):
+        async def scenario(world):
+            gateway = world.gateways[0]
+            good = world.targets["loans-1"].make_entry()
+            strange = [
+                {**good, "address": "nowhere"},
+                {**good, "state": "odd"},
+                {**good, "slots": "many"},
+                {"service": "loans"},
+                {**good, "born": 1.5},
+            ]
+            for number, entry in enumerate(strange):
+                world.store.put_target(f"strange-{number}", entry)
+            world.store.put(TARGETS_TOPIC, "bytes", b"\xff\x00")
+            world.store.put_target("loans-9", good)
+            await wait_until(lambda: gateway.directory.find("loans-9") is not None)
+            usable = {t.target_id for t in gateway.directory.get_usable("loans")}
+            assert usable == {"loans-1", "loans-2", "loans-9"}
+
+        play(scenario)
+
+    def test_a_forgotten_history_is_read_anew(self):
+        async def scenario(world):
+            gateway = world.gateways[0]
+            world.store.put_target("loans-2", None)
+            world.store.trim(TARGETS_TOPIC)
+            await wait_until(lambda: gateway.directory.find("loans-2") is None)
+            assert gateway.directory.find("loans-1") is not None
+
+        play(scenario)
+
+    def test_an_address_that_belongs_to_another_target_runs_nothing(self):
+        async def scenario(world):
+            world.targets["loans-1"].target_id = "new-owner"
+            for _ in range(4):
+                assert (await world.ask("/stock/a"))[0] == 200
+            assert not [
+                line
+                for line, headers, _ in world.targets["loans-1"].received
+                if headers["x-expect-instance"] == "new-owner"
+            ]
+
+        play(scenario)
+
+
+class TestDrain:
+    def test_requests_in_progress_are_answered(self):
+        async def scenario(world):
+            gateway = world.gateways[0]
+            set_fault(world, "loans", "hang")
+            ask = asyncio.ensure_future(world.ask("/stock/a"))
+            await wait_until(lambda: gateway.callers.in_progress)
+            drain = asyncio.ensure_future(gateway.drain())
+            await wait_until(lambda: not gateway.ready)
+            for target in world.targets.values():
+                for writer in list(target._writers):
+                    writer.transport.abort()
+                target.fault = ""
+            assert (await ask)[0] == 200
+            status, headers, _ = await world.ask("/stock/b")
+            assert status == 200 and headers["Connection"] == "close"
+            await drain
+            world.gateways.clear()
+
+        play(scenario)
+
+    def test_a_gateway_that_leaves_takes_its_entry_along(self):
+        async def scenario(world):
+            await wait_until(lambda: len(world.store.get_values(MEMBERS_TOPIC)) == 2)
+            await world.gateways[1].drain()
+            await wait_until(
+                lambda: list(world.store.get_values(MEMBERS_TOPIC)) == ["gateway-1"]
+            )
+            await wait_until(lambda: world.gateways[0].roster.count == 1)
+            world.gateways.pop()
+
+        play(scenario, gateways=2)
