Let gateways that the store turns away learn from others

Cause: the store may turn some machines away while the operator takes keys away and targets leave; those machines kept their old view.

--- /dev/null
+++ b/firworks/gateway/news.py
@@ -0,0 +1,80 @@
+"""Exchanges news with other gateways while the store does not answer."""
+
+from firworks.events import LogEvent, log_event
+from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.forwarding.news import (
+    AskNews,
+    News,
+    NewsSeeker,
+    TargetEntry,
+    digest_targets,
+)
+from firworks.plugins.peer_handshake import ANY_PEER
+
+NO_VERSION = -1
+
+
+class NewsDesk:
+    """Asks for news, answers others, and takes in what they tell.
+
+    Args:
+        settings (GatewaySettings): Names the seeds.
+        roster (Roster): The members.
+        configurations (ConfigurationListener): Takes configurations.
+        targets (TargetsListener): Takes targets.
+        rng (random.Random): Chooses whom to ask.
+    """
+
+    def __init__(self, settings, roster, configurations, targets, rng):
+        self.peers = None
+        self._roster = roster
+        self._configurations = configurations
+        self._targets = targets
+        seeds = [ANY_PEER + address for address in settings.seeds]
+        self.seeker = NewsSeeker(roster, seeds, rng)
+
+    def tick(self, now):
+        """Ask for news if it is time."""
+        asked = self.seeker.choose_asked(now)
+        if not asked:
+            return
+        current = self._configurations.holder.current
+        version = NO_VERSION if current is None else current.version
+        digest = digest_targets(self._targets.directory.list_all())
+        for name in asked:
+            self.peers.send(name, AskNews(self._roster.own, version, digest))
+
+    def answer(self, record):
+        """Tell a daemon (its `AskNews`) what it does not know."""
+        self._roster.put(record.entry)
+        if self.seeker.deprived or not self._targets.listed:
+            return
+        raw = self._configurations.raw_after(record.version)
+        known = self._targets.directory.list_all()
+        differs = digest_targets(known) != record.digest
+        if not raw and not differs:
+            return
+        entries = tuple(TargetEntry(*target.values()) for target in known)
+        members = [self._roster.find(name) for name in self._roster.names]
+        self.peers.send(
+            record.entry.name,
+            News(
+                raw,
+                differs,
+                entries if differs else (),
+                (*members, self._roster.own),
+            ),
+        )
+
+    def take(self, peer, record):
+        """Take in what another daemon tells (News)."""
+        for entry in record.members:
+            self._roster.put(entry)
+        if not self.seeker.deprived:
+            return
+        if record.configuration:
+            self._configurations.take_bytes(record.configuration, peer)
+        if record.listed:
+            targets = [Target(*entry.values()) for entry in record.targets]
+            self._targets.take_told(targets)
+            log_event(LogEvent.NEWS_TAKEN, peer=peer, targets=len(targets))
--- a/firworks/gateway/peers.py
+++ b/firworks/gateway/peers.py
@@ -7,6 +7,7 @@
     PeerReceived,
     SendPeer,
 )
+from firworks.plugins.peer_handshake import ANY_PEER
 from firworks.plugins.websocket_peers import WebsocketPeers
 
 
@@ -21,7 +22,9 @@
         self._roster = roster
 
     def find(self, name):
-        """Return the "ip:port" of a member, or None."""
+        """Return the "ip:port" of a member or a seed, or None."""
+        if name.startswith(ANY_PEER):
+            return name.removeprefix(ANY_PEER)
         entry = self._roster.find(name)
         return None if entry is None else entry.address
 
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -14,12 +14,14 @@
 from firworks.gateway.connections import ConnectError, TargetConnections
 from firworks.gateway.followers import TopicFollower
 from firworks.gateway.members import MembersListener
+from firworks.gateway.news import NewsDesk
 from firworks.gateway.peers import Peers
 from firworks.gateway.pools import Pools
 from firworks.gateway.relays import Relay
 from firworks.gateway.settings import find_settings_path, load_gateway_settings
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.kernel.forwarding.balancer import Balancer
+from firworks.kernel.forwarding.news import AskNews, News
 from firworks.kernel.forwarding.retry_budget import RetryBudget
 from firworks.kernel.forwarding.suspects import Suspects
 from firworks.kernel.pools.messages import (
@@ -67,20 +69,26 @@
         self.settings = settings
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:8]}"
         self.rng = Random(f"{settings.seed}/{self.incarnation}")
-        self.store = StoreClient(settings.store)
+        self.store = StoreClient(settings.store, settings.name)
         self.connections = TargetConnections()
         self.suspects = Suspects()
         self.balancer = Balancer(settings.failure_domain, self.rng)
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
-        self._configurations = ConfigurationListener(self._apply_configuration)
+        self._configurations = ConfigurationListener(
+            self._apply_configuration, self._note_configurations
+        )
         self._targets = TargetsListener(
-            self.clock, self._apply_targets, self._interrupt_reads
+            self.clock, self._apply_targets, self._note_targets
         )
         self.roster = Roster(self._make_entry())
         self.pools = Pools(self.directory, self.connections, self.clock, self.roster)
         self.pools.peers = Peers(settings, self.roster, self._receive, self.clock)
+        self._news = NewsDesk(
+            settings, self.roster, self._configurations, self._targets, self.rng
+        )
+        self._news.peers = self.pools.peers
         self._members = MembersListener(self.roster, self.store, self._welcome_member)
         self.relay = Relay(self)
         self.callers = CallersServer(self)
@@ -89,6 +97,7 @@
         self._tasks = []
         self._followers = []
         self._spawned = set()
+        self._store_answers = True
         self._was_ready = False
 
     def clock(self):
@@ -155,6 +164,10 @@
             self._note_crash(record.fingerprint, record.run)
         elif isinstance(record, SuspectCleared):
             self.suspects.clear(record.fingerprint)
+        elif isinstance(record, AskNews):
+            self._news.answer(record)
+        elif isinstance(record, News):
+            self._news.take(peer, record)
         else:
             self.pools.receive(peer, record)
 
@@ -226,10 +239,16 @@
     def _apply_configuration(self, configuration):
         self.pools.configure(configuration.services)
 
-    def _interrupt_reads(self):
-        """Begin the long reads anew: the frequent one found the store silent."""
-        for follower in self._followers:
-            follower.interrupt()
+    def _note_configurations(self, answers):
+        self._news.seeker.note_store(CONFIGURATION_TOPIC, answers)
+
+    def _note_targets(self, answers):
+        """Begin the long reads anew when the frequent one finds the store silent."""
+        if self._store_answers and not answers:
+            for follower in self._followers:
+                follower.interrupt()
+        self._store_answers = answers
+        self._news.seeker.note_store(TARGETS_TOPIC, answers)
 
     def _apply_targets(self):
         self.pools.refresh()
@@ -252,6 +271,7 @@
         while True:
             self._targets.expire()
             self.pools.tick()
+            self._news.tick(self.clock())
             if self.ready and not self._was_ready:
                 log_event(LogEvent.DAEMON_READY, name=self.settings.name)
             self._was_ready = self.ready
--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -24,6 +24,7 @@
     "tls_key": "",
     "tls_authority": "",
     "seed": 0,
+    "seeds": [],
 }
 
 SCHEMA = {
@@ -60,6 +61,7 @@
         "tls_key": {"type": "string"},
         "tls_authority": {"type": "string"},
         "seed": {"type": "integer"},
+        "seeds": {"type": "array", "items": _ADDRESS},
     },
 }
 
--- a/firworks/gateway/state.py
+++ b/firworks/gateway/state.py
@@ -14,11 +14,14 @@
 
     Args:
         on_change (callable): ``on_change(configuration)``, after a new one.
+        on_store (callable): ``on_store(answers)``, after each call of the store.
     """
 
-    def __init__(self, on_change):
+    def __init__(self, on_change, on_store):
         self.holder = ConfigurationHolder()
+        self._raw = b""
         self._on_change = on_change
+        self._on_store = on_store
 
     def take_listing(self, values):
         """Take the newest values of the topic."""
@@ -27,20 +30,38 @@
 
     def take_value(self, value):
         """Take one value; what cannot be read leaves the last one in force."""
-        if value.key != CONFIGURATION_KEY:
-            return
+        if value.key == CONFIGURATION_KEY:
+            self.take_bytes(value.value, "store")
+
+    def take_bytes(self, data, source):
+        """Take the record of a configuration.
+
+        Args:
+            data (bytes): The record.
+            source (str): Who told it, for the log.
+        """
         try:
-            configuration = decode_configuration(value.value)
+            configuration = decode_configuration(data)
         except CodecError as error:
-            log_event(LogEvent.CONFIGURATION_UNREADABLE, error=str(error))
+            log_event(
+                LogEvent.CONFIGURATION_UNREADABLE, source=source, error=str(error)
+            )
             return
         if self.holder.offer(configuration):
+            self._raw = data
             version = configuration.version
-            log_event(LogEvent.CONFIGURATION_APPLIED, version=version)
+            log_event(LogEvent.CONFIGURATION_APPLIED, version=version, source=source)
             self._on_change(configuration)
 
+    def raw_after(self, version):
+        """Return the record (bytes) in force if it is newer than a version."""
+        current = self.holder.current
+        newer = current is not None and current.version > version
+        return self._raw if newer else b""
+
     def note_store(self, ok):
         """Take in whether the store answered."""
+        self._on_store(ok)
 
 
 class TargetsListener:
@@ -49,16 +70,15 @@
     Args:
         clock (callable): Returns monotonic seconds.
         on_change (callable): Called without arguments after each change.
-        on_outage (callable): Called without arguments when the store falls silent.
+        on_store (callable): ``on_store(answers)``, after each call of the store.
     """
 
-    def __init__(self, clock, on_change, on_outage):
+    def __init__(self, clock, on_change, on_store):
         self.directory = TargetDirectory()
         self.listed = False
         self._clock = clock
         self._on_change = on_change
-        self._on_outage = on_outage
-        self._answers = True
+        self._on_store = on_store
         self._unreadable = set()
 
     def take_listing(self, values):
@@ -94,9 +114,23 @@
             self.directory.note_return(self._clock())
         else:
             self.directory.note_outage(self._clock())
-        if self._answers and not ok:
-            self._on_outage()
-        self._answers = ok
+        self._on_store(ok)
+
+    def take_told(self, targets):
+        """Take all targets (list of Target) as another daemon knows them."""
+        before = self.directory.changes
+        for target in targets:
+            if self.directory.put(target) and target.leaving:
+                log_event(LogEvent.TARGET_LEAVING, target=target.target_id)
+        told = {target.target_id for target in targets}
+        for target in self.directory.list_all():
+            if target.target_id not in told:
+                self.directory.drop(target.target_id)
+                log_event(
+                    LogEvent.TARGET_GONE, target=target.target_id, source="daemon"
+                )
+        self.listed = True
+        self._note_change(before)
 
     def expire(self):
         """Forget targets whose entries did not come back after an outage."""
--- a/firworks/kernel/forwarding/directory.py
+++ b/firworks/kernel/forwarding/directory.py
@@ -70,6 +70,10 @@
         """Return the known `Target` at an "ip:port", or None."""
         return self._by_address.get(address)
 
+    def list_all(self):
+        """Return all known targets, leaving ones included, as a list."""
+        return list(self._targets.values())
+
     def get_usable(self, service):
         """Return the usable targets of a service as a tuple."""
         return self._by_service.get(service, ())
@@ -107,6 +111,11 @@
         self._forget(target_id)
         return True
 
+    def drop(self, target_id):
+        """Forget a target that is known to be gone."""
+        if target_id in self._targets:
+            self._forget(target_id)
+
     def replace_all(self, targets, unreadable, now):
         """Take in a full listing; return the ids of those that are gone.
 
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -36,16 +36,18 @@
 
     Args:
         address (str): "ip:port".
+        name (str): Of this daemon; the store's operators see it.
 
     Attributes:
         calls (int): Calls made since the start.
         read_bytes (int): Bytes of their answers.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, name):
         self.calls = 0
         self.read_bytes = 0
         self._base = f"http://{address}"
+        self._name = name
         self._session = None
 
     async def start(self):
@@ -54,7 +56,9 @@
             limit=0, keepalive_timeout=IDLE_TIMEOUT_S, socket_factory=open_socket
         )
         self._session = aiohttp.ClientSession(
-            connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(total=None),
+            headers={"User-Agent": self._name},
         )
 
     async def close(self):
--- a/firworks/plugins/peer_handshake.py
+++ b/firworks/plugins/peer_handshake.py
@@ -12,6 +12,8 @@
 
 HANDSHAKE_TIMEOUT_S = 5.0
 NONCE_BYTES = 16
+# Begins the names of daemons that are known by address only.
+ANY_PEER = "any/"
 
 
 class PeerRefusedError(FirworksError):
@@ -58,7 +60,8 @@
     Args:
         connection (ClientConnection): Freshly opened.
         name (str): This daemon.
-        peer (str): The daemon that must answer.
+        peer (str): The daemon that must answer; one that begins with
+            ``ANY_PEER`` stands for any.
         secret (str): The shared secret.
 
     Raises:
@@ -67,12 +70,12 @@
     nonce = secrets.token_bytes(NONCE_BYTES)
     await connection.send(encode_record(PeerHello(name, nonce)))
     answer = await _receive(connection, PeerChallenge)
-    if answer.name != peer:
+    if answer.name != peer and not peer.startswith(ANY_PEER):
         raise PeerRefusedError(f"expected {peer!r}, {answer.name!r} answered")
-    wanted = _prove(secret, "accept", name, peer, nonce, answer.nonce)
+    wanted = _prove(secret, "accept", name, answer.name, nonce, answer.nonce)
     if not hmac.compare_digest(answer.proof, wanted):
         raise PeerRefusedError(f"{peer!r} has another secret")
-    proof = _prove(secret, "dial", name, peer, nonce, answer.nonce)
+    proof = _prove(secret, "dial", name, answer.name, nonce, answer.nonce)
     await connection.send(encode_record(PeerProof(proof)))
     await _receive(connection, PeerWelcome)
 
--- a/firworks/standins/platform_store.py
+++ b/firworks/standins/platform_store.py
@@ -23,6 +23,7 @@
     Attributes:
         down (bool): Every call is answered 503.
         silent (bool): No call is answered.
+        turned_away (set of str): User agents whose calls are answered 503.
         calls (list of str): Paths, in order.
     """
 
@@ -30,6 +31,7 @@
         super().__init__(port)
         self.down = False
         self.silent = False
+        self.turned_away = set()
         self.calls = []
         self._topics = {}
         self._first = {}
@@ -79,7 +81,8 @@
         self.calls.append(request.path)
         if self.silent:
             await wait_for_ever()
-        return Response(status=503) if self.down else None
+        refused = self.down or request.headers.get("User-Agent") in self.turned_away
+        return Response(status=503) if refused else None
 
     async def _append(self, request):
         body = await request.read()
@@ -110,8 +113,9 @@
                     await self._changed.wait()
         except TimeoutError:
             pass  # nothing came: the answer holds no records
-        if self.down:
-            return Response(status=503)
+        failed = await self._fail(request)
+        if failed is not None:
+            return failed
         records = self._topics.get(topic, [])
         extent = len(records).to_bytes(8, "big")
         extent += self._first.get(topic, 0).to_bytes(8, "big")
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -387,6 +387,31 @@
         play(scenario)
 
 
+class TestNews:
+    def test_a_gateway_that_the_store_turns_away_learns_from_others(self):
+        async def scenario(world):
+            deprived = world.gateways[0]
+            world.store.turned_away.add("gateway-1")
+            await wait_until(lambda: deprived._news.seeker.deprived)
+            world.store.put_configuration(make_configuration(7, tenants=[]))
+            leaving = world.targets["loans-1"]
+            world.store.put_target("loans-1", leaving.make_entry("draining"))
+            world.store.put_target("loans-2", None)
+            await wait_until(lambda: deprived.configuration.version == 7)
+            await wait_until(lambda: not deprived.directory.get_usable("loans"))
+
+        play(scenario, gateways=2)
+
+    def test_a_gateway_that_starts_while_turned_away_asks_the_seeds(self):
+        async def scenario(world):
+            seed = world.gateways[0].roster.own.address
+            world.store.turned_away.add("late")
+            late = await world.add_gateway("late", seeds=[seed])
+            assert (await world.ask("/stock/a", gateway=late))[0] == 200
+
+        play(scenario)
+
+
 class TestDiscovery:
     def test_a_target_that_leaves_gets_no_new_work(self):
         async def scenario(world):
