Serve gateway metrics, bound the log, end mutual reconnects

A ping to a suspected daemon now carries the sender's entry, and a connection is replaced at most every 2 s.

--- a/firworks/events.py
+++ b/firworks/events.py
@@ -153,9 +153,11 @@
     line = {
         "time": record["time"].isoformat(timespec="milliseconds"),
         "level": record["level"].name,
-        "message": record["message"],
         **record["extra"],
     }
+    # A catalogued event's fields say all that its message does.
+    if "event_name" not in line:
+        line["message"] = record["message"]
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
     record["extra"]["_line"] = json.dumps(line, default=str)
--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from aiohttp.web import Response, Server
+from aiohttp.web import Server
 
 from firworks.codes import Code
 from firworks.errors import RequestError
@@ -17,7 +17,6 @@
 HEADER_LIMIT_BYTES = 32_768
 BODY_TIMEOUT_S = 10.0
 BACKLOG = 1024
-READY_PATH = "/readyz"
 
 
 class CallersServer:
@@ -117,14 +116,22 @@
         response = await gateway.relay.serve(ticket)
         if not response.prepared:
             gateway.prepare_response(http, response)
+        took_s = gateway.clock() - begun_s
+        gateway.metrics.count_answer(admitted.route.name, response.status, took_s)
         log_event(
             LogEvent.REQUEST_ANSWERED,
             request=request_id,
             route=admitted.route.name,
             version=admitted.version,
+            account="" if admitted.account is None else admitted.account.name,
+            priority=admitted.priority,
+            service=service,
+            target=ticket.target_id,
             status=response.status,
             sends=ticket.progress.sends,
-            took_s=round(gateway.clock() - begun_s, 3),
+            stages_s=ticket.stages_s,
+            first_s=ticket.first_s,
+            took_s=round(took_s, 3),
         )
         return response
 
@@ -147,34 +154,3 @@
         except TimeoutError as error:
             raise RequestError(Code.REQUEST_TIMEOUT, "the body did not come") from error
         return b"".join(parts)
-
-
-class ReadinessServer:
-    """Tells the platform's balancer whether to send callers here.
-
-    Args:
-        gateway (Gateway): Knows whether it is ready.
-    """
-
-    def __init__(self, gateway):
-        self._gateway = gateway
-        self._server = None
-        self._listener = None
-
-    async def start(self, address):
-        """Listen on an "ip:port"."""
-        host, port = address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        self._server = Server(self._handle, access_log=None)
-        self._listener = await loop.create_server(self._server, host, int(port))
-
-    async def stop(self):
-        """Stop listening and close all connections."""
-        if self._listener is not None:
-            self._listener.close()
-            await self._server.shutdown(0.1)
-
-    async def _handle(self, http):
-        if http.path != READY_PATH:
-            return Response(status=404)
-        return Response(status=200 if self._gateway.ready else 503)
--- /dev/null
+++ b/firworks/gateway/metrics.py
@@ -0,0 +1,115 @@
+"""Metrics of one gateway; docs/METRICS.md lists them."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+)
+
+from firworks.metrics import LATENCY_BUCKETS_S, LabelValues
+
+
+class GatewayMetrics:
+    """The metrics of one gateway.
+
+    Attributes:
+        registry (CollectorRegistry): For exposition.
+        routes (LabelValues): Bounds the values of label ``route``.
+        services (LabelValues): Bounds the values of label ``service``.
+    """
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self.routes = LabelValues()
+        self.services = LabelValues()
+        self.answers = self._counter(
+            "answers", "Answers to callers, by status.", ("route", "status")
+        )
+        self.latency = self._histogram(
+            "answer_latency_seconds", "From arrival to the end.", ("route",)
+        )
+        self.first_byte = self._histogram(
+            "answer_first_byte_seconds", "From arrival to the head.", ("route",)
+        )
+        self.attempts_failed = self._counter(
+            "attempts_failed", "Attempts without a usable answer.", ("service", "kind")
+        )
+        self.stage_calls = self._counter(
+            "stage_calls", "Calls of stage pools, by result.", ("service", "result")
+        )
+        self.stage_pieces = self._counter(
+            "stage_pieces", "Pieces asked for in those calls.", ("service",)
+        )
+        self.stage_seconds = self._histogram(
+            "stage_call_seconds", "Time of a call of a stage pool.", ("service",)
+        )
+        self.suspected = self._counter(
+            "members_suspected", "Times that another daemon did not answer."
+        )
+        self.store_calls = self._gauge("store_calls", "Calls of the store so far.")
+        self.store_bytes = self._gauge("store_read_bytes", "Bytes read from it so far.")
+        self.connections = self._gauge(
+            "target_connections_opened", "Connections opened to targets so far."
+        )
+        self.members = self._gauge("members", "Daemons known, this one included.")
+        self.in_progress = self._gauge("answers_in_progress", "Requests in progress.")
+        self.queued = self._gauge("stage_pieces_queued", "Pieces that wait for a call.")
+        self.ready = self._gauge("gateway_ready", "1 while callers may be sent here.")
+        self.version = self._gauge(
+            "gateway_configuration_version", "Configuration version in force."
+        )
+        self.log_lines_dropped = self._gauge(
+            "log_lines_dropped", "Log lines left out so far."
+        )
+
+    def _counter(self, name, text, labels=()):
+        return Counter(f"firworks_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name, text):
+        return Gauge(f"firworks_{name}", text, registry=self.registry)
+
+    def _histogram(self, name, text, labels):
+        return Histogram(
+            f"firworks_{name}",
+            text,
+            labels,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+    def count_answer(self, route, status, took_s):
+        """Count an answer.
+
+        Args:
+            route (str): Name of the route.
+            status (int): HTTP status.
+            took_s (float): Since the request's arrival.
+        """
+        route = self.routes.bound(route)
+        self.answers.labels(route, str(status)).inc()
+        self.latency.labels(route).observe(took_s)
+
+    def count_first_byte(self, route, took_s):
+        """Count the head of a target's answer; `took_s` is since the arrival."""
+        self.first_byte.labels(self.routes.bound(route)).observe(took_s)
+
+    def count_failed_attempt(self, service, kind):
+        """Count an attempt that failed in a way (str)."""
+        self.attempts_failed.labels(self.services.bound(service), kind).inc()
+
+    def count_stage_call(self, service, result, pieces, took_s):
+        """Count a call of a stage pool.
+
+        Args:
+            service (str): The pool.
+            result (str): "answered", "full" or "failed".
+            pieces (int): How many it carried.
+            took_s (float): Since it was sent.
+        """
+        service = self.services.bound(service)
+        self.stage_calls.labels(service, result).inc()
+        self.stage_pieces.labels(service).inc(pieces)
+        self.stage_seconds.labels(service).observe(took_s)
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -21,8 +21,6 @@
     JobTaken,
     PiecesMade,
     PiecesRefused,
-    Ping,
-    Pong,
     RequestBegun,
     RequestEnded,
     RequestPlaced,
@@ -59,15 +57,19 @@
         connections (TargetConnections): Where connections come from.
         clock (callable): Returns monotonic seconds.
         roster (Roster): The members.
+        metrics (GatewayMetrics): Counts calls and suspicions.
+
+    Attributes:
         peers (Peers or None): Set by the gateway before it starts.
     """
 
-    def __init__(self, directory, connections, clock, roster):
+    def __init__(self, directory, connections, clock, roster, metrics):
         self.peers = None
         self._directory = directory
         self._connections = connections
         self._clock = clock
         self._roster = roster
+        self._metrics = metrics
         self._client = PoolClient(roster)
         self._stages = {}
         self._engines = {}
@@ -80,6 +82,12 @@
         """Whether stage calls for some gateway are in progress or wait."""
         return any(runner.scheduler.busy for runner in self._stages.values())
 
+    @property
+    def queued_pieces(self):
+        """How many pieces wait here for a call."""
+        runners = self._stages.values()
+        return sum(runner.scheduler.queued_pieces for runner in runners)
+
     def make_job_id(self):
         """Return a name for a job that no other job of any gateway has."""
         return f"{self._roster.own.incarnation}/{next(self._job_numbers)}"
@@ -197,6 +205,7 @@
 
     @_do.register
     def _(self, action: MemberSuspected):
+        self._metrics.suspected.inc()
         log_event(LogEvent.MEMBER_SUSPECTED, member=action.peer, jobs=action.jobs)
 
     @_do.register
@@ -208,12 +217,6 @@
         """Take a record, as a scheduler or as its client."""
         self._carry_out(self._client.take(record, peer, self._clock()))
 
-    @_take.register
-    def _(self, record: Ping, peer):
-        if record.unheard:
-            self.peers.reconnect(peer)
-        self.peers.send(peer, Pong(record.number))
-
     @_take.register
     def _(self, record: SubmitPieces, peer):
         self._submit(peer, record.job, self._stages.get(record.service))
@@ -267,7 +270,7 @@
         runner = self._stages.get(name)
         if runner is None:
             self._stages[name] = StagePoolRunner(
-                service, self._connections, self._clock, self._deliver
+                service, self._connections, self._clock, self._deliver, self._metrics
             )
         else:
             runner.scheduler.spec = service.stage_pool
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -10,13 +10,15 @@
 
 from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event
-from firworks.gateway.callers import CallersServer, ReadinessServer
+from firworks.gateway.callers import CallersServer
 from firworks.gateway.connections import ConnectError, TargetConnections
 from firworks.gateway.followers import TopicFollower
 from firworks.gateway.members import MembersListener
+from firworks.gateway.metrics import GatewayMetrics
 from firworks.gateway.news import NewsDesk
 from firworks.gateway.peers import Peers
 from firworks.gateway.pools import Pools
+from firworks.gateway.readiness import MetricsServer, ReadinessServer
 from firworks.gateway.relays import Relay
 from firworks.gateway.settings import find_settings_path, load_gateway_settings
 from firworks.gateway.state import ConfigurationListener, TargetsListener
@@ -30,6 +32,7 @@
     TargetCrashed,
 )
 from firworks.kernel.pools.roster import Roster
+from firworks.log_output import BoundedOutput
 from firworks.platform.stages import locate_handle
 from firworks.platform.store import (
     CONFIGURATION_TOPIC,
@@ -56,6 +59,7 @@
 
     Args:
         settings (GatewaySettings): Settings of the process.
+        output (BoundedOutput or None): Where the log goes, for its metric.
 
     Attributes:
         incarnation (str): Unique name of this run.
@@ -65,8 +69,10 @@
         retry_budget (RetryBudget): Bounds resends.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, output=None):
         self.settings = settings
+        self.metrics = GatewayMetrics()
+        self._output = output
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:8]}"
         self.rng = Random(f"{settings.seed}/{self.incarnation}")
         self.store = StoreClient(settings.store, settings.name)
@@ -83,7 +89,9 @@
             self.clock, self._apply_targets, self._note_targets
         )
         self.roster = Roster(self._make_entry())
-        self.pools = Pools(self.directory, self.connections, self.clock, self.roster)
+        self.pools = Pools(
+            self.directory, self.connections, self.clock, self.roster, self.metrics
+        )
         self.pools.peers = Peers(settings, self.roster, self._receive, self.clock)
         self._news = NewsDesk(
             settings, self.roster, self._configurations, self._targets, self.rng
@@ -93,6 +101,7 @@
         self.relay = Relay(self)
         self.callers = CallersServer(self)
         self._readiness = ReadinessServer(self)
+        self._metrics_server = MetricsServer(self)
         self.draining = asyncio.Event()
         self._tasks = []
         self._followers = []
@@ -131,6 +140,20 @@
         target = self.directory.find_address(locate_handle(handle))
         return None if target is None else target.failure_domain
 
+    def update_metrics(self):
+        """Set the gauges of the gateway's state."""
+        metrics, configuration = self.metrics, self.configuration
+        metrics.store_calls.set(self.store.calls)
+        metrics.store_bytes.set(self.store.read_bytes)
+        metrics.connections.set(self.connections.opened)
+        metrics.members.set(self.roster.count)
+        metrics.in_progress.set(self.callers.in_progress)
+        metrics.queued.set(self.pools.queued_pieces)
+        metrics.ready.set(int(self.ready))
+        metrics.version.set(-1 if configuration is None else configuration.version)
+        dropped = 0 if self._output is None else self._output.dropped
+        metrics.log_lines_dropped.set(dropped)
+
     def check_crash(self, fingerprint, target):
         """Find out whether a target that broke off a request has gone down."""
         self._spawn(self._check_crash(fingerprint, target))
@@ -201,6 +224,7 @@
         self._tasks.append(asyncio.ensure_future(self._tick()))
         await self.callers.start(self.settings.callers)
         await self._readiness.start(self.settings.readiness)
+        await self._metrics_server.start(self.settings.metrics)
 
     async def drain(self):
         """Leave the rotation, let requests in progress end, then stop."""
@@ -227,6 +251,7 @@
         await self.pools.peers.stop()
         await self.callers.stop()
         await self._readiness.stop()
+        await self._metrics_server.stop()
         self.connections.close()
         await self.store.close()
         log_event(LogEvent.DAEMON_STOPPED, name=self.settings.name)
@@ -278,9 +303,14 @@
             await asyncio.sleep(TICK_S)
 
 
-async def run_gateway(settings):
-    """Run a gateway until a signal has drained it."""
-    gateway = Gateway(settings)
+async def run_gateway(settings, output=None):
+    """Run a gateway until a signal has drained it.
+
+    Args:
+        settings (GatewaySettings): Of the process.
+        output (BoundedOutput or None): Where the log goes, for its metric.
+    """
+    gateway = Gateway(settings, output)
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -299,5 +329,6 @@
     except FirworksError as error:
         print(f"firworks: {error}", file=sys.stderr)
         sys.exit(2)
-    configure_logs(settings.log_format, sys.stdout)
-    asyncio.run(run_gateway(settings))
+    output = BoundedOutput(sys.stdout.fileno(), time.monotonic)
+    configure_logs(settings.log_format, output)
+    asyncio.run(run_gateway(settings, output))
--- /dev/null
+++ b/firworks/gateway/readiness.py
@@ -0,0 +1,71 @@
+"""Listeners for the platform's balancer and for those who read metrics."""
+
+import asyncio
+
+from aiohttp.web import Response, Server
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+READY_PATH = "/readyz"
+METRICS_PATH = "/metrics"
+
+
+class PlainServer:
+    """An HTTP listener with one path.
+
+    Args:
+        gateway (Gateway): What the answers tell of.
+    """
+
+    PATH = ""
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self._server = None
+        self._listener = None
+
+    async def start(self, address):
+        """Listen on an "ip:port"."""
+        host, port = address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self._server = Server(self._handle, access_log=None)
+        self._listener = await loop.create_server(self._server, host, int(port))
+
+    @property
+    def port(self):
+        """The bound port."""
+        return self._listener.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        """Stop listening and close all connections."""
+        if self._listener is not None:
+            self._listener.close()
+            await self._server.shutdown(0.1)
+
+    def answer(self):
+        """Return the answer to a request for the path."""
+        raise NotImplementedError
+
+    async def _handle(self, http):
+        return self.answer() if http.path == self.PATH else Response(status=404)
+
+
+class ReadinessServer(PlainServer):
+    """Tells the platform's balancer whether to send callers here."""
+
+    PATH = READY_PATH
+
+    def answer(self):
+        """Return status 200 while callers may come, else 503."""
+        return Response(status=200 if self._gateway.ready else 503)
+
+
+class MetricsServer(PlainServer):
+    """Serves the metrics in the Prometheus text format."""
+
+    PATH = METRICS_PATH
+
+    def answer(self):
+        """Return all metrics."""
+        self._gateway.update_metrics()
+        body = generate_latest(self._gateway.metrics.registry)
+        return Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -96,9 +96,12 @@
         harmless = not self._gateway.suspects.is_refused(ticket.fingerprint, now)
         within = harmless and (not failure.sent or budget.take(ticket.service, now))
         verdict = ticket.progress.judge(failure, ticket.left_s(now), within)
+        metrics = self._gateway.metrics
+        metrics.count_failed_attempt(ticket.service, failure.kind)
         log_event(
             LogEvent.ATTEMPT_FAILED,
             request=ticket.request_id,
+            target=ticket.target_id,
             kind=failure.kind,
             sends=ticket.progress.sends,
             left_s=round(ticket.left_s(now), 3),
@@ -118,7 +121,9 @@
             gateway.locate_result,
             ENGINE_LEAST_S,
         )
+        begun_s = self._clock()
         ticket.inputs = await ticket.stages.run()
+        ticket.stages_s = round(self._clock() - begun_s, 3)
 
     async def _attempt(self, ticket):
         if self._gateway.pools.has_engines(ticket.service):
@@ -190,6 +195,7 @@
         """Send the request to a target and pass its answer on."""
         if self._gateway.directory.find(target.target_id) is None:
             raise AttemptError(NOT_RUN, False, f"{target.target_id} is leaving")
+        ticket.target_id = target.target_id
         head = self._build_head(ticket, target)
         exchange = Exchange(self._gateway.connections, target, self._clock)
         max_idle_s = None if ticket.progress.repeatable else UNREPEATABLE_IDLE_S
@@ -290,6 +296,10 @@
 
     async def _begin_answer(self, ticket, response):
         ticket.response = response
+        first_s = self._clock() - ticket.admitted.begun_s
+        ticket.first_s = round(first_s, 3)
+        route = ticket.admitted.route.name
+        self._gateway.metrics.count_first_byte(route, first_s)
         ticket.progress.begun_answer = True
         self._gateway.prepare_response(ticket.http, response)
         self._gateway.clear_suspect(ticket.fingerprint)
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -37,14 +37,16 @@
         connections (TargetConnections): Where connections come from.
         clock (callable): Returns monotonic seconds.
         deliver (callable): ``deliver(result)`` takes each `JobDone` and `JobRefused`.
+        metrics (GatewayMetrics): Counts the calls.
     """
 
-    def __init__(self, service, connections, clock, deliver):
+    def __init__(self, service, connections, clock, deliver, metrics):
         self.service = service
         self.scheduler = StageScheduler(service.stage_pool)
         self._connections = connections
         self._clock = clock
         self._deliver = deliver
+        self._metrics = metrics
         self._tasks = set()
         self._timer = None
         self._to_free = {}
@@ -134,9 +136,11 @@
                 error=repr(error),
                 took_s=round(self._clock() - call.started_s, 3),
             )
+            self._count(call, "failed")
             actions = self.scheduler.take_failure(call.call_id, self._clock())
         else:
             now = self._clock()
+            self._count(call, "full" if results is None else "answered")
             if results is None:
                 actions = self.scheduler.take_full(call.call_id, now)
             else:
@@ -144,6 +148,11 @@
                 actions = self.scheduler.take_answer(call.call_id, results, now)
         self._carry_out(actions)
 
+    def _count(self, call, result):
+        took_s = self._clock() - call.started_s
+        name, pieces = self.service.name, len(call.pieces)
+        self._metrics.count_stage_call(name, result, pieces, took_s)
+
     def _log_answer(self, call, results, now):
         reasons = [reason for handle, reason in results if handle is None]
         log_event(
--- a/firworks/gateway/tickets.py
+++ b/firworks/gateway/tickets.py
@@ -22,6 +22,9 @@
         last_event_id (str or None): Event after which a stream goes on.
         response (StreamResponse or None): Once its head has gone to the caller.
         fingerprint (bytes): Hash of path, caller and body, the same for each try.
+        target_id (str): The last target that it was sent to.
+        stages_s (float or None): Time that its stages took.
+        first_s (float or None): Time until the head of its answer.
     """
 
     __slots__ = (
@@ -36,6 +39,9 @@
         "last_event_id",
         "response",
         "fingerprint",
+        "target_id",
+        "stages_s",
+        "first_s",
     )
 
     def __init__(self, http, admitted, service, body):
@@ -50,6 +56,9 @@
         self.inputs = ()
         self.last_event_id = admitted.request.last_event_id
         self.response = None
+        self.target_id = ""
+        self.stages_s = None
+        self.first_s = None
         self.fingerprint = make_fingerprint(admitted.request, body)
 
     @property
--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -32,6 +32,8 @@
 QUIET_LIMIT_S = 0.3
 # A suspected member is tried again.
 RETRY_S = 0.5
+# Least time from one replacement of a connection to the next.
+RECONNECT_GAP_S = 2.0
 # Schedulers that have no job of this daemon are pinged this often.
 IDLE_PING_S = 3.0
 
@@ -109,12 +111,13 @@
 class _Contact:
     """When a peer was heard and pinged."""
 
-    __slots__ = ("heard_s", "pinged_s", "awaits")
+    __slots__ = ("heard_s", "pinged_s", "awaits", "reconnected_s")
 
     def __init__(self, now):
         self.heard_s = now
         self.pinged_s = 0.0
         self.awaits = None
+        self.reconnected_s = float("-inf")
 
 
 class PoolClient:
@@ -184,8 +187,12 @@
         return []
 
     @take.register
-    def _(self, record: Pong, peer, now):
-        return []
+    def _(self, record: Ping, peer, now):
+        actions = []
+        for entry in record.unheard:
+            self._roster.put(entry)
+            actions += self._reconnect(peer, now)
+        return [*actions, SendTo(peer, Pong(record.number))]
 
     @take.register
     def _(self, record: JobTaken, peer, now):
@@ -260,13 +267,25 @@
         contact.awaits = None
         new = self._roster.suspect(peer)
         moved = [one for one in self._pending.values() if one.peer == peer]
-        actions = [Reconnect(peer)]
+        actions = self._reconnect(peer, now)
         if new or moved:
             actions.append(MemberSuspected(peer, len(moved)))
         for pending in moved:
             actions += self.submit(pending.service, pending.job, now)
         return actions
 
+    def _reconnect(self, peer, now):
+        """Replace a connection, unless that was done a moment ago.
+
+        Two daemons that suspect each other would otherwise cut the connections that
+        carry each other's answers.
+        """
+        contact = self._contacts.setdefault(peer, _Contact(now))
+        if now - contact.reconnected_s < RECONNECT_GAP_S:
+            return []
+        contact.reconnected_s = now
+        return [Reconnect(peer)]
+
     def _move_running(self, now):
         """Tell the schedulers of today which requests are at engines."""
         actions = []
@@ -295,7 +314,8 @@
                 self._ping_number += 1
                 contact.awaits = self._ping_number
                 contact.pinged_s = now
-                unheard = self._roster.is_suspected(peer)
+                suspected = self._roster.is_suspected(peer)
+                unheard = (self._roster.own,) if suspected else ()
                 actions.append(SendTo(peer, Ping(self._ping_number, unheard)))
         return actions
 
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -27,12 +27,13 @@
 
     Attributes:
         number (int): Echoed by `Pong`.
-        unheard (bool): The sender has not heard from it lately: its connection
-            to the sender may carry nothing.
+        unheard (tuple of MemberEntry): The sender itself, if it has not heard from
+            the daemon: that may not know the sender, or its connection to the sender
+            may carry nothing.
     """
 
     __slots__ = ("number", "unheard")
-    TYPES = (int, bool)
+    TYPES = (int, (MemberEntry,))
 
 
 @register_record
--- a/firworks/tests/test_docs.py
+++ b/firworks/tests/test_docs.py
@@ -10,6 +10,7 @@
 from firworks.codes import Code
 from firworks.document import Account, Pipeline, Pool, Stage
 from firworks.events import LogEvent
+from firworks.gateway.metrics import GatewayMetrics
 from firworks.metrics import Metrics
 from firworks.settings import DEFAULTS, SCHEMA
 
@@ -72,7 +73,8 @@
             labels = tuple(re.findall(r"`(\w+)`", row[2]))
             listed[row[0].strip("`")] = (row[1], labels)
         wanted = {}
-        for metric in vars(Metrics()).values():
+        metrics = [*vars(Metrics()).values(), *vars(GatewayMetrics()).values()]
+        for metric in metrics:
             if hasattr(metric, "_labelnames"):
                 name = metric._name + ("_total" if metric._type == "counter" else "")
                 wanted[name] = (metric._type, metric._labelnames)
