Test the decisions on forwarding and pools, with replays of the loads

Orders, batches, refusals, locality, engines, rosters and the handing over of jobs are tested without I/O; bursts, a hanging and a slow target are replayed in the virtual world against order by arrival and by strict priority.

--- /dev/null
+++ b/firworks/tests/test_forwarding.py
@@ -0,0 +1,316 @@
+"""Decisions on forwarded requests, without I/O."""
+
+import json
+from random import Random
+
+import pytest
+
+from firworks.codes import Code
+from firworks.errors import RequestError
+from firworks.kernel.forwarding.admission import admit, choose_service
+from firworks.kernel.forwarding.balancer import Balancer
+from firworks.kernel.forwarding.configuration import ConfigurationHolder
+from firworks.kernel.forwarding.directory import LAPSE_GRACE_S, Target, TargetDirectory
+from firworks.kernel.forwarding.event_stream import EventSplitter
+from firworks.kernel.forwarding.news import NewsSeeker, digest_targets
+from firworks.kernel.forwarding.outcomes import (
+    BROKEN,
+    FAILED,
+    NOT_RUN,
+    AttemptError,
+    Progress,
+)
+from firworks.kernel.forwarding.requests import CallerRequest
+from firworks.kernel.forwarding.retry_budget import SAFETY, RetryBudget
+from firworks.kernel.forwarding.suspects import (
+    CRASHES_TO_REFUSE,
+    FORGET_AFTER_S,
+    Suspects,
+)
+from firworks.kernel.pools.messages import MemberEntry
+from firworks.kernel.pools.roster import Roster
+from firworks.platform.configuration import decode_configuration
+from firworks.tests.gateway_world import HOST, KEY, make_configuration, make_route
+
+
+def make_target(target_id, service="loans", domain="fd-1", leaving=False):
+    """Return a `Target`."""
+    address = f"10.0.0.{sum(target_id.encode()) % 250}:80"
+    return Target(target_id, service, address, domain, "v1", 4, leaving, 0)
+
+
+def make_request(path, host=HOST, key=KEY, patience_s=None, request_id="r"):
+    """Return a `CallerRequest`."""
+    return CallerRequest(
+        request_id, "GET", host, path, key, patience_s, None, None, (), ""
+    )
+
+
+def make_decoded(**changes):
+    """Return a `Configuration`."""
+    return decode_configuration(json.dumps(make_configuration(**changes)).encode())
+
+
+class TestRoutes:
+    ROUTES = [
+        make_route("all", "loans", **{"path-prefix": "/"}),
+        make_route("deep", "loans", **{"path-prefix": "/a/b/"}),
+        make_route("shallow", "loans", **{"path-prefix": "/a/"}),
+    ]
+
+    @pytest.mark.parametrize(
+        ("path", "name"),
+        [
+            ("/a/b/c", "deep"),
+            ("/a/b/", "deep"),
+            ("/a/b", "shallow"),
+            ("/a/bc/", "shallow"),
+            ("/x", "all"),
+        ],
+    )
+    def test_the_longest_prefix_wins(self, path, name):
+        found = make_decoded(routes=self.ROUTES).find_route(HOST, path)
+        assert found.name == name
+
+    def test_another_host_has_no_route(self):
+        configuration = make_decoded(routes=self.ROUTES)
+        assert configuration.find_route("other.example", "/a/") is None
+
+
+class TestVersions:
+    def test_a_version_never_falls(self):
+        holder = ConfigurationHolder()
+        taken = [
+            holder.offer(make_decoded(version=version)) for version in (3, 2, 3, 9, 4)
+        ]
+        assert taken == [True, False, False, True, False]
+        assert holder.current.version == 9
+
+
+class TestAdmission:
+    def test_the_route_bounds_the_callers_patience(self):
+        configuration = make_decoded()
+        for patience_s, deadline_s in ((1.0, 101.0), (60.0, 104.0), (None, 104.0)):
+            request = make_request("/stock/a", patience_s=patience_s)
+            assert admit(request, configuration, 100.0).deadline_s == deadline_s
+
+    def test_the_accounts_priority_goes_before_the_routes(self):
+        tenants = [{"name": "club", "api-keys": [KEY], "priority": 0}]
+        admitted = admit(make_request("/stock/a"), make_decoded(tenants=tenants), 0.0)
+        assert (admitted.priority, admitted.account.name) == (0, "club")
+
+    @pytest.mark.parametrize(
+        ("request_", "code"),
+        [
+            (make_request("/none/a"), Code.UNKNOWN_PIPELINE),
+            (make_request("/stock/a", key="x"), Code.UNAUTHENTICATED),
+            (make_request("/stock/a", request_id=""), Code.MALFORMED_REQUEST),
+        ],
+    )
+    def test_what_is_not_allowed(self, request_, code):
+        with pytest.raises(RequestError) as caught:
+            admit(request_, make_decoded(), 0.0)
+        assert caught.value.code == code
+
+    def test_without_a_configuration_a_request_is_not_run(self):
+        with pytest.raises(RequestError) as caught:
+            admit(make_request("/stock/a"), None, 0.0)
+        assert caught.value.code.http_status == 503
+
+    def test_services_are_chosen_by_weight(self):
+        split = [
+            {"service": "loans", "weight": 90},
+            {"service": "engines", "weight": 10},
+        ]
+        routes = [make_route("s", "loans", **{"traffic-split": split})]
+        route = make_decoded(routes=routes).routes[0]
+        rng = Random(1)
+        names = [choose_service(route, rng) for _ in range(1000)]
+        assert 60 < names.count("engines") < 140
+
+
+class TestDirectory:
+    def test_a_leaving_target_is_not_usable(self):
+        directory = TargetDirectory()
+        directory.put(make_target("a"))
+        directory.put(make_target("b"))
+        directory.put(make_target("a", leaving=True))
+        assert [t.target_id for t in directory.get_usable("loans")] == ["b"]
+        assert directory.find("a") is None
+
+    def test_an_entry_that_vanishes_in_calm_is_gone_at_once(self):
+        directory = TargetDirectory()
+        directory.put(make_target("a"))
+        assert directory.remove("a", 10.0)
+        assert not directory.get_usable("loans")
+
+    def test_an_entry_that_lapsed_in_an_outage_is_kept_until_after_it(self):
+        directory = TargetDirectory()
+        for name in ("back", "gone", "left"):
+            directory.put(make_target(name))
+        directory.note_outage(10.0)
+        for name in ("back", "gone"):
+            assert not directory.remove(name, 11.0)
+        directory.put(make_target("left", leaving=True))
+        assert directory.remove("left", 11.5)
+        assert directory.expire(60.0) == []
+        directory.note_return(60.0)
+        directory.put(make_target("back"))
+        assert directory.expire(60.0 + LAPSE_GRACE_S - 0.1) == []
+        assert directory.expire(60.0 + LAPSE_GRACE_S) == ["gone"]
+        assert [t.target_id for t in directory.get_usable("loans")] == ["back"]
+
+    def test_an_unreadable_entry_in_a_listing_changes_nothing(self):
+        directory = TargetDirectory()
+        directory.put(make_target("a"))
+        directory.put(make_target("b"))
+        gone = directory.replace_all([make_target("c")], ["a"], 5.0)
+        assert gone == ["b"]
+        names = {t.target_id for t in directory.get_usable("loans")}
+        assert names == {"a", "c"}
+
+
+class TestOutcomes:
+    def judge(self, kinds, repeatable, max_attempts=2, left_s=1.0, budget=True):
+        progress = Progress(repeatable, max_attempts)
+        for kind, sent in kinds:
+            failure = AttemptError(kind, sent, "")
+            progress.note(failure)
+        return progress.judge(failure, left_s, budget)
+
+    @pytest.mark.parametrize(
+        ("kinds", "repeatable", "again", "code"),
+        [
+            ([(NOT_RUN, False)], False, True, Code.OK),
+            ([(NOT_RUN, True)], False, True, Code.OK),
+            ([(BROKEN, True)], False, False, Code.TARGET_FAILED),
+            ([(BROKEN, True)], True, True, Code.OK),
+            ([(FAILED, True)], False, False, Code.TARGET_FAILED),
+            ([(NOT_RUN, True), (NOT_RUN, True)], True, False, Code.OVERLOADED),
+            ([(BROKEN, True), (NOT_RUN, True)], True, False, Code.TARGET_FAILED),
+            ([(BROKEN, True), (NOT_RUN, False)], False, False, Code.TARGET_FAILED),
+        ],
+    )
+    def test_what_follows(self, kinds, repeatable, again, code):
+        verdict = self.judge(kinds, repeatable)
+        assert (verdict.again, verdict.code) == (again, code)
+
+    def test_nothing_is_sent_again_without_time_or_budget(self):
+        assert not self.judge([(NOT_RUN, False)], True, left_s=0.01).again
+        assert not self.judge([(BROKEN, True)], True, budget=False).again
+
+    def test_503_is_only_said_of_what_has_not_run(self):
+        for kinds in ([(BROKEN, True)], [(FAILED, True)], [(BROKEN, True)] * 3):
+            assert self.judge(kinds, False).code.http_status not in (408, 421, 429, 503)
+
+
+class TestRetryBudget:
+    def test_resends_stay_within_a_share_of_the_requests(self):
+        budget = RetryBudget(0.2, 126.0, 10.0)
+        budget.set_members(18)
+        taken = 0
+        for step in range(2000):
+            now = step * 0.01
+            budget.note_request("loans", now)
+            taken += budget.take("loans", now)
+        limit = SAFETY * (0.2 * 1000 + 126 / 18)
+        assert taken <= 2 * limit + 1
+
+    def test_an_idle_daemon_keeps_to_its_part_of_the_slack(self):
+        budget = RetryBudget(0.2, 126.0, 10.0)
+        budget.set_members(18)
+        assert sum(budget.take("loans", 1.0) for _ in range(50)) == 4
+
+
+class TestEventStream:
+    def test_an_event_is_held_back_until_it_is_whole(self):
+        splitter = EventSplitter()
+        assert splitter.feed(b"id: 1\ndata: a\n") == b""
+        assert splitter.cut and splitter.last_id is None
+        assert splitter.feed(b"\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+        assert splitter.last_id == "1"
+        assert splitter.feed(b"ta: b\r\n\r\n") == b"id: 2\ndata: b\r\n\r\n"
+        assert (splitter.last_id, splitter.cut) == ("2", False)
+
+    def test_any_division_gives_the_same_events(self):
+        data = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(20))
+        rng = Random(5)
+        for _ in range(50):
+            splitter, got, rest = EventSplitter(), b"", data
+            while rest:
+                size = rng.randint(1, 30)
+                got += splitter.feed(rest[:size])
+                rest = rest[size:]
+            assert (got, splitter.last_id, splitter.cut) == (data, "19", False)
+
+
+class TestBalancer:
+    def test_work_is_spread_and_failures_are_avoided(self):
+        balancer = Balancer("fd-1", Random(1))
+        targets = [make_target(name) for name in "abc"]
+        counts = dict.fromkeys("abc", 0)
+        for step in range(300):
+            now = step * 0.05
+            target = balancer.choose(targets, set(), now)
+            balancer.begin(target)
+            counts[target.target_id] += 1
+            balancer.end(target, target.target_id == "b", 0.1, now)
+        assert counts["b"] < 0.1 * 300
+        assert abs(counts["a"] - counts["c"]) < 60
+
+    def test_a_target_that_had_the_request_is_left_out(self):
+        balancer = Balancer("fd-1", Random(1))
+        targets = [make_target("a"), make_target("b")]
+        excluded = {targets[0].run}
+        assert balancer.choose(targets, excluded, 0.0) is targets[1]
+        assert balancer.choose(targets[:1], excluded, 0.0) is None
+
+
+class TestSuspects:
+    def test_a_request_is_refused_after_distinct_crashes(self):
+        suspects = Suspects()
+        for number in range(CRASHES_TO_REFUSE):
+            assert not suspects.is_refused(b"poison", 1.0)
+            assert suspects.note_crash(b"poison", f"run-{number}", 1.0)
+            assert not suspects.note_crash(b"poison", f"run-{number}", 1.0)
+        assert suspects.is_refused(b"poison", 2.0)
+        assert not suspects.is_refused(b"poison", 2.0 + FORGET_AFTER_S)
+
+    def test_an_answer_clears_a_request_that_was_merely_beside_it(self):
+        suspects = Suspects()
+        for number in range(CRASHES_TO_REFUSE + 2):
+            suspects.note_crash(b"beside", f"run-{number}", 1.0)
+            suspects.clear(b"beside")
+        assert not suspects.is_refused(b"beside", 1.0)
+        assert suspects.count == 0
+
+
+class TestNewsSeeker:
+    def make(self, names=(), seeds=()):
+        roster = Roster(MemberEntry("own", "own.1", "10.0.0.1:1", "fd-1", 1.0))
+        for name in names:
+            roster.put(MemberEntry(name, f"{name}.1", "10.0.0.2:1", "fd-1", 1.0))
+        return roster, NewsSeeker(roster, seeds, Random(1))
+
+    def test_others_are_asked_only_while_the_store_is_silent(self):
+        _, seeker = self.make(names="abcdef")
+        assert seeker.choose_asked(1.0) == []
+        seeker.note_store("topic", False)
+        assert len(seeker.choose_asked(2.0)) == 3
+        assert seeker.choose_asked(2.1) == []
+        seeker.note_store("topic", True)
+        assert seeker.choose_asked(9.0) == []
+
+    def test_suspected_members_are_asked_last_and_seeds_without_members(self):
+        roster, seeker = self.make(names="ab", seeds=["any/10.0.0.9:1"])
+        seeker.note_store("topic", False)
+        roster.suspect("a")
+        assert seeker.choose_asked(1.0) == ["b"]
+        _, alone = self.make(seeds=["any/10.0.0.9:1"])
+        alone.note_store("topic", False)
+        assert alone.choose_asked(1.0) == ["any/10.0.0.9:1"]
+
+    def test_a_digest_tells_targets_apart(self):
+        a, b = make_target("a"), make_target("b")
+        assert digest_targets([a, b]) == digest_targets([b, a])
+        assert digest_targets([a]) != digest_targets([make_target("a", leaving=True)])
--- /dev/null
+++ b/firworks/tests/test_pools.py
@@ -0,0 +1,602 @@
+"""Schedulers of pools, without I/O, and replays of the loads that they answer."""
+
+import pytest
+
+from firworks.kernel.forwarding.configuration import (
+    EngineSpec,
+    StagePoolSpec,
+    StageSpec,
+)
+from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.pools.clients import (
+    PING_LIMIT_S,
+    RECONNECT_GAP_S,
+    TAKE_LIMIT_S,
+    Deliver,
+    MemberSuspected,
+    PoolClient,
+    Reconnect,
+    SendTo,
+)
+from firworks.kernel.pools.engines import EngineScheduler, NotPlaced, Placed
+from firworks.kernel.pools.jobs import EngineJob, PieceJob
+from firworks.kernel.pools.messages import (
+    DropJob,
+    JobTaken,
+    MemberEntry,
+    PiecesMade,
+    Ping,
+    Pong,
+    RequestEnded,
+    RequestPlaced,
+    RequestRunning,
+    SubmitPieces,
+    SubmitRequest,
+)
+from firworks.kernel.pools.ordering import rank_job
+from firworks.kernel.pools.paths import EXPECTED_WAIT_CALLS, compute_later_s
+from firworks.kernel.pools.roster import Roster
+from firworks.kernel.pools.stages import (
+    MAX_TRIES,
+    FreeResults,
+    JobDone,
+    JobRefused,
+    StageScheduler,
+)
+from firworks.kernel.pools.workers import StageCall
+from firworks.tests.pool_world import Burst, PoolWorld, make_zwolle
+
+SPEC = StagePoolSpec(1, 2, 8, 0.2, 0.02, 16_000_000, 4.0)
+SEEDS = (1, 2, 3)
+
+
+def make_targets(count, service="repair"):
+    """Return targets, each in a failure domain of its own."""
+    return [
+        Target(f"{service}-{i}", service, f"10.0.0.{i}:80", f"fd-{i}", "", 1, False, 0)
+        for i in range(count)
+    ]
+
+
+def make_job(name, count=2, aim_s=2.0, deadline_s=6.0, **changes):
+    """Return a `PieceJob`."""
+    job = PieceJob(
+        name, name, 0, count, "k", (), 1000, 1, aim_s, deadline_s, 0.1, (), ()
+    )
+    return job.replace(**changes) if changes else job
+
+
+def make_scheduler(targets=1, spec=SPEC):
+    """Return a `StageScheduler` with targets."""
+    scheduler = StageScheduler(spec)
+    scheduler.set_targets(make_targets(targets), 0.0)
+    return scheduler
+
+
+def make_results(call):
+    """Return results with handles for all pieces of a call."""
+    return [(f"h/{piece.job.job_id}/{piece.number}", "") for piece in call.pieces]
+
+
+def pick(actions, cls):
+    """Return the actions of a class."""
+    return [action for action in actions if isinstance(action, cls)]
+
+
+class TestStageCalls:
+    def test_jobs_that_wait_share_the_next_call(self):
+        scheduler = make_scheduler()
+        (first,) = scheduler.submit(make_job("a"), 0.0)
+        for name in "bcd":
+            assert scheduler.submit(make_job(name), 0.05) == []
+        actions = scheduler.take_answer(first.call_id, make_results(first), 0.3)
+        (call,) = pick(actions, StageCall)
+        assert [piece.job.job_id for piece in call.pieces] == list("bbccdd")
+        (done,) = pick(actions, JobDone)
+        assert done.handles == ("h/a/0", "h/a/1")
+
+    def test_a_job_is_not_divided_among_calls(self):
+        scheduler = make_scheduler()
+        (first,) = scheduler.submit(make_job("a"), 0.0)
+        for name, count in (("b", 6), ("c", 5), ("d", 2)):
+            scheduler.submit(make_job(name, count), 0.05)
+        actions = scheduler.take_answer(first.call_id, make_results(first), 0.3)
+        (call,) = pick(actions, StageCall)
+        assert {piece.job.job_id for piece in call.pieces} == {"b", "d"}
+
+    def test_a_job_larger_than_a_call_is_divided(self):
+        scheduler = make_scheduler()
+        (call,) = scheduler.submit(make_job("a", 20), 0.0)
+        sizes, handles = [], ()
+        while call is not None:
+            sizes.append(len(call.pieces))
+            now = call.due_s
+            actions = scheduler.take_answer(call.call_id, make_results(call), now)
+            call = next(iter(pick(actions, StageCall)), None)
+            handles = next(iter(pick(actions, JobDone)), None)
+        assert sizes == [8, 8, 4]
+        assert handles.handles == tuple(f"h/a/{i}" for i in range(20))
+
+    def test_calls_that_are_not_full_begin_one_after_another(self):
+        scheduler = make_scheduler(3)
+        assert pick(scheduler.submit(make_job("a"), 0.0), StageCall)
+        assert scheduler.submit(make_job("b"), 0.01) == []
+        due_s = scheduler.next_due_s(0.01)
+        assert 0.05 < due_s < 0.1
+        assert pick(scheduler.plan(due_s), StageCall)
+
+    def test_results_take_up_room_until_their_target_has_freed_them(self):
+        spec = SPEC.replace(memory_bytes=4_000)
+        scheduler = make_scheduler(spec=spec)
+        (call,) = scheduler.submit(make_job("a", 3), 0.0)
+        assert scheduler.submit(make_job("b", 3), 0.0) == []
+        scheduler.take_answer(call.call_id, make_results(call), 0.3)
+        (freed,) = scheduler.release("a", 0.4)
+        assert isinstance(freed, FreeResults)
+        (call,) = scheduler.note_freed(freed, 0.5)
+        assert {piece.job.job_id for piece in call.pieces} == {"b"}
+
+    def test_results_that_expired_take_up_no_room(self):
+        scheduler = make_scheduler(spec=SPEC.replace(memory_bytes=4_000))
+        (call,) = scheduler.submit(make_job("a", 3), 0.0)
+        scheduler.take_answer(call.call_id, make_results(call), 0.3)
+        assert scheduler.submit(make_job("b", 3, 9.0, 20.0), 0.4) == []
+        assert pick(scheduler.plan(0.3 + SPEC.handle_s + 0.1), StageCall)
+
+    def test_a_job_waits_for_a_target_near_its_inputs(self):
+        scheduler = make_scheduler(2)
+        near = make_job("a", input_domains=("fd-1",), input_bytes=(3_000_000,))
+        (call,) = pick(scheduler.submit(near, 0.0), StageCall)
+        assert call.target.failure_domain == "fd-1"
+
+    def test_a_job_without_time_takes_any_target(self):
+        scheduler = make_scheduler(2)
+        busy = make_job("a", 8, input_domains=("fd-1",), input_bytes=(3_000_000,))
+        scheduler.submit(busy, 0.0)
+        urgent = busy.replace(job_id="b", aim_s=0.6)
+        (call,) = pick(scheduler.submit(urgent, 0.1), StageCall)
+        assert call.target.failure_domain == "fd-0"
+
+
+class TestStageFailures:
+    def test_a_failed_call_is_repeated_elsewhere(self):
+        scheduler = make_scheduler(2)
+        (first,) = scheduler.submit(make_job("a"), 0.0)
+        (second,) = pick(scheduler.take_failure(first.call_id, 0.3), StageCall)
+        assert second.target is not first.target
+        assert [piece.number for piece in second.pieces] == [0, 1]
+
+    def test_pieces_that_keep_failing_end_their_job(self):
+        scheduler = make_scheduler(4)
+        actions, now = scheduler.submit(make_job("a", 1, 60.0, 60.0), 0.0), 0.0
+        tries = 0
+        while calls := pick(actions, StageCall):
+            tries += 1
+            now += 0.3
+            actions = scheduler.take_failure(calls[0].call_id, now)
+        (refused,) = pick(actions, JobRefused)
+        assert (tries, refused.job.job_id) == (MAX_TRIES, "a")
+
+    def test_a_full_target_costs_no_try(self):
+        scheduler = make_scheduler(1)
+        (call,) = scheduler.submit(make_job("a", 1, 60.0, 60.0), 0.0)
+        now = 0.0
+        for _ in range(3 * MAX_TRIES):
+            assert scheduler.take_full(call.call_id, now) == []
+            now = scheduler.next_due_s(now)
+            assert now > 0.0
+            (call,) = scheduler.plan(now)
+
+    def test_a_slow_target_is_left_to_the_overflow(self):
+        scheduler = make_scheduler(2)
+        (call,) = scheduler.submit(make_job("a"), 0.0)
+        slow = call.target
+        scheduler.take_answer(call.call_id, make_results(call), 2.0)
+        now, used = 2.0, []
+        for number in range(6):
+            now += 0.5
+            (call,) = scheduler.submit(make_job(f"b{number}", 2, 60.0, 60.0), now)
+            used.append(call.target)
+            scheduler.take_answer(call.call_id, make_results(call), now + 0.24)
+        assert slow not in used
+
+    def test_answers_without_work_teach_nothing_about_speed(self):
+        scheduler = make_scheduler(1)
+        (call,) = scheduler.submit(make_job("a", 2, 60.0, 60.0), 0.0)
+        now = 0.0
+        for _ in range(5):
+            now += 0.01
+            scheduler.take_answer(call.call_id, [(None, "room")] * 2, now)
+            now = scheduler.next_due_s(now)
+            assert now > 0.0
+            (call,) = scheduler.plan(now)
+        assert call.due_s - now == pytest.approx(scheduler.get_nominal_s(2))
+
+    def test_inputs_that_are_gone_end_the_job(self):
+        scheduler = make_scheduler(1)
+        (call,) = scheduler.submit(make_job("a"), 0.0)
+        results = [("h/a/0", ""), (None, "gone")]
+        actions = scheduler.take_answer(call.call_id, results, 0.3)
+        assert pick(actions, JobRefused)[0].reason == "gone"
+        assert pick(actions, FreeResults)[0].handles == ("h/a/0",)
+
+    def test_results_of_a_cancelled_job_are_freed(self):
+        scheduler = make_scheduler(1)
+        (call,) = scheduler.submit(make_job("a"), 0.0)
+        assert scheduler.cancel("a", 0.1) == []
+        actions = scheduler.take_answer(call.call_id, make_results(call), 0.3)
+        assert sum(len(f.handles) for f in pick(actions, FreeResults)) == 2
+
+
+class TestRefusals:
+    def test_a_job_that_cannot_be_made_in_time_is_refused_at_once(self):
+        scheduler = make_scheduler(1)
+        scheduler.submit(make_job("first", 8), 0.0)
+        for number in range(9):
+            scheduler.submit(make_job(f"j{number}", 8, deadline_s=60.0), 0.0)
+        late = make_job("late", 8, aim_s=2.5, deadline_s=3.0)
+        (refused,) = scheduler.submit(late, 0.0)
+        assert (refused.job, refused.reason) == (late, "late")
+        assert refused.retry_after_s > 0
+
+    def test_nothing_is_refused_while_targets_are_free(self):
+        scheduler = make_scheduler(3)
+        actions = scheduler.submit(make_job("a", aim_s=0.1, deadline_s=0.5), 0.0)
+        assert pick(actions, StageCall) and not pick(actions, JobRefused)
+
+    def test_work_that_is_past_saving_is_not_begun(self):
+        scheduler = make_scheduler(1)
+        (call,) = scheduler.submit(make_job("a", 8), 0.0)
+        scheduler.submit(make_job("b", 2, 1.0, 1.0), 0.0)
+        actions = scheduler.take_answer(call.call_id, make_results(call), 0.9)
+        assert pick(actions, JobRefused)[0].job.job_id == "b"
+        assert not pick(actions, StageCall)
+
+
+class TestOrdering:
+    def test_what_can_be_on_time_goes_before_what_cannot(self):
+        on_time = make_job("a", aim_s=9.0, priority=2)
+        late = make_job("b", aim_s=1.0, priority=0)
+        order = sorted([late, on_time], key=lambda job: rank_job(job, 0.24, 2.0))
+        assert [job.job_id for job in order] == ["a", "b"]
+
+    def test_the_earliest_aim_goes_first_and_priority_decides_near_ties(self):
+        jobs = [
+            make_job("later", aim_s=9.0, priority=0),
+            make_job("less", aim_s=5.0, priority=1),
+            make_job("urgent", aim_s=5.02, priority=0),
+        ]
+        order = sorted(jobs, key=lambda job: rank_job(job, 0.24, 2.0))
+        assert [job.job_id for job in order] == ["urgent", "less", "later"]
+
+    def test_the_newest_of_the_late_goes_first(self):
+        jobs = [make_job("old", aim_s=1.0), make_job("new", aim_s=1.5)]
+        order = sorted(jobs, key=lambda job: rank_job(job, 0.24, 5.0))
+        assert order[0].job_id == "new"
+
+
+class TestPaths:
+    def test_later_stages_count_with_a_wait_for_a_call(self):
+        stages = (
+            StageSpec("a", (), 1),
+            StageSpec("b", (0,), 1),
+            StageSpec("c", (1,), 1),
+        )
+        later = compute_later_s(stages, (1, 2, 0), lambda service: SPEC, 0.5)
+        own_s = SPEC.call_s * (1 + EXPECTED_WAIT_CALLS) + 2 * SPEC.piece_s
+        assert later == pytest.approx([0.5 + own_s, 0.5, 0.5])
+
+
+class TestBurstReplay:
+    """Replays bursts of one kind above what a pool can make."""
+
+    BURSTS = (
+        Burst("arbiter", 3.5, 9.8, 2.8),
+        Burst("advice", 14, 19.7, 3.6),
+        Burst(None, 25, 29, 1.9),
+    )
+
+    def play(self, make_scheduler=StageScheduler, bursts=BURSTS, prepare=None):
+        pools, kinds = make_zwolle()
+        worlds = []
+        for seed in SEEDS:
+            world = PoolWorld(pools, 3, kinds, seed, make_scheduler)
+            if prepare is not None:
+                prepare(world)
+            world.run(34.0, bursts)
+            worlds.append(world)
+        return worlds
+
+    def mean(self, worlds, kind=None):
+        return sum(world.credit(kind) for world in worlds) / len(worlds)
+
+    def test_a_calm_day_is_served_on_time(self):
+        worlds = self.play(bursts=())
+        assert self.mean(worlds) > 0.9
+        assert sum(world.count("refused") for world in worlds) == 0
+
+    def test_order_by_aim_beats_order_by_arrival(self):
+        class ByArrival(StageScheduler):
+            def _rank(self, job, now):
+                return (False, int(job.request_id))
+
+        assert self.mean(self.play()) > self.mean(self.play(ByArrival)) + 0.05
+
+    def test_order_by_aim_beats_strict_priority(self):
+        class ByPriority(StageScheduler):
+            def _rank(self, job, now):
+                late = job.aim_s - job.later_s - self.get_nominal_s(job.count) < now
+                return (late, job.priority, job.aim_s)
+
+        assert self.mean(self.play()) > self.mean(self.play(ByPriority))
+
+    def test_the_urgent_kind_is_not_served_much_worse(self):
+        worlds = self.play()
+        advice, arbiter = self.mean(worlds, "advice"), self.mean(worlds, "arbiter")
+        assert advice > arbiter - 0.2
+
+    def test_late_requests_still_arrive(self):
+        worlds = self.play()
+        late = sum(world.count("late") for world in worlds)
+        refused = sum(world.count("refused") for world in worlds)
+        lost = sum(world.count("lost") for world in worlds)
+        assert late > refused and lost < 0.02 * sum(len(w.outcomes) for w in worlds)
+
+    def test_a_target_that_hangs_costs_its_calls_only(self):
+        def prepare(world):
+            fake = world.targets["clubs-1"]
+            world.at(10.0, setattr, fake, "broken", True)
+
+        worlds = self.play(bursts=(), prepare=prepare)
+        assert self.mean(worlds) > 0.7
+        lost = sum(world.count("lost") for world in worlds)
+        assert lost < 0.02 * sum(len(world.outcomes) for world in worlds)
+
+    def test_a_slow_target_is_used_less(self):
+        def prepare(world):
+            fake = world.targets["clubs-1"]
+            world.at(10.0, setattr, fake, "slowness", 4.0)
+
+        assert self.mean(self.play(bursts=(), prepare=prepare)) > 0.7
+
+
+def make_engine_job(name, parts=(), tokens_in=1000, **changes):
+    """Return an `EngineJob`."""
+    ids = tuple(part for part, _ in parts)
+    tokens = tuple(count for _, count in parts)
+    job = EngineJob(name, ids, tokens, tokens_in, 100, 1, 10.0, (), (), ())
+    return job.replace(**changes) if changes else job
+
+
+def make_engines(count=3, slots=4, memory_tokens=100_000):
+    """Return an `EngineScheduler` with targets."""
+    scheduler = EngineScheduler(EngineSpec(slots, memory_tokens))
+    scheduler.set_targets(make_targets(count, "engine"), 0.0)
+    return scheduler
+
+
+class TestEngines:
+    def test_prompts_that_share_parts_meet_at_one_engine(self):
+        scheduler = make_engines()
+        parts = (("shared", 6000), ("own", 500))
+        targets = set()
+        for number in range(5):
+            job = make_engine_job(f"j{number}", parts, 6500)
+            (placed,) = scheduler.submit(job, 0.0)
+            targets.add(placed.target.target_id)
+            scheduler.note_begun(job.job_id)
+            scheduler.end(job.job_id, False, 1.0)
+        assert len(targets) == 1 and placed.cached_tokens == 6500
+
+    def test_a_busy_engine_is_left_though_it_has_read_the_prompt(self):
+        scheduler = make_engines()
+        parts = (("shared", 500),)
+        placed = [
+            scheduler.submit(make_engine_job(f"j{i}", parts, 5000), 0.0)[0]
+            for i in range(6)
+        ]
+        counts = {}
+        for one in placed:
+            name = one.target.target_id
+            counts[name] = counts.get(name, 0) + 1
+        assert max(counts.values()) == 2
+
+    def test_an_engine_near_the_inputs_is_better(self):
+        scheduler = make_engines()
+        job = make_engine_job("a", input_domains=("fd-2",), input_bytes=(4_000_000,))
+        (placed,) = scheduler.submit(job, 0.0)
+        assert placed.target.failure_domain == "fd-2"
+
+    def test_the_most_urgent_waits_least(self):
+        scheduler = make_engines(count=1, slots=1)
+        scheduler.submit(make_engine_job("running"), 0.0)
+        scheduler.submit(make_engine_job("low", priority=2), 0.0)
+        scheduler.submit(make_engine_job("high", priority=0), 0.0)
+        (placed,) = scheduler.end("running", False, 1.0)
+        assert placed.job.job_id == "high"
+
+    def test_memory_is_not_overfilled(self):
+        scheduler = make_engines(count=1, memory_tokens=10_000)
+        assert scheduler.submit(make_engine_job("a", tokens_in=6000), 0.0)
+        assert scheduler.submit(make_engine_job("b", tokens_in=6000), 0.0) == []
+        assert pick(scheduler.end("a", False, 1.0), Placed)
+
+    def test_a_failed_engine_rests_and_has_read_nothing(self):
+        scheduler = make_engines(count=2)
+        parts = (("shared", 5000),)
+        (first,) = scheduler.submit(make_engine_job("a", parts, 5000), 0.0)
+        scheduler.end("a", True, 0.1)
+        (second,) = scheduler.submit(make_engine_job("b", parts, 5000), 0.2)
+        assert second.target is not first.target and second.cached_tokens == 0
+
+    def test_a_request_without_room_is_refused_at_its_deadline(self):
+        scheduler = make_engines(count=1, slots=1)
+        scheduler.submit(make_engine_job("a"), 0.0)
+        scheduler.submit(make_engine_job("b", deadline_s=2.0), 0.0)
+        assert scheduler.next_due_s(0.0) == 2.0
+        assert pick(scheduler.plan(2.0), NotPlaced)[0].job.job_id == "b"
+
+    def test_requests_of_daemons_that_died_are_forgotten(self):
+        scheduler = make_engines(count=1, slots=1)
+        scheduler.submit(make_engine_job("a", deadline_s=5.0), 0.0)
+        scheduler.submit(make_engine_job("b", deadline_s=50.0), 0.0)
+        assert pick(scheduler.plan(6.0), Placed)[0].job.job_id == "b"
+
+    def test_a_new_scheduler_reckons_with_what_runs(self):
+        scheduler = make_engines(count=2)
+        scheduler.adopt(make_engine_job("a", tokens_in=9000), "engine-0", False)
+        (placed,) = scheduler.submit(make_engine_job("b"), 0.0)
+        assert placed.target.target_id == "engine-1"
+
+
+def make_roster(names="abcde", own="own"):
+    """Return a `Roster` with members."""
+    roster = Roster(MemberEntry(own, f"{own}.1", "10.0.0.1:1", "fd-1", 1.0))
+    for name in names:
+        roster.put(MemberEntry(name, f"{name}.1", f"10.0.0.2:{ord(name)}", "fd-1", 1.0))
+    return roster
+
+
+def find_pool(roster, wanted):
+    """Return the name of a pool whose first scheduler is not this daemon."""
+    return next(
+        pool
+        for pool in map("pool-{}".format, range(100))
+        if (roster.choose(pool) != roster.own.name) == wanted
+    )
+
+
+class TestRoster:
+    def test_all_daemons_agree(self):
+        names = "abcde"
+        for pool in ("x", "y", "z"):
+            chosen = {
+                make_roster(names.replace(own, ""), own).choose(pool) for own in names
+            }
+            assert len(chosen) == 1
+
+    def test_weights_decide_how_many_pools_a_daemon_schedules(self):
+        roster = make_roster("ab")
+        roster.put(MemberEntry("big", "big.1", "10.0.0.3:1", "fd-1", 4.0))
+        chosen = [roster.choose(f"pool-{i}") for i in range(700)]
+        assert 300 < chosen.count("big") < 500
+
+    def test_a_suspected_member_is_passed_over_until_it_answers(self):
+        roster = make_roster()
+        pool = find_pool(roster, True)
+        first, second = roster.rank(pool)[:2]
+        assert roster.suspect(first) and not roster.suspect(first)
+        assert roster.choose(pool) == second
+        assert roster.clear(first)
+        assert roster.choose(pool) == first
+
+    def test_a_member_that_started_anew_is_not_suspected(self):
+        roster = make_roster()
+        roster.suspect("a")
+        roster.put(MemberEntry("a", "a.2", "10.0.0.2:97", "fd-1", 1.0))
+        assert not roster.is_suspected("a")
+
+
+class TestPoolClient:
+    def submit(self, job=None):
+        roster = make_roster()
+        client = PoolClient(roster)
+        pool = find_pool(roster, True)
+        client.watch([pool])
+        (sent,) = client.submit(pool, job or make_job("j"), 10.0)
+        return roster, client, pool, sent
+
+    def test_times_go_out_relative_to_now(self):
+        _, _, _, sent = self.submit(make_job("j", aim_s=12.0, deadline_s=16.0))
+        assert isinstance(sent.record, SubmitPieces)
+        assert sent.record.job.aim_s == pytest.approx(2.0)
+        assert sent.record.job.deadline_s == pytest.approx(6.0)
+
+    def test_a_job_that_is_not_taken_goes_to_the_next_scheduler(self):
+        roster, client, pool, sent = self.submit()
+        assert not pick(client.tick(10.0 + TAKE_LIMIT_S - 0.05), MemberSuspected)
+        actions = client.tick(10.0 + TAKE_LIMIT_S + 0.05)
+        assert pick(actions, MemberSuspected)[0].peer == sent.peer
+        (again,) = [
+            a for a in pick(actions, SendTo) if isinstance(a.record, SubmitPieces)
+        ]
+        assert again.peer == roster.rank(pool)[1]
+
+    def test_a_scheduler_that_took_a_job_and_froze_is_found_by_pings(self):
+        _, client, _, sent = self.submit()
+        client.hear(sent.peer, 10.01)
+        client.take(JobTaken("j"), sent.peer, 10.01)
+        actions = []
+        for step in range(60):
+            actions += client.tick(10.1 + step * 0.1)
+        assert pick(actions, MemberSuspected)[0].jobs == 1
+
+    def test_a_result_is_delivered_once_and_surplus_ones_are_dropped(self):
+        _, client, _, sent = self.submit()
+        actions = client.tick(10.5)
+        other = [a.peer for a in pick(actions, SendTo) if "Submit" in repr(a.record)][0]
+        made = PiecesMade("j", ("h1", "h2"))
+        actions = client.take(made, sent.peer, 10.6)
+        assert pick(actions, Deliver)[0].result is made
+        assert SendTo(other, DropJob("j")) in actions
+        assert client.take(made, other, 10.7) == [SendTo(other, DropJob("j"))]
+        assert client.drop("j") == [SendTo(sent.peer, DropJob("j"))]
+
+    def test_two_that_suspect_each_other_do_not_cut_each_others_answers(self):
+        roster, client, _, sent = self.submit()
+        peer = roster.find(sent.peer)
+        reconnects, now = 0, 10.0
+        for number in range(40):
+            now += 0.1
+            actions = client.take(Ping(number, (peer,)), sent.peer, now)
+            assert SendTo(sent.peer, Pong(number)) in actions
+            actions += client.tick(now)
+            reconnects += len(
+                [a for a in pick(actions, Reconnect) if a.peer == peer.name]
+            )
+        assert reconnects <= 4.0 / RECONNECT_GAP_S + 1
+
+    def test_a_ping_tells_who_is_unheard(self):
+        roster, client, _, sent = self.submit()
+        client.tick(10.5)
+        pings = []
+        for step in range(12):
+            actions = client.tick(10.6 + step * 0.1)
+            pings += [a for a in pick(actions, SendTo) if isinstance(a.record, Ping)]
+        asked = [ping for ping in pings if ping.peer == sent.peer]
+        assert asked and asked[0].record.unheard == (roster.own,)
+        stranger = MemberEntry("new", "new.1", "10.0.0.9:1", "fd-1", 1.0)
+        client.take(Ping(1, (stranger,)), "new", 12.0)
+        assert roster.find("new") == stranger
+
+    def test_a_new_scheduler_learns_which_requests_run(self):
+        roster, client, pool, sent = self.submit(make_engine_job("e"))
+        assert isinstance(sent.record, SubmitRequest)
+        client.take(RequestPlaced("e", "engine-1", 0), sent.peer, 10.1)
+        client.note_begun("e")
+        roster.suspect(sent.peer)
+        records = [a.record for a in pick(client.tick(10.2), SendTo)]
+        (running,) = [r for r in records if isinstance(r, RequestRunning)]
+        assert (running.target_id, running.begun) == ("engine-1", True)
+        assert client.end_request("e", False) == [
+            SendTo(roster.choose(pool), RequestEnded("e", False))
+        ]
+
+    def test_a_placement_that_nobody_waits_for_is_given_back(self):
+        _, client, _, sent = self.submit(make_engine_job("e"))
+        client.end_request("e", False)
+        actions = client.take(RequestPlaced("e", "engine-1", 0), sent.peer, 10.1)
+        assert actions == [SendTo(sent.peer, RequestEnded("e", False))]
+
+    def test_an_idle_client_pings_seldom(self):
+        roster = make_roster()
+        client = PoolClient(roster)
+        client.watch([find_pool(roster, True)])
+        pings = 0
+        for step in range(300):
+            now = 10.0 + step * 0.1
+            for action in pick(client.tick(now), SendTo):
+                pings += 1
+                client.hear(action.peer, now + 0.01)
+        assert 8 <= pings <= 11
+        assert PING_LIMIT_S > 0
