--- a/bench/latency.py
+++ b/bench/latency.py
@@ -26,7 +26,7 @@
 from firworks.publication import publish
 from firworks.standins.site import find_free_port
 
-DOCUMENT = Path("examples/zwolle.toml")
+DOCUMENT = Path("firworks/examples/zwolle.toml")
 PIPELINE = "answer-question"
 TOKENS = ("zwolle-club-secretaries", "zwolle-counter-clerks")
 RATE_PER_S = 13
--- a/bench/policy_weights.py
+++ b/bench/policy_weights.py
@@ -1,7 +1,7 @@
 """Measures what the attainment weights of the two example documents bring about.
 
 ``python -m bench.policy_weights`` runs the same traffic under the weights of
-examples/zwolle.toml and examples/rimac.toml and prints attainment and cost.
+each example document and prints attainment and cost.
 """
 
 from multiprocessing import Pool as ProcessPool
@@ -38,7 +38,7 @@
 
 def read_weights(site):
     """Return the attainment weights by bench pipeline of an example document."""
-    document = parse_document(Path(f"examples/{site}.toml").read_bytes(), site)
+    document = parse_document(Path(f"firworks/examples/{site}.toml").read_bytes(), site)
     names = PIPELINES[site]
     return {p: document.pipelines[n].attainment_weight for p, n in names.items()}
 
--- /dev/null
+++ b/firworks/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example documents and settings, for the demonstration and the docs."""
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -1,28 +1,18 @@
 """Metrics of one gateway; docs/METRICS.md lists them."""
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    ProcessCollector,
-)
+from firworks.metrics import LabelValues, MetricSet
 
-from firworks.metrics import LATENCY_BUCKETS_S, LabelValues
 
-
-class GatewayMetrics:
+class GatewayMetrics(MetricSet):
     """The metrics of one gateway.
 
     Attributes:
-        registry (CollectorRegistry): For exposition.
         routes (LabelValues): Bounds the values of label ``route``.
         services (LabelValues): Bounds the values of label ``service``.
     """
 
     def __init__(self):
-        self.registry = CollectorRegistry()
-        ProcessCollector(registry=self.registry)
+        super().__init__()
         self.routes = LabelValues()
         self.services = LabelValues()
         self.answers = self._counter(
@@ -65,21 +55,6 @@
             "log_lines_dropped", "Log lines left out so far."
         )
 
-    def _counter(self, name, text, labels=()):
-        return Counter(f"firworks_{name}", text, labels, registry=self.registry)
-
-    def _gauge(self, name, text):
-        return Gauge(f"firworks_{name}", text, registry=self.registry)
-
-    def _histogram(self, name, text, labels):
-        return Histogram(
-            f"firworks_{name}",
-            text,
-            labels,
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS_S,
-        )
-
     def count_answer(self, route, status, took_s):
         """Count an answer.
 
--- a/firworks/metrics.py
+++ b/firworks/metrics.py
@@ -52,29 +52,16 @@
         return name
 
 
-class Metrics:
-    """The metrics of one daemon.
-
-    ``observe`` takes each event that enters the kernel and each action that leaves
-    it; gauges of the daemon's state are set by their own methods.
+class MetricSet:
+    """Metrics with a collector registry of their own.
 
     Attributes:
         registry (CollectorRegistry): For exposition.
-        pipelines (LabelValues): Bounds the values of label ``pipeline``.
-        stages (LabelValues): Bounds the values of label ``stage``.
-        streams (LabelValues): Bounds the values of label ``stream``.
     """
 
     def __init__(self):
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
-        self.pipelines = LabelValues()
-        self.stages = LabelValues()
-        self.streams = LabelValues()
-        self._add_request_metrics()
-        self._add_call_metrics()
-        self._add_log_metrics()
-        self._add_daemon_metrics()
 
     def _counter(self, name, text, labels=()):
         return Counter(f"firworks_{name}", text, labels, registry=self.registry)
@@ -91,6 +78,29 @@
             buckets=LATENCY_BUCKETS_S,
         )
 
+
+class Metrics(MetricSet):
+    """The metrics of one daemon.
+
+    ``observe`` takes each event that enters the kernel and each action that leaves
+    it; gauges of the daemon's state are set by their own methods.
+
+    Attributes:
+        pipelines (LabelValues): Bounds the values of label ``pipeline``.
+        stages (LabelValues): Bounds the values of label ``stage``.
+        streams (LabelValues): Bounds the values of label ``stream``.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.pipelines = LabelValues()
+        self.stages = LabelValues()
+        self.streams = LabelValues()
+        self._add_request_metrics()
+        self._add_call_metrics()
+        self._add_log_metrics()
+        self._add_daemon_metrics()
+
     def _add_request_metrics(self):
         self.requests = self._counter(
             "requests", "Requests ended, by result code.", ("pipeline", "code")
--- a/firworks/tests/test_examples.py
+++ b/firworks/tests/test_examples.py
@@ -1,12 +1,14 @@
 """Tests that the example documents hold what the two deployments need."""
 
+import tomllib
+from importlib.resources import files
 from pathlib import Path
 
 import pytest
 
 from firworks.document import parse_document
 
-EXAMPLES = Path(__file__).parents[2] / "examples"
+EXAMPLES = Path(__file__).parents[1] / "examples"
 
 
 def load_example(name):
@@ -52,3 +54,14 @@
 
     def test_quotes_are_deferred(self):
         assert load_example("rimac").pipelines["draft-quote"].deferred
+
+
+class TestPackaging:
+    def test_the_demonstrations_document_is_part_of_the_package(self):
+        found = files("firworks.examples").joinpath("zwolle.toml")
+        assert found.read_bytes() == (EXAMPLES / "zwolle.toml").read_bytes()
+
+    def test_a_wheel_takes_the_examples_along(self):
+        project = tomllib.loads((EXAMPLES.parents[1] / "pyproject.toml").read_text())
+        data = project["tool"]["setuptools"]["package-data"]
+        assert data["firworks.examples"] == ["*.toml"]
--- a/firworks/tools/demo.py
+++ b/firworks/tools/demo.py
@@ -4,7 +4,6 @@
 import random
 import time
 from importlib.resources import files
-from pathlib import Path
 
 from firworks.burn_report import merge_snapshots
 from firworks.codes import Code
@@ -61,8 +60,7 @@
 
 
 def _read_example():
-    checkout = Path(str(files("firworks"))).parent
-    return (checkout / "examples" / EXAMPLE).read_bytes()
+    return files("firworks.examples").joinpath(EXAMPLE).read_bytes()
 
 
 async def _publish(site, data, write):
