--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -49,9 +49,9 @@
 DRAIN_POLL_S = 0.02
 # Longest wait of a read for records that seldom come.
 LONG_WAIT_S = 25.0
-# Entries of targets change with each heartbeat; they are read in bundles. A target that
-# is leaving must get no new work two seconds after it said so.
-TARGETS_PAUSE_S = 1.0
+# Entries of targets change with each heartbeat; they are read in bundles, one in this
+# share of the time within which a leaving target must get no more work.
+TARGETS_PAUSE_SHARE = 0.6
 
 
 class Gateway:
@@ -219,7 +219,8 @@
         self.roster.set_own_address(f"{host}:{self.pools.peers.port}")
         await self.store.start()
         self._follow(CONFIGURATION_TOPIC, self._configurations, LONG_WAIT_S, 0)
-        self._follow(TARGETS_TOPIC, self._targets, 0, TARGETS_PAUSE_S)
+        pause_s = TARGETS_PAUSE_SHARE * self.settings.leave_limit_ms / 1000
+        self._follow(TARGETS_TOPIC, self._targets, 0, pause_s)
         self._follow(MEMBERS_TOPIC, self._members, LONG_WAIT_S, 0)
         self._tasks.append(asyncio.ensure_future(self._tick()))
         await self.callers.start(self.settings.callers)
--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -14,6 +14,7 @@
 DEFAULTS = {
     "log_format": "json",
     "drain_limit_s": 8.0,
+    "leave_limit_ms": 2000,
     "retry_ratio": 0.2,
     "retry_slack": 100.0,
     "retry_window_s": 10.0,
@@ -51,6 +52,7 @@
         "store": _ADDRESS,
         "log_format": {"enum": ["text", "json"]},
         "drain_limit_s": _SECONDS,
+        "leave_limit_ms": {"type": "integer", "minimum": 1},
         "retry_ratio": {"type": "number", "minimum": 0},
         "retry_slack": {"type": "number", "minimum": 0},
         "retry_window_s": _SECONDS,
