Free stage inputs once they are read; notice a lost answer of the store in time

Cause 1: results filled the room of the stage targets until the stages after them were done. A request whose inputs are gone runs its stages once more.

The read of the configuration waited 25 s, and an answer that is lost in that time leaves its connection silent. It now waits 1.8 s and is given up 0.8 s later, before the store counts as stable again.

Cause 3: a job in progress past its deadline made the scheduler ask for a wake-up in the past.

--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -18,6 +18,7 @@
 from firworks.kernel.pools.engines import NotPlaced, Placed
 from firworks.kernel.pools.messages import (
     DropJob,
+    InputsFetched,
     JobTaken,
     PiecesMade,
     PiecesRefused,
@@ -29,7 +30,7 @@
     SubmitPieces,
     SubmitRequest,
 )
-from firworks.kernel.pools.stages import JobDone, JobRefused
+from firworks.kernel.pools.stages import InputsRead, JobDone, JobRefused
 
 # Told to callers when no engine had room before their deadline.
 ENGINE_RETRY_AFTER_S = 1.0
@@ -74,6 +75,7 @@
         self._stages = {}
         self._engines = {}
         self._waiting = {}
+        self._on_read = {}
         self._owners = {}
         self._job_numbers = count(1)
 
@@ -120,15 +122,24 @@
         """Return whether a service is a pool of engines."""
         return service in self._engines
 
-    async def make_pieces(self, service, job):
+    async def make_pieces(self, service, job, on_read):
         """Return the handles (tuple of str) of a job's results.
 
+        Args:
+            service (str): The pool.
+            job (PieceJob): The job.
+            on_read (callable): Called when the job's inputs may be freed.
+
         Raises:
             PoolRefusedError: When the pool will not finish the job.
         """
         if service not in self._stages:
             raise PoolRefusedError(f"no stage pool {service!r}", 1.0)
-        result = await self._run_job(service, job)
+        self._on_read[job.job_id] = on_read
+        try:
+            result = await self._run_job(service, job)
+        finally:
+            del self._on_read[job.job_id]
         return result.handles
 
     async def place_request(self, service, job):
@@ -193,6 +204,11 @@
     @_do.register
     def _(self, action: Deliver):
         result = action.result
+        if isinstance(result, InputsFetched):
+            on_read = self._on_read.get(result.job_id)
+            if on_read is not None:
+                on_read()
+            return
         future = self._waiting.get(result.job_id)
         if future is None or future.done():
             return
@@ -282,7 +298,7 @@
         if owner is None:
             return
         self._carry_out([SendTo(owner[0], make_reply(result))])
-        if not isinstance(result, JobDone | Placed):
+        if isinstance(result, JobRefused | NotPlaced):
             self._owners.pop(job_id)
 
 
@@ -292,6 +308,11 @@
     raise TypeError(f"not a result: {result!r}")
 
 
+@make_reply.register
+def _(result: InputsRead):
+    return InputsFetched(result.job.job_id)
+
+
 @make_reply.register
 def _(result: JobDone):
     return PiecesMade(result.job.job_id, result.handles)
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -47,8 +47,12 @@
 # Kept of the drain limit for the process to end.
 EXIT_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.02
-# Longest wait of a read for records that seldom come.
-LONG_WAIT_S = 25.0
+# A read of the configuration waits this long. An answer of the store may be lost, and
+# its connection then carries nothing: with READ_MARGIN_S, the loss is noticed before
+# the store counts as stable again, 3 s after its trouble.
+CONFIGURATION_WAIT_S = 1.8
+# A stale list of members costs efficiency only.
+MEMBERS_WAIT_S = 10.0
 # Entries of targets change with each heartbeat; they are read in bundles, one in this
 # share of the time within which a leaving target must get no more work.
 TARGETS_PAUSE_SHARE = 0.6
@@ -218,10 +222,10 @@
         host = self.settings.peers.rsplit(":", 1)[0]
         self.roster.set_own_address(f"{host}:{self.pools.peers.port}")
         await self.store.start()
-        self._follow(CONFIGURATION_TOPIC, self._configurations, LONG_WAIT_S, 0)
+        self._follow(CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_WAIT_S, 0)
         pause_s = TARGETS_PAUSE_SHARE * self.settings.leave_limit_ms / 1000
         self._follow(TARGETS_TOPIC, self._targets, 0, pause_s)
-        self._follow(MEMBERS_TOPIC, self._members, LONG_WAIT_S, 0)
+        self._follow(MEMBERS_TOPIC, self._members, MEMBERS_WAIT_S, 0)
         self._tasks.append(asyncio.ensure_future(self._tick()))
         await self.callers.start(self.settings.callers)
         await self._readiness.start(self.settings.readiness)
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -17,6 +17,7 @@
     AttemptError,
 )
 from firworks.kernel.pools.jobs import EngineJob
+from firworks.kernel.pools.stages import REASON_GONE
 from firworks.platform.headers import (
     REQUEST_ID,
     STAMP,
@@ -73,15 +74,23 @@
                 await self._run_stages(ticket)
                 return await self._attempt(ticket)
             except PoolRefusedError as error:
-                return self._refuse(ticket, error)
+                if error.reason != REASON_GONE or ticket.restarted:
+                    return self._refuse(ticket, error)
+                self._restart_stages(ticket)
             except AttemptError as failure:
                 ticket.progress.note(failure)
                 verdict = self._judge(ticket, failure)
                 if not verdict.again:
                     return await self._end_failed(ticket, failure, verdict.code)
                 if failure.kind == INPUTS_GONE:
-                    ticket.stages.free()
-                    ticket.stages = None
+                    self._restart_stages(ticket)
+
+    def _restart_stages(self, ticket):
+        """Make the stages' results anew: some of them are gone."""
+        log_event(LogEvent.STAGES_RESTARTED, request=ticket.request_id)
+        ticket.restarted = True
+        ticket.stages.free()
+        ticket.stages = None
 
     async def _end_failed(self, ticket, failure, code):
         """Pass on a target's own answer of a failure, or give one of the system's."""
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -9,6 +9,7 @@
 from firworks.kernel.forwarding.outcomes import BROKEN, AttemptError
 from firworks.kernel.pools.stages import (
     FreeResults,
+    InputsRead,
     JobDone,
     JobRefused,
     StageScheduler,
@@ -36,7 +37,8 @@
         service (Service): The pool.
         connections (TargetConnections): Where connections come from.
         clock (callable): Returns monotonic seconds.
-        deliver (callable): ``deliver(result)`` takes each `JobDone` and `JobRefused`.
+        deliver (callable): ``deliver(result)`` takes each `JobDone`, `JobRefused` and
+            `InputsRead`.
         metrics (GatewayMetrics): Counts the calls.
     """
 
@@ -94,12 +96,10 @@
     def _(self, action: StageCall):
         self._spawn(self._call(action))
 
-    @_do.register
-    def _(self, action: JobDone):
-        self._deliver(action)
-
-    @_do.register
-    def _(self, action: JobRefused):
+    @_do.register(InputsRead)
+    @_do.register(JobDone)
+    @_do.register(JobRefused)
+    def _(self, action):
         self._deliver(action)
 
     @_do.register
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -33,6 +33,7 @@
             number: sum(number in stage.after for stage in admitted.route.stages)
             for number in range(len(admitted.route.stages))
         }
+        self._read = set()
         self._sizes = {}
 
     async def run(self):
@@ -85,6 +86,9 @@
 
     def _free_read(self, number):
         """Give up the results that no other stage has still to read."""
+        if number in self._read:
+            return
+        self._read.add(number)
         for before in self._admitted.route.stages[number].after:
             self._unread[before] -= 1
             if not self._unread[before] and before in self._jobs:
@@ -117,7 +121,9 @@
             *self.weigh_inputs(inputs, pieces),
         )
         self._jobs[number] = job.job_id
-        handles = await self._pools.make_pieces(stage.service, job)
+        handles = await self._pools.make_pieces(
+            stage.service, job, lambda: self._free_read(number)
+        )
         self._sizes.update(dict.fromkeys(handles, stage.result_bytes))
         self._free_read(number)
         return handles
--- a/firworks/gateway/tickets.py
+++ b/firworks/gateway/tickets.py
@@ -19,6 +19,7 @@
         excluded (set of tuple): Runs of targets that have had it.
         stages (StageRun or None): Its stages.
         inputs (tuple of str): Results of its stages.
+        restarted (bool): Its stages have been run anew.
         last_event_id (str or None): Event after which a stream goes on.
         response (StreamResponse or None): Once its head has gone to the caller.
         fingerprint (bytes): Hash of path, caller and body, the same for each try.
@@ -36,6 +37,7 @@
         "excluded",
         "stages",
         "inputs",
+        "restarted",
         "last_event_id",
         "response",
         "fingerprint",
@@ -54,6 +56,7 @@
         self.excluded = set()
         self.stages = None
         self.inputs = ()
+        self.restarted = False
         self.last_event_id = admitted.request.last_event_id
         self.response = None
         self.target_id = ""
--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -11,6 +11,7 @@
 from firworks.kernel.pools.jobs import EngineJob, PieceJob
 from firworks.kernel.pools.messages import (
     DropJob,
+    InputsFetched,
     JobTaken,
     PiecesMade,
     PiecesRefused,
@@ -59,7 +60,8 @@
     """Hand a result to the request that waits for it.
 
     Attributes:
-        result (PiecesMade or PiecesRefused): The result.
+        result (Record): `PiecesMade`, `PiecesRefused`, `InputsFetched`,
+            `RequestPlaced` or `RequestRefused`.
     """
 
     __slots__ = ("result",)
@@ -201,6 +203,13 @@
             pending.taken = True
         return []
 
+    @take.register
+    def _(self, record: InputsFetched, peer, now):
+        pending = self._pending.get(record.job_id)
+        if pending is None or pending.peer != peer:
+            return []
+        return [Deliver(record)]
+
     @take.register
     def _(self, record: PiecesMade, peer, now):
         pending = self._pending.pop(record.job_id, None)
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -73,6 +73,14 @@
     TYPES = (str,)
 
 
+@register_record
+class InputsFetched(Record):
+    """The inputs of a job (str) have been fetched and may be freed."""
+
+    __slots__ = ("job_id",)
+    TYPES = (str,)
+
+
 @register_record
 class PiecesMade(Record):
     """A job is done.
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -33,6 +33,9 @@
 REASON_GONE = "gone"
 REASON_ROOM = "room"
 REASON_ERROR = "error"
+# A target fetches the inputs of a call, some megabytes, when it begins it. They take up
+# room at their makers until then.
+FETCH_S = 0.08
 # A full target is asked again after this time at the latest.
 FULL_PAUSE_S = 0.1
 
@@ -60,6 +63,16 @@
     __slots__ = ("job", "reason", "retry_after_s")
 
 
+class InputsRead(Struct):
+    """The targets of a job's calls have fetched its inputs.
+
+    Attributes:
+        job (PieceJob): The job.
+    """
+
+    __slots__ = ("job",)
+
+
 class FreeResults(Struct):
     """Results that a target need not keep any longer.
 
@@ -89,7 +102,7 @@
     """Forms the calls of one pool from the jobs of many daemons.
 
     Methods that change something return a list of `StageCall`, `JobDone`,
-    `JobRefused` and `FreeResults` to carry out.
+    `JobRefused`, `InputsRead` and `FreeResults` to carry out.
 
     Args:
         spec (StagePoolSpec): What each target can do.
@@ -161,7 +174,7 @@
 
     def take_answer(self, call_id, results, now):
         """Take in a call's results: a (handle or None, reason) for each piece."""
-        worker, call = self._end_call(call_id)
+        worker, call = self._end_call(call_id, now)
         if call is None:
             return []
         made = sum(handle is not None for handle, _ in results)
@@ -176,7 +189,7 @@
 
     def take_full(self, call_id, now):
         """Take in that a target had no room for a call and did not run it."""
-        worker, call = self._end_call(call_id)
+        worker, call = self._end_call(call_id, now)
         if call is None:
             return []
         worker.note_full(max(now + FULL_PAUSE_S, worker.free_s))
@@ -185,7 +198,7 @@
 
     def take_failure(self, call_id, now):
         """Take in that a call broke off or was given up."""
-        worker, call = self._end_call(call_id)
+        worker, call = self._end_call(call_id, now)
         if call is None:
             return []
         worker.note_failure(now)
@@ -218,24 +231,33 @@
     def plan(self, now):
         """Return the calls to send now, and the jobs that are past saving."""
         self._drop_expired(now)
-        actions = self._drop_lost(now)
+        actions = [*self._drop_lost(now), *self._list_read(now)]
         while call := self._plan_call(now):
             actions.append(call)
         return actions
 
     def next_due_s(self, now):
         """Return when `plan` should be called again, or None."""
+        reads = [
+            call.begun_s + FETCH_S
+            for call in self._list_unread()
+            if call.begun_s is not None
+        ]
         if not any(state.waiting for state in self._jobs.values()):
-            return None
+            return min(reads, default=None)
         times = [
             max(worker.paused_until_s, worker.free_s - SEND_AHEAD_S)
             for run, worker in self._workers.items()
             if run in self._usable
         ]
         times = [max(time_s, self._spaced_s()) for time_s in times]
+        times += [
+            self._begin_limit_s(state.job)
+            for state in self._jobs.values()
+            if state.waiting
+        ]
         later = [time_s for time_s in times if time_s > now]
-        deadlines = [state.job.deadline_s for state in self._jobs.values()]
-        return min([*later, *deadlines], default=None)
+        return min([*later, *reads], default=None)
 
     def get_nominal_s(self, count):
         """Return the seconds of a call for some pieces at a target of usual speed."""
@@ -343,9 +365,9 @@
         worker.add(call)
         return call
 
-    def _end_call(self, call_id):
+    def _end_call(self, call_id, now):
         for worker in self._workers.values():
-            call = worker.calls.pop(call_id, None)
+            call = worker.remove(call_id, now)
             if call is not None:
                 for piece in call.pieces:
                     worker.held_bytes -= piece.job.result_bytes
@@ -406,6 +428,43 @@
         worker.held_bytes += size
         return [FreeResults(worker.target, tuple(handles), size)]
 
+    def _begin_limit_s(self, job):
+        """Return when a job that has not begun can no longer be of use."""
+        return job.deadline_s - job.later_s - self.get_nominal_s(1)
+
+    def _list_unread(self):
+        return [
+            call
+            for worker in self._workers.values()
+            for call in worker.calls.values()
+            if not call.read
+        ]
+
+    def _list_read(self, now):
+        """Return an `InputsRead` for each job whose inputs have been fetched."""
+        read = [
+            call
+            for call in self._list_unread()
+            if call.begun_s is not None and call.begun_s + FETCH_S <= now
+        ]
+        jobs = {}
+        for call in read:
+            call.read = True
+            jobs.update({piece.job.job_id: piece.job for piece in call.pieces})
+        unread = {
+            piece.job.job_id for call in self._list_unread() for piece in call.pieces
+        }
+        return [
+            InputsRead(job)
+            for job_id, job in jobs.items()
+            if job.inputs and job_id not in unread and self._is_taken(job_id)
+        ]
+
+    def _is_taken(self, job_id):
+        """Return whether no piece of a job waits for a call."""
+        state = self._jobs.get(job_id)
+        return state is not None and not state.waiting
+
     def _drop_expired(self, now):
         """Forget results that their targets no longer keep."""
         limit_s = now - self.spec.handle_s
@@ -423,8 +482,7 @@
         lost = [
             state
             for state in self._jobs.values()
-            if state.waiting
-            and now + self.get_nominal_s(1) + state.job.later_s > state.job.deadline_s
+            if state.waiting and now >= self._begin_limit_s(state.job)
         ]
         actions = []
         for state in lost:
--- a/firworks/kernel/pools/workers.py
+++ b/firworks/kernel/pools/workers.py
@@ -21,9 +21,20 @@
         started_s (float): When it was sent.
         due_s (float): When its answer is expected.
         overdue_s (float): When to give it up.
+        begun_s (float or None): When the target is known to have begun it.
+        read (bool): The target has fetched its inputs, if there are any.
     """
 
-    __slots__ = ("call_id", "target", "pieces", "started_s", "due_s", "overdue_s")
+    __slots__ = (
+        "call_id",
+        "target",
+        "pieces",
+        "started_s",
+        "due_s",
+        "overdue_s",
+        "begun_s",
+        "read",
+    )
 
     def __init__(self, call_id, target, pieces, started_s, due_s, overdue_s):
         self.call_id = call_id
@@ -32,6 +43,8 @@
         self.started_s = started_s
         self.due_s = due_s
         self.overdue_s = overdue_s
+        self.begun_s = None
+        self.read = not any(piece.job.inputs for piece in pieces)
 
 
 class StageWorker:
@@ -73,8 +86,23 @@
 
     def add(self, call):
         """Take in a call that is being sent."""
+        if not self.calls:
+            call.begun_s = call.started_s
         self.calls[call.call_id] = call
 
+    def remove(self, call_id, now):
+        """Take out a call that has ended; the next one has begun then.
+
+        Returns:
+            StageCall or None: The call, if it was one of this target's.
+        """
+        call = self.calls.pop(call_id, None)
+        if call is not None and self.calls:
+            following = next(iter(self.calls.values()))
+            if following.begun_s is None:
+                following.begun_s = now
+        return call
+
     def note_answer(self, call, nominal_s, now):
         """Take in the answer to a call."""
         begun_s = max(
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -21,6 +21,8 @@
 # An answer takes a few milliseconds; a store that is slow takes up to 100 times that.
 CALL_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
+# Beyond the wait of a read that waits for records.
+READ_MARGIN_S = 0.8
 
 
 class StoreError(FirworksError):
@@ -96,7 +98,7 @@
         query = {"topic": topic, "part": "0", "from": str(offset)}
         if wait_s > 0:
             query["wait-ms"] = str(int(wait_s * 1000))
-        timeout_s = CALL_TIMEOUT_S + wait_s
+        timeout_s = wait_s + READ_MARGIN_S
         data = await self._call("GET", "/log-read", query, timeout_s=timeout_s)
         return decode_slice(data)
 
--- a/firworks/standins/platform_store.py
+++ b/firworks/standins/platform_store.py
@@ -23,6 +23,7 @@
     Attributes:
         down (bool): Every call is answered 503.
         silent (bool): No call is answered.
+        lost (set of str): Topics whose next read that has records is not answered.
         turned_away (set of str): User agents whose calls are answered 503.
         calls (list of str): Paths, in order.
     """
@@ -31,6 +32,7 @@
         super().__init__(port)
         self.down = False
         self.silent = False
+        self.lost = set()
         self.turned_away = set()
         self.calls = []
         self._topics = {}
@@ -117,6 +119,9 @@
         if failed is not None:
             return failed
         records = self._topics.get(topic, [])
+        if topic in self.lost and len(records) > start:
+            self.lost.discard(topic)
+            await wait_for_ever()
         extent = len(records).to_bytes(8, "big")
         extent += self._first.get(topic, 0).to_bytes(8, "big")
         parts = [len(r).to_bytes(4, "big") + r for r in records[start:]]
--- a/firworks/tests/pool_world.py
+++ b/firworks/tests/pool_world.py
@@ -15,6 +15,7 @@
 from firworks.kernel.pools.paths import compute_later_s
 from firworks.kernel.pools.stages import (
     FreeResults,
+    InputsRead,
     JobDone,
     JobRefused,
     StageScheduler,
@@ -122,6 +123,7 @@
         self.done = {}
         self.ended = False
         self.jobs = []
+        self.read = set()
 
 
 class PoolWorld:
@@ -275,8 +277,9 @@
         """Give up the results that no other stage has still to read."""
         stages = request.kind.stages
         for before in stages[number].after:
-            followers = [i for i, stage in enumerate(stages) if before in stage.after]
-            if all(request.done.get(i) is not None for i in followers):
+            request.read.add(number)
+            followers = {i for i, stage in enumerate(stages) if before in stage.after}
+            if followers <= request.read:
                 service, job_id = stages[before].service, f"{request.number}/{before}"
                 scheduler = self.schedulers[service]
                 self._carry_out(service, scheduler.cancel(job_id, self.now))
@@ -318,6 +321,9 @@
                     request.done[number] = action.handles
                     self._free_read(request, number)
                     self._advance(request)
+            elif isinstance(action, InputsRead):
+                request, number = self._jobs[action.job.job_id]
+                self._free_read(request, number)
             elif isinstance(action, JobRefused):
                 request, _ = self._jobs[action.job.job_id]
                 self._end(request, "refused")
@@ -392,7 +398,72 @@
         self._carry_out(name, scheduler.take_failure(call.call_id, self.now))
 
 
-def make_zwolle(engine_free=False):
+def spread(rng, mean, most):
+    """Return a number of pieces around a mean, at least 1."""
+    return min(most, max(1, round(rng.lognormvariate(0, 0.5) * mean * 0.88)))
+
+
+def make_rimac():
+    """Return (pools, kinds) like Rimac's sheet of today."""
+    pools = {
+        "members": StagePoolSpec(1, 2, 4, 0.2, 0.042, 9 * MEGABYTE, 4.0),
+        "shop": StagePoolSpec(1, 2, 8, 0.2, 0.02125, int(1.04 * MEGABYTE), 4.0),
+        "ledger": StagePoolSpec(1, 2, 20, 0.2, 0.00852, int(0.267 * MEGABYTE), 4.0),
+    }
+    photos = StageSpec("members", (), 1_500_000)
+    light = StageSpec("members", (), 8_000)
+    kinds = [
+        Kind(
+            "quote",
+            3.71,
+            2.3,
+            8.0,
+            3.8,
+            0.57,
+            1,
+            (
+                photos,
+                light,
+                StageSpec("shop", (1,), 60_000),
+                StageSpec("ledger", (2,), 6_000),
+            ),
+            lambda rng: (
+                spread(rng, 1.5, 6) if rng.random() < 0.4 else 0,
+                1,
+                4,
+                spread(rng, 10, 25),
+            ),
+            (1.0, 0.3, 1.0, 1.0),
+        ),
+        Kind(
+            "notes",
+            4.72,
+            1.9,
+            6.0,
+            2.0,
+            0.3,
+            0,
+            (light, StageSpec("shop", (0,), 60_000), StageSpec("ledger", (1,), 6_000)),
+            lambda rng: (1, 4, spread(rng, 10, 25)),
+            (0.3, 1.0, 1.0),
+        ),
+        Kind(
+            "chat",
+            3.83,
+            0.91,
+            15.0,
+            0.55,
+            0.083,
+            2,
+            (photos,),
+            lambda rng: (spread(rng, 2.5, 10) if rng.random() < 0.7 else 0,),
+            (1.0,),
+        ),
+    ]
+    return pools, kinds
+
+
+def make_zwolle():
     """Return (pools, kinds) like Zwolle's sheet of today."""
     pools = {
         "herstel": StagePoolSpec(1, 2, 8, 0.2, 0.02125, int(17.6 * MEGABYTE), 4.0),
@@ -400,9 +471,6 @@
         "borg": StagePoolSpec(1, 2, 37, 0.2, 0.00464, int(0.496 * MEGABYTE), 4.0),
     }
 
-    def spread(rng, mean, most):
-        return min(most, max(1, round(rng.lognormvariate(0, 0.5) * mean * 0.88)))
-
     dossier = StageSpec("herstel", (), 1_500_000)
     light = StageSpec("herstel", (), 8_000)
     clubs = StageSpec("clubs", (0,), 60_000)
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -5,7 +5,13 @@
 
 import pytest
 
-from firworks.platform.store import MEMBERS_TOPIC, TARGETS_TOPIC
+from firworks.gateway.process import CONFIGURATION_WAIT_S
+from firworks.platform.store import (
+    CONFIGURATION_TOPIC,
+    MEMBERS_TOPIC,
+    READ_MARGIN_S,
+    TARGETS_TOPIC,
+)
 from firworks.standins.platform_targets import EVENTS, STAMP
 from firworks.tests.gateway_world import (
     KEY,
@@ -373,6 +379,22 @@
 
         play(scenario)
 
+    def test_a_lost_answer_of_the_store_is_noticed_in_time(self):
+        # The bound of the platform: a gateway is in touch 3 s after a trouble.
+        assert CONFIGURATION_WAIT_S + READ_MARGIN_S < 3.0
+
+        async def scenario(world):
+            gateway = world.gateways[0]
+            world.store.lost.add(CONFIGURATION_TOPIC)
+            world.store.put_configuration(make_configuration(3))
+            await wait_until(lambda: not world.store.lost)
+            reads = world.store.calls.count("/log-read")
+            await wait_until(lambda: gateway.configuration.version == 3)
+            # Only a few reads of all topics fit into the time that this may take.
+            assert world.store.calls.count("/log-read") - reads < 20
+
+        play(scenario)
+
     def test_a_gateway_is_not_ready_before_it_knows_one(self):
         async def scenario(world):
             world.store.down = True
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -8,6 +8,7 @@
     StageSpec,
 )
 from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.pools import stages
 from firworks.kernel.pools.clients import (
     PING_LIMIT_S,
     RECONNECT_GAP_S,
@@ -37,14 +38,16 @@
 from firworks.kernel.pools.paths import EXPECTED_WAIT_CALLS, compute_later_s
 from firworks.kernel.pools.roster import Roster
 from firworks.kernel.pools.stages import (
+    FETCH_S,
     MAX_TRIES,
     FreeResults,
+    InputsRead,
     JobDone,
     JobRefused,
     StageScheduler,
 )
 from firworks.kernel.pools.workers import StageCall
-from firworks.tests.pool_world import Burst, PoolWorld, make_zwolle
+from firworks.tests.pool_world import Burst, PoolWorld, make_rimac, make_zwolle
 
 SPEC = StagePoolSpec(1, 2, 8, 0.2, 0.02, 16_000_000, 4.0)
 SEEDS = (1, 2, 3)
@@ -136,6 +139,40 @@
         (call,) = scheduler.note_freed(freed, 0.5)
         assert {piece.job.job_id for piece in call.pieces} == {"b"}
 
+    def test_inputs_are_free_once_the_call_that_reads_them_has_begun(self):
+        scheduler = make_scheduler()
+        (first,) = scheduler.submit(make_job("a", 8, inputs=("i1",)), 0.0)
+        assert scheduler.next_due_s(0.0) == pytest.approx(FETCH_S)
+        assert pick(scheduler.plan(FETCH_S), InputsRead)[0].job.job_id == "a"
+        assert not pick(scheduler.plan(2 * FETCH_S), InputsRead)
+        scheduler.submit(make_job("b", 2, inputs=("i2",)), 0.1)
+        (second,) = pick(scheduler.plan(first.due_s), StageCall)
+        now = first.due_s + 0.1
+        assert not pick(scheduler.plan(now), InputsRead)
+        scheduler.take_answer(first.call_id, make_results(first), now)
+        assert not pick(scheduler.plan(now), InputsRead)
+        read = pick(scheduler.plan(now + FETCH_S), InputsRead)
+        assert [one.job.job_id for one in read] == ["b"]
+
+    def test_inputs_of_a_divided_job_are_kept_until_its_last_call(self):
+        scheduler = make_scheduler()
+        (call,) = scheduler.submit(make_job("a", 10, inputs=("i",)), 0.0)
+        assert not pick(scheduler.plan(FETCH_S), InputsRead)
+        now = call.due_s
+        actions = scheduler.take_answer(call.call_id, make_results(call), now)
+        assert len(pick(actions, StageCall)) == 1
+        assert pick(scheduler.plan(now + FETCH_S), InputsRead)
+
+    def test_a_job_in_progress_past_its_deadline_asks_for_no_wake_up(self):
+        scheduler = make_scheduler()
+        scheduler.submit(make_job("a", 8, 0.5, 0.6), 0.0)
+        scheduler.submit(make_job("b", 8, 60.0, 60.0), 0.0)
+        for step in range(1, 40):
+            now = step * 0.1
+            due_s = scheduler.next_due_s(now)
+            assert due_s is None or due_s > now
+            scheduler.plan(now)
+
     def test_results_that_expired_take_up_no_room(self):
         scheduler = make_scheduler(spec=SPEC.replace(memory_bytes=4_000))
         (call,) = scheduler.submit(make_job("a", 3), 0.0)
@@ -335,6 +372,23 @@
         advice, arbiter = self.mean(worlds, "advice"), self.mean(worlds, "arbiter")
         assert advice > arbiter - 0.2
 
+    def test_results_that_are_freed_early_make_room_for_more(self, monkeypatch):
+        bursts = (
+            Burst("quote", 3.5, 9.8, 2.7),
+            Burst("notes", 14, 19.7, 3.0),
+            Burst(None, 25, 29, 1.8),
+        )
+        credits = []
+        for fetch_s in (stages.FETCH_S, 3600.0):
+            monkeypatch.setattr(stages, "FETCH_S", fetch_s)
+            worlds = []
+            for seed in SEEDS:
+                pools, kinds = make_rimac()
+                worlds.append(PoolWorld(pools, 3, kinds, seed))
+                worlds[-1].run(34.0, bursts)
+            credits.append(self.mean(worlds))
+        assert credits[0] > credits[1] + 0.05
+
     def test_late_requests_still_arrive(self):
         worlds = self.play()
         late = sum(world.count("late") for world in worlds)
