--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -10,7 +10,7 @@
 from firworks.gateway.answers import BrokenOffError, make_refusal
 from firworks.gateway.tickets import Ticket
 from firworks.kernel.forwarding.admission import admit, choose_service
-from firworks.platform.headers import read_request
+from firworks.platform.headers import REQUEST_ID, read_request
 
 # Well beyond the idle time that callers are granted, so that they close first.
 IDLE_LIMIT_S = 90.0
@@ -72,7 +72,7 @@
         try:
             return await self._answer(http)
         except BrokenOffError as error:
-            request_id = http.headers.get("X-Request-Id", "")
+            request_id = http.headers.get(REQUEST_ID, "")
             log_event(LogEvent.ANSWER_BROKEN_OFF, request=request_id, detail=str(error))
             if http.transport is not None:
                 http.transport.abort()
@@ -86,7 +86,7 @@
 
     def _fail(self, http, error):
         """Answer a request that met a fault of the system's own."""
-        request_id = http.headers.get("X-Request-Id", "")
+        request_id = http.headers.get(REQUEST_ID, "")
         log_fault(request_id, error)
         response = make_refusal(request_id, Code.INTERNAL, "internal error")
         response.force_close()
@@ -95,7 +95,7 @@
     async def _answer(self, http):
         gateway = self._gateway
         begun_s = gateway.clock()
-        request_id = http.headers.get("X-Request-Id", "")
+        request_id = http.headers.get(REQUEST_ID, "")
         try:
             request = read_request(http.method, http.raw_path, http.headers)
             admitted = admit(request, gateway.configuration, begun_s)
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -30,7 +30,7 @@
     SubmitPieces,
     SubmitRequest,
 )
-from firworks.kernel.pools.stages import InputsRead, JobDone, JobRefused
+from firworks.kernel.pools.results import InputsRead, JobDone, JobRefused
 
 # Told to callers when no engine had room before their deadline.
 ENGINE_RETRY_AFTER_S = 1.0
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -17,7 +17,7 @@
     AttemptError,
 )
 from firworks.kernel.pools.jobs import EngineJob
-from firworks.kernel.pools.stages import REASON_GONE
+from firworks.kernel.pools.results import REASON_GONE
 from firworks.platform.headers import (
     REQUEST_ID,
     STAMP,
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -7,13 +7,8 @@
 from firworks.events import LogEvent, log_event
 from firworks.gateway.exchanges import Exchange
 from firworks.kernel.forwarding.outcomes import BROKEN, AttemptError
-from firworks.kernel.pools.stages import (
-    FreeResults,
-    InputsRead,
-    JobDone,
-    JobRefused,
-    StageScheduler,
-)
+from firworks.kernel.pools.results import FreeResults, InputsRead, JobDone, JobRefused
+from firworks.kernel.pools.stages import StageScheduler
 from firworks.kernel.pools.workers import StageCall
 from firworks.platform.headers import build_call_head
 from firworks.platform.stages import (
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -7,9 +7,18 @@
 along. Work whose request can no longer be answered is dropped and not begun.
 """
 
-from firworks.kernel.messages import Struct
 from firworks.kernel.pools.jobs import Piece, sum_remote_bytes
 from firworks.kernel.pools.ordering import rank_job
+from firworks.kernel.pools.results import (
+    REASON_ERROR,
+    REASON_GONE,
+    REASON_LATE,
+    REASON_ROOM,
+    FreeResults,
+    InputsRead,
+    JobDone,
+    JobRefused,
+)
 from firworks.kernel.pools.workers import (
     OVERDUE_FACTOR,
     OVERDUE_MARGIN_S,
@@ -29,10 +38,6 @@
 NEARER_MARGIN_S = 0.02
 # Tries of one piece, the first included.
 MAX_TRIES = 3
-REASON_LATE = "late"
-REASON_GONE = "gone"
-REASON_ROOM = "room"
-REASON_ERROR = "error"
 # A target fetches the inputs of a call, some megabytes, when it begins it. They take up
 # room at their makers until then.
 FETCH_S = 0.08
@@ -40,51 +45,6 @@
 FULL_PAUSE_S = 0.1
 
 
-class JobDone(Struct):
-    """All pieces of a job are made.
-
-    Attributes:
-        job (PieceJob): The job.
-        handles (tuple of str): Results by number of the piece.
-    """
-
-    __slots__ = ("job", "handles")
-
-
-class JobRefused(Struct):
-    """A job will not be finished.
-
-    Attributes:
-        job (PieceJob): The job.
-        reason (str): A ``REASON_`` constant, or why the target's answer failed.
-        retry_after_s (float): When there will be room again.
-    """
-
-    __slots__ = ("job", "reason", "retry_after_s")
-
-
-class InputsRead(Struct):
-    """The targets of a job's calls have fetched its inputs.
-
-    Attributes:
-        job (PieceJob): The job.
-    """
-
-    __slots__ = ("job",)
-
-
-class FreeResults(Struct):
-    """Results that a target need not keep any longer.
-
-    Attributes:
-        target (Target): Where they are.
-        handles (tuple of str): The results.
-        size_bytes (int): Their approximate size.
-    """
-
-    __slots__ = ("target", "handles", "size_bytes")
-
-
 class _JobState:
     """Progress of one job."""
 
--- a/firworks/tests/pool_world.py
+++ b/firworks/tests/pool_world.py
@@ -13,13 +13,8 @@
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.pools.jobs import PieceJob, sum_remote_bytes
 from firworks.kernel.pools.paths import compute_later_s
-from firworks.kernel.pools.stages import (
-    FreeResults,
-    InputsRead,
-    JobDone,
-    JobRefused,
-    StageScheduler,
-)
+from firworks.kernel.pools.results import FreeResults, InputsRead, JobDone, JobRefused
+from firworks.kernel.pools.stages import StageScheduler
 from firworks.kernel.pools.workers import StageCall
 
 WIRE_S = 0.002
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -36,16 +36,9 @@
 )
 from firworks.kernel.pools.ordering import rank_job
 from firworks.kernel.pools.paths import EXPECTED_WAIT_CALLS, compute_later_s
+from firworks.kernel.pools.results import FreeResults, InputsRead, JobDone, JobRefused
 from firworks.kernel.pools.roster import Roster
-from firworks.kernel.pools.stages import (
-    FETCH_S,
-    MAX_TRIES,
-    FreeResults,
-    InputsRead,
-    JobDone,
-    JobRefused,
-    StageScheduler,
-)
+from firworks.kernel.pools.stages import FETCH_S, MAX_TRIES, StageScheduler
 from firworks.kernel.pools.workers import StageCall
 from firworks.tests.pool_world import Burst, PoolWorld, make_rimac, make_zwolle
 
