Give an engine that cannot be reached a rest

A target is blamed when it cannot be reached, breaks off or fails. The test fails without the change.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -176,7 +176,7 @@
             ticket.excluded.add(target.run)
             return await self._send(ticket, target, note_begun)
         except AttemptError as error:
-            failed = error.sent or error.kind != NOT_RUN
+            failed = error.blames_target
             raise
         finally:
             pools.end_request(job.job_id, failed)
--- a/firworks/kernel/forwarding/outcomes.py
+++ b/firworks/kernel/forwarding/outcomes.py
@@ -40,6 +40,13 @@
         self.detail = detail
         self.answer = answer
 
+    @property
+    def blames_target(self):
+        """Whether the target is down or failing, and not merely busy."""
+        if self.kind == NOT_RUN:
+            return not self.sent
+        return self.kind in (BROKEN, FAILED)
+
 
 class Verdict(Struct):
     """What to do after a failed attempt.
--- a/firworks/tests/test_forwarding.py
+++ b/firworks/tests/test_forwarding.py
@@ -16,6 +16,7 @@
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
     FAILED,
+    INPUTS_GONE,
     NOT_RUN,
     AttemptError,
     Progress,
@@ -195,6 +196,19 @@
         verdict = self.judge(kinds, repeatable)
         assert (verdict.again, verdict.code) == (again, code)
 
+    @pytest.mark.parametrize(
+        ("kind", "sent", "blamed"),
+        [
+            (NOT_RUN, False, True),
+            (NOT_RUN, True, False),
+            (INPUTS_GONE, True, False),
+            (BROKEN, True, True),
+            (FAILED, True, True),
+        ],
+    )
+    def test_a_target_is_blamed_unless_it_said_why(self, kind, sent, blamed):
+        assert AttemptError(kind, sent, "").blames_target == blamed
+
     def test_nothing_is_sent_again_without_time_or_budget(self):
         assert not self.judge([(NOT_RUN, False)], True, left_s=0.01).again
         assert not self.judge([(BROKEN, True)], True, budget=False).again
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -272,6 +272,16 @@
 
         play(scenario)
 
+    def test_an_engine_that_is_down_is_given_a_rest(self):
+        async def scenario(world):
+            await world.targets["engine-1"].stop()
+            answers = [await world.ask("/rules/a", "POST", **PROMPT) for _ in range(8)]
+            assert {answer[0] for answer in answers} == {200}
+            # One connection that failed, one to the other engine, kept.
+            assert world.gateways[0].connections.opened <= 3
+
+        play(scenario)
+
     def test_a_caller_may_resume(self):
         async def scenario(world):
             answer = await world.ask(
