Begin large results late; close a draining gateway without cutting a request

The stage that only the engine needs now begins when one stage of the chain is left.

The test fails without the change.

--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -55,11 +55,25 @@
         """The bound port."""
         return self._listener.sockets[0].getsockname()[1]
 
+    def stop_listening(self):
+        """Take no new connections; those that are open stay."""
+        self._listener.close()
+
     def close_idle(self):
-        """Close the connections on which no request is in progress."""
+        """Close the connections that wait for a request.
+
+        Returns:
+            bool: Whether none is left.
+        """
+        left = False
         for connection in self._server.connections:
-            if connection._current_request is None:
+            # A request that has been read ends this wait before its handler starts.
+            waiter = connection._waiter
+            if waiter is not None and not waiter.done():
                 connection.force_close()
+            elif connection.transport is not None:
+                left = True
+        return not left
 
     async def stop(self):
         """Stop listening and close all connections."""
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -47,6 +47,8 @@
 # Kept of the drain limit for the process to end.
 EXIT_MARGIN_S = 0.4
 DRAIN_POLL_S = 0.02
+# A request that was sent before the rotation ended arrives within this time.
+QUIET_S = 0.3
 # A read of the configuration waits this long. An answer of the store may be lost, and
 # its connection then carries nothing: with READ_MARGIN_S, the loss is noticed before
 # the store counts as stable again, 3 s after its trouble.
@@ -239,22 +241,33 @@
         limit_s = begun_s + self.settings.drain_limit_s - EXIT_MARGIN_S
         await self._members.leave()
         await asyncio.sleep(min(ROTATION_S, self.settings.drain_limit_s / 2))
-        while self._is_busy() and self.clock() < limit_s:
-            self.callers.close_idle()
-            await asyncio.sleep(DRAIN_POLL_S)
+        self.callers.stop_listening()
+        await self._wait_quiet(limit_s)
         await self.stop()
 
+    async def _wait_quiet(self, limit_s):
+        """Wait until nothing is in progress for a while and all connections closed."""
+        quiet_since_s = None
+        while (now := self.clock()) < limit_s:
+            if self._is_busy():
+                quiet_since_s = None
+            elif quiet_since_s is None:
+                quiet_since_s = now
+            elif now - quiet_since_s >= QUIET_S and self.callers.close_idle():
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+
     def _is_busy(self):
         """Whether callers or other gateways still wait for this one."""
         return self.callers.in_progress > 0 or self.pools.busy
 
     async def stop(self):
         """Close everything."""
+        await self.callers.stop()
         for task in self._tasks:
             task.cancel()
         self.pools.close()
         await self.pools.peers.stop()
-        await self.callers.stop()
         await self._readiness.stop()
         await self._metrics_server.stop()
         self.connections.close()
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from firworks.kernel.pools.jobs import PieceJob
-from firworks.kernel.pools.paths import compute_later_s
+from firworks.kernel.pools.paths import compute_later_s, find_gate
 
 
 class StageRun:
@@ -104,6 +104,9 @@
         if pieces <= 0:
             self._free_read(number)
             return ()
+        gate = find_gate(self._admitted.route.stages, counts, number)
+        if gate is not None:
+            await asyncio.shield(self._tasks[gate])
         request = self._admitted.request
         job = PieceJob(
             self._pools.make_job_id(),
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -523,6 +523,22 @@
 
         play(scenario)
 
+    def test_a_request_that_has_been_read_is_not_taken_for_idle(self):
+        async def scenario(world):
+            callers = world.gateways[0].callers
+            reader, writer = await asyncio.open_connection("127.0.0.1", callers.port)
+            await wait_until(lambda: callers._server.connections)
+            (connection,) = callers._server.connections
+            headers = world.make_headers()
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            request = "\r\n".join(["GET /stock/a HTTP/1.1", *lines, "", ""])
+            connection.data_received(request.encode())
+            assert not callers.close_idle()
+            assert (await reader.readline()) == b"HTTP/1.1 200 Status\r\n"
+            writer.close()
+
+        play(scenario)
+
     def test_a_gateway_that_leaves_takes_its_entry_along(self):
         async def scenario(world):
             await wait_until(lambda: len(world.store.get_values(MEMBERS_TOPIC)) == 2)
