--- a/firworks/tests/test_docs.py
+++ b/firworks/tests/test_docs.py
@@ -11,6 +11,8 @@
 from firworks.document import Account, Pipeline, Pool, Stage
 from firworks.events import LogEvent
 from firworks.gateway.metrics import GatewayMetrics
+from firworks.gateway.settings import DEFAULTS as GATEWAY_DEFAULTS
+from firworks.gateway.settings import SCHEMA as GATEWAY_SCHEMA
 from firworks.metrics import Metrics
 from firworks.settings import DEFAULTS, SCHEMA
 
@@ -90,6 +92,16 @@
         }
         assert {row[0].strip("`"): row[1] for row in rows} == wanted
 
+    def test_each_gateway_setting_is_listed_with_its_default(self):
+        rows = read_rows("CONFIGURATION.md", r"`\w+`", "Gateway settings")
+        wanted = {
+            name: f"`{GATEWAY_DEFAULTS[name]!r}`"
+            if name in GATEWAY_DEFAULTS
+            else "required"
+            for name in GATEWAY_SCHEMA["properties"]
+        }
+        assert {row[0].strip("`"): row[1] for row in rows} == wanted
+
     @pytest.mark.parametrize(
         ("section", "cls"),
         [
--- /dev/null
+++ b/firworks/tests/test_gateway_settings.py
@@ -0,0 +1,67 @@
+"""Settings of the gateway: what is refused, and how it is said."""
+
+import pytest
+
+from firworks.errors import SettingsError
+from firworks.gateway.settings import (
+    PATH_VARIABLE,
+    find_settings_path,
+    load_gateway_settings,
+)
+
+GOOD = """
+name = "front-1"
+region = "r"
+failure_domain = "fd-1"
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peers = "10.0.0.1:82"
+metrics = "10.0.0.1:83"
+store = "10.0.0.9:80"
+seeds = ["10.0.0.2:82"]
+"""
+
+
+class TestGatewaySettings:
+    def test_a_file_is_read_and_defaults_filled_in(self, tmp_path):
+        path = tmp_path / "settings.toml"
+        path.write_text(GOOD)
+        settings = load_gateway_settings(path)
+        assert (settings.name, settings.seeds) == ("front-1", ["10.0.0.2:82"])
+        assert settings.leave_limit_ms == 2000
+
+    @pytest.mark.parametrize(
+        ("line", "named"),
+        [
+            ("callers = 5", "callers"),
+            ('store = "nowhere"', "store"),
+            ("surprise = 1", "surprise"),
+            ("leave_limit_ms = 0", "leave_limit_ms"),
+            ('seeds = ["x"]', "seeds.0"),
+            ("drain_limit_s = -1", "drain_limit_s"),
+        ],
+    )
+    def test_an_error_names_the_key_and_the_file(self, tmp_path, line, named):
+        path = tmp_path / "settings.toml"
+        key = line.partition(" ")[0]
+        kept = [row for row in GOOD.splitlines() if not row.startswith(f"{key} ")]
+        path.write_text("\n".join([*kept, line]))
+        with pytest.raises(SettingsError) as caught:
+            load_gateway_settings(path)
+        assert named in str(caught.value) and str(path) in str(caught.value)
+
+    def test_a_missing_or_broken_file_is_named(self, tmp_path):
+        with pytest.raises(SettingsError, match="No such file"):
+            load_gateway_settings(tmp_path / "none.toml")
+        broken = tmp_path / "broken.toml"
+        broken.write_text("name = ")
+        with pytest.raises(SettingsError, match="broken.toml"):
+            load_gateway_settings(broken)
+
+    def test_the_path_comes_from_the_arguments_or_the_environment(self, monkeypatch):
+        monkeypatch.setenv(PATH_VARIABLE, "/from/environment")
+        assert find_settings_path([]) == "/from/environment"
+        assert find_settings_path(["/from/arguments"]) == "/from/arguments"
+        monkeypatch.delenv(PATH_VARIABLE)
+        with pytest.raises(SettingsError):
+            find_settings_path([])
