Read the settings again at SIGHUP and when their file changes

Cause: SIGHUP ended the process, its default action, with all requests in progress; a settings file that changes without a signal was not noticed. What applies without a restart is taken; a file that is not valid changes nothing. The process test fails without the change (the process ends).

--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
 import time
 import uuid
 from random import Random
 
-from firworks.errors import FirworksError
+from firworks.errors import FirworksError, SettingsError
 from firworks.events import LogEvent, configure_logs, log_event
 from firworks.gateway.callers import CallersServer
 from firworks.gateway.connections import ConnectError, TargetConnections
@@ -60,12 +61,26 @@
 TARGETS_PAUSE_SHARE = 0.6
 
 
+# Settings that apply without a restart; the others are bound at the start.
+RELOADED = (
+    "drain_limit_s",
+    "leave_limit_ms",
+    "retry_ratio",
+    "retry_slack",
+    "retry_window_s",
+    "seeds",
+)
+# The settings file may change without a signal; its time stamp is read this often.
+SETTINGS_CHECK_S = 1.0
+
+
 class Gateway:
     """One gateway; several may share a loop in tests.
 
     Args:
         settings (GatewaySettings): Settings of the process.
         output (BoundedOutput or None): Where the log goes, for its metric.
+        path (str or None): The settings file, to be read again when it changes.
 
     Attributes:
         incarnation (str): Unique name of this run.
@@ -75,8 +90,11 @@
         retry_budget (RetryBudget): Bounds resends.
     """
 
-    def __init__(self, settings, output=None):
+    def __init__(self, settings, output=None, path=None):
         self.settings = settings
+        self._path = path
+        self._stamp = read_stamp(path)
+        self._stamp_read_s = 0.0
         self.metrics = GatewayMetrics()
         self._output = output
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:8]}"
@@ -146,6 +164,35 @@
         target = self.directory.find_address(locate_handle(handle))
         return None if target is None else target.failure_domain
 
+    def reload(self):
+        """Read the settings file again; one that is not valid changes nothing."""
+        if self._path is None:
+            return
+        self._stamp = read_stamp(self._path)
+        try:
+            settings = load_gateway_settings(self._path)
+        except SettingsError as error:
+            log_event(LogEvent.SETTINGS_REFUSED, error=str(error))
+            return
+        changed = [
+            name
+            for name in RELOADED
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        for name in changed:
+            setattr(self.settings, name, getattr(settings, name))
+        self.retry_budget.configure(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+        log_event(LogEvent.SETTINGS_RELOADED, changed=changed)
+
+    def _check_settings(self):
+        now = self.clock()
+        if now - self._stamp_read_s >= SETTINGS_CHECK_S:
+            self._stamp_read_s = now
+            if read_stamp(self._path) != self._stamp:
+                self.reload()
+
     def update_metrics(self):
         """Set the gauges of the gateway's state."""
         metrics, configuration = self.metrics, self.configuration
@@ -313,6 +360,7 @@
     async def _tick(self):
         while True:
             self._targets.expire()
+            self._check_settings()
             self.pools.tick()
             self._news.tick(self.clock())
             if self.ready and not self._was_ready:
@@ -321,18 +369,28 @@
             await asyncio.sleep(TICK_S)
 
 
-async def run_gateway(settings, output=None):
+def read_stamp(path):
+    """Return the time stamp of a file, or None when there is none."""
+    try:
+        return None if path is None else os.stat(path).st_mtime_ns
+    except OSError:
+        return None
+
+
+async def run_gateway(settings, output=None, path=None):
     """Run a gateway until a signal has drained it.
 
     Args:
         settings (GatewaySettings): Of the process.
         output (BoundedOutput or None): Where the log goes, for its metric.
+        path (str or None): The settings file.
     """
-    gateway = Gateway(settings, output)
+    gateway = Gateway(settings, output, path)
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     await gateway.start()
     # What exists by now lives as long as the process.
     gc.freeze()
@@ -343,10 +401,11 @@
 def main():
     """Entry point of ``python -m firworks.gateway [SETTINGS.toml]``."""
     try:
-        settings = load_gateway_settings(find_settings_path(sys.argv[1:]))
+        path = find_settings_path(sys.argv[1:])
+        settings = load_gateway_settings(path)
     except FirworksError as error:
         print(f"firworks: {error}", file=sys.stderr)
         sys.exit(2)
     output = BoundedOutput(sys.stdout.fileno(), time.monotonic)
     configure_logs(settings.log_format, output)
-    asyncio.run(run_gateway(settings, output))
+    asyncio.run(run_gateway(settings, output, path))
--- a/firworks/kernel/forwarding/retry_budget.py
+++ b/firworks/kernel/forwarding/retry_budget.py
@@ -21,13 +21,17 @@
     """
 
     def __init__(self, ratio, slack, window_s):
-        self._ratio = ratio
-        self._slack = slack
-        self._window_s = window_s
+        self.configure(ratio, slack, window_s)
         self._members = 1
         self._requests = {}
         self._resends = {}
 
+    def configure(self, ratio, slack, window_s):
+        """Take in other bounds; see the class."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+
     def set_members(self, count):
         """Take in how many daemons share the allowance."""
         self._members = max(1, count)
--- a/firworks/tests/test_gateway_settings.py
+++ b/firworks/tests/test_gateway_settings.py
@@ -1,8 +1,16 @@
 """Settings of the gateway: what is refused, and how it is said."""
 
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+
 import pytest
 
 from firworks.errors import SettingsError
+from firworks.gateway.process import Gateway
 from firworks.gateway.settings import (
     PATH_VARIABLE,
     find_settings_path,
@@ -65,3 +73,56 @@
         monkeypatch.delenv(PATH_VARIABLE)
         with pytest.raises(SettingsError):
             find_settings_path([])
+
+
+class TestReload:
+    def make_gateway(self, path):
+        path.write_text(GOOD)
+        return Gateway(load_gateway_settings(path), None, str(path))
+
+    def test_a_changed_file_is_taken_without_a_signal(self, tmp_path):
+        path = tmp_path / "settings.toml"
+
+        async def scenario():
+            gateway = self.make_gateway(path)
+            path.write_text(GOOD + "leave_limit_ms = 3000\n")
+            os.utime(path, ns=(1, 1))
+            gateway._check_settings()
+            assert gateway.settings.leave_limit_ms == 3000
+
+        asyncio.run(scenario())
+
+    def test_a_file_that_is_not_valid_changes_nothing(self, tmp_path):
+        path = tmp_path / "settings.toml"
+
+        async def scenario():
+            gateway = self.make_gateway(path)
+            path.write_text("leave_limit_ms = 0")
+            gateway.reload()
+            assert gateway.settings.leave_limit_ms == 2000
+            path.unlink()
+            gateway.reload()
+            assert gateway.settings.name == "front-1"
+
+        asyncio.run(scenario())
+
+    def test_a_hangup_does_not_end_the_process(self, tmp_path):
+        path = tmp_path / "settings.toml"
+        text = GOOD.replace("10.0.0.1", "127.0.0.1").replace("10.0.0.9", "127.0.0.1")
+        for port in (80, 81, 82, 83):
+            text = text.replace(f'"127.0.0.1:{port}"', '"127.0.0.1:0"')
+        path.write_text(text)
+        command = [sys.executable, "-m", "firworks.gateway", str(path)]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        try:
+            seen = []
+            for line in process.stdout:
+                seen.append(json.loads(line)["event_name"])
+                if seen[-1] == "STORE_LOST":
+                    process.send_signal(signal.SIGHUP)
+                if seen[-1] == "SETTINGS_RELOADED":
+                    break
+            assert seen[-1] == "SETTINGS_RELOADED" and process.poll() is None
+        finally:
+            process.kill()
+            process.wait()
