--- a/firworks/tests/test_fleet_processes.py
+++ b/firworks/tests/test_fleet_processes.py
@@ -29,6 +29,8 @@
         str(path),
         stdout=asyncio.subprocess.DEVNULL,
         stderr=asyncio.subprocess.DEVNULL,
+        # The kernel hangs up a group with stopped processes when its shell ends.
+        start_new_session=True,
     )
 
 
