Let reloaded settings take effect; share timers, seeds, ids and slots

Settings that were logged as reloaded (the seeds, the limit for leaving targets) were kept by parts that had copied them; they are handed on now. The timer of both kinds of pool, the caller's id and the fields of a target had copies, and four names were unused.

--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -86,7 +86,7 @@
         try:
             return await self._answer(http)
         except BrokenOffError as error:
-            request_id = http.headers.get(REQUEST_ID, "")
+            request_id = read_id(http)
             log_event(LogEvent.ANSWER_BROKEN_OFF, request=request_id, detail=str(error))
             if http.transport is not None:
                 http.transport.abort()
@@ -100,7 +100,7 @@
 
     def _fail(self, http, error):
         """Answer a request that met a fault of the system's own."""
-        request_id = http.headers.get(REQUEST_ID, "")
+        request_id = read_id(http)
         log_fault(request_id, error)
         response = make_refusal(request_id, Code.INTERNAL, "internal error")
         response.force_close()
@@ -109,7 +109,7 @@
     async def _answer(self, http):
         gateway = self._gateway
         begun_s = gateway.clock()
-        request_id = http.headers.get(REQUEST_ID, "")
+        request_id = read_id(http)
         try:
             request = read_request(http.method, http.raw_path, http.headers)
             admitted = admit(request, gateway.configuration, begun_s)
@@ -168,3 +168,8 @@
         except TimeoutError as error:
             raise RequestError(Code.REQUEST_TIMEOUT, "the body did not come") from error
         return b"".join(parts)
+
+
+def read_id(http):
+    """Return the id (str) that a caller gave its request; empty without one."""
+    return http.headers.get(REQUEST_ID, "")
--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -21,10 +21,6 @@
     """No connection could be opened; nothing was sent."""
 
 
-class BrokenAnswerError(Exception):
-    """The answer ended early or is not one; the request may have run."""
-
-
 class TargetConnection(ResponseHandler):
     """One HTTP connection to a target.
 
--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -1,7 +1,6 @@
 """Runs the scheduler of an engine pool."""
 
-import asyncio
-
+from firworks.gateway.wakeups import WakeUp
 from firworks.kernel.pools.engines import EngineScheduler
 
 
@@ -18,7 +17,7 @@
         self.scheduler = EngineScheduler(service.engine)
         self._clock = clock
         self._deliver = deliver
-        self._timer = None
+        self._wake_up = WakeUp(clock, self._wake)
 
     def set_targets(self, targets):
         """Take in the usable targets."""
@@ -42,18 +41,12 @@
 
     def close(self):
         """Stop the timer."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._wake_up.cancel()
 
     def _carry_out(self, results):
         for result in results:
             self._deliver(result)
-        self.close()
-        now = self._clock()
-        due_s = self.scheduler.next_due_s(now)
-        if due_s is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(max(0.0, due_s - now), self._wake)
+        self._wake_up.set(self.scheduler.next_due_s(self._clock()))
 
     def _wake(self):
         self._carry_out(self.scheduler.plan(self._clock()))
--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -26,7 +26,6 @@
         status (int): Of the answer, once its head has come.
         headers (CIMultiDictProxy): Of the answer.
         raw_headers (tuple of (bytes, bytes)): Of the answer.
-        answered (bool): Bytes of an answer have come.
     """
 
     def __init__(self, connections, target, clock):
--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -34,6 +34,10 @@
         self._failed = False
         self._reading = None
 
+    def set_pause(self, pause_s):
+        """Take in another least time from one read to the next, in seconds."""
+        self._pause_s = pause_s
+
     def interrupt(self):
         """End a read that waits: the store's connections may carry nothing."""
         if self._reading is not None:
--- a/firworks/gateway/news.py
+++ b/firworks/gateway/news.py
@@ -30,8 +30,11 @@
         self._roster = roster
         self._configurations = configurations
         self._targets = targets
-        seeds = [ANY_PEER + address for address in settings.seeds]
-        self.seeker = NewsSeeker(roster, seeds, rng)
+        self.seeker = NewsSeeker(roster, name_seeds(settings), rng)
+
+    def apply_settings(self, settings):
+        """Take in settings that were read again."""
+        self.seeker.set_seeds(name_seeds(settings))
 
     def tick(self, now):
         """Ask for news if it is time."""
@@ -78,3 +81,8 @@
             targets = [Target(*entry.values()) for entry in record.targets]
             self._targets.take_told(targets)
             log_event(LogEvent.NEWS_TAKEN, peer=peer, targets=len(targets))
+
+
+def name_seeds(settings):
+    """Return the names (list of str) under which the seeds can be dialed."""
+    return [ANY_PEER + address for address in settings.seeds]
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -11,6 +11,7 @@
 
 from firworks.errors import FirworksError, SettingsError
 from firworks.events import LogEvent, configure_logs, log_event
+from firworks.gateway.answers import SERVER_NAME
 from firworks.gateway.callers import CallersServer
 from firworks.gateway.connections import ConnectError, TargetConnections
 from firworks.gateway.followers import TopicFollower
@@ -129,6 +130,7 @@
         self.draining = asyncio.Event()
         self._tasks = []
         self._followers = []
+        self._targets_follower = None
         self._spawned = set()
         self._store_answers = True
         self._was_ready = False
@@ -155,7 +157,7 @@
 
     def prepare_response(self, http, response):
         """Set what every answer to a caller carries."""
-        response.headers.setdefault("Server", "firworks")
+        response.headers.setdefault("Server", SERVER_NAME)
         if self.draining.is_set():
             response.force_close()
 
@@ -184,6 +186,9 @@
         self.retry_budget.configure(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
+        self._news.apply_settings(settings)
+        if self._targets_follower is not None:
+            self._targets_follower.set_pause(self._get_targets_pause_s())
         log_event(LogEvent.SETTINGS_RELOADED, changed=changed)
 
     def _check_settings(self):
@@ -272,8 +277,9 @@
         self.roster.set_own_address(f"{host}:{self.pools.peers.port}")
         await self.store.start()
         self._follow(CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_WAIT_S, 0)
-        pause_s = TARGETS_PAUSE_SHARE * self.settings.leave_limit_ms / 1000
-        self._follow(TARGETS_TOPIC, self._targets, 0, pause_s)
+        self._targets_follower = self._follow(
+            TARGETS_TOPIC, self._targets, 0, self._get_targets_pause_s()
+        )
         self._follow(MEMBERS_TOPIC, self._members, MEMBERS_WAIT_S, 0)
         self._tasks.append(asyncio.ensure_future(self._tick()))
         await self.callers.start(self.settings.callers)
@@ -325,6 +331,10 @@
         follower = TopicFollower(self.store, topic, listener, wait_s, pause_s)
         self._followers.append(follower)
         self._tasks.append(asyncio.ensure_future(follower.run()))
+        return follower
+
+    def _get_targets_pause_s(self):
+        return TARGETS_PAUSE_SHARE * self.settings.leave_limit_ms / 1000
 
     def _apply_configuration(self, configuration):
         self.pools.configure(configuration.services)
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -309,7 +309,6 @@
         ticket.first_s = round(first_s, 3)
         route = ticket.admitted.route.name
         self._gateway.metrics.count_first_byte(route, first_s)
-        ticket.progress.begun_answer = True
         self._gateway.prepare_response(ticket.http, response)
         self._gateway.clear_suspect(ticket.fingerprint)
         await response.prepare(ticket.http)
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -6,6 +6,7 @@
 from firworks.errors import CodecError
 from firworks.events import LogEvent, log_event
 from firworks.gateway.exchanges import Exchange
+from firworks.gateway.wakeups import WakeUp
 from firworks.kernel.forwarding.outcomes import BROKEN, AttemptError
 from firworks.kernel.pools.results import FreeResults, InputsRead, JobDone, JobRefused
 from firworks.kernel.pools.stages import StageScheduler
@@ -45,7 +46,7 @@
         self._deliver = deliver
         self._metrics = metrics
         self._tasks = set()
-        self._timer = None
+        self._wake_up = WakeUp(clock, self._wake)
         self._to_free = {}
 
     def set_targets(self, targets):
@@ -64,23 +65,14 @@
         """Stop all calls."""
         for task in self._tasks:
             task.cancel()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._wake_up.cancel()
 
     def _carry_out(self, actions):
         for action in actions:
             self._do(action)
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        now = self._clock()
-        due_s = self.scheduler.next_due_s(now)
-        if due_s is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(max(0.0, due_s - now), self._wake)
+        self._wake_up.set(self.scheduler.next_due_s(self._clock()))
 
     def _wake(self):
-        self._timer = None
         self._carry_out(self.scheduler.plan(self._clock()))
 
     @singledispatchmethod
--- a/firworks/kernel/forwarding/news.py
+++ b/firworks/kernel/forwarding/news.py
@@ -8,6 +8,7 @@
 from hashlib import blake2b
 
 from firworks.kernel.codec import register_record
+from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.messages import Record
 from firworks.kernel.pools.messages import MemberEntry
 
@@ -22,16 +23,7 @@
 class TargetEntry(Record):
     """A target as one daemon tells another; see `Target`."""
 
-    __slots__ = (
-        "target_id",
-        "service",
-        "address",
-        "failure_domain",
-        "version",
-        "slots",
-        "leaving",
-        "born_ms",
-    )
+    __slots__ = Target.__slots__
     TYPES = (str, str, str, str, str, int, bool, int)
 
 
@@ -76,7 +68,7 @@
 
     def __init__(self, roster, seeds, rng):
         self._roster = roster
-        self._seeds = tuple(seeds)
+        self.set_seeds(seeds)
         self._rng = rng
         self._failing = set()
         self._asked_s = float("-inf")
@@ -86,6 +78,10 @@
         """Whether the store does not answer this daemon."""
         return bool(self._failing)
 
+    def set_seeds(self, seeds):
+        """Take in other seeds; see the class."""
+        self._seeds = tuple(seeds)
+
     def note_store(self, topic, answers):
         """Take in whether the store answers for a topic (str)."""
         if answers:
--- a/firworks/kernel/forwarding/outcomes.py
+++ b/firworks/kernel/forwarding/outcomes.py
@@ -67,17 +67,15 @@
         max_attempts (int): Most targets that it may be sent to.
         sends (int): Targets that have or may have read it.
         ran (bool): A target may have begun it.
-        begun_answer (bool): Part of the answer has gone to the caller.
     """
 
-    __slots__ = ("repeatable", "max_attempts", "sends", "ran", "begun_answer")
+    __slots__ = ("repeatable", "max_attempts", "sends", "ran")
 
     def __init__(self, repeatable, max_attempts):
         self.repeatable = repeatable
         self.max_attempts = max_attempts
         self.sends = 0
         self.ran = False
-        self.begun_answer = False
 
     def note(self, failure):
         """Take in a `AttemptError`."""
--- a/firworks/platform/headers.py
+++ b/firworks/platform/headers.py
@@ -7,9 +7,7 @@
 REQUEST_ID = "X-Request-Id"
 STAMP = "X-Server-Stamp"
 NOT_RUN = "X-Not-Run"
-INSTANCE = "X-Instance-Id"
 LOAD = "X-Server-Load"
-WEIGHTS = "X-Weight-Versions"
 LAST_EVENT_ID = "Last-Event-Id"
 
 # Concern one connection only, or are computed anew.
