Share the handlers of members, peers and log answers

Cause: kernel/deferred and kernel/ledger, and configuration/follower and orders, each had their own copies of handlers that only pass an event on. The outbox and the list of live members now take these events by type; one alias names the log's answers. Ruled out: moving the handlers into a base class (registrations of a subclass would change the base's). Before: four copies; after: one each.

--- a/firworks/kernel/configuration/follower.py
+++ b/firworks/kernel/configuration/follower.py
@@ -145,13 +145,8 @@
         return [LogCatalogued(LogEvent.CONFIGURATION_LOG_UNREADABLE, fields)]
 
     @handle.register
-    def _handle_vms(self, event: VmsListed, now):
-        self._members.take_vms(event)
-        return []
-
-    @handle.register
-    def _handle_member(self, event: MemberChanged, now):
-        self._members.take_change(event)
+    def _handle_members(self, event: VmsListed | MemberChanged, now):
+        self._members.take(event)
         return []
 
     @handle.register
--- a/firworks/kernel/deferred/deferred.py
+++ b/firworks/kernel/deferred/deferred.py
@@ -37,12 +37,10 @@
     name_record,
 )
 from firworks.kernel.messages import (
-    AppendFailed,
+    LogAnswered,
     LogRead,
-    LogReadFailed,
     PeerDisconnected,
     PeerReceived,
-    RecordsAppended,
     Struct,
     Tick,
 )
@@ -143,30 +141,22 @@
         self._lookups.add(event, now)
         return self._deliver(self._lookups.poll(now), now)
 
-    @_take.register
-    def _(self, event: MemberChanged, now):
-        self._choice.change_member(event)
-        return []
-
     @_take.register
     def _(self, event: DrainStarted, now):
         self._draining = True
         return []
 
     @_take.register
-    def _(self, event: PeerDisconnected, now):
-        self._outbox.note_gone(event.peer, now)
+    def _(self, event: MemberChanged | PeerDisconnected, now):
+        self._outbox.take(event, now)
         return []
 
     @_take.register
     def _(self, event: PeerReceived, now):
         return self._hear(event.message, event.peer, now)
 
-    @_take.register(RecordsAppended)
-    @_take.register(AppendFailed)
-    @_take.register(LogRead)
-    @_take.register(LogReadFailed)
-    def _(self, event, now):
+    @_take.register
+    def _(self, event: LogAnswered, now):
         if self._stream is None or event.stream != STREAM:
             return []
         results = self._deliver(self._stream.take(event, now), now)
--- a/firworks/kernel/fleet/live.py
+++ b/firworks/kernel/fleet/live.py
@@ -1,8 +1,11 @@
 """The entry VMs that are listed and not known to be gone, for ranking daemons."""
 
+from functools import singledispatchmethod
+
 from xxhash import xxh64_intdigest
 
-from firworks.kernel.fleet.events import MEMBER_DEAD, MEMBER_LEAVING
+from firworks.kernel.fleet.events import MEMBER_DEAD, MEMBER_LEAVING, MemberChanged
+from firworks.kernel.messages import VmsListed
 
 
 class LiveMembers:
@@ -21,13 +24,18 @@
         self._domains = {}
         self._gone = set()
 
-    def take_vms(self, event):
-        """Take a `VmsListed`."""
+    @singledispatchmethod
+    def take(self, event):
+        """Take a `VmsListed` or a `MemberChanged`."""
+        raise TypeError(f"not an event of members: {event!r}")
+
+    @take.register
+    def _(self, event: VmsListed):
         entries = [vm for vm in event.vms if vm.role == "entry"]
         self._domains = {vm.name: vm.failure_domain for vm in entries}
 
-    def take_change(self, event):
-        """Take a `MemberChanged`."""
+    @take.register
+    def _(self, event: MemberChanged):
         if event.status in (MEMBER_DEAD, MEMBER_LEAVING):
             self._gone.add(event.member)
         else:
--- a/firworks/kernel/ledger/holder.py
+++ b/firworks/kernel/ledger/holder.py
@@ -1,5 +1,8 @@
 """The holder's side of claims: from a request's wish to its final word."""
 
+from functools import singledispatchmethod
+
+from firworks.kernel.fleet.events import MemberChanged
 from firworks.kernel.ledger.claims import (
     CLAIM_IN_PROGRESS,
     CLAIM_OUTCOME,
@@ -18,7 +21,7 @@
     UnknownRecord,
     name_record,
 )
-from firworks.kernel.messages import SendPeer, Struct
+from firworks.kernel.messages import PeerDisconnected, SendPeer, Struct
 
 SILENCE_S = 0.5
 RESEND_S = 1.0
@@ -86,8 +89,18 @@
             if item.candidate == peer and item.stream == stream:
                 item.candidate = None
 
-    def note_gone(self, peer, now):
-        """A peer is out of reach; its records go elsewhere."""
+    @singledispatchmethod
+    def take(self, event, now):
+        """Take a `MemberChanged` or a `PeerDisconnected`."""
+        raise TypeError(f"not an event of peers: {event!r}")
+
+    @take.register
+    def _(self, event: MemberChanged, now):
+        self._choice.change_member(event)
+
+    @take.register
+    def _(self, event: PeerDisconnected, now):
+        peer = event.peer
         self._awake = True
         for item in self._items.values():
             if item.candidate == peer:
--- a/firworks/kernel/ledger/ledger.py
+++ b/firworks/kernel/ledger/ledger.py
@@ -34,13 +34,11 @@
 from firworks.kernel.ledger.state import LedgerState
 from firworks.kernel.ledger.stream import LedgerStream
 from firworks.kernel.messages import (
-    AppendFailed,
+    LogAnswered,
     LogCatalogued,
     LogRead,
-    LogReadFailed,
     PeerDisconnected,
     PeerReceived,
-    RecordsAppended,
     SendPeer,
     Tick,
 )
@@ -149,24 +147,16 @@
         return []
 
     @_take.register
-    def _(self, event: MemberChanged, now):
-        self._choice.change_member(event)
-        return []
-
-    @_take.register
-    def _(self, event: PeerDisconnected, now):
-        self._outbox.note_gone(event.peer, now)
+    def _(self, event: MemberChanged | PeerDisconnected, now):
+        self._outbox.take(event, now)
         return []
 
     @_take.register
     def _(self, event: PeerReceived, now):
         return self._hear(event.message, event.peer, now)
 
-    @_take.register(RecordsAppended)
-    @_take.register(AppendFailed)
-    @_take.register(LogRead)
-    @_take.register(LogReadFailed)
-    def _(self, event, now):
+    @_take.register
+    def _(self, event: LogAnswered, now):
         stream = self._streams.get(event.stream)
         if stream is None:
             return []
--- a/firworks/kernel/messages.py
+++ b/firworks/kernel/messages.py
@@ -170,6 +170,10 @@
     __slots__ = ("stream", "asked")
 
 
+# What the log service answers, or that it does not.
+LogAnswered = RecordsAppended | AppendFailed | LogRead | LogReadFailed
+
+
 class SendPeer(Action):
     """Send `message` (Record) to the daemon named `peer`."""
 
--- a/firworks/kernel/orders/orders.py
+++ b/firworks/kernel/orders/orders.py
@@ -141,13 +141,8 @@
         return []
 
     @handle.register
-    def _handle_vms(self, event: VmsListed, now):
-        self._members.take_vms(event)
-        return []
-
-    @handle.register
-    def _handle_member(self, event: MemberChanged, now):
-        self._members.take_change(event)
+    def _handle_members(self, event: VmsListed | MemberChanged, now):
+        self._members.take(event)
         return []
 
     @handle.register
