Notice that the VM was suspended; weigh members by their link too

Cause: after a freeze the facts of before stay in use until the next read, and the time that this daemon stood still counted as the silence of its schedulers, so that it suspected them and moved its jobs. The gap between the steady clock and the clock since boot now tells; the store is read anew and the time is taken off. A pause between reads ends as well when the store is to be read anew. read_load, which nothing used, is gone with its assertions; link_mbps weighs members. Ruled out: the loop's timers (they stand still with the steady clock). Before: test_own_standstill_is_no_silence_of_others has no counterpart; after: green.

--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -33,13 +33,15 @@
         self._offset = None
         self._failed = False
         self._reading = None
+        self._interrupted = asyncio.Event()
 
     def set_pause(self, pause_s):
         """Take in another least time from one read to the next, in seconds."""
         self._pause_s = pause_s
 
     def interrupt(self):
-        """End a read that waits: the store's connections may carry nothing."""
+        """Read anew at once: the store's connections may carry nothing."""
+        self._interrupted.set()
         if self._reading is not None:
             self._reading.cancel()
 
@@ -51,12 +53,20 @@
                 await self._step()
             except (StoreError, CodecError) as error:
                 self._note_failure(error)
-                await asyncio.sleep(pause_s)
+                await self._pause(pause_s)
                 pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
                 continue
             pause_s = FIRST_PAUSE_S
             self._note_success()
-            await asyncio.sleep(self._pause_s)
+            await self._pause(self._pause_s)
+
+    async def _pause(self, seconds):
+        self._interrupted.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._interrupted.wait()
+        except TimeoutError:
+            return
 
     async def _step(self):
         if self._offset is None:
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -109,6 +109,10 @@
         for name, runner in [*self._stages.items(), *self._engines.items()]:
             runner.set_targets(self._directory.get_usable(name))
 
+    def note_suspended(self, suspended_s):
+        """Take in that this process stood still for some seconds."""
+        self._client.note_suspended(suspended_s)
+
     def tick(self):
         """Ping schedulers and move jobs from those that fell silent."""
         self._carry_out(self._client.tick(self._clock()))
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -28,6 +28,7 @@
 from firworks.kernel.forwarding.news import AskNews, News
 from firworks.kernel.forwarding.retry_budget import RetryBudget
 from firworks.kernel.forwarding.suspects import Suspects
+from firworks.kernel.forwarding.suspension import SuspensionDetector
 from firworks.kernel.pools.messages import (
     MemberEntry,
     SuspectCleared,
@@ -44,6 +45,9 @@
 )
 
 TICK_S = 0.1
+# A scheduler that fills a core with jobs of a kilobyte or so, and the answers to them,
+# sends about this much.
+LINK_MBPS_PER_CORE = 100.0
 # The balancer needs two misses, one a second, to stop sending new connections.
 ROTATION_S = 2.6
 # Kept of the drain limit for the process to end.
@@ -134,6 +138,7 @@
         self._spawned = set()
         self._store_answers = True
         self._was_ready = False
+        self._suspension = SuspensionDetector()
 
     def clock(self):
         """Return monotonic seconds that go on while the VM is suspended."""
@@ -345,11 +350,22 @@
     def _note_targets(self, answers):
         """Begin the long reads anew when the frequent one finds the store silent."""
         if self._store_answers and not answers:
-            for follower in self._followers:
-                follower.interrupt()
+            self._interrupt_followers()
         self._store_answers = answers
         self._news.seeker.note_store(TARGETS_TOPIC, answers)
 
+    def _interrupt_followers(self):
+        for follower in self._followers:
+            follower.interrupt()
+
+    def _check_suspension(self):
+        """Read the store anew after the VM stood still."""
+        suspended_s = self._suspension.note(time.monotonic(), self.clock())
+        if suspended_s:
+            log_event(LogEvent.VM_SUSPENDED, suspended_s=round(suspended_s, 3))
+            self.pools.note_suspended(suspended_s)
+            self._interrupt_followers()
+
     def _apply_targets(self):
         self.pools.refresh()
 
@@ -360,7 +376,7 @@
             self.incarnation,
             settings.peers,
             settings.failure_domain,
-            settings.cpu_share,
+            min(settings.cpu_share, settings.link_mbps / LINK_MBPS_PER_CORE),
         )
 
     def _welcome_member(self, name):
@@ -369,6 +385,7 @@
 
     async def _tick(self):
         while True:
+            self._check_suspension()
             self._targets.expire()
             self._check_settings()
             self.pools.tick()
--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -250,6 +250,14 @@
         del self._pending[record.job_id]
         return [Deliver(record)]
 
+    def note_suspended(self, suspended_s):
+        """Take in that this daemon stood still: that time is nobody's silence."""
+        for pending in self._pending.values():
+            pending.sent_s += suspended_s
+        for contact in self._contacts.values():
+            contact.heard_s += suspended_s
+            contact.pinged_s += suspended_s
+
     def tick(self, now):
         """Return the pings that are due and the jobs that move."""
         actions = []
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -14,7 +14,7 @@
         incarnation (str): Unique name of this run.
         address (str): "ip:port" for other daemons.
         failure_domain (str): Where it runs.
-        weight (float): Its share of a core.
+        weight (float): Its share of a core, or of a link if that is less.
     """
 
     __slots__ = ("name", "incarnation", "address", "failure_domain", "weight")
--- a/firworks/platform/headers.py
+++ b/firworks/platform/headers.py
@@ -7,7 +7,6 @@
 REQUEST_ID = "X-Request-Id"
 STAMP = "X-Server-Stamp"
 NOT_RUN = "X-Not-Run"
-LOAD = "X-Server-Load"
 LAST_EVENT_ID = "Last-Event-Id"
 
 # Concern one connection only, or are computed anew.
@@ -150,18 +149,6 @@
     ]
 
 
-def read_load(headers):
-    """Return (running, waiting, slots) as a target tells its load, or None."""
-    text = headers.get(LOAD)
-    if text is None:
-        return None
-    try:
-        running, waiting, slots = (int(part) for part in text.split(","))
-    except ValueError:
-        return None
-    return running, waiting, slots
-
-
 def read_keep_alive_s(headers):
     """Return how long a target keeps an idle connection, in seconds, or None."""
     for part in headers.get("Keep-Alive", "").split(","):
--- a/firworks/tests/test_forwarding.py
+++ b/firworks/tests/test_forwarding.py
@@ -28,6 +28,10 @@
     FORGET_AFTER_S,
     Suspects,
 )
+from firworks.kernel.forwarding.suspension import (
+    SUSPENSION_LIMIT_S,
+    SuspensionDetector,
+)
 from firworks.kernel.pools.messages import MemberEntry
 from firworks.kernel.pools.roster import Roster
 from firworks.platform.configuration import decode_configuration
@@ -328,3 +332,17 @@
         a, b = make_target("a"), make_target("b")
         assert digest_targets([a, b]) == digest_targets([b, a])
         assert digest_targets([a]) != digest_targets([make_target("a", leaving=True)])
+
+
+class TestSuspensionDetector:
+    def test_time_that_only_the_clock_since_boot_counts_is_a_suspension(self):
+        detector = SuspensionDetector()
+        assert detector.note(100.0, 900.0) == 0.0
+        assert detector.note(100.1, 900.1) == 0.0
+        assert detector.note(100.2, 905.2) == pytest.approx(5.0)
+        assert detector.note(100.3, 905.3) == 0.0
+
+    def test_a_busy_process_is_not_suspended(self):
+        detector = SuspensionDetector()
+        detector.note(100.0, 900.0)
+        assert detector.note(104.0, 904.0 + SUSPENSION_LIMIT_S / 2) == 0.0
--- a/firworks/tests/test_platform_formats.py
+++ b/firworks/tests/test_platform_formats.py
@@ -13,7 +13,6 @@
     build_head,
     list_answer_headers,
     read_keep_alive_s,
-    read_load,
     read_request,
 )
 from firworks.platform.records import (
@@ -175,9 +174,7 @@
         ]
         assert list_answer_headers(raw) == [("X-Server-Stamp", "s")]
 
-    def test_load_and_keep_alive(self):
-        assert read_load({"X-Server-Load": "3,0,8"}) == (3, 0, 8)
-        assert read_load({"X-Server-Load": "3,0"}) is None
+    def test_keep_alive(self):
         assert read_keep_alive_s({"Keep-Alive": "timeout=5, max=9"}) == 5
         assert read_keep_alive_s({"Keep-Alive": "max=9"}) is None
 
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -600,6 +600,12 @@
         ]
         assert again.peer == roster.rank(pool)[1]
 
+    def test_own_standstill_is_no_silence_of_others(self):
+        _, client, _, _ = self.submit()
+        client.note_suspended(7.0)
+        assert not pick(client.tick(17.0 + TAKE_LIMIT_S - 0.05), MemberSuspected)
+        assert pick(client.tick(17.0 + TAKE_LIMIT_S + 0.05), MemberSuspected)
+
     def test_a_scheduler_that_took_a_job_and_froze_is_found_by_pings(self):
         _, client, _, sent = self.submit()
         client.hear(sent.peer, 10.01)
