Let a few daemons read the store for all

One daemon in 32, the first by rendezvous hash, reads; the others ask it to tell them what changes, compare a digest, fetch a new configuration by one call, and read for themselves as soon as its word is 1.1 s old. An older word than what is known changes nothing. Members are read in bundles: each start of a daemon woke all others. Ruled out: telling the configuration between daemons (a large one to 32 followers would not pass a slow link in time).

--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -34,6 +34,42 @@
         self._failed = False
         self._reading = None
         self._interrupted = asyncio.Event()
+        self._floor = 0
+        self._resting = False
+        self._refreshing = False
+
+    @property
+    def rests(self):
+        """Whether reading is left to another daemon."""
+        return self._resting
+
+    @property
+    def waits(self):
+        """Whether a read is in progress."""
+        return self._reading is not None
+
+    @property
+    def offset(self):
+        """Up to where the topic is known here (int)."""
+        return self._floor
+
+    def advance(self, offset):
+        """Take in that another daemon has told all up to an offset."""
+        self._offset = self._floor = offset
+
+    def set_resting(self, resting):
+        """Leave off reading, as another daemon tells what is new, or go on."""
+        if resting == self._resting:
+            return
+        self._resting = resting
+        self._interrupted.set()
+        if resting:
+            self._listener.note_store(True)
+
+    def refresh(self):
+        """List the topic once even while this daemon does not read."""
+        self._refreshing = True
+        self._interrupted.set()
 
     def set_pause(self, pause_s):
         """Take in another least time from one read to the next, in seconds."""
@@ -49,6 +85,10 @@
         """Follow the topic until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
+            if self._resting and not self._refreshing:
+                self._interrupted.clear()
+                await self._interrupted.wait()
+                continue
             try:
                 await self._step()
             except (StoreError, CodecError) as error:
@@ -58,7 +98,8 @@
                 continue
             pause_s = FIRST_PAUSE_S
             self._note_success()
-            await self._pause(self._pause_s)
+            if not self._resting:
+                await self._pause(self._pause_s)
 
     async def _pause(self, seconds):
         self._interrupted.clear()
@@ -69,19 +110,22 @@
             return
 
     async def _step(self):
-        if self._offset is None:
-            values, self._offset = await self._store.list_newest(self._topic)
-            self._listener.take_listing(values)
+        start = self._offset
+        if start is None or self._refreshing:
+            await self._list()
             return
         try:
             part = await self._read()
         except StoreGapError:
             self._offset = None
             return
-        if part.end < self._offset:
-            self._offset = None
+        if self._offset != start:
+            # Another daemon has told more meanwhile.
             return
-        self._offset += len(part.records)
+        if part.end < start:
+            self._offset, self._floor = None, 0
+            return
+        self._offset = self._floor = start + len(part.records)
         for record in part.records:
             try:
                 value = decode_keyed(record)
@@ -92,6 +136,16 @@
                 continue
             self._listener.take_value(value)
 
+    async def _list(self):
+        values, offset = await self._store.list_newest(self._topic)
+        if offset < self._floor:
+            # Another daemon has told more meanwhile, or the store has begun anew.
+            self._floor = 0
+            return
+        self._offset = self._floor = offset
+        self._refreshing = False
+        self._listener.take_listing(values)
+
     async def _read(self):
         read = self._store.read(self._topic, self._offset, self._wait_s)
         self._reading = asyncio.ensure_future(read)
--- a/firworks/gateway/news.py
+++ b/firworks/gateway/news.py
@@ -23,10 +23,15 @@
         configurations (ConfigurationListener): Takes configurations.
         targets (TargetsListener): Takes targets.
         rng (random.Random): Chooses whom to ask.
+
+    Attributes:
+        peers (Peers or None): Set before the first tick.
+        targets_follower (TopicFollower or None): Likewise.
     """
 
     def __init__(self, settings, roster, configurations, targets, rng):
         self.peers = None
+        self.targets_follower = None
         self._roster = roster
         self._configurations = configurations
         self._targets = targets
@@ -38,14 +43,15 @@
 
     def tick(self, now):
         """Ask for news if it is time."""
-        asked = self.seeker.choose_asked(now)
-        if not asked:
-            return
+        for name in self.seeker.choose_asked(now):
+            self.ask(name)
+
+    def ask(self, name):
+        """Ask a daemon for what is not known here."""
         current = self._configurations.holder.current
         version = NO_VERSION if current is None else current.version
         digest = digest_targets(self._targets.directory.list_all())
-        for name in asked:
-            self.peers.send(name, AskNews(self._roster.own, version, digest))
+        self.peers.send(name, AskNews(self._roster.own, version, digest))
 
     def answer(self, record):
         """Tell a daemon (its `AskNews`) what it does not know."""
@@ -64,20 +70,28 @@
             News(
                 raw,
                 differs,
+                self.targets_follower.offset,
                 entries if differs else (),
                 (*members, self._roster.own),
             ),
         )
 
-    def take(self, peer, record):
-        """Take in what another daemon tells (News)."""
+    def take(self, peer, record, followed):
+        """Take in what another daemon tells.
+
+        Args:
+            peer (str): The daemon.
+            record (News): What it tells.
+            followed (bool): It reads the store for this daemon.
+        """
         for entry in record.members:
             self._roster.put(entry)
-        if not self.seeker.deprived:
+        if not self.seeker.deprived and not followed:
             return
         if record.configuration:
             self._configurations.take_bytes(record.configuration, peer)
-        if record.listed:
+        if record.listed and record.offset >= self.targets_follower.offset:
+            self.targets_follower.advance(record.offset)
             targets = [Target(*entry.values()) for entry in record.targets]
             self._targets.take_told(targets)
             log_event(LogEvent.NEWS_TAKEN, peer=peer, targets=len(targets))
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -20,12 +20,14 @@
 from firworks.gateway.news import NewsDesk
 from firworks.gateway.peers import Peers
 from firworks.gateway.pools import Pools
+from firworks.gateway.readers import ReaderDesk
 from firworks.gateway.readiness import MetricsServer, ReadinessServer
 from firworks.gateway.relays import Relay
 from firworks.gateway.settings import find_settings_path, load_gateway_settings
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.kernel.forwarding.balancer import Balancer
 from firworks.kernel.forwarding.news import AskNews, News
+from firworks.kernel.forwarding.readers import FollowStore, StoreFacts
 from firworks.kernel.forwarding.retry_budget import RetryBudget
 from firworks.kernel.forwarding.suspects import Suspects
 from firworks.kernel.forwarding.suspension import SuspensionDetector
@@ -60,10 +62,12 @@
 # the store counts as stable again, 3 s after its trouble.
 CONFIGURATION_WAIT_S = 1.8
 # A stale list of members costs efficiency only.
-MEMBERS_WAIT_S = 10.0
+MEMBERS_WAIT_S = 25.0
+# Many daemons that start together are read in few calls.
+MEMBERS_PAUSE_S = 1.5
 # Entries of targets change with each heartbeat; they are read in bundles, one in this
 # share of the time within which a leaving target must get no more work.
-TARGETS_PAUSE_SHARE = 0.6
+TARGETS_PAUSE_SHARE = 0.3
 
 
 # Settings that apply without a restart; the others are bound at the start.
@@ -125,7 +129,10 @@
         self._news = NewsDesk(
             settings, self.roster, self._configurations, self._targets, self.rng
         )
-        self._news.peers = self.pools.peers
+        self._readers = ReaderDesk(
+            self.roster, self._configurations, self._targets, self.clock, self._news.ask
+        )
+        self._news.peers = self._readers.peers = self.pools.peers
         self._members = MembersListener(self.roster, self.store, self._welcome_member)
         self.relay = Relay(self)
         self.callers = CallersServer(self)
@@ -253,7 +260,11 @@
         elif isinstance(record, AskNews):
             self._news.answer(record)
         elif isinstance(record, News):
-            self._news.take(peer, record)
+            self._news.take(peer, record, peer == self._readers.reader)
+        elif isinstance(record, FollowStore):
+            self._readers.take_follow(record)
+        elif isinstance(record, StoreFacts):
+            self._readers.take_facts(peer, record)
         else:
             self.pools.receive(peer, record)
 
@@ -281,11 +292,15 @@
         host = self.settings.peers.rsplit(":", 1)[0]
         self.roster.set_own_address(f"{host}:{self.pools.peers.port}")
         await self.store.start()
-        self._follow(CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_WAIT_S, 0)
+        self._readers.configuration_follower = self._follow(
+            CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_WAIT_S, 0
+        )
         self._targets_follower = self._follow(
             TARGETS_TOPIC, self._targets, 0, self._get_targets_pause_s()
         )
-        self._follow(MEMBERS_TOPIC, self._members, MEMBERS_WAIT_S, 0)
+        self._readers.targets_follower = self._targets_follower
+        self._news.targets_follower = self._targets_follower
+        self._follow(MEMBERS_TOPIC, self._members, MEMBERS_WAIT_S, MEMBERS_PAUSE_S)
         self._tasks.append(asyncio.ensure_future(self._tick()))
         await self.callers.start(self.settings.callers)
         await self._readiness.start(self.settings.readiness)
@@ -343,6 +358,8 @@
 
     def _apply_configuration(self, configuration):
         self.pools.configure(configuration.services)
+        if not self._news.seeker.deprived:
+            self._readers.tell()
 
     def _note_configurations(self, answers):
         self._news.seeker.note_store(CONFIGURATION_TOPIC, answers)
@@ -352,6 +369,8 @@
         if self._store_answers and not answers:
             self._interrupt_followers()
         self._store_answers = answers
+        if answers:
+            self._readers.tell()
         self._news.seeker.note_store(TARGETS_TOPIC, answers)
 
     def _interrupt_followers(self):
@@ -390,6 +409,7 @@
             self._check_settings()
             self.pools.tick()
             self._news.tick(self.clock())
+            self._readers.tick(self.clock())
             if self.ready and not self._was_ready:
                 log_event(LogEvent.DAEMON_READY, name=self.settings.name)
             self._was_ready = self.ready
--- /dev/null
+++ b/firworks/gateway/readers.py
@@ -0,0 +1,116 @@
+"""Follows a daemon that reads the store, and tells those that follow this one."""
+
+from firworks.events import LogEvent, log_event
+from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.forwarding.news import TargetEntry, digest_targets
+from firworks.kernel.forwarding.readers import FollowStore, ReaderChoice, StoreFacts
+
+NO_VERSION = -1
+
+
+class ReaderDesk:
+    """Keeps this daemon's targets and configuration as fresh as its reader's.
+
+    Args:
+        roster (Roster): The members.
+        configurations (ConfigurationListener): Holds the configuration.
+        targets (TargetsListener): Holds the targets.
+        clock (callable): Returns monotonic seconds.
+        ask_news (callable): ``ask_news(name)`` asks a daemon for all its targets.
+
+    Attributes:
+        peers (Peers or None): Set before the first tick.
+        targets_follower (TopicFollower or None): Likewise.
+        configuration_follower (TopicFollower or None): Likewise.
+    """
+
+    def __init__(self, roster, configurations, targets, clock, ask_news):
+        self.peers = None
+        self.targets_follower = None
+        self.configuration_follower = None
+        self._roster = roster
+        self._configurations = configurations
+        self._targets = targets
+        self._clock = clock
+        self._ask_news = ask_news
+        self._choice = ReaderChoice(roster)
+        self._told = {}
+        self._digest = None
+        self._digest_changes = None
+        self._logged = None
+
+    @property
+    def reader(self):
+        """Name of the daemon that is followed, or None."""
+        return self._choice.reader
+
+    def tick(self, now):
+        """Ask for what is new, and read the store or leave it to another daemon."""
+        asked = self._choice.tick(now)
+        if asked is not None:
+            self.peers.send(asked, FollowStore(self._roster.own))
+        reads = self._choice.must_read(now)
+        self.targets_follower.set_resting(not reads)
+        self.configuration_follower.set_resting(not reads)
+        if (self.reader, reads) != self._logged:
+            self._logged = (self.reader, reads)
+            log_event(LogEvent.READER_CHANGED, reader=self.reader, reads=reads)
+
+    def take_follow(self, record):
+        """Take in that a daemon wants to be told (FollowStore)."""
+        self._roster.put(record.entry)
+        self._choice.note_follow(record.entry.name, self._clock())
+
+    def take_facts(self, peer, record):
+        """Take in what a daemon has just read (StoreFacts)."""
+        if record.offset < self.targets_follower.offset:
+            return
+        self._choice.note_facts(peer, self._clock())
+        changed = [Target(*entry.values()) for entry in record.changed]
+        self._targets.take_changes(changed, record.gone)
+        self.targets_follower.advance(record.offset)
+        if self._digest_targets() != record.digest:
+            self._ask_news(peer)
+        if record.version > self._get_version():
+            self.configuration_follower.refresh()
+
+    def tell(self):
+        """Tell the followers; called after the store has answered."""
+        followers = self._choice.list_followers(self._clock())
+        if not followers or not self._targets.listed:
+            self._told = None
+            return
+        changed, gone = self._list_changes()
+        facts = StoreFacts(
+            self._get_version(),
+            self.targets_follower.offset,
+            self._digest_targets(),
+            changed,
+            gone,
+        )
+        for name in followers:
+            self.peers.send(name, facts)
+
+    def _list_changes(self):
+        """Return what has changed since the followers were told, and what is gone."""
+        known = {one.target_id: one for one in self._targets.directory.list_all()}
+        told, self._told = self._told, known
+        if told is None:
+            return (), ()
+        changed = tuple(
+            TargetEntry(*target.values())
+            for name, target in known.items()
+            if told.get(name) != target
+        )
+        return changed, tuple(name for name in told if name not in known)
+
+    def _digest_targets(self):
+        directory = self._targets.directory
+        if self._digest_changes != directory.changes:
+            self._digest_changes = directory.changes
+            self._digest = digest_targets(directory.list_all())
+        return self._digest
+
+    def _get_version(self):
+        current = self._configurations.holder.current
+        return NO_VERSION if current is None else current.version
--- a/firworks/gateway/state.py
+++ b/firworks/gateway/state.py
@@ -118,18 +118,24 @@
 
     def take_told(self, targets):
         """Take all targets (list of Target) as another daemon knows them."""
+        told = {target.target_id for target in targets}
+        known = [target.target_id for target in self.directory.list_all()]
+        self.take_changes(targets, [name for name in known if name not in told])
+        self.listed = True
+
+    def take_changes(self, changed, gone):
+        """Take in what another daemon has read.
+
+        Args:
+            changed (iterable of Target): Targets with other entries.
+            gone (iterable of str): Ids of targets that are gone.
+        """
         before = self.directory.changes
-        for target in targets:
+        for target in changed:
             if self.directory.put(target) and target.leaving:
                 log_event(LogEvent.TARGET_LEAVING, target=target.target_id)
-        told = {target.target_id for target in targets}
-        for target in self.directory.list_all():
-            if target.target_id not in told:
-                self.directory.drop(target.target_id)
-                log_event(
-                    LogEvent.TARGET_GONE, target=target.target_id, source="daemon"
-                )
-        self.listed = True
+        for target_id in gone:
+            self._drop(target_id)
         self._note_change(before)
 
     def expire(self):
@@ -139,6 +145,10 @@
             log_event(LogEvent.TARGET_GONE, target=target_id, source="lapsed")
         self._note_change(before)
 
+    def _drop(self, target_id):
+        self.directory.drop(target_id)
+        log_event(LogEvent.TARGET_GONE, target=target_id, source="daemon")
+
     def _decode(self, value):
         try:
             return decode_target(value.key, value.value)
--- a/firworks/kernel/forwarding/news.py
+++ b/firworks/kernel/forwarding/news.py
@@ -48,12 +48,13 @@
     Attributes:
         configuration (bytes): The record of a newer one; empty without one.
         listed (bool): ``targets`` is the whole list.
+        offset (int): The targets' topic has been read up to here.
         targets (tuple of TargetEntry): All targets, if they differ.
         members (tuple of MemberEntry): Daemons that the sender knows.
     """
 
-    __slots__ = ("configuration", "listed", "targets", "members")
-    TYPES = (bytes, bool, (TargetEntry,), (MemberEntry,))
+    __slots__ = ("configuration", "listed", "offset", "targets", "members")
+    TYPES = (bytes, bool, int, (TargetEntry,), (MemberEntry,))
 
 
 class NewsSeeker:
--- /dev/null
+++ b/firworks/kernel/forwarding/readers.py
@@ -0,0 +1,138 @@
+"""Which daemons read the platform's store for the others.
+
+Load pattern: each call of the store is priced, its rate is limited, and it tells every
+daemon the same. A daemon therefore asks another one, chosen by rendezvous hash among a
+few, to tell it what is new, and does not read as long as that one's word is fresh. The
+other may be killed, frozen, cut off or turned away by the store at any moment: it only
+speaks after the store has answered it, and a daemon that has heard nothing for
+``FRESH_S`` reads for itself.
+"""
+
+from xxhash import xxh64_intdigest
+
+from firworks.kernel.codec import register_record
+from firworks.kernel.forwarding.news import TargetEntry
+from firworks.kernel.messages import Record
+from firworks.kernel.pools.messages import MemberEntry
+
+# Ranks the members as readers, like the name of a pool does as schedulers.
+RANK_NAME = "store"
+# A reader sends each follower about two messages a second; 32 of them take it under
+# one percent of a core.
+FOLLOWERS_PER_READER = 32
+# A follower asks again this often, and is told until it has not asked for so long.
+FOLLOW_PERIOD_S = 2.0
+SUBSCRIPTION_S = 5.0
+# Leaving targets must be known 2 s after the store took the entry. A reader speaks
+# twice a second; this leaves time for a read of the own after its silence.
+FRESH_S = 1.1
+# A reader that has not spoken for this long is left for another one.
+SILENCE_S = 1.5
+# It is asked again after this time, doubled by each further failure.
+FIRST_PAUSE_S = 5.0
+LONGEST_PAUSE_S = 80.0
+
+
+@register_record
+class FollowStore(Record):
+    """Asks a daemon to tell the sender (MemberEntry) what the store tells."""
+
+    __slots__ = ("entry",)
+    TYPES = (MemberEntry,)
+
+
+@register_record
+class StoreFacts(Record):
+    """What a daemon knows after the store has just answered it.
+
+    Attributes:
+        version (int): Of its configuration; -1 without one.
+        offset (int): The targets' topic has been read up to here.
+        digest (bytes): Of its targets.
+        changed (tuple of TargetEntry): Targets that changed since its last word.
+        gone (tuple of str): Ids of those that are gone since.
+    """
+
+    __slots__ = ("version", "offset", "digest", "changed", "gone")
+    TYPES = (int, int, bytes, (TargetEntry,), (str,))
+
+
+class ReaderChoice:
+    """Decides whether this daemon reads the store, and whom it follows otherwise.
+
+    Args:
+        roster (Roster): The members.
+    """
+
+    def __init__(self, roster):
+        self._roster = roster
+        self._reader = None
+        self._chosen_s = 0.0
+        self._asked_s = 0.0
+        self._fresh_s = float("-inf")
+        self._failures = {}
+        self._followers = {}
+
+    @property
+    def reader(self):
+        """Name of the daemon that is followed, or None."""
+        return self._reader
+
+    def must_read(self, now):
+        """Return whether this daemon is to read the store."""
+        unheard = self._reader is None or now - self._fresh_s > FRESH_S
+        return unheard or bool(self.list_followers(now))
+
+    def list_followers(self, now):
+        """Return the names of the daemons that are to be told."""
+        for name, asked_s in list(self._followers.items()):
+            if now - asked_s > SUBSCRIPTION_S:
+                del self._followers[name]
+        return list(self._followers)
+
+    def note_follow(self, name, now):
+        """Take in that a daemon wants to be told."""
+        self._followers[name] = now
+
+    def note_facts(self, name, now):
+        """Take in a daemon's word that is not older than what is known here."""
+        if name == self._reader:
+            self._fresh_s = now
+            self._failures.pop(name, None)
+
+    def tick(self, now):
+        """Return the name of the daemon to ask now, or None."""
+        heard_s = max(self._chosen_s, self._fresh_s)
+        if self._reader is not None and now - heard_s > SILENCE_S:
+            self._note_failure(self._reader, now)
+        reader = self._choose(now)
+        if reader != self._reader:
+            self._reader, self._chosen_s = reader, now
+            self._fresh_s = float("-inf")
+        elif now - self._asked_s < FOLLOW_PERIOD_S:
+            return None
+        self._asked_s = now
+        return reader
+
+    def _note_failure(self, name, now):
+        count = self._failures.get(name, (0, 0.0))[0]
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**count)
+        self._failures[name] = (count + 1, now + pause_s)
+
+    def _choose(self, now):
+        """Return the daemon to follow, or None when this one reads for itself."""
+        ranked = self._roster.rank(RANK_NAME)
+        own = self._roster.own.name
+        count = -(-len(ranked) // FOLLOWERS_PER_READER)
+        if own in ranked[:count]:
+            return None
+        first = sorted(
+            ranked[:count], key=lambda name: xxh64_intdigest(f"{own}/{name}".encode())
+        )
+        for name in [*first, *ranked[count:]]:
+            if name == own:
+                return None
+            paused = self._failures.get(name, (0, 0.0))[1] > now
+            if not paused and not self._roster.is_suspected(name):
+                return name
+        return None
--- a/firworks/tests/test_forwarding.py
+++ b/firworks/tests/test_forwarding.py
@@ -21,6 +21,14 @@
     AttemptError,
     Progress,
 )
+from firworks.kernel.forwarding.readers import (
+    FIRST_PAUSE_S,
+    FOLLOWERS_PER_READER,
+    FRESH_S,
+    SILENCE_S,
+    SUBSCRIPTION_S,
+    ReaderChoice,
+)
 from firworks.kernel.forwarding.requests import CallerRequest
 from firworks.kernel.forwarding.retry_budget import SAFETY, RetryBudget
 from firworks.kernel.forwarding.suspects import (
@@ -346,3 +354,65 @@
         detector = SuspensionDetector()
         detector.note(100.0, 900.0)
         assert detector.note(104.0, 904.0 + SUSPENSION_LIMIT_S / 2) == 0.0
+
+
+def make_fleet(count):
+    """Return a `ReaderChoice` for each of some daemons that know each other."""
+    entries = [
+        MemberEntry(f"d-{number}", f"d-{number}.1", "10.0.0.1:1", "fd-1", 1.0)
+        for number in range(count)
+    ]
+    choices = {}
+    for own in entries:
+        roster = Roster(own)
+        for entry in entries:
+            roster.put(entry)
+        choices[own.name] = ReaderChoice(roster)
+    return choices
+
+
+class TestReaderChoice:
+    @pytest.mark.parametrize("count", [1, 3, 18, 119])
+    def test_few_read_for_all(self, count):
+        choices = make_fleet(count)
+        asked = {name: choice.tick(10.0) for name, choice in choices.items()}
+        readers = [name for name, reader in asked.items() if reader is None]
+        assert len(readers) == -(-count // FOLLOWERS_PER_READER)
+        followed = [reader for reader in asked.values() if reader is not None]
+        assert set(followed) <= set(readers)
+        assert all(
+            followed.count(reader) <= 2 * FOLLOWERS_PER_READER for reader in readers
+        )
+
+    def follow(self):
+        choice = next(one for one in make_fleet(3).values() if one.tick(10.0))
+        reader = choice.reader
+        choice.note_facts(reader, 10.1)
+        return choice, reader
+
+    def test_a_reader_is_trusted_while_its_word_is_fresh(self):
+        choice, _ = self.follow()
+        assert not choice.must_read(10.1 + FRESH_S)
+        assert choice.must_read(10.1 + FRESH_S + 0.01)
+
+    def test_another_daemons_word_does_not_count(self):
+        choice, _ = self.follow()
+        choice.note_facts("stranger", 11.0)
+        assert choice.must_read(10.1 + FRESH_S + 0.01)
+
+    def test_a_silent_reader_is_left_and_asked_again_later(self):
+        choice, reader = self.follow()
+        silent_s = 10.1 + SILENCE_S + 0.01
+        choice.tick(silent_s)
+        assert choice.reader != reader
+        choice.tick(silent_s + FIRST_PAUSE_S - 0.1)
+        assert choice.reader != reader
+        choice.tick(silent_s + FIRST_PAUSE_S + 0.1)
+        assert choice.reader == reader
+
+    def test_a_daemon_with_followers_reads(self):
+        choice, _ = self.follow()
+        choice.note_follow("other", 10.1)
+        assert choice.must_read(10.2)
+        assert choice.list_followers(10.1 + SUBSCRIPTION_S) == ["other"]
+        assert choice.list_followers(10.2 + SUBSCRIPTION_S) == []
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -6,6 +6,8 @@
 import pytest
 
 from firworks.gateway.process import CONFIGURATION_WAIT_S
+from firworks.kernel.forwarding.news import TargetEntry
+from firworks.kernel.forwarding.readers import StoreFacts
 from firworks.platform.store import (
     CONFIGURATION_TOPIC,
     MEMBERS_TOPIC,
@@ -457,6 +459,87 @@
         play(scenario)
 
 
+class TestReaders:
+    async def settle(self, world):
+        """Wait until one gateway reads; return it and the others."""
+
+        def list_followers():
+            desks = [(one, one._readers) for one in world.gateways]
+            return [
+                one
+                for one, desk in desks
+                if desk.targets_follower.rests and not desk.configuration_follower.waits
+            ]
+
+        await wait_until(lambda: len(list_followers()) == len(world.gateways) - 1)
+        followers = list_followers()
+        (reader,) = (one for one in world.gateways if one not in followers)
+        return reader, followers
+
+    def drain_target(self, world, name="loans-1"):
+        entry = world.targets[name].make_entry("draining")
+        world.store.put_target(name, entry)
+
+    async def wait_drained(self, gateways, name="loans-1"):
+        await wait_until(lambda: all(g.directory.find(name) is None for g in gateways))
+
+    def test_one_gateway_reads_the_targets_for_all(self):
+        async def scenario(world):
+            _, followers = await self.settle(world)
+            calls = [one.store.calls for one in followers]
+            self.drain_target(world)
+            world.store.put_target("loans-2", None)
+            await self.wait_drained(followers)
+            await self.wait_drained(followers, "loans-2")
+            assert [one.store.calls for one in followers] == calls
+
+        play(scenario, gateways=3)
+
+    def test_a_new_configuration_takes_each_gateway_one_call(self):
+        async def scenario(world):
+            _, followers = await self.settle(world)
+            calls = [one.store.calls for one in followers]
+            world.store.put_configuration(make_configuration(9))
+            for one in followers:
+                await wait_until(lambda one=one: one.configuration.version == 9)
+            assert [one.store.calls for one in followers] == [n + 1 for n in calls]
+
+        play(scenario, gateways=3)
+
+    def test_a_reader_that_the_store_turns_away_is_left(self):
+        async def scenario(world):
+            reader, followers = await self.settle(world)
+            world.store.turned_away.add(reader.settings.name)
+            self.drain_target(world)
+            await self.wait_drained(world.gateways)
+
+        play(scenario, gateways=3)
+
+    def test_a_reader_that_stopped_is_left(self):
+        async def scenario(world):
+            reader, followers = await self.settle(world)
+            await reader.stop()
+            self.drain_target(world)
+            await self.wait_drained(followers)
+            world.gateways.remove(reader)
+
+        play(scenario, gateways=3)
+
+    def test_an_older_word_changes_nothing(self):
+        async def scenario(world):
+            reader, (follower, _) = await self.settle(world)
+            known = TargetEntry(*follower.directory.find("loans-1").values())
+            offset = follower._readers.targets_follower.offset
+            self.drain_target(world)
+            await self.wait_drained([follower])
+            old = StoreFacts(1, offset, b"", (known,), ("loans-2",))
+            follower._receive(reader.settings.name, old)
+            assert follower.directory.find("loans-1") is None
+            assert follower.directory.find("loans-2") is not None
+
+        play(scenario, gateways=3)
+
+
 class TestDiscovery:
     def test_a_target_that_leaves_gets_no_new_work(self):
         async def scenario(world):
