Close idle connections early in a drain; tell members that a daemon leaves

The store was down, so that nobody learned that the scheduler left and its jobs went on. Idle connections are now closed as soon as no new ones come; members are told directly, and an entry of a run that leaves does not bring it back. Before: test_idle_connections_end_while_jobs_of_others_go_on and test_a_scheduler_that_leaves_is_left_while_the_store_is_down red; after: green.

--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -33,6 +33,7 @@
 from firworks.kernel.forwarding.suspension import SuspensionDetector
 from firworks.kernel.pools.messages import (
     MemberEntry,
+    MemberLeaving,
     SuspectCleared,
     TargetCrashed,
 )
@@ -245,6 +246,16 @@
         else:
             connection.abort()
 
+    def _note_leaving(self, record):
+        """Take in that another gateway stops (MemberLeaving)."""
+        if self.roster.note_leaving(record.name, record.incarnation):
+            log_event(
+                LogEvent.MEMBER_CHANGED,
+                member=record.name,
+                incarnation=record.incarnation,
+                status="leaving",
+            )
+
     def _note_crash(self, fingerprint, run):
         if self.suspects.note_crash(fingerprint, run, self.clock()):
             log_event(
@@ -257,6 +268,8 @@
             self._note_crash(record.fingerprint, record.run)
         elif isinstance(record, SuspectCleared):
             self.suspects.clear(record.fingerprint)
+        elif isinstance(record, MemberLeaving):
+            self._note_leaving(record)
         elif isinstance(record, AskNews):
             self._news.answer(record)
         elif isinstance(record, News):
@@ -312,21 +325,22 @@
         begun_s = self.clock()
         log_event(LogEvent.DAEMON_DRAINING, name=self.settings.name)
         limit_s = begun_s + self.settings.drain_limit_s - EXIT_MARGIN_S
-        await self._members.leave()
+        self._tell_peers(MemberLeaving(self.settings.name, self.incarnation))
+        self._spawn(self._members.leave())
         await asyncio.sleep(min(ROTATION_S, self.settings.drain_limit_s / 2))
         self.callers.stop_listening()
         await self._wait_quiet(limit_s)
         await self.stop()
 
     async def _wait_quiet(self, limit_s):
-        """Wait until nothing is in progress for a while and all connections closed."""
-        quiet_since_s = None
+        """Wait until all connections of callers are closed and nothing is in progress.
+
+        A connection that waits for a request is closed early: one that came shortly
+        before the limit could not be answered any more.
+        """
+        idle_s = self.clock() + QUIET_S
         while (now := self.clock()) < limit_s:
-            if self._is_busy():
-                quiet_since_s = None
-            elif quiet_since_s is None:
-                quiet_since_s = now
-            elif now - quiet_since_s >= QUIET_S and self.callers.close_idle():
+            if now >= idle_s and self.callers.close_idle() and not self._is_busy():
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -21,6 +21,19 @@
     TYPES = (str, str, str, str, float)
 
 
+@register_record
+class MemberLeaving(Record):
+    """The sender stops: it finishes what it has and takes no more jobs.
+
+    Attributes:
+        name (str): Of the daemon.
+        incarnation (str): The run that stops.
+    """
+
+    __slots__ = ("name", "incarnation")
+    TYPES = (str, str)
+
+
 @register_record
 class Ping(Record):
     """Asks whether a daemon is alive.
@@ -73,9 +86,17 @@
     TYPES = (str,)
 
 
+@register_record
+class ResultsRead(Record):
+    """The results of a job (str) may be given up when room is needed."""
+
+    __slots__ = ("job_id",)
+    TYPES = (str,)
+
+
 @register_record
 class InputsFetched(Record):
-    """The inputs of a job (str) have been fetched and may be freed."""
+    """The inputs of a job (str) have been fetched."""
 
     __slots__ = ("job_id",)
     TYPES = (str,)
--- a/firworks/kernel/pools/roster.py
+++ b/firworks/kernel/pools/roster.py
@@ -25,6 +25,7 @@
         self._members = {own.name: own}
         self._suspected = set()
         self._ranks = {}
+        self._left = {}
 
     @property
     def count(self):
@@ -51,6 +52,8 @@
         known = self._members.get(entry.name)
         if entry.name == self.own.name or known == entry:
             return False
+        if self._left.get(entry.name) == entry.incarnation:
+            return False
         self._members[entry.name] = entry
         self._suspected.discard(entry.name)
         self._ranks.clear()
@@ -65,6 +68,17 @@
         self._ranks.clear()
         return True
 
+    def note_leaving(self, name, incarnation):
+        """Take in that a run of a member stops; return whether it was a member.
+
+        Its entry may still be told for a while and does not make it one again.
+        """
+        known = self._members.get(name)
+        if known is None or known.incarnation != incarnation:
+            return False
+        self._left[name] = incarnation
+        return self.remove(name)
+
     def suspect(self, name):
         """Take in that a member does not answer; return whether that is new."""
         if name == self.own.name or name in self._suspected:
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from firworks.gateway import process
 from firworks.gateway.process import CONFIGURATION_WAIT_S
 from firworks.kernel.forwarding.news import TargetEntry
 from firworks.kernel.forwarding.readers import StoreFacts
@@ -49,6 +50,11 @@
     ]
 
 
+def is_scheduler(gateway, pool):
+    """Return whether a gateway takes itself for a pool's scheduler."""
+    return gateway.roster.choose(pool) == gateway.settings.name
+
+
 def set_fault(world, service, fault, count=2):
     """Make the first targets of a service show a fault."""
     for target in list(world.targets.values()):
@@ -619,6 +625,48 @@
 
         play(scenario)
 
+    def test_idle_connections_end_while_jobs_of_others_go_on(self, monkeypatch):
+        monkeypatch.setattr(process, "ROTATION_S", 0.05)
+
+        async def scenario(world):
+            world.targets["repair-1"].fault = world.targets["repair-2"].fault = "hang"
+            scheduler = next(g for g in world.gateways if is_scheduler(g, "repair"))
+            other = next(g for g in world.gateways if g is not scheduler)
+            stopped = []
+            stop = scheduler.stop
+            scheduler.stop = lambda: stopped.append(True) or stop()
+            asked = asyncio.ensure_future(
+                world.ask("/advice/a", "POST", other, b"", **TestStages.HEADERS)
+            )
+            await wait_until(lambda: scheduler.pools.busy)
+            port = scheduler.callers.port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            drain = asyncio.ensure_future(scheduler.drain())
+            assert await reader.read() == b""
+            assert scheduler.pools.busy and not stopped
+            writer.close()
+            drain.cancel()
+            asked.cancel()
+            await asyncio.gather(drain, asked, return_exceptions=True)
+
+        play(scenario, gateways=2)
+
+    def test_a_scheduler_that_leaves_is_left_while_the_store_is_down(self):
+        async def scenario(world):
+            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
+            scheduler = next(g for g in world.gateways if is_scheduler(g, "repair"))
+            other = next(g for g in world.gateways if g is not scheduler)
+            world.store.down = True
+            drain = asyncio.ensure_future(scheduler.drain())
+            await wait_until(lambda: is_scheduler(other, "repair"))
+            assert not drain.done()
+            # An entry of the run that leaves does not bring it back.
+            assert not other.roster.put(scheduler.roster.own)
+            await drain
+            world.gateways.remove(scheduler)
+
+        play(scenario, gateways=2)
+
     def test_a_request_that_has_been_read_is_not_taken_for_idle(self):
         async def scenario(world):
             callers = world.gateways[0].callers
