Tell a new scheduler of the results that targets keep

Daemons now tell the successor which results are kept for them and give them up there; what else fills a target is reckoned with for a second after it had no room. A scheduler that started anew gets its jobs again at once, and the first ping makes its sender known: with members read in bundles, all daemons suspected the first in rank.

--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -27,6 +27,7 @@
     RequestPlaced,
     RequestRefused,
     RequestRunning,
+    ResultsHeld,
     ResultsRead,
     SubmitPieces,
     SubmitRequest,
@@ -252,6 +253,14 @@
         if owner is not None:
             owner[1].cancel(record.job_id)
 
+    @_take.register
+    def _(self, record: ResultsHeld, peer):
+        runner = self._stages.get(record.service)
+        if runner is not None:
+            job = record.job.shift(self._clock())
+            self._owners[job.job_id] = (peer, runner)
+            runner.adopt(job, record.handles, record.read)
+
     @_take.register
     def _(self, record: ResultsRead, peer):
         owner = self._owners.get(record.job_id)
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -18,6 +18,7 @@
     decode_run,
     encode_free,
     encode_run,
+    locate_handle,
 )
 
 # Longest time that a target may take to free results.
@@ -61,6 +62,12 @@
         """Drop a job, or free its results when it is finished."""
         self._carry_out(self.scheduler.cancel(job_id, self._clock()))
 
+    def adopt(self, job, handles, read):
+        """Take in the results of a job that another scheduler has finished."""
+        addresses = {handle: locate_handle(handle) for handle in handles}
+        now = self._clock()
+        self._carry_out(self.scheduler.adopt(job, addresses, read, now))
+
     def mark_read(self, job_id):
         """Take in that a job's results may be given up when room is needed."""
         self._carry_out(self.scheduler.mark_read(job_id, self._clock()))
--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -22,6 +22,7 @@
     RequestPlaced,
     RequestRefused,
     RequestRunning,
+    ResultsHeld,
     ResultsRead,
     SubmitPieces,
     SubmitRequest,
@@ -88,25 +89,40 @@
 class _Pending:
     """A job that is at a scheduler."""
 
-    __slots__ = ("service", "job", "peer", "sent_s", "taken")
+    __slots__ = ("service", "job", "peer", "incarnation", "sent_s", "taken")
 
-    def __init__(self, service, job, peer, now):
+    def __init__(self, service, job, peer, incarnation, now):
         self.service = service
         self.job = job
         self.peer = peer
+        self.incarnation = incarnation
         self.sent_s = now
         self.taken = False
 
 
+class _Finished:
+    """A job whose results its scheduler keeps."""
+
+    __slots__ = ("pending", "peer", "incarnation", "handles", "read")
+
+    def __init__(self, pending, peer, incarnation, handles):
+        self.pending = pending
+        self.peer = peer
+        self.incarnation = incarnation
+        self.handles = handles
+        self.read = False
+
+
 class _Running:
     """A request that is at an engine."""
 
-    __slots__ = ("service", "job", "peer", "target_id", "begun")
+    __slots__ = ("service", "job", "peer", "incarnation", "target_id", "begun")
 
-    def __init__(self, service, job, peer, target_id):
-        self.service = service
-        self.job = job
+    def __init__(self, pending, peer, incarnation, target_id):
+        self.service = pending.service
+        self.job = pending.job
         self.peer = peer
+        self.incarnation = incarnation
         self.target_id = target_id
         self.begun = False
 
@@ -114,10 +130,11 @@
 class _Contact:
     """When a peer was heard and pinged."""
 
-    __slots__ = ("heard_s", "pinged_s", "awaits", "reconnected_s")
+    __slots__ = ("heard_s", "heard", "pinged_s", "awaits", "reconnected_s")
 
     def __init__(self, now):
         self.heard_s = now
+        self.heard = False
         self.pinged_s = 0.0
         self.awaits = None
         self.reconnected_s = float("-inf")
@@ -135,6 +152,7 @@
     def __init__(self, roster):
         self._roster = roster
         self._pending = {}
+        # By job, until the results are given up.
         self._finished = {}
         self._running = {}
         self._contacts = {}
@@ -148,19 +166,22 @@
     def submit(self, service, job, now):
         """Hand over a job; its times are monotonic seconds of this daemon."""
         peer = self._roster.choose(service)
-        self._pending[job.job_id] = _Pending(service, job, peer, now)
+        run = self._roster.find_run(peer)
+        self._pending[job.job_id] = _Pending(service, job, peer, run, now)
         return [SendTo(peer, make_submission(job.shift(-now), service))]
 
     def drop(self, job_id):
         """Give up a job, or its results."""
-        pending = self._pending.pop(job_id, None)
-        peer = pending.peer if pending is not None else self._finished.pop(job_id, None)
-        return [] if peer is None else [SendTo(peer, DropJob(job_id))]
+        found = self._pending.pop(job_id, None) or self._finished.pop(job_id, None)
+        return [] if found is None else [SendTo(found.peer, DropJob(job_id))]
 
     def mark_read(self, job_id):
         """Take in that the results of a finished job have been read."""
-        peer = self._finished.get(job_id)
-        return [] if peer is None else [SendTo(peer, ResultsRead(job_id))]
+        finished = self._finished.get(job_id)
+        if finished is None:
+            return []
+        finished.read = True
+        return [SendTo(finished.peer, ResultsRead(job_id))]
 
     def note_begun(self, job_id):
         """Take in that the first token of a placed request has come."""
@@ -186,6 +207,7 @@
         """Take in that something came from a peer."""
         contact = self._contacts.setdefault(peer, _Contact(now))
         contact.heard_s = now
+        contact.heard = True
         contact.awaits = None
         return [MemberCleared(peer)] if self._roster.clear(peer) else []
 
@@ -198,8 +220,8 @@
     def _(self, record: Ping, peer, now):
         actions = []
         for entry in record.unheard:
-            self._roster.put(entry)
-            actions += self._reconnect(peer, now)
+            if not self._roster.put(entry):
+                actions += self._reconnect(peer, now)
         return [*actions, SendTo(peer, Pong(record.number))]
 
     @take.register
@@ -221,10 +243,13 @@
         pending = self._pending.pop(record.job_id, None)
         if pending is None:
             # The job was made elsewhere or given up; these results are surplus.
-            if self._finished.get(record.job_id) == peer:
+            finished = self._finished.get(record.job_id)
+            if finished is not None and finished.peer == peer:
                 return []
             return [SendTo(peer, DropJob(record.job_id))]
-        self._finished[record.job_id] = peer
+        run = self._roster.find_run(peer)
+        finished = _Finished(pending, peer, run, record.handles)
+        self._finished[record.job_id] = finished
         actions = [Deliver(record)]
         if pending.peer != peer:
             actions.append(SendTo(pending.peer, DropJob(record.job_id)))
@@ -239,7 +264,7 @@
                 return []
             return [SendTo(peer, RequestEnded(record.job_id, False))]
         self._running[record.job_id] = _Running(
-            pending.service, pending.job, peer, record.target_id
+            pending, peer, self._roster.find_run(peer), record.target_id
         )
         actions = [Deliver(record)]
         if pending.peer != peer:
@@ -269,6 +294,7 @@
         actions = []
         for peer in self._list_silent(now):
             actions += self._abandon(peer, now)
+        actions += self._move_pending(now) + self._move_finished(now)
         return actions + self._move_running(now) + self._ping_due(now)
 
     def _list_silent(self, now):
@@ -309,16 +335,53 @@
         contact.reconnected_s = now
         return [Reconnect(peer)]
 
+    def _move_pending(self, now):
+        """Hand the jobs of a scheduler that has started anew over again."""
+        lost = [
+            pending
+            for pending in self._pending.values()
+            if self._has_restarted(pending.peer, pending.incarnation)
+        ]
+        actions = []
+        for pending in lost:
+            actions += self.submit(pending.service, pending.job, now)
+        return actions
+
+    def _has_restarted(self, peer, incarnation):
+        return self._roster.find_run(peer) not in (None, incarnation)
+
+    def _move_finished(self, now):
+        """Tell a pool's new scheduler which results targets keep for this daemon."""
+        actions = []
+        for finished in self._finished.values():
+            gone = self._roster.is_suspected(finished.peer)
+            gone = gone or self._roster.find_run(finished.peer) != finished.incarnation
+            if not gone:
+                continue
+            job = finished.pending.job
+            finished.peer = self._roster.choose(finished.pending.service)
+            finished.incarnation = self._roster.find_run(finished.peer)
+            record = ResultsHeld(
+                finished.pending.service,
+                job.shift(-now),
+                finished.handles,
+                finished.read,
+            )
+            actions.append(SendTo(finished.peer, record))
+        return actions
+
     def _move_running(self, now):
         """Tell the schedulers of today which requests are at engines."""
         actions = []
         for job_id, running in self._running.items():
             peer = self._roster.choose(running.service)
-            if peer == running.peer:
+            restarted = self._has_restarted(running.peer, running.incarnation)
+            if peer == running.peer and not restarted:
                 continue
-            if not self._roster.is_suspected(running.peer):
+            if not restarted and not self._roster.is_suspected(running.peer):
                 actions.append(SendTo(running.peer, RequestEnded(job_id, False)))
             running.peer = peer
+            running.incarnation = self._roster.find_run(peer)
             record = RequestRunning(
                 running.service,
                 running.job.shift(-now),
@@ -337,8 +400,8 @@
                 self._ping_number += 1
                 contact.awaits = self._ping_number
                 contact.pinged_s = now
-                suspected = self._roster.is_suspected(peer)
-                unheard = (self._roster.own,) if suspected else ()
+                unheard = self._roster.is_suspected(peer) or not contact.heard
+                unheard = (self._roster.own,) if unheard else ()
                 actions.append(SendTo(peer, Ping(self._ping_number, unheard)))
         return actions
 
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -94,6 +94,21 @@
     TYPES = (str,)
 
 
+@register_record
+class ResultsHeld(Record):
+    """Results that another scheduler has made, for one that takes over.
+
+    Attributes:
+        service (str): The pool.
+        job (PieceJob): The finished job; its times count from now.
+        handles (tuple of str): Results by number of the piece.
+        read (bool): They may be given up when room is needed.
+    """
+
+    __slots__ = ("service", "job", "handles", "read")
+    TYPES = (str, PieceJob, (str,), bool)
+
+
 @register_record
 class InputsFetched(Record):
     """The inputs of a job (str) have been fetched."""
--- a/firworks/kernel/pools/roster.py
+++ b/firworks/kernel/pools/roster.py
@@ -41,6 +41,11 @@
         """Return the `MemberEntry` of a daemon, or None."""
         return self._members.get(name)
 
+    def find_run(self, name):
+        """Return the incarnation (str) of a member, or None."""
+        entry = self._members.get(name)
+        return None if entry is None else entry.incarnation
+
     def set_own_address(self, address):
         """Take in the "ip:port" at which this daemon listens for others."""
         self.own = self.own.replace(address=address)
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -108,6 +108,26 @@
         self._jobs[job.job_id] = JobState(job)
         return self.plan(now)
 
+    def adopt(self, job, addresses, read, now):
+        """Take in a job that another scheduler has finished.
+
+        Args:
+            job (PieceJob): The job.
+            addresses (dict of str to str): "ip:port" of the maker of each result.
+            read (bool): The results may be given up when room is needed.
+            now (float): Monotonic seconds.
+        """
+        makers = {one.target.address: one for one in self._workers.values()}
+        state = JobState(job)
+        state.waiting = []
+        state.handles = list(addresses)
+        for handle, address in addresses.items():
+            if address in makers:
+                state.made_by[handle] = makers[address]
+                makers[address].held_bytes += job.result_bytes
+        self._holdings.keep(state, now)
+        return self.mark_read(job.job_id, now) if read else []
+
     def cancel(self, job_id, now):
         """Drop a job whose request has ended, and free what it made."""
         state = self._jobs.pop(job_id, None)
@@ -147,6 +167,8 @@
         actions = []
         for piece, (handle, reason) in zip(call.pieces, results, strict=True):
             actions += self._take_piece(worker, piece, handle, reason, now)
+        if any(reason == REASON_ROOM for _, reason in results):
+            worker.note_no_room(self.spec, now)
         return actions + self.plan(now)
 
     def take_full(self, call_id, now):
@@ -291,7 +313,7 @@
 
     def _choose_pieces(self, worker, now):
         """Return the pieces of the next call; a job is divided only if it must be."""
-        room = self.spec.memory_bytes - worker.held_bytes
+        room = worker.count_room(self.spec, now)
         pieces = []
         waiting = [state for state in self._jobs.values() if state.waiting]
         for state in sorted(waiting, key=lambda state: self._rank(state.job, now)):
--- a/firworks/kernel/pools/workers.py
+++ b/firworks/kernel/pools/workers.py
@@ -8,6 +8,9 @@
 OVERDUE_MARGIN_S = 0.35
 # Pause after a failure, doubled by each further one.
 FIRST_PAUSE_S = 0.5
+# Results that nobody gives up go within the time that targets keep them; most of them
+# were made well before they were noticed.
+UNKNOWN_SHARE = 0.25
 LONGEST_PAUSE_S = 8.0
 
 
@@ -65,6 +68,8 @@
         "speed",
         "held_bytes",
         "freeing_bytes",
+        "_unknown_bytes",
+        "_unknown_s",
         "paused_until_s",
         "_failures",
     )
@@ -75,6 +80,8 @@
         self.speed = 1.0
         self.held_bytes = 0
         self.freeing_bytes = 0
+        self._unknown_bytes = 0
+        self._unknown_s = 0.0
         self.paused_until_s = 0.0
         self._failures = 0
 
@@ -116,6 +123,27 @@
         self.speed += SPEED_WEIGHT * (measured - self.speed)
         self._failures = 0
 
+    def note_no_room(self, spec, now):
+        """Take in that it had no room for a result.
+
+        Results of which this scheduler knows nothing take it up: those of another one
+        that ended. They expire one after the other.
+        """
+        begun = sum(
+            piece.job.result_bytes
+            for call in self.calls.values()
+            for piece in call.pieces
+        )
+        self._unknown_bytes = max(0, spec.memory_bytes - (self.held_bytes - begun))
+        self._unknown_s = now
+
+    def count_room(self, spec, now):
+        """Return the bytes of results that it is expected to have room for."""
+        length_s = UNKNOWN_SHARE * spec.handle_s
+        left = max(0.0, 1.0 - (now - self._unknown_s) / length_s)
+        unknown = int(self._unknown_bytes * left)
+        return spec.memory_bytes - self.held_bytes - unknown
+
     def note_failure(self, now):
         """Take in that a call failed; the target rests for a time."""
         pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
--- a/firworks/tests/pool_world.py
+++ b/firworks/tests/pool_world.py
@@ -124,6 +124,8 @@
         self.jobs = []
         self.read = set()
         self.made = set()
+        self.spare = set()
+        self.freed = set()
 
 
 class PoolWorld:
@@ -142,6 +144,8 @@
             "refused" or "lost".
         calls (int): Calls sent.
         wasted_pieces (int): Pieces made for requests that failed.
+        expires (bool): Targets give up results after their time.
+        no_room (int): Pieces that were not made as their target was full.
         remote_bytes (float): Results fetched from other failure domains.
     """
 
@@ -153,11 +157,15 @@
         self.calls = 0
         self.pieces = 0
         self.wasted_pieces = 0
+        self.no_room = 0
+        self.expires = False
         self.busy_s = 0.0
         self.remote_bytes = 0.0
         self.rng = Random(seed)
         self.kinds = list(kinds)
         self.specs = pools
+        self._make_scheduler = make_scheduler
+        self._submitted = {}
         self.schedulers = {name: make_scheduler(spec) for name, spec in pools.items()}
         self.targets = {}
         self._clump = clump
@@ -188,6 +196,31 @@
             self.now, _, function, arguments = heapq.heappop(self._agenda)
             function(*arguments)
 
+    def lose_scheduler(self, name, adopts=True):
+        """Replace a pool's scheduler by one that knows only what daemons tell it.
+
+        Args:
+            name (str): The pool.
+            adopts (bool): The daemons tell of results that targets keep for them.
+        """
+        scheduler = self.schedulers[name] = self._make_scheduler(self.specs[name])
+        targets = [
+            fake.target for fake in self.targets.values() if fake.target.service == name
+        ]
+        self._carry_out(name, scheduler.set_targets(targets, self.now))
+        for job_id, (request, number) in self._jobs.items():
+            if request.ended or request.kind.stages[number].service != name:
+                continue
+            job = self._submitted[job_id]
+            if request.done.get(number) is None:
+                self._carry_out(name, scheduler.submit(job, self.now))
+            elif adopts and number not in request.freed:
+                addresses = {
+                    handle: handle.partition("/")[0] for handle in request.done[number]
+                }
+                read = number in request.spare
+                self._carry_out(name, scheduler.adopt(job, addresses, read, self.now))
+
     def credit(self, kind=None):
         """Return the share of the credit owed that was earned."""
         by_name = {one.name: one for one in self.kinds}
@@ -273,6 +306,7 @@
             *self._weigh(inputs, request.counts[number]),
         )
         self._jobs[job.job_id] = (request, number)
+        self._submitted[job.job_id] = job
         request.jobs.append((stage.service, job.job_id))
         scheduler = self.schedulers[stage.service]
         self._carry_out(stage.service, scheduler.submit(job, self.now))
@@ -280,7 +314,9 @@
     def _note_read(self, request, number):
         """Let results go for room that no other stage has still to read."""
         request.read.add(number)
-        for service, job_id in self._list_last_before(request, number, request.read):
+        for before in self._list_last_before(request, number, request.read):
+            request.spare.add(before)
+            service, job_id = self._name_job(request, before)
             scheduler = self.schedulers[service]
             self._carry_out(service, scheduler.mark_read(job_id, self.now))
 
@@ -288,7 +324,9 @@
         """Give up the results that no other stage needs any longer."""
         request.read.add(number)
         request.made.add(number)
-        for service, job_id in self._list_last_before(request, number, request.made):
+        for before in self._list_last_before(request, number, request.made):
+            request.freed.add(before)
+            service, job_id = self._name_job(request, before)
             scheduler = self.schedulers[service]
             self._carry_out(service, scheduler.cancel(job_id, self.now))
 
@@ -297,7 +335,11 @@
         for before in stages[number].after:
             followers = {i for i, stage in enumerate(stages) if before in stage.after}
             if followers <= passed:
-                yield stages[before].service, f"{request.number}/{before}"
+                yield before
+
+    def _name_job(self, request, number):
+        """Return the pool and the id of a stage's job."""
+        return request.kind.stages[number].service, f"{request.number}/{number}"
 
     def _weigh(self, handles, pieces):
         """Return domains and bytes: each piece fetches all its inputs."""
@@ -328,8 +370,9 @@
             if isinstance(action, StageCall):
                 self.calls += 1
                 self.pieces += len(action.pieces)
-                self.at(self.now + WIRE_S, self._begin_call, name, action)
-                self.at(action.overdue_s, self._give_up, name, action)
+                scheduler = self.schedulers[name]
+                self.at(self.now + WIRE_S, self._begin_call, name, scheduler, action)
+                self.at(action.overdue_s, self._give_up, name, scheduler, action)
             elif isinstance(action, JobDone):
                 request, number = self._jobs[action.job.job_id]
                 if not request.ended:
@@ -353,6 +396,10 @@
             self._timers[name] = due_s
             self.at(max(due_s, self.now + 1e-6), self._wake, name, due_s)
 
+    def _expire(self, fake, handle):
+        if handle in fake.results:
+            fake.held_bytes -= fake.results.pop(handle)
+
     def _note_freed(self, name, freed):
         scheduler = self.schedulers[name]
         self._carry_out(name, scheduler.note_freed(freed, self.now))
@@ -362,21 +409,21 @@
             self._timers[name] = None
             self._carry_out(name, self.schedulers[name].plan(self.now))
 
-    def _begin_call(self, name, call):
+    def _begin_call(self, name, scheduler, call):
         fake = self.targets[call.target.target_id]
         if fake.broken:
             return
         if fake.full:
-            scheduler = self.schedulers[name]
-            self._carry_out(name, scheduler.take_full(call.call_id, self.now))
+            if scheduler is self.schedulers[name]:
+                self._carry_out(name, scheduler.take_full(call.call_id, self.now))
             return
-        fake.waiting.append((name, call))
+        fake.waiting.append((name, scheduler, call))
         self._start_next(fake)
 
     def _start_next(self, fake):
         if fake.current is not None or not fake.waiting:
             return
-        name, call = fake.current = fake.waiting.pop(0)
+        name, scheduler, call = fake.current = fake.waiting.pop(0)
         seconds = fake.spec.call_s
         for piece in call.pieces:
             job = piece.job
@@ -392,9 +439,10 @@
             request, number = self._jobs[piece.job.job_id]
             seconds += fake.spec.piece_s * request.kind.work[number]
         self.busy_s += seconds
-        self.at(self.now + seconds * fake.slowness, self._end_call, fake, name, call)
+        end_s = self.now + seconds * fake.slowness
+        self.at(end_s, self._end_call, fake, name, scheduler, call)
 
-    def _end_call(self, fake, name, call):
+    def _end_call(self, fake, name, scheduler, call):
         fake.current = None
         self._start_next(fake)
         if fake.broken:
@@ -409,25 +457,30 @@
                 results.append((None, "error"))
                 continue
             if fake.held_bytes + size > fake.spec.memory_bytes:
+                self.no_room += 1
                 results.append((None, "room"))
                 continue
             fake.held_bytes += size
-            handle = f"{fake.target.address}/{piece.job.job_id}/{piece.number}/{size}"
+            made = f"{piece.job.job_id}/{piece.number}/{next(self._order)}"
+            handle = f"{fake.target.address}/{made}/{size}"
             fake.results[handle] = size
+            if self.expires:
+                self.at(self.now + fake.spec.handle_s, self._expire, fake, handle)
             results.append((handle, ""))
-        self.at(self.now + WIRE_S, self._answer, name, call, results)
+        self.at(self.now + WIRE_S, self._answer, name, scheduler, call, results)
 
     def _lacks_inputs(self, job):
         """Return whether a call that has begun lacked inputs of a job."""
         return job.job_id in self._lacking
 
-    def _answer(self, name, call, results):
-        scheduler = self.schedulers[name]
-        self._carry_out(name, scheduler.take_answer(call.call_id, results, self.now))
+    def _answer(self, name, scheduler, call, results):
+        if scheduler is self.schedulers[name]:
+            actions = scheduler.take_answer(call.call_id, results, self.now)
+            self._carry_out(name, actions)
 
-    def _give_up(self, name, call):
-        scheduler = self.schedulers[name]
-        self._carry_out(name, scheduler.take_failure(call.call_id, self.now))
+    def _give_up(self, name, scheduler, call):
+        if scheduler is self.schedulers[name]:
+            self._carry_out(name, scheduler.take_failure(call.call_id, self.now))
 
 
 def spread(rng, mean, most):
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -32,6 +32,7 @@
     RequestEnded,
     RequestPlaced,
     RequestRunning,
+    ResultsHeld,
     SubmitPieces,
     SubmitRequest,
 )
@@ -44,7 +45,7 @@
 from firworks.kernel.pools.results import FreeResults, InputsRead, JobDone, JobRefused
 from firworks.kernel.pools.roster import Roster
 from firworks.kernel.pools.stages import FETCH_S, MAX_TRIES, StageScheduler
-from firworks.kernel.pools.workers import StageCall
+from firworks.kernel.pools.workers import UNKNOWN_SHARE, StageCall
 from firworks.tests.pool_world import Burst, PoolWorld, make_rimac, make_zwolle
 
 SPEC = StagePoolSpec(1, 2, 8, 0.2, 0.02, 16_000_000, 4.0)
@@ -340,6 +341,47 @@
         yield holdings.take(job_id)
 
 
+class TestHoldings:
+    def make(self, memory_bytes=10):
+        spec = StagePoolSpec(1, 2, 4, 0.2, 0.02, memory_bytes, 4.0)
+        scheduler = StageScheduler(spec)
+        scheduler.set_targets(make_targets(1), 0.0)
+        return scheduler
+
+    def hold(self, scheduler, job_id, count, now=1.0):
+        """Let another scheduler have made a job of some pieces."""
+        (target,) = make_targets(1)
+        job = make_job(job_id, count=count, result_bytes=1)
+        addresses = {f"{job_id}/{n}": target.address for n in range(count)}
+        return job, scheduler.adopt(job, addresses, False, now)
+
+    def test_results_that_were_read_stay_while_a_full_call_has_room(self):
+        scheduler = self.make()
+        self.hold(scheduler, "old", 3)
+        self.hold(scheduler, "new", 3)
+        assert not scheduler.mark_read("new", 1.1)
+        assert not scheduler.mark_read("old", 1.2)
+        self.hold(scheduler, "more", 1)
+        (freed,) = pick(scheduler.plan(1.3), FreeResults)
+        assert freed.size_bytes == 3 and freed.handles[0] == "new/0"
+
+    def test_results_that_were_not_read_are_kept_whatever_the_room(self):
+        scheduler = self.make()
+        self.hold(scheduler, "one", 10)
+        assert not pick(scheduler.plan(1.1), FreeResults)
+
+    def test_results_of_an_unknown_scheduler_are_reckoned_with_for_a_time(self):
+        scheduler = self.make()
+        (call,) = pick(
+            scheduler.submit(make_job("j", count=4, result_bytes=1), 1.0), StageCall
+        )
+        answer = [("a/1", ""), ("a/2", ""), (None, "room"), (None, "room")]
+        calls = pick(scheduler.take_answer(call.call_id, answer, 1.3), StageCall)
+        assert not calls
+        later = 1.3 + UNKNOWN_SHARE * 4.0
+        assert pick(scheduler.plan(later), StageCall)
+
+
 class TestBurstReplay:
     """Replays bursts of one kind above what a pool can make."""
 
@@ -389,6 +431,24 @@
         advice, arbiter = self.mean(worlds, "advice"), self.mean(worlds, "arbiter")
         assert advice > arbiter - 0.2
 
+    @pytest.mark.parametrize("make", [make_rimac, make_zwolle])
+    def test_new_schedulers_are_told_of_the_results_that_targets_keep(self, make):
+        lost, no_room = [], []
+        for adopts in (True, False):
+            worlds = []
+            for seed in SEEDS:
+                pools, kinds = make()
+                world = PoolWorld(pools, 3, kinds, seed)
+                world.expires = True
+                for step, name in enumerate(list(pools) * 4):
+                    world.at(5.0 + 2 * step, world.lose_scheduler, name, adopts)
+                world.run(34.0)
+                worlds.append(world)
+            lost.append(sum(w.count("lost") + w.count("refused") for w in worlds))
+            no_room.append(sum(world.no_room for world in worlds))
+        assert lost[0] < lost[1]
+        assert no_room[0] < 0.75 * no_room[1]
+
     @pytest.mark.parametrize("make", [make_rimac, make_zwolle])
     def test_results_that_were_read_are_kept_while_there_is_room(
         self, make, monkeypatch
@@ -681,6 +741,40 @@
         client.take(Ping(1, (stranger,)), "new", 12.0)
         assert roster.find("new") == stranger
 
+    def test_the_first_ping_makes_the_sender_known(self):
+        roster, client, pool, _ = self.submit()
+        pings = [a.record for a in pick(client.tick(10.1), SendTo)]
+        assert pings and all(ping.unheard == (roster.own,) for ping in pings)
+        stranger = MemberEntry("new", "new.1", "10.0.0.9:1", "fd-1", 1.0)
+        assert not pick(client.take(Ping(1, (stranger,)), "new", 12.0), Reconnect)
+        assert pick(client.take(Ping(2, (stranger,)), "new", 12.5), Reconnect)
+
+    def test_a_scheduler_that_started_anew_gets_its_jobs_again(self):
+        roster, client, _, sent = self.submit()
+        client.take(JobTaken("j"), sent.peer, 10.01)
+        client.hear(sent.peer, 10.01)
+        roster.put(MemberEntry(sent.peer, "again.2", "10.0.0.2:9", "fd-1", 1.0))
+        records = [a.record for a in pick(client.tick(10.1), SendTo)]
+        assert [r.job.job_id for r in records if isinstance(r, SubmitPieces)] == ["j"]
+
+    @pytest.mark.parametrize("loss", ["suspected", "left", "restarted"])
+    def test_a_new_scheduler_learns_which_results_are_kept(self, loss):
+        roster, client, pool, sent = self.submit()
+        client.take(PiecesMade("j", ("a/1", "a/2")), sent.peer, 10.1)
+        client.mark_read("j")
+        if loss == "suspected":
+            roster.suspect(sent.peer)
+        elif loss == "left":
+            roster.remove(sent.peer)
+        else:
+            roster.put(MemberEntry(sent.peer, "again.2", "10.0.0.2:9", "fd-1", 1.0))
+        records = [a.record for a in pick(client.tick(10.2), SendTo)]
+        (held,) = [r for r in records if isinstance(r, ResultsHeld)]
+        assert (held.service, held.handles, held.read) == (pool, ("a/1", "a/2"), True)
+        records = [a.record for a in pick(client.tick(10.3), SendTo)]
+        assert not [r for r in records if isinstance(r, ResultsHeld)]
+        assert client.drop("j") == [SendTo(roster.choose(pool), DropJob("j"))]
+
     def test_a_new_scheduler_learns_which_requests_run(self):
         roster, client, pool, sent = self.submit(make_engine_job("e"))
         assert isinstance(sent.record, SubmitRequest)
