--- a/firworks/gateway/__main__.py
+++ b/firworks/gateway/__main__.py
@@ -1,5 +1,19 @@
 """Runs a gateway: ``python -m firworks.gateway [SETTINGS.toml]``."""
 
-from firworks.gateway.process import main
+import gc
+import os
 
-main()
+
+def run():
+    """Load the gateway quickly and run it."""
+    # Little of what is built while modules load becomes garbage.
+    gc.disable()
+    # aiohttp reads the system's certificate authorities when it is imported. Only
+    # peers are spoken to by TLS, and their authority is in the settings.
+    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    from firworks.gateway.process import main
+
+    main()
+
+
+run()
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -455,6 +455,7 @@
     await gateway.start()
     # What exists by now lives as long as the process.
     gc.freeze()
+    gc.enable()
     await stopping.wait()
     await gateway.drain()
 
