Send prompts that begin alike to the same engines, also after a scheduler's loss

A read that some engine has made now weighs three times, and engines are tried in the hash order of the first part. Ruled out: asking engines what they hold (priced, and it delays their work).

--- a/firworks/gateway/__main__.py
+++ b/firworks/gateway/__main__.py
@@ -3,17 +3,12 @@
 import gc
 import os
 
+# Little of what is built while modules load becomes garbage.
+gc.disable()
+# aiohttp reads the system's certificate authorities when it is imported. Only peers are
+# spoken to by TLS, and their authority is in the settings.
+os.environ.setdefault("SSL_CERT_FILE", os.devnull)
 
-def run():
-    """Load the gateway quickly and run it."""
-    # Little of what is built while modules load becomes garbage.
-    gc.disable()
-    # aiohttp reads the system's certificate authorities when it is imported. Only
-    # peers are spoken to by TLS, and their authority is in the settings.
-    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
-    from firworks.gateway.process import main
+from firworks.gateway.process import main  # noqa: E402
 
-    main()
-
-
-run()
+main()
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -5,15 +5,26 @@
 already old when it arrives. The scheduler therefore reckons with what it has placed
 itself: prompt tokens that are still to be read, requests running, memory, and which
 parts each engine has read. Stage results are large, so an engine near them is better.
+
+Load pattern: schedulers come and go, and a new one does not know what engines have
+read. Prompts that begin with the same part prefer the same engines by rendezvous hash,
+so that it finds most of them where the last one had put them.
 """
 
 from collections import OrderedDict
 
+from xxhash import xxh64_intdigest
+
 from firworks.kernel.messages import Struct
 from firworks.kernel.pools.jobs import sum_remote_bytes
 
 # One running request slows an engine's steps like this many prompt tokens to read.
 TOKENS_PER_RUNNING = 150
+# Reading a token again that another engine has read costs as much as waiting for this
+# many others, beside the time that it takes.
+REREAD_WEIGHT = 2.0
+# Each place in the hash order of a prompt's first part weighs like this many tokens.
+ORDER_STEP_TOKENS = 300
 # Fetching a result from another failure domain weighs like reading this many tokens.
 TOKENS_PER_REMOTE_MB = 400
 # Share of an engine's memory that placements may fill.
@@ -213,7 +224,13 @@
         ]
         if not fitting:
             return None
-        return min(fitting, key=lambda engine: self._cost(engine, job))
+        read = max(engine.count_cached(job) for engine in self._engines.values())
+        order = sorted(fitting, key=lambda engine: _hash_engine(engine, job))
+        costs = {
+            engine: self._cost(engine, job, read) + ORDER_STEP_TOKENS * place
+            for place, engine in enumerate(order)
+        }
+        return min(order, key=costs.get)
 
     def _place(self, job, engine):
         cached = engine.count_cached(job)
@@ -229,10 +246,23 @@
         used = engine.used_tokens + job.tokens_in + job.tokens_out
         return not engine.jobs or used <= MEMORY_SHARE * self.spec.memory_tokens
 
-    def _cost(self, engine, job):
-        """Return the work before the first token, in prompt tokens."""
-        unread = job.tokens_in - engine.count_cached(job)
+    def _cost(self, engine, job, read):
+        """Return the work before the first token, in prompt tokens.
+
+        Args:
+            engine (_Engine): Where the request would go.
+            job (EngineJob): The request.
+            read (int): Most tokens of its prompt that some engine has read.
+        """
+        cached = engine.count_cached(job)
+        unread = job.tokens_in - cached + REREAD_WEIGHT * (read - cached)
         running = TOKENS_PER_RUNNING * len(engine.jobs)
         remote = sum_remote_bytes(job, engine.target.failure_domain)
         fetching = TOKENS_PER_REMOTE_MB * remote / MEGABYTE
         return engine.unread_tokens + unread + running + fetching
+
+
+def _hash_engine(engine, job):
+    """Return an engine's rendezvous hash for the first part of a prompt."""
+    first = job.part_ids[0] if job.part_ids else ""
+    return xxh64_intdigest(f"{first}/{engine.target.target_id}".encode())
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -567,6 +567,33 @@
             counts[name] = counts.get(name, 0) + 1
         assert max(counts.values()) == 2
 
+    def test_a_new_scheduler_finds_prompts_where_the_last_one_put_them(self):
+        chosen = []
+        for _ in range(2):
+            scheduler = make_engines(count=5)
+            chosen.append([])
+            for number in range(20):
+                job = make_engine_job(f"j{number}", ((f"part-{number}", 6000),), 6000)
+                (placed,) = scheduler.submit(job, 0.0)
+                chosen[-1].append(placed.target.target_id)
+                scheduler.end(job.job_id, False, 0.1)
+        assert chosen[0] == chosen[1]
+        assert len(set(chosen[0])) > 2
+
+    def test_a_part_is_read_again_only_to_save_a_longer_wait(self):
+        scheduler = make_engines(count=2)
+        parts = (("shared", 6000),)
+        (first,) = scheduler.submit(make_engine_job("a", parts, 6000), 0.0)
+        scheduler.note_begun("a")
+        scheduler.submit(make_engine_job("b", (*parts, ("b", 9000)), 15_000), 0.0)
+        job = make_engine_job("c", (*parts, ("c", 100)), 6100)
+        (again,) = scheduler.submit(job, 0.0)
+        assert again.target is first.target
+        scheduler.submit(make_engine_job("d", (*parts, ("d", 9000)), 15_000), 0.0)
+        job = make_engine_job("e", (*parts, ("e", 100)), 6100)
+        (other,) = scheduler.submit(job, 0.0)
+        assert other.target is not first.target
+
     def test_an_engine_near_the_inputs_is_better(self):
         scheduler = make_engines()
         job = make_engine_job("a", input_domains=("fd-2",), input_bytes=(4_000_000,))
