--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -1,6 +1,7 @@
 """A small site: stand-ins in this process, gateways in their own, proxies between."""
 
 import asyncio
+import os
 import socket
 from contextlib import asynccontextmanager
 from random import Random
@@ -32,8 +33,11 @@
 READY_PERIOD_S = 1.0
 MISSES = 2
 HEARTBEAT_S = 1.2
-# Below the ports that outgoing connections are given.
-PORTS = (20_000, 32_000)
+# Below the ports that outgoing connections are given; each soak has some of its own,
+# so that another one does not take the port of a gateway that is down.
+FIRST_PORT = 20_000
+PORTS_PER_SOAK = 100
+SOAKS = 120
 
 
 class Site:
@@ -228,8 +232,9 @@
 def find_free_ports(count):
     """Return some ports that nothing listens on."""
     ports = []
+    first = FIRST_PORT + os.getpid() % SOAKS * PORTS_PER_SOAK
     while len(ports) < count:
-        port = Random().randrange(*PORTS)
+        port = first + Random().randrange(PORTS_PER_SOAK)
         with socket.socket() as one:
             try:
                 one.bind((LOOPBACK, port))
