--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -131,7 +131,12 @@
             settings, self.roster, self._configurations, self._targets, self.rng
         )
         self._readers = ReaderDesk(
-            self.roster, self._configurations, self._targets, self.clock, self._news.ask
+            settings,
+            self.roster,
+            self._configurations,
+            self._targets,
+            self.clock,
+            self._news.ask,
         )
         self._news.peers = self._readers.peers = self.pools.peers
         self._members = MembersListener(self.roster, self.store, self._welcome_member)
@@ -200,6 +205,7 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self._news.apply_settings(settings)
+        self._readers.apply_settings(settings)
         if self._targets_follower is not None:
             self._targets_follower.set_pause(self._get_targets_pause_s())
         log_event(LogEvent.SETTINGS_RELOADED, changed=changed)
--- a/firworks/gateway/readers.py
+++ b/firworks/gateway/readers.py
@@ -12,6 +12,7 @@
     """Keeps this daemon's targets and configuration as fresh as its reader's.
 
     Args:
+        settings (GatewaySettings): Of this process.
         roster (Roster): The members.
         configurations (ConfigurationListener): Holds the configuration.
         targets (TargetsListener): Holds the targets.
@@ -24,7 +25,7 @@
         configuration_follower (TopicFollower or None): Likewise.
     """
 
-    def __init__(self, roster, configurations, targets, clock, ask_news):
+    def __init__(self, settings, roster, configurations, targets, clock, ask_news):
         self.peers = None
         self.targets_follower = None
         self.configuration_follower = None
@@ -33,7 +34,7 @@
         self._targets = targets
         self._clock = clock
         self._ask_news = ask_news
-        self._choice = ReaderChoice(roster)
+        self._choice = ReaderChoice(roster, settings.leave_limit_ms / 1000)
         self._told = {}
         self._digest = None
         self._digest_changes = None
@@ -44,6 +45,10 @@
         """Name of the daemon that is followed, or None."""
         return self._choice.reader
 
+    def apply_settings(self, settings):
+        """Take in settings that were read again."""
+        self._choice.leave_limit_s = settings.leave_limit_ms / 1000
+
     def tick(self, now):
         """Ask for what is new, and read the store or leave it to another daemon."""
         asked = self._choice.tick(now)
--- a/firworks/kernel/forwarding/readers.py
+++ b/firworks/kernel/forwarding/readers.py
@@ -5,7 +5,7 @@
 few, to tell it what is new, and does not read as long as that one's word is fresh. The
 other may be killed, frozen, cut off or turned away by the store at any moment: it only
 speaks after the store has answered it, and a daemon that has heard nothing for
-``FRESH_S`` reads for itself.
+``FRESH_SHARE`` of the time granted to a leaving target reads for itself.
 """
 
 from xxhash import xxh64_intdigest
@@ -23,11 +23,11 @@
 # A follower asks again this often, and is told until it has not asked for so long.
 FOLLOW_PERIOD_S = 2.0
 SUBSCRIPTION_S = 5.0
-# Leaving targets must be known 2 s after the store took the entry. A reader speaks
-# twice a second; this leaves time for a read of the own after its silence.
-FRESH_S = 1.1
-# A reader that has not spoken for this long is left for another one.
-SILENCE_S = 1.5
+# Shares of the time within which a leaving target must get no more work. A reader
+# speaks after 0.3 of it; its word is fresh for so long, which leaves time for a read of
+# the own, and after the second share another reader is chosen.
+FRESH_SHARE = 0.55
+SILENCE_SHARE = 0.75
 # It is asked again after this time, doubled by each further failure.
 FIRST_PAUSE_S = 5.0
 LONGEST_PAUSE_S = 80.0
@@ -62,9 +62,14 @@
 
     Args:
         roster (Roster): The members.
+        leave_limit_s (float): Within this a leaving target must get no more work.
+
+    Attributes:
+        leave_limit_s (float): As given; may be set anew.
     """
 
-    def __init__(self, roster):
+    def __init__(self, roster, leave_limit_s):
+        self.leave_limit_s = leave_limit_s
         self._roster = roster
         self._reader = None
         self._chosen_s = 0.0
@@ -80,7 +85,7 @@
 
     def must_read(self, now):
         """Return whether this daemon is to read the store."""
-        unheard = self._reader is None or now - self._fresh_s > FRESH_S
+        unheard = self._reader is None or not self._is_fresh(now)
         return unheard or bool(self.list_followers(now))
 
     def list_followers(self, now):
@@ -103,7 +108,7 @@
     def tick(self, now):
         """Return the name of the daemon to ask now, or None."""
         heard_s = max(self._chosen_s, self._fresh_s)
-        if self._reader is not None and now - heard_s > SILENCE_S:
+        if self._reader is not None and now - heard_s > self._silence_s:
             self._note_failure(self._reader, now)
         reader = self._choose(now)
         if reader != self._reader:
@@ -114,6 +119,13 @@
         self._asked_s = now
         return reader
 
+    @property
+    def _silence_s(self):
+        return SILENCE_SHARE * self.leave_limit_s
+
+    def _is_fresh(self, now):
+        return now - self._fresh_s <= FRESH_SHARE * self.leave_limit_s
+
     def _note_failure(self, name, now):
         count = self._failures.get(name, (0, 0.0))[0]
         pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**count)
--- a/firworks/tests/test_forwarding.py
+++ b/firworks/tests/test_forwarding.py
@@ -24,8 +24,8 @@
 from firworks.kernel.forwarding.readers import (
     FIRST_PAUSE_S,
     FOLLOWERS_PER_READER,
-    FRESH_S,
-    SILENCE_S,
+    FRESH_SHARE,
+    SILENCE_SHARE,
     SUBSCRIPTION_S,
     ReaderChoice,
 )
@@ -356,6 +356,11 @@
         assert detector.note(104.0, 904.0 + SUSPENSION_LIMIT_S / 2) == 0.0
 
 
+LEAVE_LIMIT_S = 2.0
+FRESH_S = FRESH_SHARE * LEAVE_LIMIT_S
+SILENCE_S = SILENCE_SHARE * LEAVE_LIMIT_S
+
+
 def make_fleet(count):
     """Return a `ReaderChoice` for each of some daemons that know each other."""
     entries = [
@@ -367,7 +372,7 @@
         roster = Roster(own)
         for entry in entries:
             roster.put(entry)
-        choices[own.name] = ReaderChoice(roster)
+        choices[own.name] = ReaderChoice(roster, LEAVE_LIMIT_S)
     return choices
 
 
@@ -395,6 +400,12 @@
         assert not choice.must_read(10.1 + FRESH_S)
         assert choice.must_read(10.1 + FRESH_S + 0.01)
 
+    def test_a_longer_grant_makes_a_word_last_longer(self):
+        choice, _ = self.follow()
+        choice.leave_limit_s = 1.5 * LEAVE_LIMIT_S
+        assert not choice.must_read(10.1 + 1.4 * FRESH_S)
+        assert choice.must_read(10.1 + 1.5 * FRESH_S + 0.01)
+
     def test_another_daemons_word_does_not_count(self):
         choice, _ = self.follow()
         choice.note_facts("stranger", 11.0)
