Refuse late work whose turn will not come in time

The jobs that wait are now looked through ten times a second, and what is late and would not be made before its deadline is refused, with the time to come back. Ruled out: refusing what may still be on time (its rank may rise).

--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -42,6 +42,8 @@
 # A target fetches the inputs of a call, some megabytes, when it begins it. They take up
 # room at their makers until then.
 FETCH_S = 0.08
+# Jobs that wait are looked through this often for those that cannot be done any more.
+REVIEW_PERIOD_S = 0.1
 # A full target is asked again after this time at the latest.
 FULL_PAUSE_S = 0.1
 
@@ -63,6 +65,7 @@
         self._jobs = {}
         self._next_call = 0
         self._last_call_s = float("-inf")
+        self._reviewed_s = float("-inf")
 
     @property
     def spec(self):
@@ -205,6 +208,10 @@
             for state in self._jobs.values()
             if self._rank(state.job, now) <= own
         )
+        return self._estimate_s(workers, ahead, now)
+
+    def _estimate_s(self, workers, ahead, now):
+        """Return the seconds until targets have made some pieces, own ones included."""
         frees = sorted(max(now, worker.free_s) for worker in workers)
         calls_needed = -(-ahead // self.spec.batch)
         full_s = self.get_nominal_s(self.spec.batch)
@@ -215,7 +222,8 @@
     def plan(self, now):
         """Return the calls to send now, and the jobs that are past saving."""
         self._drop_expired(now)
-        actions = [*self._drop_lost(now), *self._list_read(now)]
+        actions = [*self._drop_lost(now), *self._drop_hopeless(now)]
+        actions += self._list_read(now)
         while call := self._plan_call(now):
             actions.append(call)
         for state in self._holdings.take_surplus(self._sum_waiting()):
@@ -247,15 +255,9 @@
 
     def _sum_waiting(self):
         """Return the size of the results of a call of the largest pieces that wait."""
-        sizes = sorted(
-            (
-                state.job.result_bytes
-                for state in self._jobs.values()
-                for _ in state.waiting
-            ),
-            reverse=True,
-        )
-        return sum(sizes[: self.spec.batch])
+        jobs = self._jobs.values()
+        sizes = [one.job.result_bytes for one in jobs for _ in one.waiting]
+        return sum(sorted(sizes, reverse=True)[: self.spec.batch])
 
     def get_nominal_s(self, count):
         """Return the seconds of a call for some pieces at a target of usual speed."""
@@ -393,8 +395,7 @@
 
     def _take_failed_piece(self, piece, reason):
         if reason in (REASON_LATE, REASON_GONE):
-            state = self._jobs.pop(piece.job.job_id)
-            return [*self._free(state), JobRefused(piece.job, reason, 0.0)]
+            return self._refuse(self._jobs[piece.job.job_id], reason, 0.0)
         return self._requeue([piece], count_try=reason != REASON_ROOM)
 
     def _requeue(self, pieces, count_try):
@@ -407,9 +408,7 @@
             if piece.tries < MAX_TRIES:
                 state.waiting.append(piece)
                 continue
-            del self._jobs[piece.job.job_id]
-            actions += self._free(state)
-            actions.append(JobRefused(piece.job, REASON_ERROR, FULL_PAUSE_S))
+            actions += self._refuse(state, REASON_ERROR, FULL_PAUSE_S)
         return actions
 
     def _free(self, state):
@@ -470,6 +469,29 @@
             for worker in state.made_by.values():
                 worker.held_bytes -= state.job.result_bytes
 
+    def _drop_hopeless(self, now):
+        """Refuse jobs that are late and whose turn will not come in time.
+
+        They would be held until their deadline for nothing.
+        """
+        if now < self._reviewed_s + REVIEW_PERIOD_S:
+            return []
+        self._reviewed_s = now
+        workers = self._list_usable(now)
+        if not workers:
+            return []
+        waiting = [state for state in self._jobs.values() if state.waiting]
+        actions, ahead = [], 0
+        for state in sorted(waiting, key=lambda state: self._rank(state.job, now)):
+            job = state.job
+            wait_s = self._estimate_s(workers, ahead + len(state.waiting), now)
+            late = self._rank(job, now)[0]
+            if late and now + wait_s + job.later_s > job.deadline_s:
+                actions += self._refuse(state, REASON_LATE, max(0.1, wait_s))
+            else:
+                ahead += len(state.waiting)
+        return actions
+
     def _drop_lost(self, now):
         """Refuse the jobs whose pieces, begun now, would be made too late."""
         lost = [
@@ -479,7 +501,9 @@
         ]
         actions = []
         for state in lost:
-            del self._jobs[state.job.job_id]
-            actions += self._free(state)
-            actions.append(JobRefused(state.job, REASON_LATE, 1.0))
+            actions += self._refuse(state, REASON_LATE, 1.0)
         return actions
+
+    def _refuse(self, state, reason, retry_after_s):
+        del self._jobs[state.job.job_id]
+        return [*self._free(state), JobRefused(state.job, reason, retry_after_s)]
--- a/firworks/tests/pool_world.py
+++ b/firworks/tests/pool_world.py
@@ -144,6 +144,7 @@
             "refused" or "lost".
         calls (int): Calls sent.
         wasted_pieces (int): Pieces made for requests that failed.
+        held_s (float): How long requests were held that were not served.
         expires (bool): Targets give up results after their time.
         no_room (int): Pieces that were not made as their target was full.
         remote_bytes (float): Results fetched from other failure domains.
@@ -158,6 +159,7 @@
         self.pieces = 0
         self.wasted_pieces = 0
         self.no_room = 0
+        self.held_s = 0.0
         self.expires = False
         self.busy_s = 0.0
         self.remote_bytes = 0.0
@@ -359,6 +361,8 @@
             return
         request.ended = True
         self.outcomes.append((request.kind.name, request.begun_s, outcome))
+        if outcome in ("lost", "refused"):
+            self.held_s += self.now - request.begun_s
         if outcome in ("lost", "refused"):
             self.wasted_pieces += sum(len(done or ()) for done in request.done.values())
         for service, job_id in request.jobs:
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -431,6 +431,23 @@
         advice, arbiter = self.mean(worlds, "advice"), self.mean(worlds, "arbiter")
         assert advice > arbiter - 0.2
 
+    def test_what_is_late_and_hopeless_is_not_held_until_its_deadline(
+        self, monkeypatch
+    ):
+        bursts = (
+            Burst("arbiter", 3.5, 9.8, 3.2),
+            Burst("advice", 14, 19.7, 4.2),
+            Burst(None, 25, 29, 2.4),
+        )
+        held, credits = [], []
+        for period_s in (stages.REVIEW_PERIOD_S, 3600.0):
+            monkeypatch.setattr(stages, "REVIEW_PERIOD_S", period_s)
+            worlds = self.play(bursts=bursts)
+            held.append(sum(world.held_s for world in worlds))
+            credits.append(self.mean(worlds))
+        assert held[0] < 0.8 * held[1]
+        assert credits[0] > credits[1] - 0.01
+
     @pytest.mark.parametrize("make", [make_rimac, make_zwolle])
     def test_new_schedulers_are_told_of_the_results_that_targets_keep(self, make):
         lost, no_room = [], []
@@ -472,6 +489,8 @@
 
     def test_large_results_do_not_hold_the_room_that_others_need(self, monkeypatch):
         bursts = (Burst("quote", 8, 16, 3.2), Burst("chat", 14, 19.7, 3.0))
+        # The review of late jobs helps where no stage is held back.
+        monkeypatch.setattr(stages, "REVIEW_PERIOD_S", 3600.0)
         credits = []
         for find in (paths.find_gate, lambda stages, counts, number: None):
             monkeypatch.setattr(paths, "find_gate", find)
