Check keys and routes in the soak; give each gateway other ports

What a configuration takes away must not run 2 s later, and what all in force allow must not be denied.

--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -7,6 +7,8 @@
 
 # The platform counts a daemon as in touch this long after a trouble.
 STABLE_S = 3.0
+# A configuration is in force this long after the store took it.
+APPLY_S = 2.0
 # A busy machine may be late by this.
 SLACK_S = 1.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -23,7 +25,7 @@
         runs (list of Run): What targets ran, calls of stage pools left out.
         plan (FaultPlan): What was harmed.
         gateways (dict of str to GatewayProcess): The gateways.
-        site (Site): What left, and which keys and routes were taken away.
+        site (Site): What left, and when keys and routes came and went.
     """
     runs_by_id = {}
     for run in runs:
@@ -39,6 +41,7 @@
         broken += check_runs(attempt, own)
         broken += check_time(attempt, gateway)
         broken += check_loss(attempt, own, gateway, plan)
+        broken += check_allowed(attempt, own, gateway, plan, site.changes)
     for run in runs:
         broken += check_asked(run, by_id.get(run.request_id))
         broken += check_leaving(run, site.left_s, plan)
@@ -89,6 +92,41 @@
     return [f"{attempt.request_id}: lost at {attempt.gateway} ({attempt.error})"]
 
 
+def check_allowed(attempt, runs, gateway, plan, changes):
+    """What no configuration in force allows is refused, what all allow is not."""
+    since_s = attempt.sent_s - APPLY_S - SLACK_S
+    in_force = find_allowed(attempt, changes, since_s)
+    if in_force is None:
+        return []
+    begin_s, end_s = since_s - STABLE_S, attempt.ended_s
+    if plan.was_harmed(begin_s, end_s, (*STORE_KINDS, PAUSED)):
+        return []
+    if gateway.was_disturbed(begin_s, end_s, (KILLED, TERMINATED, PAUSED)):
+        return []
+    if not in_force and runs:
+        return [f"{attempt.request_id}: ran, though it was no longer allowed"]
+    if in_force and attempt.status in (401, 404):
+        return [f"{attempt.request_id}: {attempt.status}, though it was allowed"]
+    return []
+
+
+def find_allowed(attempt, changes, since_s):
+    """Return whether an attempt was allowed from a time to its end, None if both.
+
+    Args:
+        attempt (Attempt): The attempt.
+        changes (list of (float, bool, bool)): See `Site`.
+        since_s (float): What was in force then counts too.
+    """
+    before = [change for change in changes if change[0] <= since_s]
+    inside = [change for change in changes if since_s < change[0] <= attempt.ended_s]
+    allowed = {
+        (routed or attempt.kind.name != "open") and (keyed or attempt.key != OTHER_KEY)
+        for _, routed, keyed in [*before[-1:], *inside]
+    }
+    return allowed.pop() if len(allowed) == 1 and before else None
+
+
 def check_asked(run, attempt):
     """A target runs what a caller sent, for the account of its key."""
     if attempt is None:
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -55,8 +55,8 @@
         proxies (dict of str to LoopbackProxy): On the way to each target.
         gateways (list of GatewayProcess): The gateways.
         left_s (dict of str to float): When the store was told that a target leaves.
-        revoked_s (float or None): Since when the other account's key is gone.
-        unrouted_s (float or None): Since when route "open" is gone.
+        changes (list of (float, bool, bool)): When a configuration was written, and
+            whether it has route "open" and the other account's key.
     """
 
     def __init__(self, folder, gateways, seed):
@@ -66,8 +66,7 @@
         self.proxies = {}
         self.gateways = []
         self.left_s = {}
-        self.revoked_s = None
-        self.unrouted_s = None
+        self.changes = []
         self._folder = folder
         self._count = gateways
         self._rng = Random(seed)
@@ -75,6 +74,7 @@
         self._rotation = {}
         self._tasks = []
         self._numbers = 0
+        self._ports = []
 
     def clock(self):
         """Return the loop's seconds."""
@@ -87,6 +87,7 @@
         for service, cls in SERVICES:
             for _ in range(TARGETS_PER_SERVICE):
                 await self.add_target(service, cls)
+        self._ports = find_free_ports(4 * self._count)
         for number in range(self._count):
             await self._add_gateway(f"gateway-{number + 1}", number)
         self._tasks.append(asyncio.ensure_future(self._watch_readiness()))
@@ -122,9 +123,7 @@
         other = {"name": OTHER_ACCOUNT, "api-keys": keys, "priority": 2}
         table["tenants"].append(other)
         self.store.put_configuration(table)
-        now = self.clock()
-        self.unrouted_s = None if routed else self.unrouted_s or now
-        self.revoked_s = None if keyed else self.revoked_s or now
+        self.changes.append((self.clock(), routed, keyed))
 
     async def add_target(self, service, cls):
         """Start a target behind a proxy and enter it."""
@@ -172,8 +171,8 @@
             listener: f"{LOOPBACK}:{port}"
             for listener, port in zip(
                 ("callers", "readiness", "peers", "metrics"),
-                find_free_ports(4),
-                strict=True,
+                self._ports[4 * number :],
+                strict=False,
             )
         }
         seeds = [one.get_address("peers") for one in self.gateways[:3]]
@@ -230,16 +229,16 @@
 
 
 def find_free_ports(count):
-    """Return some ports that nothing listens on."""
+    """Return some different ports that nothing listens on."""
     ports = []
     first = FIRST_PORT + os.getpid() % SOAKS * PORTS_PER_SOAK
-    while len(ports) < count:
-        port = first + Random().randrange(PORTS_PER_SOAK)
+    for port in range(first, first + PORTS_PER_SOAK):
         with socket.socket() as one:
             try:
                 one.bind((LOOPBACK, port))
             except OSError:
                 continue  # something listens there
-        if port not in ports:
-            ports.append(port)
-    return ports
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise OSError(f"fewer than {count} ports are free from {first} on")
--- a/firworks/tests/test_soak.py
+++ b/firworks/tests/test_soak.py
@@ -18,6 +18,7 @@
     GatewayProcess,
 )
 from bench.soak.promises import (
+    check_allowed,
     check_answer,
     check_asked,
     check_leaving,
@@ -26,6 +27,7 @@
     check_time,
 )
 from bench.soak.proxies import CUT_DOWN, RESET, SILENT, LoopbackProxy
+from bench.soak.site import OTHER_KEY
 from firworks.standins.platform_targets import STAMP, Run
 from firworks.standins.web import LOOPBACK
 from firworks.tests.gateway_world import KEY
@@ -150,6 +152,34 @@
         away = make_plan([(100.0, 102.0, "store", "down")])
         assert not check_leaving(run, {"loans-1": 101.0}, away)
 
+    def check_allowed(self, tmp_path, name, changes, status=200, spans=()):
+        attempt = make_attempt(name, key=OTHER_KEY, status=status)
+        runs = [make_run(attempt)] if status == 200 else []
+        gateway, plan = make_gateway(tmp_path), make_plan(spans)
+        return check_allowed(attempt, runs, gateway, plan, changes)
+
+    def test_a_run_with_a_key_that_was_taken_away_is_found(self, tmp_path):
+        changes = [(1.0, True, True), (95.0, True, False)]
+        assert self.check_allowed(tmp_path, "book", changes)
+        assert not self.check_allowed(tmp_path, "book", [*changes, (99.0, True, True)])
+        late = [(1.0, True, True), (98.0, True, False)]
+        assert not self.check_allowed(tmp_path, "book", late)
+        away = [(96.0, 97.0, "store", "down")]
+        assert not self.check_allowed(tmp_path, "book", changes, spans=away)
+
+    def test_a_run_on_a_route_that_is_gone_is_found(self, tmp_path):
+        changes = [(1.0, True, True), (95.0, False, True)]
+        assert self.check_allowed(tmp_path, "open", changes)
+        assert not self.check_allowed(tmp_path, "book", changes)
+
+    @pytest.mark.parametrize("status", [401, 404])
+    def test_a_denial_of_what_is_allowed_is_found(self, tmp_path, status):
+        changes = [(1.0, True, True)]
+        assert self.check_allowed(tmp_path, "book", changes, status)
+        assert not self.check_allowed(
+            tmp_path, "book", [*changes, (99.0, False, False)], status
+        )
+
 
 class TestLoopbackProxy:
     async def echo(self, reader, writer):
