--- a/bench/pool_replay.py
+++ b/bench/pool_replay.py
@@ -13,7 +13,13 @@
 
 from firworks.kernel.pools import ordering, paths, stages
 from firworks.kernel.pools.holdings import Holdings
-from firworks.tests.pool_world import Burst, PoolWorld, make_rimac, make_zwolle
+from firworks.tests.pool_world import (
+    Burst,
+    PoolWorld,
+    give_up_all,
+    make_rimac,
+    make_zwolle,
+)
 
 LENGTH_S = 34.0
 TARGETS = 3
@@ -80,12 +86,6 @@
         setattr(owner, name, before)
 
 
-def give_up_all(holdings, waiting_bytes):
-    """Give up all results that were read, whatever room there is."""
-    for job_id in list(holdings._spare):
-        yield holdings.take(job_id)
-
-
 VARIANTS = (
     ("as built", None),
     ("all jobs strictly by priority", (ordering, "PRIORITY_STEP_S", 1000.0)),
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -45,10 +45,9 @@
         self.headers = headers
         self.share = share
 
-    def list_bodies(self, line):
-        """Return the whole answers that a target gives to a request line."""
-        plain = f"answer to {line} HTTP/1.1".encode()
-        return (STREAM,) if self.headers else (plain,)
+    def make_answer(self, line):
+        """Return the whole answer (bytes) that a target gives to a request line."""
+        return STREAM if self.headers else f"answer to {line} HTTP/1.1".encode()
 
 
 KINDS = (
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -53,7 +53,7 @@
     if attempt.status != 200 or not attempt.whole:
         return []
     own = is_targets(attempt) and attempt.echoed[0] == attempt.request_id
-    whole = attempt.answer in attempt.kind.list_bodies(attempt.line)
+    whole = attempt.answer == attempt.kind.make_answer(attempt.line)
     return [] if own and whole else [f"{attempt.request_id}: not its whole answer"]
 
 
--- a/firworks/gateway/news.py
+++ b/firworks/gateway/news.py
@@ -7,12 +7,9 @@
     News,
     NewsSeeker,
     TargetEntry,
-    digest_targets,
 )
 from firworks.plugins.peer_handshake import ANY_PEER
 
-NO_VERSION = -1
-
 
 class NewsDesk:
     """Asks for news, answers others, and takes in what they tell.
@@ -48,10 +45,9 @@
 
     def ask(self, name):
         """Ask a daemon for what is not known here."""
-        current = self._configurations.holder.current
-        version = NO_VERSION if current is None else current.version
-        digest = digest_targets(self._targets.directory.list_all())
-        self.peers.send(name, AskNews(self._roster.own, version, digest))
+        version = self._configurations.holder.version
+        asked = AskNews(self._roster.own, version, self._targets.digest)
+        self.peers.send(name, asked)
 
     def answer(self, record):
         """Tell a daemon (its `AskNews`) what it does not know."""
@@ -60,7 +56,7 @@
             return
         raw = self._configurations.raw_after(record.version)
         known = self._targets.directory.list_all()
-        differs = digest_targets(known) != record.digest
+        differs = self._targets.digest != record.digest
         if not raw and not differs:
             return
         entries = tuple(TargetEntry(*target.values()) for target in known)
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -256,10 +256,7 @@
     @_take.register
     def _(self, record: ResultsHeld, peer):
         runner = self._stages.get(record.service)
-        if runner is not None:
-            job = record.job.shift(self._clock())
-            self._owners[job.job_id] = (peer, runner)
-            runner.adopt(job, record.handles, record.read)
+        self._adopt(peer, record.job, runner, record.handles, record.read)
 
     @_take.register
     def _(self, record: ResultsRead, peer):
@@ -274,10 +271,7 @@
     @_take.register
     def _(self, record: RequestRunning, peer):
         runner = self._engines.get(record.service)
-        if runner is not None:
-            job = record.job.shift(self._clock())
-            self._owners[job.job_id] = (peer, runner)
-            runner.adopt(job, record.target_id, record.begun)
+        self._adopt(peer, record.job, runner, record.target_id, record.begun)
 
     @_take.register
     def _(self, record: RequestBegun, peer):
@@ -299,6 +293,13 @@
         self._carry_out([SendTo(peer, JobTaken(job.job_id))])
         runner.submit(job.shift(self._clock()))
 
+    def _adopt(self, peer, job, runner, *progress):
+        """Take in a job that another scheduler had, with what it had come to."""
+        if runner is None:
+            return
+        self._owners[job.job_id] = (peer, runner)
+        runner.adopt(job.shift(self._clock()), *progress)
+
     def _configure_engines(self, name, service):
         runner = self._engines.get(name)
         if runner is None:
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -219,7 +219,7 @@
 
     def update_metrics(self):
         """Set the gauges of the gateway's state."""
-        metrics, configuration = self.metrics, self.configuration
+        metrics = self.metrics
         metrics.store_calls.set(self.store.calls)
         metrics.store_bytes.set(self.store.read_bytes)
         metrics.connections.set(self.connections.opened)
@@ -227,7 +227,7 @@
         metrics.in_progress.set(self.callers.in_progress)
         metrics.queued.set(self.pools.queued_pieces)
         metrics.ready.set(int(self.ready))
-        metrics.version.set(-1 if configuration is None else configuration.version)
+        metrics.version.set(self._configurations.holder.version)
         dropped = 0 if self._output is None else self._output.dropped
         metrics.log_lines_dropped.set(dropped)
 
--- a/firworks/gateway/readers.py
+++ b/firworks/gateway/readers.py
@@ -2,11 +2,9 @@
 
 from firworks.events import LogEvent, log_event
 from firworks.kernel.forwarding.directory import Target
-from firworks.kernel.forwarding.news import TargetEntry, digest_targets
+from firworks.kernel.forwarding.news import TargetEntry
 from firworks.kernel.forwarding.readers import FollowStore, ReaderChoice, StoreFacts
 
-NO_VERSION = -1
-
 
 class ReaderDesk:
     """Keeps this daemon's targets and configuration as fresh as its reader's.
@@ -36,8 +34,6 @@
         self._ask_news = ask_news
         self._choice = ReaderChoice(roster, settings.leave_limit_ms / 1000)
         self._told = {}
-        self._digest = None
-        self._digest_changes = None
         self._logged = None
 
     @property
@@ -74,9 +70,9 @@
         changed = [Target(*entry.values()) for entry in record.changed]
         self._targets.take_changes(changed, record.gone)
         self.targets_follower.advance(record.offset)
-        if self._digest_targets() != record.digest:
+        if self._targets.digest != record.digest:
             self._ask_news(peer)
-        if record.version > self._get_version():
+        if record.version > self._configurations.holder.version:
             self.configuration_follower.refresh()
 
     def tell(self):
@@ -87,9 +83,9 @@
             return
         changed, gone = self._list_changes()
         facts = StoreFacts(
-            self._get_version(),
+            self._configurations.holder.version,
             self.targets_follower.offset,
-            self._digest_targets(),
+            self._targets.digest,
             changed,
             gone,
         )
@@ -108,14 +104,3 @@
             if told.get(name) != target
         )
         return changed, tuple(name for name in told if name not in known)
-
-    def _digest_targets(self):
-        directory = self._targets.directory
-        if self._digest_changes != directory.changes:
-            self._digest_changes = directory.changes
-            self._digest = digest_targets(directory.list_all())
-        return self._digest
-
-    def _get_version(self):
-        current = self._configurations.holder.current
-        return NO_VERSION if current is None else current.version
--- a/firworks/gateway/state.py
+++ b/firworks/gateway/state.py
@@ -4,6 +4,7 @@
 from firworks.events import LogEvent, log_event
 from firworks.kernel.forwarding.configuration import ConfigurationHolder
 from firworks.kernel.forwarding.directory import TargetDirectory
+from firworks.kernel.forwarding.news import digest_targets
 from firworks.platform.configuration import decode_configuration
 from firworks.platform.store import CONFIGURATION_KEY
 from firworks.platform.targets import decode_target
@@ -55,9 +56,7 @@
 
     def raw_after(self, version):
         """Return the record (bytes) in force if it is newer than a version."""
-        current = self.holder.current
-        newer = current is not None and current.version > version
-        return self._raw if newer else b""
+        return self._raw if self.holder.version > version else b""
 
     def note_store(self, ok):
         """Take in whether the store answered."""
@@ -80,6 +79,16 @@
         self._on_change = on_change
         self._on_store = on_store
         self._unreadable = set()
+        self._digest = b""
+        self._digest_changes = None
+
+    @property
+    def digest(self):
+        """Hash of the known targets (bytes)."""
+        if self._digest_changes != self.directory.changes:
+            self._digest_changes = self.directory.changes
+            self._digest = digest_targets(self.directory.list_all())
+        return self._digest
 
     def take_listing(self, values):
         """Take the newest values of the topic: targets that it lacks are gone."""
--- a/firworks/kernel/forwarding/configuration.py
+++ b/firworks/kernel/forwarding/configuration.py
@@ -99,6 +99,10 @@
         "handle_s",
     )
 
+    def get_call_s(self, count):
+        """Return the seconds of a call for some pieces at a target of usual speed."""
+        return self.call_s + count * self.piece_s
+
 
 class Service(Struct):
     """A pool of targets.
@@ -186,6 +190,10 @@
         return None
 
 
+# Lower than any version of a configuration.
+NO_VERSION = -1
+
+
 class ConfigurationHolder:
     """The configuration in force; its version never falls within a process.
 
@@ -198,9 +206,14 @@
     def __init__(self):
         self.current = None
 
+    @property
+    def version(self):
+        """The version in force (int), or ``NO_VERSION``."""
+        return NO_VERSION if self.current is None else self.current.version
+
     def offer(self, configuration):
         """Put a configuration in force unless it is older; return whether it is new."""
-        if self.current is not None and configuration.version <= self.current.version:
+        if configuration.version <= self.version:
             return False
         self.current = configuration
         return True
--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -103,10 +103,11 @@
 class _Finished:
     """A job whose results its scheduler keeps."""
 
-    __slots__ = ("pending", "peer", "incarnation", "handles", "read")
+    __slots__ = ("service", "job", "peer", "incarnation", "handles", "read")
 
     def __init__(self, pending, peer, incarnation, handles):
-        self.pending = pending
+        self.service = pending.service
+        self.job = pending.job
         self.peer = peer
         self.incarnation = incarnation
         self.handles = handles
@@ -358,12 +359,11 @@
             gone = gone or self._roster.find_run(finished.peer) != finished.incarnation
             if not gone:
                 continue
-            job = finished.pending.job
-            finished.peer = self._roster.choose(finished.pending.service)
+            finished.peer = self._roster.choose(finished.service)
             finished.incarnation = self._roster.find_run(finished.peer)
             record = ResultsHeld(
-                finished.pending.service,
-                job.shift(-now),
+                finished.service,
+                finished.job.shift(-now),
                 finished.handles,
                 finished.read,
             )
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -25,6 +25,7 @@
     OVERDUE_MARGIN_S,
     StageCall,
     StageWorker,
+    estimate_made_s,
 )
 
 # Time between sending a call and its begin at the target: the way there and wake-ups.
@@ -163,14 +164,15 @@
         if call is None:
             return []
         made = sum(handle is not None for handle, _ in results)
+        no_room = any(reason == REASON_ROOM for _, reason in results)
         if made:
             worker.note_answer(call, self.get_nominal_s(made), now)
-        elif any(reason == REASON_ROOM for _, reason in results):
+        elif no_room:
             worker.note_full(now + FULL_PAUSE_S)
         actions = []
         for piece, (handle, reason) in zip(call.pieces, results, strict=True):
             actions += self._take_piece(worker, piece, handle, reason, now)
-        if any(reason == REASON_ROOM for _, reason in results):
+        if no_room:
             worker.note_no_room(self.spec, now)
         return actions + self.plan(now)
 
@@ -208,16 +210,7 @@
             for state in self._jobs.values()
             if self._rank(state.job, now) <= own
         )
-        return self._estimate_s(workers, ahead, now)
-
-    def _estimate_s(self, workers, ahead, now):
-        """Return the seconds until targets have made some pieces, own ones included."""
-        frees = sorted(max(now, worker.free_s) for worker in workers)
-        calls_needed = -(-ahead // self.spec.batch)
-        full_s = self.get_nominal_s(self.spec.batch)
-        rounds, index = divmod(calls_needed - 1, len(frees))
-        last_size = ahead - (calls_needed - 1) * self.spec.batch
-        return frees[index] - now + rounds * full_s + self.get_nominal_s(last_size)
+        return estimate_made_s(self.spec, workers, ahead, now)
 
     def plan(self, now):
         """Return the calls to send now, and the jobs that are past saving."""
@@ -261,7 +254,7 @@
 
     def get_nominal_s(self, count):
         """Return the seconds of a call for some pieces at a target of usual speed."""
-        return self.spec.call_s + count * self.spec.piece_s
+        return self.spec.get_call_s(count)
 
     def _list_usable(self, now):
         return [
@@ -273,6 +266,11 @@
     def _rank(self, job, now):
         return rank_job(job, self.get_nominal_s(job.count), now)
 
+    def _list_waiting(self, now):
+        """Return the jobs (list of JobState) with pieces that wait, the next first."""
+        waiting = [state for state in self._jobs.values() if state.waiting]
+        return sorted(waiting, key=lambda state: self._rank(state.job, now))
+
     def _plan_call(self, now):
         """Return one `StageCall` to send now, or None."""
         if now < self._spaced_s() and self.queued_pieces < self.spec.batch:
@@ -303,22 +301,16 @@
         ready = [
             worker
             for worker in ends
-            if self._is_ready(worker, now) and ends[worker] <= latest_s
+            if worker.is_ready(self.spec.slots, SEND_AHEAD_S, now)
+            and ends[worker] <= latest_s
         ]
         return sorted(ready, key=lambda worker: (ends[worker], worker.target.target_id))
 
-    def _is_ready(self, worker, now):
-        if len(worker.calls) < self.spec.slots:
-            return True
-        about_to_end = worker.free_s - SEND_AHEAD_S <= now
-        return len(worker.calls) == self.spec.slots and about_to_end
-
     def _choose_pieces(self, worker, now):
         """Return the pieces of the next call; a job is divided only if it must be."""
         room = worker.count_room(self.spec, now)
         pieces = []
-        waiting = [state for state in self._jobs.values() if state.waiting]
-        for state in sorted(waiting, key=lambda state: self._rank(state.job, now)):
+        for state in self._list_waiting(now):
             size = max(1, state.job.result_bytes)
             space = min(self.spec.batch - len(pieces), room // size)
             wanted = len(state.waiting)
@@ -480,11 +472,11 @@
         workers = self._list_usable(now)
         if not workers:
             return []
-        waiting = [state for state in self._jobs.values() if state.waiting]
         actions, ahead = [], 0
-        for state in sorted(waiting, key=lambda state: self._rank(state.job, now)):
+        for state in self._list_waiting(now):
             job = state.job
-            wait_s = self._estimate_s(workers, ahead + len(state.waiting), now)
+            pieces = ahead + len(state.waiting)
+            wait_s = estimate_made_s(self.spec, workers, pieces, now)
             late = self._rank(job, now)[0]
             if late and now + wait_s + job.later_s > job.deadline_s:
                 actions += self._refuse(state, REASON_LATE, max(0.1, wait_s))
--- a/firworks/kernel/pools/workers.py
+++ b/firworks/kernel/pools/workers.py
@@ -90,6 +90,18 @@
         """When its last call is expected to end; 0 without calls."""
         return max((call.due_s for call in self.calls.values()), default=0.0)
 
+    def is_ready(self, slots, ahead_s, now):
+        """Return whether a call that is sent now would wait for no other one for long.
+
+        Args:
+            slots (int): Calls that the target runs at once.
+            ahead_s (float): How long before its last call ends it counts as ready.
+            now (float): Monotonic seconds.
+        """
+        if len(self.calls) < slots:
+            return True
+        return len(self.calls) == slots and self.free_s - ahead_s <= now
+
     def predict(self, nominal_s, now):
         """Return when a call that is sent now is expected to end."""
         return max(now, self.free_s) + nominal_s * self.speed
@@ -153,3 +165,20 @@
     def note_full(self, until_s):
         """Take in that the target has no room for a call until then."""
         self.paused_until_s = max(self.paused_until_s, until_s)
+
+
+def estimate_made_s(spec, workers, pieces, now):
+    """Return the seconds until targets of usual speed have made some pieces.
+
+    Args:
+        spec (StagePoolSpec): What each target can do.
+        workers (list of StageWorker): The targets; not empty.
+        pieces (int): How many, from the next one that is to be called for.
+        now (float): Monotonic seconds.
+    """
+    frees = sorted(max(now, worker.free_s) for worker in workers)
+    calls = -(-pieces // spec.batch)
+    rounds, index = divmod(calls - 1, len(frees))
+    last_size = pieces - (calls - 1) * spec.batch
+    full_s = spec.get_call_s(spec.batch)
+    return frees[index] - now + rounds * full_s + spec.get_call_s(last_size)
--- a/firworks/tests/pool_world.py
+++ b/firworks/tests/pool_world.py
@@ -487,6 +487,15 @@
             self._carry_out(name, scheduler.take_failure(call.call_id, self.now))
 
 
+def give_up_all(holdings, waiting_bytes):
+    """Give up all results that were read, whatever room there is.
+
+    Takes the place of `Holdings.take_surplus` to show what keeping them is worth.
+    """
+    for job_id in list(holdings._spare):
+        yield holdings.take(job_id)
+
+
 def spread(rng, mean, most):
     """Return a number of pieces around a mean, at least 1."""
     return min(most, max(1, round(rng.lognormvariate(0, 0.5) * mean * 0.88)))
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -46,7 +46,13 @@
 from firworks.kernel.pools.roster import Roster
 from firworks.kernel.pools.stages import FETCH_S, MAX_TRIES, StageScheduler
 from firworks.kernel.pools.workers import UNKNOWN_SHARE, StageCall
-from firworks.tests.pool_world import Burst, PoolWorld, make_rimac, make_zwolle
+from firworks.tests.pool_world import (
+    Burst,
+    PoolWorld,
+    give_up_all,
+    make_rimac,
+    make_zwolle,
+)
 
 SPEC = StagePoolSpec(1, 2, 8, 0.2, 0.02, 16_000_000, 4.0)
 SEEDS = (1, 2, 3)
@@ -335,12 +341,6 @@
         assert find_gate(stages[:1], (1,), 0) is None
 
 
-def give_up_all(holdings, waiting_bytes):
-    """Give up all results that were read, whatever room there is."""
-    for job_id in list(holdings._spare):
-        yield holdings.take(job_id)
-
-
 class TestHoldings:
     def make(self, memory_bytes=10):
         spec = StagePoolSpec(1, 2, 4, 0.2, 0.02, memory_bytes, 4.0)
--- a/firworks/tests/test_soak.py
+++ b/firworks/tests/test_soak.py
@@ -44,7 +44,7 @@
     attempt.status = 200
     attempt.whole = True
     attempt.echoed = ("c1-1", STAMP)
-    attempt.answer = attempt.kind.list_bodies(attempt.line)[0]
+    attempt.answer = attempt.kind.make_answer(attempt.line)
     for field, value in changes.items():
         setattr(attempt, field, value)
     return attempt
