--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -100,7 +100,9 @@
 
     def make_job(number):
         ids = (f"shared-{number % 7}", f"own-{number}")
-        return EngineJob(str(number), ids, (6300, 500), 6800, 80, 1, 9.0, (), (), ())
+        return EngineJob(
+            str(number), ids, (6300, 500), 6800, 80, 1, 4.0, 9.0, (), (), ()
+        )
 
     def prepare():
         scheduler = EngineScheduler(EngineSpec(ENGINE_SLOTS, ENGINE_TOKENS))
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -8,6 +8,7 @@
 from firworks.gateway.exchanges import Exchange
 from firworks.gateway.pools import PoolRefusedError
 from firworks.gateway.stage_runs import StageRun
+from firworks.kernel.forwarding.admission import compute_patience_s
 from firworks.kernel.forwarding.event_stream import EventSplitter
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
@@ -194,12 +195,21 @@
             0 if prompt is None else prompt.tokens_in,
             0 if prompt is None else prompt.tokens_out,
             ticket.admitted.priority,
+            self._find_begin_by_s(ticket),
             ticket.admitted.deadline_s,
             tuple(target_id for target_id, _ in ticket.excluded),
             domains,
             sizes,
         )
 
+    def _find_begin_by_s(self, ticket):
+        """Return when the next event of a stream must have come."""
+        admitted = ticket.admitted
+        if ticket.response is None:
+            return admitted.begin_by_s
+        patience_s = compute_patience_s(admitted.route)
+        return min(admitted.deadline_s, self._clock() + patience_s)
+
     async def _send(self, ticket, target, note_begun):
         """Send the request to a target and pass its answer on."""
         if self._gateway.directory.find(target.target_id) is None:
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -132,7 +132,7 @@
             stage.result_bytes,
             self._admitted.priority,
             self._admitted.aim_s,
-            self._admitted.deadline_s,
+            self._admitted.begin_by_s,
             self._later_s[number],
             # Each piece fetches all inputs.
             *self.weigh_inputs(inputs, pieces),
--- a/firworks/kernel/forwarding/admission.py
+++ b/firworks/kernel/forwarding/admission.py
@@ -4,6 +4,13 @@
 from firworks.errors import RequestError
 from firworks.kernel.messages import Struct
 
+# A caller leaves a stream when its first or next event has not come within the longest
+# of these: a fixed time, some times the route's goal, some times its longest pause.
+# Source: the platform's description of its clients.
+STREAM_PATIENCE_S = 2.0
+STREAM_PATIENCE_GOALS = 4.0
+STREAM_PATIENCE_GAPS = 8.0
+
 
 class Admitted(Struct):
     """A request with what the configuration says of it.
@@ -16,6 +23,7 @@
         version (int): Of the configuration that was used.
         begun_s (float): When it arrived, monotonic seconds.
         aim_s (float): When its answer would still be on time.
+        begin_by_s (float): When its caller leaves if the answer has not begun.
         deadline_s (float): When it ends.
     """
 
@@ -27,6 +35,7 @@
         "version",
         "begun_s",
         "aim_s",
+        "begin_by_s",
         "deadline_s",
     )
 
@@ -64,10 +73,27 @@
         configuration.version,
         now,
         now + route.goal_s,
+        now + min(allowed_s, compute_patience_s(route)),
         now + allowed_s,
     )
 
 
+def compute_patience_s(route):
+    """Return how long callers of a route wait for the next part of an answer.
+
+    Load pattern: in a burst, work is queued for longer than callers of a stream wait
+    for its first event, though its deadline is several times later. Stages and engines
+    then work for callers that have left.
+    """
+    if not route.streaming:
+        return route.timeout_s
+    return max(
+        STREAM_PATIENCE_S,
+        STREAM_PATIENCE_GOALS * route.goal_s,
+        STREAM_PATIENCE_GAPS * route.gap_s,
+    )
+
+
 def choose_service(route, rng):
     """Return the name of one of a route's services, by weight."""
     if len(route.services) == 1:
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -50,7 +50,7 @@
 
 
 class NotPlaced(Struct):
-    """A request whose deadline passed before an engine had room.
+    """A request whose time to begin passed before an engine had room.
 
     Attributes:
         job (EngineJob): The request.
@@ -181,10 +181,10 @@
         self._drop_expired(now)
         actions = []
         order = sorted(
-            self._waiting.values(), key=lambda job: (job.priority, job.deadline_s)
+            self._waiting.values(), key=lambda job: (job.priority, job.begin_by_s)
         )
         for job in order:
-            if job.deadline_s <= now:
+            if job.begin_by_s <= now:
                 del self._waiting[job.job_id]
                 actions.append(NotPlaced(job))
             elif (engine := self._choose(job, now)) is not None:
@@ -196,7 +196,7 @@
         """Return when `plan` should be called again, or None."""
         if not self._waiting:
             return None
-        times = [job.deadline_s for job in self._waiting.values()]
+        times = [job.begin_by_s for job in self._waiting.values()]
         times += [
             engine.paused_until_s
             for engine in self._engines.values()
--- a/firworks/kernel/pools/jobs.py
+++ b/firworks/kernel/pools/jobs.py
@@ -19,7 +19,7 @@
         priority (int): 0 is the most urgent.
         aim_s (float): When the request's answer would still be on time; monotonic
             seconds of the scheduler, relative to now on the wire.
-        deadline_s (float): When the request ends; likewise.
+        deadline_s (float): When the request's answer must have begun; likewise.
         later_s (float): Time that the stages after this one and the target need.
         input_domains (tuple of str): Failure domains that hold its inputs.
         input_bytes (tuple of int): Size of the inputs in each of them.
@@ -74,8 +74,9 @@
         tokens_in (int): Prompt tokens.
         tokens_out (int): Most tokens to generate.
         priority (int): 0 is the most urgent.
-        deadline_s (float): When the request ends; monotonic seconds of the scheduler,
-            relative to now on the wire.
+        begin_by_s (float): When its answer must have begun; monotonic seconds of the
+            scheduler, relative to now on the wire.
+        deadline_s (float): When the request ends; likewise.
         excluded (tuple of str): Targets that have failed this request.
         input_domains (tuple of str): Failure domains that hold its stage results.
         input_bytes (tuple of int): Size of the results in each of them.
@@ -88,6 +89,7 @@
         "tokens_in",
         "tokens_out",
         "priority",
+        "begin_by_s",
         "deadline_s",
         "excluded",
         "input_domains",
@@ -101,14 +103,17 @@
         int,
         int,
         float,
+        float,
         (str,),
         (str,),
         (int,),
     )
 
     def shift(self, seconds):
-        """Return a copy whose deadline is later by some seconds."""
-        return self.replace(deadline_s=self.deadline_s + seconds)
+        """Return a copy whose times are later by some seconds."""
+        return self.replace(
+            begin_by_s=self.begin_by_s + seconds, deadline_s=self.deadline_s + seconds
+        )
 
 
 def sum_remote_bytes(job, failure_domain):
--- a/firworks/tests/pool_world.py
+++ b/firworks/tests/pool_world.py
@@ -9,6 +9,10 @@
 from itertools import count
 from random import Random
 
+from firworks.kernel.forwarding.admission import (
+    STREAM_PATIENCE_GOALS,
+    STREAM_PATIENCE_S,
+)
 from firworks.kernel.forwarding.configuration import StagePoolSpec, StageSpec
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.pools import paths
@@ -62,6 +66,12 @@
         self.draw = draw
         self.work = work
 
+    @property
+    def patience_s(self):
+        """How long callers wait for the first event."""
+        goals_s = STREAM_PATIENCE_GOALS * self.aim_s
+        return min(self.deadline_s, max(STREAM_PATIENCE_S, goals_s))
+
 
 class Burst:
     """More arrivals of a kind for a time.
@@ -146,6 +156,8 @@
         wasted_pieces (int): Pieces made for requests that failed.
         held_s (float): How long requests were held that were not served.
         expires (bool): Targets give up results after their time.
+        leaves_early (bool): Callers leave before the deadline, as those of streams.
+        reckons_patience (bool): Jobs end when such callers leave.
         no_room (int): Pieces that were not made as their target was full.
         remote_bytes (float): Results fetched from other failure domains.
     """
@@ -161,6 +173,8 @@
         self.no_room = 0
         self.held_s = 0.0
         self.expires = False
+        self.leaves_early = False
+        self.reckons_patience = True
         self.busy_s = 0.0
         self.remote_bytes = 0.0
         self.rng = Random(seed)
@@ -261,7 +275,8 @@
     def _arrive(self, kind):
         counts = kind.draw(self.rng)
         request = _Request(kind, next(self._requests), self.now, counts)
-        self.at(self.now + kind.deadline_s, self._end, request, "lost")
+        wait_s = kind.patience_s if self.leaves_early else kind.deadline_s
+        self.at(self.now + wait_s, self._end, request, "lost")
         later = paths.compute_later_s(
             kind.stages,
             counts,
@@ -292,6 +307,9 @@
 
     def _submit(self, request, number):
         stage = request.kind.stages[number]
+        kind = request.kind
+        reckons = self.leaves_early and self.reckons_patience
+        limit_s = kind.patience_s if reckons else kind.deadline_s
         inputs = [h for before in stage.after for h in request.done[before]]
         job = PieceJob(
             f"{request.number}/{number}",
@@ -301,9 +319,9 @@
             "" if inputs else "key",
             tuple(inputs),
             stage.result_bytes,
-            request.kind.priority,
-            request.begun_s + request.kind.aim_s,
-            request.begun_s + request.kind.deadline_s,
+            kind.priority,
+            request.begun_s + kind.aim_s,
+            request.begun_s + limit_s,
             request.later[number],
             *self._weigh(inputs, request.counts[number]),
         )
@@ -561,6 +579,70 @@
     return pools, kinds
 
 
+def make_kathmandu():
+    """Return (pools, kinds) like Kathmandu's sheet of today."""
+    pools = {
+        "ghat": StagePoolSpec(1, 2, 13, 0.24, 0.016, int(15.4 * MEGABYTE), 4.0),
+        "dispatch": StagePoolSpec(1, 2, 33, 0.24, 0.00618, int(3.7 * MEGABYTE), 4.0),
+        "ledger": StagePoolSpec(1, 2, 50, 0.24, 0.00408, int(0.558 * MEGABYTE), 4.0),
+    }
+    pictures = StageSpec("ghat", (), 800_000)
+    light = StageSpec("ghat", (), 8_000)
+    kinds = [
+        Kind(
+            "draft",
+            8.87,
+            1.4,
+            15.0,
+            4.4,
+            0.66,
+            1,
+            (pictures,),
+            lambda rng: (spread(rng, 2.5, 10) if rng.random() < 0.7 else 0,),
+            (1.0,),
+        ),
+        Kind(
+            "summary",
+            12.6,
+            2.0,
+            15.0,
+            2.1,
+            0.32,
+            0,
+            (
+                light,
+                StageSpec("dispatch", (0,), 60_000),
+                StageSpec("ledger", (1,), 6_000),
+            ),
+            lambda rng: (1, 4, spread(rng, 6, 15)),
+            (0.3, 1.0, 1.0),
+        ),
+        Kind(
+            "tag",
+            16.5,
+            2.0,
+            6.0,
+            0.39,
+            0.058,
+            2,
+            (
+                pictures,
+                light,
+                StageSpec("dispatch", (1,), 60_000),
+                StageSpec("ledger", (2,), 6_000),
+            ),
+            lambda rng: (
+                spread(rng, 1.5, 6) if rng.random() < 0.4 else 0,
+                1,
+                4,
+                spread(rng, 6, 15),
+            ),
+            (1.0, 0.3, 1.0, 1.0),
+        ),
+    ]
+    return pools, kinds
+
+
 def make_zwolle():
     """Return (pools, kinds) like Zwolle's sheet of today."""
     pools = {
--- a/firworks/tests/test_forwarding.py
+++ b/firworks/tests/test_forwarding.py
@@ -107,6 +107,26 @@
             request = make_request("/stock/a", patience_s=patience_s)
             assert admit(request, configuration, 100.0).deadline_s == deadline_s
 
+    @pytest.mark.parametrize(
+        ("kind", "goal_s", "gap_s", "begin_by_s"),
+        [
+            ("streaming", 0.9, 0.25, 103.6),
+            ("streaming", 0.2, 0.1, 102.0),
+            ("streaming", 0.2, 0.4, 103.2),
+            ("streaming", 3.0, 0.4, 104.0),
+            ("idempotent", 0.2, 0.0, 104.0),
+        ],
+    )
+    def test_callers_of_streams_leave_before_their_deadline(
+        self, kind, goal_s, gap_s, begin_by_s
+    ):
+        times = {"goal-ms": goal_s * 1000, "gap-aim-ms": gap_s * 1000}
+        route = make_route("rules", "loans", kind, **times)
+        request = make_request("/rules/a")
+        admitted = admit(request, make_decoded(routes=[route]), 100.0)
+        assert admitted.begin_by_s == pytest.approx(begin_by_s)
+        assert admitted.deadline_s == 104.0
+
     def test_the_accounts_priority_goes_before_the_routes(self):
         tenants = [{"name": "club", "api-keys": [KEY], "priority": 0}]
         admitted = admit(make_request("/stock/a"), make_decoded(tenants=tenants), 0.0)
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -448,6 +448,21 @@
         assert held[0] < 0.8 * held[1]
         assert credits[0] > credits[1] - 0.01
 
+    def test_requests_whose_callers_will_have_left_are_refused(self):
+        pools, kinds = make_zwolle()
+        lost, wasted = [], []
+        for reckons in (True, False):
+            worlds = []
+            for seed in SEEDS:
+                world = PoolWorld(pools, 3, kinds, seed)
+                world.leaves_early, world.reckons_patience = True, reckons
+                world.run(34.0, (Burst(None, 3.5, 9.8, 2.4), Burst(None, 14, 19, 2.4)))
+                worlds.append(world)
+            lost.append(sum(world.count("lost") for world in worlds))
+            wasted.append(sum(world.wasted_pieces for world in worlds))
+        assert lost[0] < 0.1 * lost[1]
+        assert wasted[0] < 0.8 * wasted[1]
+
     @pytest.mark.parametrize("make", [make_rimac, make_zwolle])
     def test_new_schedulers_are_told_of_the_results_that_targets_keep(self, make):
         lost, no_room = [], []
@@ -549,7 +564,7 @@
     """Return an `EngineJob`."""
     ids = tuple(part for part, _ in parts)
     tokens = tuple(count for _, count in parts)
-    job = EngineJob(name, ids, tokens, tokens_in, 100, 1, 10.0, (), (), ())
+    job = EngineJob(name, ids, tokens, tokens_in, 100, 1, 10.0, 10.0, (), (), ())
     return job.replace(**changes) if changes else job
 
 
@@ -641,10 +656,10 @@
         (second,) = scheduler.submit(make_engine_job("b", parts, 5000), 0.2)
         assert second.target is not first.target and second.cached_tokens == 0
 
-    def test_a_request_without_room_is_refused_at_its_deadline(self):
+    def test_a_request_without_room_is_refused_when_its_caller_leaves(self):
         scheduler = make_engines(count=1, slots=1)
         scheduler.submit(make_engine_job("a"), 0.0)
-        scheduler.submit(make_engine_job("b", deadline_s=2.0), 0.0)
+        scheduler.submit(make_engine_job("b", begin_by_s=2.0), 0.0)
         assert scheduler.next_due_s(0.0) == 2.0
         assert pick(scheduler.plan(2.0), NotPlaced)[0].job.job_id == "b"
 
