Ignore hangups from the first statement of a gateway on

Cause: SIGHUP ended a gateway until its handler was set, some 0.5 s after the start, and settings that changed between their being read and the first look at the file's time stamp were missed. Hangups are ignored before anything is imported; the stamp is taken before the file is read. Both tests fail on the code before.

--- a/firworks/gateway/__main__.py
+++ b/firworks/gateway/__main__.py
@@ -2,7 +2,11 @@
 
 import gc
 import os
+import signal
 
+# The settings may change, and be announced, while the process loads. They are read
+# afterwards, and a later change shows in the file's time stamp.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # Little of what is built while modules load becomes garbage.
 gc.disable()
 # aiohttp reads the system's certificate authorities when it is imported. Only peers are
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -91,6 +91,7 @@
         settings (GatewaySettings): Settings of the process.
         output (BoundedOutput or None): Where the log goes, for its metric.
         path (str or None): The settings file, to be read again when it changes.
+        stamp (int or None): Its time stamp from before it was read.
 
     Attributes:
         incarnation (str): Unique name of this run.
@@ -100,10 +101,10 @@
         retry_budget (RetryBudget): Bounds resends.
     """
 
-    def __init__(self, settings, output=None, path=None):
+    def __init__(self, settings, output=None, path=None, stamp=None):
         self.settings = settings
         self._path = path
-        self._stamp = read_stamp(path)
+        self._stamp = stamp
         self._stamp_read_s = 0.0
         self.metrics = GatewayMetrics()
         self._output = output
@@ -444,15 +445,16 @@
         return None
 
 
-async def run_gateway(settings, output=None, path=None):
+async def run_gateway(settings, output=None, path=None, stamp=None):
     """Run a gateway until a signal has drained it.
 
     Args:
         settings (GatewaySettings): Of the process.
         output (BoundedOutput or None): Where the log goes, for its metric.
         path (str or None): The settings file.
+        stamp (int or None): Its time stamp from before it was read.
     """
-    gateway = Gateway(settings, output, path)
+    gateway = Gateway(settings, output, path, stamp)
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -470,10 +472,11 @@
     """Entry point of ``python -m firworks.gateway [SETTINGS.toml]``."""
     try:
         path = find_settings_path(sys.argv[1:])
+        stamp = read_stamp(path)
         settings = load_gateway_settings(path)
     except FirworksError as error:
         print(f"firworks: {error}", file=sys.stderr)
         sys.exit(2)
     output = BoundedOutput(sys.stdout.fileno(), time.monotonic)
     configure_logs(settings.log_format, output)
-    asyncio.run(run_gateway(settings, output, path))
+    asyncio.run(run_gateway(settings, output, path, stamp))
--- a/firworks/tests/test_gateway_settings.py
+++ b/firworks/tests/test_gateway_settings.py
@@ -3,14 +3,17 @@
 import asyncio
 import json
 import os
+import pathlib
 import signal
 import subprocess
 import sys
+import threading
+from contextlib import contextmanager
 
 import pytest
 
 from firworks.errors import SettingsError
-from firworks.gateway.process import Gateway
+from firworks.gateway.process import Gateway, read_stamp
 from firworks.gateway.settings import (
     PATH_VARIABLE,
     find_settings_path,
@@ -78,7 +81,8 @@
 class TestReload:
     def make_gateway(self, path):
         path.write_text(GOOD)
-        return Gateway(load_gateway_settings(path), None, str(path))
+        stamp = read_stamp(path)
+        return Gateway(load_gateway_settings(path), None, str(path), stamp)
 
     def test_a_changed_file_is_taken_without_a_signal(self, tmp_path):
         path = tmp_path / "settings.toml"
@@ -106,15 +110,40 @@
 
         asyncio.run(scenario())
 
-    def test_a_hangup_does_not_end_the_process(self, tmp_path):
+    def test_a_file_that_changes_while_it_is_read_is_read_again(self, tmp_path):
         path = tmp_path / "settings.toml"
-        text = GOOD.replace("10.0.0.1", "127.0.0.1").replace("10.0.0.9", "127.0.0.1")
-        for port in (80, 81, 82, 83):
-            text = text.replace(f'"127.0.0.1:{port}"', '"127.0.0.1:0"')
-        path.write_text(text)
-        command = [sys.executable, "-m", "firworks.gateway", str(path)]
-        process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
-        try:
+
+        async def scenario():
+            gateway = self.make_gateway(path)
+            path.write_text(GOOD + "leave_limit_ms = 3000\n")
+            os.utime(path, ns=(1, 1))
+            gateway = Gateway(gateway.settings, None, str(path), gateway._stamp)
+            gateway._check_settings()
+            assert gateway.settings.leave_limit_ms == 3000
+
+        asyncio.run(scenario())
+
+    def test_hangups_while_the_process_loads_do_not_end_it(self, tmp_path):
+        with start_process(tmp_path) as process:
+            while not is_ignored(process.pid, signal.SIGHUP):
+                # Little may be loaded before hangups are ignored.
+                modules = pathlib.Path(f"/proc/{process.pid}/maps").read_text()
+                assert "aiohttp" not in modules
+                assert process.poll() is None
+            ended = threading.Event()
+            sender = threading.Thread(target=send_hangups, args=(process, ended))
+            sender.start()
+            try:
+                for line in process.stdout:
+                    if json.loads(line)["event_name"] == "STORE_LOST":
+                        break
+                assert process.poll() is None
+            finally:
+                ended.set()
+                sender.join()
+
+    def test_a_hangup_does_not_end_the_process(self, tmp_path):
+        with start_process(tmp_path) as process:
             seen = []
             for line in process.stdout:
                 seen.append(json.loads(line)["event_name"])
@@ -123,6 +152,35 @@
                 if seen[-1] == "SETTINGS_RELOADED":
                     break
             assert seen[-1] == "SETTINGS_RELOADED" and process.poll() is None
-        finally:
-            process.kill()
-            process.wait()
+
+
+@contextmanager
+def start_process(folder):
+    """Run a gateway as a process of its own, without a store."""
+    path = folder / "settings.toml"
+    text = GOOD.replace("10.0.0.1", "127.0.0.1").replace("10.0.0.9", "127.0.0.1")
+    for port in (80, 81, 82, 83):
+        text = text.replace(f'"127.0.0.1:{port}"', '"127.0.0.1:0"')
+    path.write_text(text)
+    command = [sys.executable, "-m", "firworks.gateway", str(path)]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+
+
+def is_ignored(pid, number):
+    """Return whether a process ignores a signal."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, mask = line.partition(":")
+        if name == "SigIgn":
+            return bool(int(mask, 16) >> (number - 1) & 1)
+    return False
+
+
+def send_hangups(process, ended):
+    """Send SIGHUP again and again."""
+    while not ended.wait(0.002):
+        process.send_signal(signal.SIGHUP)
