Tell followers of the store members and small configurations; try one topic in an outage

Each daemon read the members for itself, fetched each configuration, and tried three topics a second while the store was away. A reader now tells its followers who joined and left and, when its link allows it, the record of a new configuration; a pong names the run that answers, so that a scheduler's restart is known without the store; in an outage only the targets' topic is tried, and entering oneself backs off.

--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -87,7 +87,7 @@
     changed = (TargetEntry(*targets[0].values()),)
 
     def tell(targets):
-        facts = StoreFacts(1, 1, digest_targets(targets), changed, ())
+        facts = StoreFacts(1, 1, digest_targets(targets), changed, (), b"", b"", (), ())
         decode_record(encode_record(facts))
         digest_targets(targets)
 
--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -36,6 +36,8 @@
         self._interrupted = asyncio.Event()
         self._floor = 0
         self._resting = False
+        self._held = False
+        self._listed = False
         self._refreshing = False
 
     @property
@@ -43,6 +45,11 @@
         """Whether reading is left to another daemon."""
         return self._resting
 
+    @property
+    def listed(self):
+        """Whether the topic has been listed here."""
+        return self._listed
+
     @property
     def waits(self):
         """Whether a read is in progress."""
@@ -66,6 +73,16 @@
         if resting:
             self._listener.note_store(True)
 
+    def set_held(self, held):
+        """Make no calls while another follower finds that the store does not answer.
+
+        Load pattern: in an outage of the store each topic would be tried by each daemon
+        several times a second, at a price a call, to learn the same.
+        """
+        if held != self._held:
+            self._held = held
+            self.interrupt()
+
     def refresh(self):
         """List the topic once even while this daemon does not read."""
         self._refreshing = True
@@ -85,7 +102,7 @@
         """Follow the topic until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
-            if self._resting and not self._refreshing:
+            if self._held or (self._resting and not self._refreshing):
                 self._interrupted.clear()
                 await self._interrupted.wait()
                 continue
@@ -144,6 +161,7 @@
             return
         self._offset = self._floor = offset
         self._refreshing = False
+        self._listed = True
         self._listener.take_listing(values)
 
     async def _read(self):
--- a/firworks/gateway/members.py
+++ b/firworks/gateway/members.py
@@ -8,8 +8,10 @@
 from firworks.kernel.pools.messages import MemberEntry
 from firworks.platform.store import MEMBERS_TOPIC, StoreError
 
-# Pause after a registration that was not confirmed.
-RETRY_S = 0.5
+# Pause after a registration that was not confirmed, doubled by each further one: many
+# daemons may start while the store is away.
+FIRST_RETRY_S = 0.5
+LONGEST_RETRY_S = 4.0
 
 
 class MembersListener:
@@ -56,6 +58,29 @@
         except CodecError as error:
             log_event(LogEvent.MEMBER_UNREADABLE, member=value.key, error=str(error))
             return
+        self._put(entry)
+
+    def take_told(self, entries, left):
+        """Take in what another daemon knows of the members.
+
+        Args:
+            entries (iterable of MemberEntry): Members that are new or started anew.
+            left (iterable of str): Names of those that have left.
+        """
+        own = self._roster.own
+        for entry in entries:
+            if entry.name == own.name and entry.incarnation != own.incarnation:
+                self.register()
+            self._put(entry)
+        for name in left:
+            if name == own.name:
+                self.register()
+            self._remove(name)
+
+    def note_store(self, ok):
+        """Take in whether the store answered."""
+
+    def _put(self, entry):
         if self._roster.put(entry):
             log_event(
                 LogEvent.MEMBER_CHANGED,
@@ -65,9 +90,6 @@
             )
             self._on_member(entry.name)
 
-    def note_store(self, ok):
-        """Take in whether the store answered."""
-
     def register(self):
         """Begin to write this daemon's own entry."""
         if self._leaving:
@@ -88,13 +110,15 @@
     async def _register(self):
         own = self._roster.own
         value = encode_record(own)
+        pause_s = FIRST_RETRY_S
         while True:
             try:
                 await self._store.put_value(MEMBERS_TOPIC, own.name, value)
                 return
             except StoreError as error:
                 log_event(LogEvent.STORE_LOST, topic=MEMBERS_TOPIC, error=str(error))
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(pause_s)
+                pause_s = min(LONGEST_RETRY_S, 2 * pause_s)
 
     def _check_own(self, value):
         """Write the own entry again where that of another run has replaced it."""
--- a/firworks/gateway/news.py
+++ b/firworks/gateway/news.py
@@ -17,6 +17,7 @@
     Args:
         settings (GatewaySettings): Names the seeds.
         roster (Roster): The members.
+        members (MembersListener): Takes their entries.
         configurations (ConfigurationListener): Takes configurations.
         targets (TargetsListener): Takes targets.
         rng (random.Random): Chooses whom to ask.
@@ -26,10 +27,11 @@
         targets_follower (TopicFollower or None): Likewise.
     """
 
-    def __init__(self, settings, roster, configurations, targets, rng):
+    def __init__(self, settings, roster, members, configurations, targets, rng):
         self.peers = None
         self.targets_follower = None
         self._roster = roster
+        self._members = members
         self._configurations = configurations
         self._targets = targets
         self.seeker = NewsSeeker(roster, name_seeds(settings), rng)
@@ -46,8 +48,8 @@
     def ask(self, name):
         """Ask a daemon for what is not known here."""
         version = self._configurations.holder.version
-        asked = AskNews(self._roster.own, version, self._targets.digest)
-        self.peers.send(name, asked)
+        digests = (self._targets.digest, self._roster.digest)
+        self.peers.send(name, AskNews(self._roster.own, version, *digests))
 
     def answer(self, record):
         """Tell a daemon (its `AskNews`) what it does not know."""
@@ -57,10 +59,10 @@
         raw = self._configurations.raw_after(record.version)
         known = self._targets.directory.list_all()
         differs = self._targets.digest != record.digest
-        if not raw and not differs:
+        if not raw and not differs and self._roster.digest == record.members:
             return
         entries = tuple(TargetEntry(*target.values()) for target in known)
-        members = [self._roster.find(name) for name in self._roster.names]
+        members = tuple(self._roster.entries.values())
         self.peers.send(
             record.entry.name,
             News(
@@ -68,7 +70,7 @@
                 differs,
                 self.targets_follower.offset,
                 entries if differs else (),
-                (*members, self._roster.own),
+                members,
             ),
         )
 
@@ -80,8 +82,9 @@
             record (News): What it tells.
             followed (bool): It reads the store for this daemon.
         """
-        for entry in record.members:
-            self._roster.put(entry)
+        listed = {entry.name for entry in record.members}
+        left = [name for name in self._roster.names if name not in listed]
+        self._members.take_told(record.members, left if followed else ())
         if not self.seeker.deprived and not followed:
             return
         if record.configuration:
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -128,19 +128,25 @@
             self.directory, self.connections, self.clock, self.roster, self.metrics
         )
         self.pools.peers = Peers(settings, self.roster, self._receive, self.clock)
+        self._members = MembersListener(self.roster, self.store, self._welcome_member)
         self._news = NewsDesk(
-            settings, self.roster, self._configurations, self._targets, self.rng
+            settings,
+            self.roster,
+            self._members,
+            self._configurations,
+            self._targets,
+            self.rng,
         )
         self._readers = ReaderDesk(
             settings,
             self.roster,
+            self._members,
             self._configurations,
             self._targets,
             self.clock,
             self._news.ask,
         )
         self._news.peers = self._readers.peers = self.pools.peers
-        self._members = MembersListener(self.roster, self.store, self._welcome_member)
         self.relay = Relay(self)
         self.callers = CallersServer(self)
         self._readiness = ReadinessServer(self)
@@ -320,7 +326,9 @@
         )
         self._readers.targets_follower = self._targets_follower
         self._news.targets_follower = self._targets_follower
-        self._follow(MEMBERS_TOPIC, self._members, MEMBERS_WAIT_S, MEMBERS_PAUSE_S)
+        self._readers.members_follower = self._follow(
+            MEMBERS_TOPIC, self._members, MEMBERS_WAIT_S, MEMBERS_PAUSE_S
+        )
         self._tasks.append(asyncio.ensure_future(self._tick()))
         await self.callers.start(self.settings.callers)
         await self._readiness.start(self.settings.readiness)
@@ -386,10 +394,14 @@
         self._news.seeker.note_store(CONFIGURATION_TOPIC, answers)
 
     def _note_targets(self, answers):
-        """Begin the long reads anew when the frequent one finds the store silent."""
-        if self._store_answers and not answers:
-            self._interrupt_followers()
+        """Hold the long reads while the frequent one finds the store silent.
+
+        Their connections may carry nothing, so that they begin anew afterwards.
+        """
         self._store_answers = answers
+        for follower in self._followers:
+            if follower is not self._targets_follower:
+                follower.set_held(not answers)
         if answers:
             self._readers.tell()
         self._news.seeker.note_store(TARGETS_TOPIC, answers)
--- a/firworks/gateway/readers.py
+++ b/firworks/gateway/readers.py
@@ -3,7 +3,12 @@
 from firworks.events import LogEvent, log_event
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.forwarding.news import TargetEntry
-from firworks.kernel.forwarding.readers import FollowStore, ReaderChoice, StoreFacts
+from firworks.kernel.forwarding.readers import (
+    FollowStore,
+    ReaderChoice,
+    StoreFacts,
+    may_tell,
+)
 
 
 class ReaderDesk:
@@ -12,28 +17,37 @@
     Args:
         settings (GatewaySettings): Of this process.
         roster (Roster): The members.
+        members (MembersListener): Takes the entries of members.
         configurations (ConfigurationListener): Holds the configuration.
         targets (TargetsListener): Holds the targets.
         clock (callable): Returns monotonic seconds.
-        ask_news (callable): ``ask_news(name)`` asks a daemon for all its targets.
+        ask_news (callable): ``ask_news(name)`` asks a daemon for all that it knows.
 
     Attributes:
         peers (Peers or None): Set before the first tick.
         targets_follower (TopicFollower or None): Likewise.
         configuration_follower (TopicFollower or None): Likewise.
+        members_follower (TopicFollower or None): Likewise.
     """
 
-    def __init__(self, settings, roster, configurations, targets, clock, ask_news):
+    def __init__(
+        self, settings, roster, members, configurations, targets, clock, ask_news
+    ):
         self.peers = None
         self.targets_follower = None
         self.configuration_follower = None
+        self.members_follower = None
+        self._members = members
+        self._link_mbps = settings.link_mbps
         self._roster = roster
         self._configurations = configurations
         self._targets = targets
         self._clock = clock
         self._ask_news = ask_news
         self._choice = ReaderChoice(roster, settings.leave_limit_ms / 1000)
-        self._told = {}
+        self._told = None
+        self._told_members = {}
+        self._told_version = None
         self._logged = None
 
     @property
@@ -53,6 +67,8 @@
         reads = self._choice.must_read(now)
         self.targets_follower.set_resting(not reads)
         self.configuration_follower.set_resting(not reads)
+        # A daemon that has not listed the members yet does not know whom to follow.
+        self.members_follower.set_resting(not reads and self.members_follower.listed)
         if (self.reader, reads) != self._logged:
             self._logged = (self.reader, reads)
             log_event(LogEvent.READER_CHANGED, reader=self.reader, reads=reads)
@@ -70,7 +86,11 @@
         changed = [Target(*entry.values()) for entry in record.changed]
         self._targets.take_changes(changed, record.gone)
         self.targets_follower.advance(record.offset)
-        if self._targets.digest != record.digest:
+        self._members.take_told(record.joined, record.left)
+        if record.configuration:
+            self._configurations.take_bytes(record.configuration, peer)
+        differs = self._targets.digest != record.digest
+        if differs or self._choice.must_ask_members(record.members, self._clock()):
             self._ask_news(peer)
         if record.version > self._configurations.holder.version:
             self.configuration_follower.refresh()
@@ -81,13 +101,14 @@
         if not followers or not self._targets.listed:
             self._told = None
             return
-        changed, gone = self._list_changes()
         facts = StoreFacts(
             self._configurations.holder.version,
             self.targets_follower.offset,
             self._targets.digest,
-            changed,
-            gone,
+            *self._list_changes(),
+            self._choose_configuration(len(followers)),
+            self._roster.digest,
+            *self._list_member_changes(),
         )
         for name in followers:
             self.peers.send(name, facts)
@@ -104,3 +125,19 @@
             if told.get(name) != target
         )
         return changed, tuple(name for name in told if name not in known)
+
+    def _list_member_changes(self):
+        """Return the entries that are new since the last word, and who has left."""
+        known = self._roster.entries
+        told, self._told_members = self._told_members, known
+        joined = tuple(
+            entry for name, entry in known.items() if told.get(name) != entry
+        )
+        return joined, tuple(name for name in told if name not in known)
+
+    def _choose_configuration(self, followers):
+        """Return the record (bytes) to tell; empty when it is told or too large."""
+        version = self._configurations.holder.version
+        told, self._told_version = self._told_version, version
+        raw = b"" if told is None else self._configurations.raw_after(told)
+        return raw if may_tell(len(raw), followers, self._link_mbps) else b""
--- a/firworks/kernel/forwarding/news.py
+++ b/firworks/kernel/forwarding/news.py
@@ -35,10 +35,11 @@
         entry (MemberEntry): The sender, so that it can be answered.
         version (int): Of its configuration; -1 without one.
         digest (bytes): Of its targets.
+        members (bytes): Digest of its members.
     """
 
-    __slots__ = ("entry", "version", "digest")
-    TYPES = (MemberEntry, int, bytes)
+    __slots__ = ("entry", "version", "digest", "members")
+    TYPES = (MemberEntry, int, bytes, bytes)
 
 
 @register_record
--- a/firworks/kernel/forwarding/readers.py
+++ b/firworks/kernel/forwarding/readers.py
@@ -23,6 +23,11 @@
 # A follower asks again this often, and is told until it has not asked for so long.
 FOLLOW_PERIOD_S = 2.0
 SUBSCRIPTION_S = 5.0
+# A configuration is told to the followers if that takes the reader's link no longer.
+TELL_LIMIT_S = 0.25
+# All members are asked for this often at most, while others than here are known there:
+# they change all the time while many daemons start.
+MEMBERS_PERIOD_S = 3.0
 # Shares of the time within which a leaving target must get no more work. A reader
 # speaks after 0.3 of it; its word is fresh for so long, which leaves time for a read of
 # the own, and after the second share another reader is chosen.
@@ -51,10 +56,35 @@
         digest (bytes): Of its targets.
         changed (tuple of TargetEntry): Targets that changed since its last word.
         gone (tuple of str): Ids of those that are gone since.
+        configuration (bytes): Its record when it is new; empty otherwise, and when it
+            is too large to be told.
+        members (bytes): Digest of its members.
+        joined (tuple of MemberEntry): Members that are new since its last word.
+        left (tuple of str): Names of those that have left since.
     """
 
-    __slots__ = ("version", "offset", "digest", "changed", "gone")
-    TYPES = (int, int, bytes, (TargetEntry,), (str,))
+    __slots__ = (
+        "version",
+        "offset",
+        "digest",
+        "changed",
+        "gone",
+        "configuration",
+        "members",
+        "joined",
+        "left",
+    )
+    TYPES = (
+        int,
+        int,
+        bytes,
+        (TargetEntry,),
+        (str,),
+        bytes,
+        bytes,
+        (MemberEntry,),
+        (str,),
+    )
 
 
 class ReaderChoice:
@@ -77,6 +107,7 @@
         self._fresh_s = float("-inf")
         self._failures = {}
         self._followers = {}
+        self._members_asked_s = float("-inf")
 
     @property
     def reader(self):
@@ -105,6 +136,20 @@
             self._fresh_s = now
             self._failures.pop(name, None)
 
+    def must_ask_members(self, digest, now):
+        """Return whether to ask the reader for all members now.
+
+        Args:
+            digest (bytes): Of the members that it knows.
+            now (float): Monotonic seconds.
+        """
+        if digest == self._roster.digest:
+            return False
+        if now - self._members_asked_s < MEMBERS_PERIOD_S:
+            return False
+        self._members_asked_s = now
+        return True
+
     def tick(self, now):
         """Return the name of the daemon to ask now, or None."""
         heard_s = max(self._chosen_s, self._fresh_s)
@@ -148,3 +193,19 @@
             if not paused and not self._roster.is_suspected(name):
                 return name
         return None
+
+
+def may_tell(size_bytes, followers, link_mbps):
+    """Return whether a configuration is told to the followers.
+
+    Load pattern: each new configuration is read from the store by every daemon, some
+    hundred priced calls at once, and a storm of them multiplies that. A small one goes
+    to the followers by message; one of over a thousand routes would fill the link of
+    the reader, and each reads that for itself.
+
+    Args:
+        size_bytes (int): Of its record.
+        followers (int): How many are told.
+        link_mbps (float): Of the reader.
+    """
+    return 8 * size_bytes * followers <= TELL_LIMIT_S * link_mbps * 1_000_000
--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -223,7 +223,14 @@
         for entry in record.unheard:
             if not self._roster.put(entry):
                 actions += self._reconnect(peer, now)
-        return [*actions, SendTo(peer, Pong(record.number))]
+        own = self._roster.own
+        return [*actions, SendTo(peer, Pong(record.number, own.incarnation))]
+
+    @take.register
+    def _(self, record: Pong, peer, now):
+        """Notice that a scheduler has started anew before the store tells so."""
+        self._roster.note_run(peer, record.incarnation)
+        return []
 
     @take.register
     def _(self, record: JobTaken, peer, now):
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -51,10 +51,15 @@
 
 @register_record
 class Pong(Record):
-    """Answers a `Ping`."""
+    """Answers a `Ping`.
 
-    __slots__ = ("number",)
-    TYPES = (int,)
+    Attributes:
+        number (int): Of the ping.
+        incarnation (str): The run that answers.
+    """
+
+    __slots__ = ("number", "incarnation")
+    TYPES = (int, str)
 
 
 @register_record
--- a/firworks/kernel/pools/roster.py
+++ b/firworks/kernel/pools/roster.py
@@ -5,12 +5,14 @@
 disagree cost efficiency only: two schedulers then form smaller batches.
 """
 
+from hashlib import blake2b
 from math import log
 
 from xxhash import xxh64_intdigest
 
 # Hashes are mapped to numbers between 0 and 1.
 _HASH_RANGE = float(2**64)
+DIGEST_BYTES = 8
 
 
 class Roster:
@@ -25,8 +27,24 @@
         self._members = {own.name: own}
         self._suspected = set()
         self._ranks = {}
+        self._digest = None
         self._left = {}
 
+    @property
+    def digest(self):
+        """Hash of the members and their runs (bytes)."""
+        if self._digest is None:
+            digest = blake2b(digest_size=DIGEST_BYTES)
+            for entry in sorted(self._members.values(), key=lambda one: one.name):
+                digest.update(f"{entry.name} {entry.incarnation}\n".encode())
+            self._digest = digest.digest()
+        return self._digest
+
+    @property
+    def entries(self):
+        """Entries of all members, this daemon's included (dict by name)."""
+        return dict(self._members)
+
     @property
     def count(self):
         """How many members are known."""
@@ -50,7 +68,7 @@
         """Take in the "ip:port" at which this daemon listens for others."""
         self.own = self.own.replace(address=address)
         self._members[self.own.name] = self.own
-        self._ranks.clear()
+        self._note_change()
 
     def put(self, entry):
         """Take in a member; return whether it is new or has started anew."""
@@ -61,16 +79,23 @@
             return False
         self._members[entry.name] = entry
         self._suspected.discard(entry.name)
-        self._ranks.clear()
+        self._note_change()
         return True
 
+    def note_run(self, name, incarnation):
+        """Take in which run of a member has answered; return whether it is new."""
+        known = self._members.get(name)
+        if known is None:
+            return False
+        return self.put(known.replace(incarnation=incarnation))
+
     def remove(self, name):
         """Take in that a member has left; return whether it was known."""
         if name == self.own.name or name not in self._members:
             return False
         del self._members[name]
         self._suspected.discard(name)
-        self._ranks.clear()
+        self._note_change()
         return True
 
     def note_leaving(self, name, incarnation):
@@ -119,6 +144,10 @@
                 return name
         return self.own.name
 
+    def _note_change(self):
+        self._ranks.clear()
+        self._digest = None
+
 
 def _score(pool, entry):
     """Return the weighted rendezvous score of a member for a pool."""
--- a/firworks/standins/platform_store.py
+++ b/firworks/standins/platform_store.py
@@ -26,6 +26,7 @@
         lost (set of str): Topics whose next read that has records is not answered.
         turned_away (set of str): User agents whose calls are answered 503.
         calls (list of str): Paths, in order.
+        topics (list of str): Topics that they name, in order.
     """
 
     def __init__(self, port=0):
@@ -35,6 +36,7 @@
         self.lost = set()
         self.turned_away = set()
         self.calls = []
+        self.topics = []
         self._topics = {}
         self._first = {}
         self._changed = asyncio.Event()
@@ -81,6 +83,7 @@
     async def _fail(self, request):
         """Return the answer of a store in trouble, or None."""
         self.calls.append(request.path)
+        self.topics.append(request.query.get("topic", ""))
         if self.silent:
             await wait_for_ever()
         refused = self.down or request.headers.get("User-Agent") in self.turned_away
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -7,6 +7,7 @@
 
 from firworks.gateway import process
 from firworks.gateway.process import CONFIGURATION_WAIT_S
+from firworks.kernel.forwarding import readers
 from firworks.kernel.forwarding.news import TargetEntry
 from firworks.kernel.forwarding.readers import StoreFacts
 from firworks.kernel.pools import clients, stages
@@ -510,17 +511,70 @@
 
         play(scenario, gateways=3)
 
-    def test_a_new_configuration_takes_each_gateway_one_call(self):
+    @pytest.mark.parametrize(("limit_s", "calls"), [(0.25, 0), (0.0, 1)])
+    def test_a_small_configuration_is_told_and_a_large_one_read(
+        self, limit_s, calls, monkeypatch
+    ):
+        monkeypatch.setattr(readers, "TELL_LIMIT_S", limit_s)
+
         async def scenario(world):
             _, followers = await self.settle(world)
-            calls = [one.store.calls for one in followers]
-            world.store.put_configuration(make_configuration(9))
-            for one in followers:
-                await wait_until(lambda one=one: one.configuration.version == 9)
-            assert [one.store.calls for one in followers] == [n + 1 for n in calls]
+            before = [one.store.calls for one in followers]
+            for version in (9, 10):
+                world.store.put_configuration(make_configuration(version))
+                for one in followers:
+                    await wait_until(
+                        lambda one=one, version=version: (
+                            one.configuration.version == version
+                        )
+                    )
+            after = [one.store.calls for one in followers]
+            assert after == [n + 2 * calls for n in before]
+
+        play(scenario, gateways=3)
+
+    def test_one_gateway_reads_the_members_for_all(self):
+        async def scenario(world):
+            reader, followers = await self.settle(world)
+            before = [one.store.calls for one in followers]
+            added = await world.add_gateway("gateway-4")
+            known = [reader, *followers]
+            name = added.settings.name
+            await wait_until(lambda: all(g.roster.find(name) for g in known))
+            await added.stop()
+            world.gateways.remove(added)
+            world.store.put(MEMBERS_TOPIC, name, b"")
+            await wait_until(lambda: not any(g.roster.find(name) for g in known))
+            assert [one.store.calls for one in followers] == before
 
         play(scenario, gateways=3)
 
+    def test_a_follower_whose_entry_was_dropped_enters_itself_again(self):
+        async def scenario(world):
+            _, (follower, _) = await self.settle(world)
+            name = follower.settings.name
+            world.store.put(MEMBERS_TOPIC, name, b"")
+            await wait_until(lambda: name in world.store.get_values(MEMBERS_TOPIC))
+
+        play(scenario, gateways=3)
+
+    def test_one_topic_is_tried_while_the_store_is_away(self):
+        async def scenario(world):
+            (gateway,) = world.gateways
+            name = gateway.settings.name
+            await wait_until(lambda: name in world.store.get_values(MEMBERS_TOPIC))
+            world.store.down = True
+            await wait_until(lambda: gateway._news.seeker.deprived)
+            await asyncio.sleep(0.1)
+            before = len(world.store.topics)
+            await wait_until(lambda: len(world.store.topics) >= before + 3)
+            assert set(world.store.topics[before:]) == {TARGETS_TOPIC}
+            world.store.down = False
+            world.store.put_configuration(make_configuration(9))
+            await wait_until(lambda: gateway.configuration.version == 9)
+
+        play(scenario)
+
     def test_a_reader_that_the_store_turns_away_is_left(self):
         async def scenario(world):
             reader, followers = await self.settle(world)
@@ -547,7 +601,7 @@
             offset = follower._readers.targets_follower.offset
             self.drain_target(world)
             await self.wait_drained([follower])
-            old = StoreFacts(1, offset, b"", (known,), ("loans-2",))
+            old = StoreFacts(1, offset, b"", (known,), ("loans-2",), b"", b"", (), ())
             follower._receive(reader.settings.name, old)
             assert follower.directory.find("loans-1") is None
             assert follower.directory.find("loans-2") is not None
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -86,6 +86,11 @@
     return [(f"h/{piece.job.job_id}/{piece.number}", "") for piece in call.pieces]
 
 
+def pick_submissions(actions):
+    """Return the `SendTo` actions that hand jobs over."""
+    return [a for a in pick(actions, SendTo) if isinstance(a.record, SubmitPieces)]
+
+
 def pick(actions, cls):
     """Return the actions of a class."""
     return [action for action in actions if isinstance(action, cls)]
@@ -782,7 +787,7 @@
         for number in range(40):
             now += 0.1
             actions = client.take(Ping(number, (peer,)), sent.peer, now)
-            assert SendTo(sent.peer, Pong(number)) in actions
+            assert SendTo(sent.peer, Pong(number, roster.own.incarnation)) in actions
             actions += client.tick(now)
             reconnects += len(
                 [a for a in pick(actions, Reconnect) if a.peer == peer.name]
@@ -836,6 +841,15 @@
         assert not [r for r in records if isinstance(r, ResultsHeld)]
         assert client.drop("j") == [SendTo(roster.choose(pool), DropJob("j"))]
 
+    def test_a_pong_tells_that_a_scheduler_has_started_anew(self):
+        roster, client, pool, sent = self.submit()
+        client.take(JobTaken("j"), sent.peer, 10.01)
+        client.take(Pong(1, roster.find_run(sent.peer)), sent.peer, 10.4)
+        assert not pick_submissions(client.tick(10.5))
+        client.take(Pong(2, f"{sent.peer}.later"), sent.peer, 10.6)
+        (again,) = pick_submissions(client.tick(10.7))
+        assert (again.peer, again.record.service) == (sent.peer, pool)
+
     def test_a_new_scheduler_learns_which_requests_run(self):
         roster, client, pool, sent = self.submit(make_engine_job("e"))
         assert isinstance(sent.record, SubmitRequest)
