Tell schedulers and daemons again what a reset connection has lost

Cause: connections between daemons are reset, and the results, placements and ends of requests under way on them are gone. A lost result was awaited until the deadline (in the test: 4 s, then refused), and room stayed taken for requests that had ended. After a lost connection a daemon names its jobs to the scheduler, which tells again what has come of them, names those that it does not know, and drops the others. A drain's test waits until both gateways know each other: before, its scheduler was held busy by a job that had moved, which is now dropped there.

--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -39,6 +39,10 @@
         """Take in that a request has left its engine."""
         self._carry_out(self.scheduler.end(job_id, failed, self._clock()))
 
+    def drop(self, job_id):
+        """Take in that a request is given up."""
+        self.end(job_id, False)
+
     def close(self):
         """Stop the timer."""
         self._wake_up.cancel()
--- a/firworks/gateway/peers.py
+++ b/firworks/gateway/peers.py
@@ -4,6 +4,9 @@
 from firworks.kernel.messages import (
     ConnectPeer,
     DisconnectPeer,
+    PeerConnected,
+    PeerDisconnected,
+    PeerInboundLost,
     PeerReceived,
     SendPeer,
 )
@@ -36,12 +39,16 @@
         settings (GatewaySettings): Of this process.
         roster (Roster): The members.
         receive (callable): ``receive(peer, record)`` takes what comes.
+        on_lost (callable): ``on_lost(peer)``, after a connection was lost and, for the
+            own one, opened anew.
         clock (callable): Returns monotonic seconds.
     """
 
-    def __init__(self, settings, roster, receive, clock):
+    def __init__(self, settings, roster, receive, on_lost, clock):
         self._roster = roster
         self._receive = receive
+        self._on_lost = on_lost
+        self._disconnected = set()
         addresses = RosterAddresses(roster)
         context = AdapterContext(
             settings, roster.own.incarnation, self._feed, clock, addresses
@@ -79,3 +86,10 @@
     def _feed(self, event):
         if isinstance(event, PeerReceived):
             self._receive(event.peer, event.message)
+        elif isinstance(event, PeerInboundLost):
+            self._on_lost(event.peer)
+        elif isinstance(event, PeerDisconnected):
+            self._disconnected.add(event.peer)
+        elif isinstance(event, PeerConnected) and event.peer in self._disconnected:
+            self._disconnected.discard(event.peer)
+            self._on_lost(event.peer)
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -20,6 +20,7 @@
     DropJob,
     InputsFetched,
     JobTaken,
+    JobUnknown,
     PiecesMade,
     PiecesRefused,
     RequestBegun,
@@ -31,6 +32,7 @@
     ResultsRead,
     SubmitPieces,
     SubmitRequest,
+    SyncJobs,
 )
 from firworks.kernel.pools.results import InputsRead, JobDone, JobRefused
 
@@ -187,6 +189,10 @@
         for runner in [*self._stages.values(), *self._engines.values()]:
             runner.close()
 
+    def note_link_lost(self, peer):
+        """Take in that messages from or to another gateway may be lost."""
+        self._carry_out(self._client.sync(peer))
+
     def receive(self, peer, record):
         """Take a record from another gateway."""
         self._carry_out(self._client.hear(peer, self._clock()))
@@ -249,9 +255,17 @@
 
     @_take.register
     def _(self, record: DropJob, peer):
-        owner = self._owners.pop(record.job_id, None)
-        if owner is not None:
-            owner[1].cancel(record.job_id)
+        self._drop(record.job_id)
+
+    @_take.register
+    def _(self, record: SyncJobs, peer):
+        known = {*record.awaited, *record.held}
+        owned = [key for key, (owner, _) in self._owners.items() if owner == peer]
+        for job_id in owned:
+            if job_id not in known:
+                self._drop(job_id)
+        for job_id in record.awaited:
+            self._repeat(job_id, peer)
 
     @_take.register
     def _(self, record: ResultsHeld, peer):
@@ -293,6 +307,21 @@
         self._carry_out([SendTo(peer, JobTaken(job.job_id))])
         runner.submit(job.shift(self._clock()))
 
+    def _drop(self, job_id):
+        owner = self._owners.pop(job_id, None)
+        if owner is not None:
+            owner[1].drop(job_id)
+
+    def _repeat(self, job_id, peer):
+        """Tell a gateway again what a job has come to."""
+        owner = self._owners.get(job_id)
+        results = None if owner is None else owner[1].scheduler.repeat(job_id)
+        if results is None:
+            self._carry_out([SendTo(peer, JobUnknown(job_id))])
+            return
+        for result in results:
+            self._deliver(result)
+
     def _adopt(self, peer, job, runner, *progress):
         """Take in a job that another scheduler had, with what it had come to."""
         if runner is None:
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -133,7 +133,13 @@
         self.pools = Pools(
             self.directory, self.connections, self.clock, self.roster, self.metrics
         )
-        self.pools.peers = Peers(settings, self.roster, self._receive, self.clock)
+        self.pools.peers = Peers(
+            settings,
+            self.roster,
+            self._receive,
+            self.pools.note_link_lost,
+            self.clock,
+        )
         self._members = MembersListener(self.roster, self.store, self._welcome_member)
         self._news = NewsDesk(
             settings,
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -58,7 +58,7 @@
         """Take in a `PieceJob`."""
         self._carry_out(self.scheduler.submit(job, self._clock()))
 
-    def cancel(self, job_id):
+    def drop(self, job_id):
         """Drop a job, or free its results when it is finished."""
         self._carry_out(self.scheduler.cancel(job_id, self._clock()))
 
--- a/firworks/kernel/messages.py
+++ b/firworks/kernel/messages.py
@@ -198,6 +198,12 @@
     __slots__ = ("peer",)
 
 
+class PeerInboundLost(Event):
+    """The connection on which the daemon named `peer` sends to this one closed."""
+
+    __slots__ = ("peer",)
+
+
 class ConnectPeer(Action):
     """Keep a connection to the daemon `peer` at `address` ("ip:port")."""
 
--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -13,6 +13,7 @@
     DropJob,
     InputsFetched,
     JobTaken,
+    JobUnknown,
     PiecesMade,
     PiecesRefused,
     Ping,
@@ -26,6 +27,7 @@
     ResultsRead,
     SubmitPieces,
     SubmitRequest,
+    SyncJobs,
 )
 
 # A round trip between daemons takes a few milliseconds, a busy one's some tens.
@@ -204,6 +206,24 @@
             [] if found is None else [SendTo(found.peer, RequestEnded(job_id, failed))]
         )
 
+    def sync(self, peer):
+        """Tell a scheduler which jobs of this daemon it should have.
+
+        Load pattern: connections between daemons are reset, and what was under way on
+        them is gone: a result that nobody repeats would be awaited until the deadline,
+        and room would be kept for requests that have ended.
+        """
+        if peer == self._roster.own.name:
+            return []
+        awaited = [key for key, one in self._pending.items() if one.peer == peer]
+        held = [
+            key
+            for table in (self._finished, self._running)
+            for key, one in table.items()
+            if one.peer == peer
+        ]
+        return [SendTo(peer, SyncJobs(tuple(awaited), tuple(held)))]
+
     def hear(self, peer, now):
         """Take in that something came from a peer."""
         contact = self._contacts.setdefault(peer, _Contact(now))
@@ -239,6 +259,13 @@
             pending.taken = True
         return []
 
+    @take.register
+    def _(self, record: JobUnknown, peer, now):
+        pending = self._pending.get(record.job_id)
+        if pending is None or pending.peer != peer:
+            return []
+        return self.submit(pending.service, pending.job, now)
+
     @take.register
     def _(self, record: InputsFetched, peer, now):
         pending = self._pending.get(record.job_id)
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -148,6 +148,17 @@
                 engine.add(job, unread, self.spec.memory_tokens)
                 self._by_job[job.job_id] = engine
 
+    def repeat(self, job_id):
+        """Return what there is to tell of a job again, or None if it is not known."""
+        if job_id in self._waiting:
+            return []
+        engine = self._by_job.get(job_id)
+        if engine is None:
+            return None
+        job = engine.jobs[job_id]
+        cached = job.tokens_in - engine.unread.get(job_id, 0)
+        return [Placed(job, engine.target, cached)]
+
     def note_begun(self, job_id):
         """Take in that a request's first token has come."""
         engine = self._by_job.get(job_id)
--- a/firworks/kernel/pools/holdings.py
+++ b/firworks/kernel/pools/holdings.py
@@ -47,6 +47,10 @@
         state.finished_s = now
         self._finished[state.job.job_id] = state
 
+    def find(self, job_id):
+        """Return the `JobState` of a finished job, or None."""
+        return self._finished.get(job_id)
+
     def take(self, job_id):
         """Return the `JobState` of a finished job and forget it, or None."""
         self._spare.pop(job_id, None)
--- a/firworks/kernel/pools/messages.py
+++ b/firworks/kernel/pools/messages.py
@@ -225,6 +225,27 @@
     TYPES = (str, EngineJob, str, bool)
 
 
+@register_record
+class SyncJobs(Record):
+    """Names the sender's jobs at a scheduler, after a connection was lost.
+
+    Attributes:
+        awaited (tuple of str): Jobs whose results it has not heard of.
+        held (tuple of str): Jobs that were done, or placed, and go on.
+    """
+
+    __slots__ = ("awaited", "held")
+    TYPES = ((str,), (str,))
+
+
+@register_record
+class JobUnknown(Record):
+    """A scheduler does not have a job that it was asked for."""
+
+    __slots__ = ("job_id",)
+    TYPES = (str,)
+
+
 @register_record
 class TargetCrashed(Record):
     """A target went down with a request.
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -139,6 +139,13 @@
             return self.release(job_id, now)
         return self._free(state)
 
+    def repeat(self, job_id):
+        """Return what there is to tell of a job again, or None if it is not known."""
+        if job_id in self._jobs:
+            return []
+        state = self._holdings.find(job_id)
+        return None if state is None else [JobDone(state.job, tuple(state.handles))]
+
     def release(self, job_id, now):
         """Free the results of a finished job."""
         state = self._holdings.take(job_id)
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -18,6 +18,7 @@
 from firworks.kernel.messages import (
     ConnectPeer,
     DisconnectPeer,
+    PeerInboundLost,
     PeerReceived,
     SendPeer,
 )
@@ -155,6 +156,8 @@
             await connection.close(STATUS_INVALID_DATA)
         except ConnectionClosed as error:
             log_event(LogEvent.PEER_LOST, peer=peer, error=str(error))
+        finally:
+            self.context.feed(PeerInboundLost(peer))
 
 
 def _decode(data):
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -11,6 +11,7 @@
 from firworks.kernel.forwarding.news import AskNews, TargetEntry
 from firworks.kernel.forwarding.readers import StoreFacts
 from firworks.kernel.pools import clients, stages
+from firworks.kernel.pools.messages import PiecesMade, RequestPlaced
 from firworks.platform.store import (
     CONFIGURATION_TOPIC,
     MEMBERS_TOPIC,
@@ -392,6 +393,31 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("lost", [PiecesMade, RequestPlaced])
+    def test_a_result_that_is_lost_on_a_reset_connection_is_told_again(self, lost):
+        async def scenario(world):
+            pool = "repair" if lost is PiecesMade else "engines"
+            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
+            one, other = world.gateways
+            scheduler = one if is_scheduler(one, pool) else other
+            client = other if scheduler is one else one
+            peers = scheduler.pools.peers
+            send, dropped = peers.send, []
+
+            def lose_first(peer, record):
+                if isinstance(record, lost) and not dropped:
+                    dropped.append(record)
+                    link = peers._adapter._links[peer]
+                    link._connection.transport.abort()
+                else:
+                    send(peer, record)
+
+            peers.send = lose_first
+            status, _, _ = await world.ask("/advice/a", "POST", client, **self.HEADERS)
+            assert status == 200 and dropped
+
+        play(scenario, gateways=2)
+
     def test_batches_form_across_gateways(self, monkeypatch):
         # A machine that stalls is no silent scheduler or target here: pieces would be
         # made twice.
@@ -799,6 +825,7 @@
 
         async def scenario(world):
             world.targets["repair-1"].fault = world.targets["repair-2"].fault = "hang"
+            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
             scheduler = next(g for g in world.gateways if is_scheduler(g, "repair"))
             other = next(g for g in world.gateways if g is not scheduler)
             stopped = []
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -25,6 +25,7 @@
 from firworks.kernel.pools.messages import (
     DropJob,
     JobTaken,
+    JobUnknown,
     MemberEntry,
     PiecesMade,
     Ping,
@@ -35,6 +36,7 @@
     ResultsHeld,
     SubmitPieces,
     SubmitRequest,
+    SyncJobs,
 )
 from firworks.kernel.pools.ordering import rank_job
 from firworks.kernel.pools.paths import (
@@ -267,6 +269,18 @@
         assert pick(actions, JobRefused)[0].reason == "gone"
         assert pick(actions, FreeResults)[0].handles == ("h/a/0",)
 
+    def test_what_a_job_has_come_to_can_be_told_again(self):
+        scheduler = make_scheduler()
+        (call,) = pick(scheduler.submit(make_job("a"), 0.0), StageCall)
+        assert scheduler.repeat("a") == [] and scheduler.repeat("b") is None
+        (done,) = pick(
+            scheduler.take_answer(call.call_id, make_results(call), 0.3), JobDone
+        )
+        (again,) = scheduler.repeat("a")
+        assert again.handles == done.handles
+        scheduler.cancel("a", 0.4)
+        assert scheduler.repeat("a") is None
+
     def test_results_of_a_cancelled_job_are_freed(self):
         scheduler = make_scheduler(1)
         (call,) = scheduler.submit(make_job("a"), 0.0)
@@ -661,6 +675,16 @@
         (second,) = scheduler.submit(make_engine_job("b", parts, 5000), 0.2)
         assert second.target is not first.target and second.cached_tokens == 0
 
+    def test_a_placement_can_be_told_again(self):
+        scheduler = make_engines(count=1, slots=1)
+        (placed,) = scheduler.submit(make_engine_job("a"), 0.0)
+        scheduler.submit(make_engine_job("b"), 0.0)
+        (again,) = scheduler.repeat("a")
+        assert (again.job, again.target) == (placed.job, placed.target)
+        assert scheduler.repeat("b") == []
+        scheduler.end("a", False, 0.1)
+        assert scheduler.repeat("a") is None
+
     def test_a_request_without_room_is_refused_when_its_caller_leaves(self):
         scheduler = make_engines(count=1, slots=1)
         scheduler.submit(make_engine_job("a"), 0.0)
@@ -850,6 +874,26 @@
         (again,) = pick_submissions(client.tick(10.7))
         assert (again.peer, again.record.service) == (sent.peer, pool)
 
+    def test_after_a_lost_connection_a_scheduler_is_told_which_jobs_it_should_have(
+        self,
+    ):
+        _, client, pool, sent = self.submit()
+        (told,) = client.sync(sent.peer)
+        assert (told.peer, told.record) == (sent.peer, SyncJobs(("j",), ()))
+        client.take(PiecesMade("j", ("h1", "h2")), sent.peer, 10.1)
+        assert client.sync(sent.peer)[0].record == SyncJobs((), ("j",))
+        client.drop("j")
+        assert client.sync(sent.peer)[0].record == SyncJobs((), ())
+        assert not client.sync("own")
+
+    def test_a_job_that_its_scheduler_does_not_know_is_submitted_again(self):
+        _, client, pool, sent = self.submit()
+        (again,) = client.take(JobUnknown("j"), sent.peer, 10.1)
+        assert (again.peer, again.record.service) == (sent.peer, pool)
+        assert not client.take(JobUnknown("j"), "another", 10.1)
+        client.drop("j")
+        assert not client.take(JobUnknown("j"), sent.peer, 10.2)
+
     def test_a_new_scheduler_learns_which_requests_run(self):
         roster, client, pool, sent = self.submit(make_engine_job("e"))
         assert isinstance(sent.record, SubmitRequest)
