--- a/firworks/kernel/pools/clients.py
+++ b/firworks/kernel/pools/clients.py
@@ -165,6 +165,7 @@
     def watch(self, services):
         """Take in the names of the pools whose schedulers are to be known."""
         self._watched = tuple(services)
+        self._roster.set_pools(services)
 
     def submit(self, service, job, now):
         """Hand over a job; its times are monotonic seconds of this daemon."""
--- a/firworks/kernel/pools/roster.py
+++ b/firworks/kernel/pools/roster.py
@@ -8,6 +8,10 @@
 of a small scheduler, the others suspect it by turns, and a pool has several schedulers
 that send calls on top of each other's. Members with much less room than the largest
 therefore rank behind all others.
+
+Load pattern: with few large members, hashes put several pools on one of them and leave
+others idle. In the order of their names, each pool takes a member that no earlier one
+has taken, as long as there is one.
 """
 
 from hashlib import blake2b
@@ -33,6 +37,7 @@
         self.own = own
         self._members = {own.name: own}
         self._suspected = set()
+        self._pools = ()
         self._ranks = {}
         self._digest = None
         self._left = {}
@@ -133,21 +138,38 @@
         """Return whether a member is taken for unreachable."""
         return name in self._suspected
 
+    def set_pools(self, pools):
+        """Take in the names of the pools that share the members."""
+        pools = tuple(sorted(pools))
+        if pools != self._pools:
+            self._pools = pools
+            self._ranks.clear()
+
     def rank(self, pool):
         """Return the names of all members, the pool's first scheduler first."""
-        ranked = self._ranks.get(pool)
-        if ranked is None:
-            least = ROOM_SHARE * max(one.weight for one in self._members.values())
-            ranked = sorted(
-                self._members.values(),
-                key=lambda entry: (
-                    entry.weight < least,
-                    -_score(pool, entry),
-                    entry.name,
-                ),
-            )
-            ranked = self._ranks[pool] = [entry.name for entry in ranked]
-        return ranked
+        if pool not in self._ranks and pool in self._pools:
+            taken = set()
+            for name in self._pools:
+                self._ranks[name] = self._sort(name, taken)
+                taken.add(self._ranks[name][0])
+        elif pool not in self._ranks:
+            self._ranks[pool] = self._sort(pool, set())
+        return self._ranks[pool]
+
+    def _sort(self, pool, taken):
+        """Return the names of all members, those that other pools took behind."""
+        members = self._members.values()
+        least = ROOM_SHARE * max(entry.weight for entry in members)
+        ranked = sorted(
+            members,
+            key=lambda entry: (
+                entry.weight < least,
+                entry.name in taken,
+                -_score(pool, entry),
+                entry.name,
+            ),
+        )
+        return [entry.name for entry in ranked]
 
     def choose(self, pool):
         """Return the name of the daemon that schedules a pool."""
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -754,6 +754,17 @@
             roster.remove(name)
         assert len({roster.choose(pool) for pool in pools}) > 10
 
+    def test_pools_go_to_different_members_while_there_are_enough(self):
+        roster = make_roster("abcde")
+        pools = [f"pool-{number}" for number in range(6)]
+        roster.set_pools(pools)
+        assert len({roster.choose(pool) for pool in pools}) == 6
+        more = [*pools, "pool-6", "pool-7"]
+        roster.set_pools(more)
+        assert len({roster.choose(pool) for pool in more}) == 6
+        roster.remove("a")
+        assert len({roster.choose(pool) for pool in more}) == 5
+
     def test_a_suspected_member_is_passed_over_until_it_answers(self):
         roster = make_roster()
         pool = find_pool(roster, True)
