Divide the gateway's process, the stage scheduler and the virtual world by job

Suspicion of crashing requests, the drain, nearness to inputs and the makers of sites get modules of their own; behaviour is unchanged. The replay plays Kathmandu's pools too.

--- a/bench/pool_replay.py
+++ b/bench/pool_replay.py
@@ -1,4 +1,4 @@
-"""Replays loads of the two sites through the real schedulers on a virtual clock.
+"""Replays loads of the sites through the real schedulers on a virtual clock.
 
 Run ``python -m bench.pool_replay [--seeds N]``. Each row leaves one decision out; each
 load is played with the same seeds for all rows. Printed are the means of: credit earned
@@ -13,13 +13,8 @@
 
 from firworks.kernel.pools import ordering, paths, stages
 from firworks.kernel.pools.holdings import Holdings
-from firworks.tests.pool_world import (
-    Burst,
-    PoolWorld,
-    give_up_all,
-    make_rimac,
-    make_zwolle,
-)
+from firworks.tests.pool_sites import make_kathmandu, make_rimac, make_zwolle
+from firworks.tests.pool_world import Burst, PoolWorld, give_up_all
 
 LENGTH_S = 34.0
 TARGETS = 3
@@ -35,6 +30,11 @@
         Burst("notes", 14.0, 19.7, 3.0),
         Burst(None, 25.0, 29.0, 1.8),
     ),
+    make_kathmandu: (
+        Burst("draft", 3.5, 9.8, 2.8),
+        Burst("summary", 14.0, 19.7, 3.0),
+        Burst(None, 25.0, 29.0, 1.9),
+    ),
 }
 
 
@@ -124,7 +124,7 @@
     Args:
         seeds (int): Seeds of each load.
     """
-    for make in (make_zwolle, make_rimac):
+    for make in BURSTS:
         for play in LOADS:
             print(f"\n{make.__name__[5:]}, {play.__name__[5:].replace('_', ' ')}")
             for name, replaced in VARIANTS:
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -13,7 +13,9 @@
 from firworks.events import LogEvent, configure_logs, log_event
 from firworks.gateway.answers import SERVER_NAME
 from firworks.gateway.callers import CallersServer
-from firworks.gateway.connections import ConnectError, TargetConnections
+from firworks.gateway.connections import TargetConnections
+from firworks.gateway.crashes import CrashDesk
+from firworks.gateway.drains import drain
 from firworks.gateway.followers import TopicFollower
 from firworks.gateway.members import MembersListener
 from firworks.gateway.metrics import GatewayMetrics
@@ -30,7 +32,6 @@
 from firworks.kernel.forwarding.readers import FollowStore, StoreFacts
 from firworks.kernel.forwarding.retry_budget import RetryBudget
 from firworks.kernel.forwarding.standstill import Standstill
-from firworks.kernel.forwarding.suspects import Suspects
 from firworks.kernel.forwarding.suspension import SuspensionDetector
 from firworks.kernel.pools.messages import (
     MemberEntry,
@@ -52,13 +53,6 @@
 # A scheduler that fills a core with jobs of a kilobyte or so, and the answers to them,
 # sends about this much.
 LINK_MBPS_PER_CORE = 100.0
-# The balancer needs two misses, one a second, to stop sending new connections.
-ROTATION_S = 2.6
-# Kept of the drain limit for the process to end.
-EXIT_MARGIN_S = 0.4
-DRAIN_POLL_S = 0.02
-# A request that was sent before the rotation ended arrives within this time.
-QUIET_S = 0.3
 # A read of the configuration waits this long. An answer of the store may be lost, and
 # its connection then carries nothing: with READ_MARGIN_S, the loss is noticed before
 # the store counts as stable again, 3 s after its trouble.
@@ -117,7 +111,7 @@
         self.rng = Random(f"{settings.seed}/{self.incarnation}")
         self.store = StoreClient(settings.store, settings.name)
         self.connections = TargetConnections()
-        self.suspects = Suspects()
+        self.crashes = CrashDesk(self.connections, self.clock, self.tell_peers)
         self._standstill = Standstill()
         self.balancer = Balancer(settings.failure_domain, self.rng)
         self.retry_budget = RetryBudget(
@@ -141,8 +135,23 @@
             self.clock,
         )
         self._members = MembersListener(self.roster, self.store, self._welcome_member)
-        self._news = NewsDesk(
-            settings,
+        self._news, self._readers = self._make_desks()
+        self.relay = Relay(self)
+        self.callers = CallersServer(self)
+        self._readiness = ReadinessServer(self)
+        self._metrics_server = MetricsServer(self)
+        self.draining = asyncio.Event()
+        self._tasks = []
+        self._followers = []
+        self._targets_follower = None
+        self._store_answers = True
+        self._was_ready = False
+        self._suspension = SuspensionDetector()
+
+    def _make_desks(self):
+        """Return what learns from other gateways: `NewsDesk` and `ReaderDesk`."""
+        news = NewsDesk(
+            self.settings,
             self.roster,
             self._members,
             self._configurations,
@@ -150,29 +159,18 @@
             self.rng,
             self._is_current,
         )
-        self._readers = ReaderDesk(
-            settings,
+        readers = ReaderDesk(
+            self.settings,
             self.roster,
             self._members,
             self._configurations,
             self._targets,
             self.clock,
-            self._news.ask,
+            news.ask,
             self._standstill.note_confirmed,
         )
-        self._news.peers = self._readers.peers = self.pools.peers
-        self.relay = Relay(self)
-        self.callers = CallersServer(self)
-        self._readiness = ReadinessServer(self)
-        self._metrics_server = MetricsServer(self)
-        self.draining = asyncio.Event()
-        self._tasks = []
-        self._followers = []
-        self._targets_follower = None
-        self._spawned = set()
-        self._store_answers = True
-        self._was_ready = False
-        self._suspension = SuspensionDetector()
+        news.peers = readers.peers = self.pools.peers
+        return news, readers
 
     def clock(self):
         """Return monotonic seconds that go on while the VM is suspended."""
@@ -252,27 +250,6 @@
         dropped = 0 if self._output is None else self._output.dropped
         metrics.log_lines_dropped.set(dropped)
 
-    def check_crash(self, fingerprint, target):
-        """Find out whether a target that broke off a request has gone down."""
-        self._spawn(self._check_crash(fingerprint, target))
-
-    def clear_suspect(self, fingerprint):
-        """Take in that a request was answered."""
-        if self.suspects.clear(fingerprint):
-            self._tell_peers(SuspectCleared(fingerprint))
-
-    async def _check_crash(self, fingerprint, target):
-        try:
-            connection = await self.connections.open(
-                target.address, self.clock, fresh=True
-            )
-        except ConnectError:
-            run = f"{target.target_id}/{target.born_ms}"
-            self._note_crash(fingerprint, run)
-            self._tell_peers(TargetCrashed(fingerprint, run))
-        else:
-            connection.abort()
-
     def _note_leaving(self, record):
         """Take in that another gateway stops (MemberLeaving)."""
         if self.roster.note_leaving(record.name, record.incarnation):
@@ -283,18 +260,12 @@
                 status="leaving",
             )
 
-    def _note_crash(self, fingerprint, run):
-        if self.suspects.note_crash(fingerprint, run, self.clock()):
-            log_event(
-                LogEvent.REQUEST_SUSPECTED, fingerprint=fingerprint.hex(), target=run
-            )
-
     def _receive(self, peer, record):
         """Take a record from another gateway."""
         if isinstance(record, TargetCrashed):
-            self._note_crash(record.fingerprint, record.run)
+            self.crashes.take_crash(record.fingerprint, record.run)
         elif isinstance(record, SuspectCleared):
-            self.suspects.clear(record.fingerprint)
+            self.crashes.take_cleared(record.fingerprint)
         elif isinstance(record, MemberLeaving):
             self._note_leaving(record)
         elif isinstance(record, AskNews):
@@ -308,15 +279,11 @@
         else:
             self.pools.receive(peer, record)
 
-    def _tell_peers(self, record):
+    def tell_peers(self, record):
+        """Send a record to all other gateways."""
         for name in self.roster.names:
             self.pools.peers.send(name, record)
 
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._spawned.add(task)
-        task.add_done_callback(self._spawned.discard)
-
     async def start(self):
         """Open the listeners and begin to follow the store.
 
@@ -350,32 +317,11 @@
 
     async def drain(self):
         """Leave the rotation, let requests in progress end, then stop."""
-        self.draining.set()
-        begun_s = self.clock()
-        log_event(LogEvent.DAEMON_DRAINING, name=self.settings.name)
-        limit_s = begun_s + self.settings.drain_limit_s - EXIT_MARGIN_S
-        self._tell_peers(MemberLeaving(self.settings.name, self.incarnation))
-        self._spawn(self._members.leave())
-        await asyncio.sleep(min(ROTATION_S, self.settings.drain_limit_s / 2))
-        self.callers.stop_listening()
-        await self._wait_quiet(limit_s)
-        await self.stop()
-
-    async def _wait_quiet(self, limit_s):
-        """Wait until all connections of callers are closed and nothing is in progress.
-
-        A connection that waits for a request is closed early: one that came shortly
-        before the limit could not be answered any more.
-        """
-        idle_s = self.clock() + QUIET_S
-        while (now := self.clock()) < limit_s:
-            if now >= idle_s and self.callers.close_idle() and not self._is_busy():
-                return
-            await asyncio.sleep(DRAIN_POLL_S)
+        await drain(self)
 
-    def _is_busy(self):
-        """Whether callers or other gateways still wait for this one."""
-        return self.callers.in_progress > 0 or self.pools.busy
+    async def leave(self):
+        """Take this daemon's own entry out of the store."""
+        await self._members.leave()
 
     async def stop(self):
         """Close everything."""
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -69,8 +69,7 @@
                 ticket.stages.free()
 
     async def _serve(self, ticket):
-        suspects = self._gateway.suspects
-        if suspects.is_refused(ticket.fingerprint, self._clock()):
+        if self._gateway.crashes.is_refused(ticket.fingerprint):
             detail = "the request has crashed several targets"
             return self._give_up(ticket, Code.SUSPENDED, detail, SUSPENDED_RETRY_S)
         while True:
@@ -106,7 +105,7 @@
     def _judge(self, ticket, failure):
         now = self._clock()
         budget = self._gateway.retry_budget
-        harmless = not self._gateway.suspects.is_refused(ticket.fingerprint, now)
+        harmless = not self._gateway.crashes.is_refused(ticket.fingerprint)
         within = harmless and (not failure.sent or budget.take(ticket.service, now))
         verdict = ticket.progress.judge(failure, ticket.left_s(now), within)
         metrics = self._gateway.metrics
@@ -232,7 +231,7 @@
         except AttemptError as error:
             exchange.abort()
             if error.kind == BROKEN and not exchange.status:
-                self._gateway.check_crash(ticket.fingerprint, target)
+                self._gateway.crashes.check(ticket.fingerprint, target)
             raise
         except BaseException:
             exchange.abort()
@@ -334,7 +333,7 @@
         route = ticket.admitted.route.name
         self._gateway.metrics.count_first_byte(route, first_s)
         self._gateway.prepare_response(ticket.http, response)
-        self._gateway.clear_suspect(ticket.fingerprint)
+        self._gateway.crashes.clear(ticket.fingerprint)
         await response.prepare(ticket.http)
 
     async def _stream(self, ticket, exchange):
--- a/firworks/kernel/pools/roster.py
+++ b/firworks/kernel/pools/roster.py
@@ -4,10 +4,10 @@
 the members by itself; the first that is not suspected schedules the pool. Daemons that
 disagree cost efficiency only: two schedulers then form smaller batches.
 
-Load pattern: most members of a large fleet are small. A burst fills the core or the link
-of a small scheduler, the others suspect it by turns, and a pool has several schedulers
-that send calls on top of each other's. Members with much less room than the largest
-therefore rank behind all others.
+Load pattern: most members of a large fleet are small. A burst fills the core or the
+link of a small scheduler, the others suspect it by turns, and a pool has several
+schedulers that send calls on top of each other's. Members with much less room than the
+largest therefore rank behind all others.
 
 Load pattern: with few large members, hashes put several pools on one of them and leave
 others idle. In the order of their names, each pool takes a member that no earlier one
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -8,7 +8,7 @@
 """
 
 from firworks.kernel.pools.holdings import Holdings, JobState
-from firworks.kernel.pools.jobs import sum_remote_bytes
+from firworks.kernel.pools.nearness import awaits_nearer
 from firworks.kernel.pools.ordering import rank_job
 from firworks.kernel.pools.results import (
     REASON_ERROR,
@@ -34,10 +34,6 @@
 # divided by the number of targets, after one another: begun together they would end
 # together, and all that arrives meanwhile would wait for them.
 SPACING = 1.3
-# Fetching less than this from another failure domain is not worth a wait.
-REMOTE_LIMIT_BYTES = 400_000
-# Kept free before the limit of a job that waits for a nearer target.
-NEARER_MARGIN_S = 0.02
 # Tries of one piece, the first included.
 MAX_TRIES = 3
 # A target fetches the inputs of a call, some megabytes, when it begins it. They take up
@@ -316,12 +312,14 @@
     def _choose_pieces(self, worker, now):
         """Return the pieces of the next call; a job is divided only if it must be."""
         room = worker.count_room(self.spec, now)
+        usable = self._list_usable(now)
         pieces = []
         for state in self._list_waiting(now):
             size = max(1, state.job.result_bytes)
             space = min(self.spec.batch - len(pieces), room // size)
             wanted = len(state.waiting)
-            if self._awaits_nearer(state.job, worker, now):
+            nominal_s = self.get_nominal_s(state.job.count)
+            if awaits_nearer(state.job, worker, usable, nominal_s, now):
                 continue
             if wanted > space and not (wanted > self.spec.batch and not pieces):
                 continue
@@ -332,23 +330,6 @@
                 break
         return pieces
 
-    def _awaits_nearer(self, job, worker, now):
-        """Return whether a job is better left to a target near its inputs."""
-        domain = worker.target.failure_domain
-        if sum_remote_bytes(job, domain) < REMOTE_LIMIT_BYTES:
-            return False
-        _, nearest = max(zip(job.input_bytes, job.input_domains, strict=True))
-        if nearest == domain:
-            return False
-        nominal_s = self.get_nominal_s(job.count)
-        late = job.aim_s - job.later_s - nominal_s < now
-        limit_s = (job.deadline_s if late else job.aim_s) - job.later_s
-        return any(
-            other.predict(nominal_s, now) + NEARER_MARGIN_S <= limit_s
-            for other in self._list_usable(now)
-            if other.target.failure_domain == nearest
-        )
-
     def _make_call(self, worker, pieces, now):
         for piece in pieces:
             self._jobs[piece.job.job_id].waiting.remove(piece)
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from firworks.gateway import process
+from firworks.gateway import drains
 from firworks.gateway.process import CONFIGURATION_WAIT_S
 from firworks.kernel.forwarding import admission, readers
 from firworks.kernel.forwarding.news import AskNews, TargetEntry
@@ -821,7 +821,7 @@
         play(scenario)
 
     def test_idle_connections_end_while_jobs_of_others_go_on(self, monkeypatch):
-        monkeypatch.setattr(process, "ROTATION_S", 0.05)
+        monkeypatch.setattr(drains, "ROTATION_S", 0.05)
 
         async def scenario(world):
             world.targets["repair-1"].fault = world.targets["repair-2"].fault = "hang"
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -48,13 +48,8 @@
 from firworks.kernel.pools.roster import Roster
 from firworks.kernel.pools.stages import FETCH_S, MAX_TRIES, StageScheduler
 from firworks.kernel.pools.workers import UNKNOWN_SHARE, StageCall
-from firworks.tests.pool_world import (
-    Burst,
-    PoolWorld,
-    give_up_all,
-    make_rimac,
-    make_zwolle,
-)
+from firworks.tests.pool_sites import make_rimac, make_zwolle
+from firworks.tests.pool_world import Burst, PoolWorld, give_up_all
 
 SPEC = StagePoolSpec(1, 2, 8, 0.2, 0.02, 16_000_000, 4.0)
 SEEDS = (1, 2, 3)
