Drop the jobs of daemons that died

The jobs of a run that was replaced are dropped at once, those of a daemon whose connection ended and that is not heard within a second likewise; one that lives is told and submits them again. Ruled out: results that expired (ages of 0.2 to 1 s at the calls).

--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -104,7 +104,7 @@
             return
         self._overhead += max(size, LEAST_PART_BYTES)
         if self._overhead > MAX_OVERHEAD_BYTES and not self._answered:
-            self._break_off(f"{self._overhead} bytes without a part of a body")
+            self._break_off(f"over {MAX_OVERHEAD_BYTES} bytes without a part of a body")
 
     def _break_off(self, detail):
         if self._payload is not None:
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -34,6 +34,7 @@
     SubmitRequest,
     SyncJobs,
 )
+from firworks.kernel.pools.owners import Owners
 from firworks.kernel.pools.results import InputsRead, JobDone, JobRefused
 
 # Told to callers when no engine had room before their deadline.
@@ -80,7 +81,7 @@
         self._engines = {}
         self._waiting = {}
         self._on_read = {}
-        self._owners = {}
+        self._owners = Owners()
         self._job_numbers = count(1)
 
     @property
@@ -118,8 +119,11 @@
         self._client.note_suspended(suspended_s)
 
     def tick(self):
-        """Ping schedulers and move jobs from those that fell silent."""
-        self._carry_out(self._client.tick(self._clock()))
+        """Ping schedulers, and leave those and owners of jobs that fell silent."""
+        now = self._clock()
+        self._carry_out(self._client.tick(now))
+        for job_id in self._owners.take_silent(now):
+            self._disown(job_id)
 
     def get_stage_spec(self, service):
         """Return the `StagePoolSpec` of a service, or None."""
@@ -191,10 +195,18 @@
 
     def note_link_lost(self, peer):
         """Take in that messages from or to another gateway may be lost."""
+        self._owners.note_lost(peer, self._clock())
         self._carry_out(self._client.sync(peer))
 
+    def note_member(self, name):
+        """Drop the jobs of a member's earlier runs."""
+        incarnation = self._roster.find_run(name)
+        for job_id in self._owners.list_replaced(name, incarnation):
+            self._disown(job_id)
+
     def receive(self, peer, record):
         """Take a record from another gateway."""
+        self._owners.note_heard(peer)
         self._carry_out(self._client.hear(peer, self._clock()))
         self._take(record, peer)
 
@@ -260,8 +272,7 @@
     @_take.register
     def _(self, record: SyncJobs, peer):
         known = {*record.awaited, *record.held}
-        owned = [key for key, (owner, _) in self._owners.items() if owner == peer]
-        for job_id in owned:
+        for job_id in self._owners.list_jobs(peer):
             if job_id not in known:
                 self._drop(job_id)
         for job_id in record.awaited:
@@ -274,7 +285,7 @@
 
     @_take.register
     def _(self, record: ResultsRead, peer):
-        owner = self._owners.get(record.job_id)
+        owner = self._owners.find(record.job_id)
         if owner is not None:
             owner[1].mark_read(record.job_id)
 
@@ -289,13 +300,13 @@
 
     @_take.register
     def _(self, record: RequestBegun, peer):
-        owner = self._owners.get(record.job_id)
+        owner = self._owners.find(record.job_id)
         if owner is not None:
             owner[1].note_begun(record.job_id)
 
     @_take.register
     def _(self, record: RequestEnded, peer):
-        owner = self._owners.pop(record.job_id, None)
+        owner = self._owners.pop(record.job_id)
         if owner is not None:
             owner[1].end(record.job_id, record.failed)
 
@@ -303,18 +314,24 @@
         """Take in another gateway's job, or one of this gateway."""
         if runner is None:
             return
-        self._owners[job.job_id] = (peer, runner)
+        self._owners.put(job.job_id, peer, runner)
         self._carry_out([SendTo(peer, JobTaken(job.job_id))])
         runner.submit(job.shift(self._clock()))
 
     def _drop(self, job_id):
-        owner = self._owners.pop(job_id, None)
+        owner = self._owners.pop(job_id)
         if owner is not None:
             owner[1].drop(job_id)
 
+    def _disown(self, job_id):
+        """Drop a job whose daemon seems to be gone; one that lives submits it again."""
+        owner = self._owners.find(job_id)
+        self._drop(job_id)
+        self._carry_out([SendTo(owner[0], JobUnknown(job_id))])
+
     def _repeat(self, job_id, peer):
         """Tell a gateway again what a job has come to."""
-        owner = self._owners.get(job_id)
+        owner = self._owners.find(job_id)
         results = None if owner is None else owner[1].scheduler.repeat(job_id)
         if results is None:
             self._carry_out([SendTo(peer, JobUnknown(job_id))])
@@ -326,7 +343,7 @@
         """Take in a job that another scheduler had, with what it had come to."""
         if runner is None:
             return
-        self._owners[job.job_id] = (peer, runner)
+        self._owners.put(job.job_id, peer, runner)
         runner.adopt(job.shift(self._clock()), *progress)
 
     def _configure_engines(self, name, service):
@@ -348,7 +365,7 @@
     def _deliver(self, result):
         """Send a result to the gateway that asked for it."""
         job_id = result.job.job_id
-        owner = self._owners.get(job_id)
+        owner = self._owners.find(job_id)
         if owner is None:
             return
         self._carry_out([SendTo(owner[0], make_reply(result))])
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -418,6 +418,7 @@
     def _welcome_member(self, name):
         self.retry_budget.set_members(self.roster.count)
         self.pools.peers.connect(name)
+        self.pools.note_member(name)
 
     async def _tick(self):
         while True:
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -418,6 +418,25 @@
 
         play(scenario, gateways=2)
 
+    def test_jobs_of_a_gateway_that_died_are_dropped(self):
+        async def scenario(world):
+            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
+            set_fault(world, "repair", "hang")
+            one, other = world.gateways
+            scheduler = one if is_scheduler(one, "repair") else other
+            client = other if scheduler is one else one
+            asked = asyncio.ensure_future(
+                world.ask("/advice/a", "POST", client, b"", **self.HEADERS)
+            )
+            await wait_until(lambda: scheduler.pools.busy)
+            # The client dies: it says nothing more, and its connections end.
+            client.pools.peers.send = lambda peer, record: None
+            await client.pools.peers.stop()
+            await wait_until(lambda: not scheduler.pools.busy)
+            asked.cancel()
+
+        play(scenario, gateways=2)
+
     def test_batches_form_across_gateways(self, monkeypatch):
         # A machine that stalls is no silent scheduler or target here: pieces would be
         # made twice.
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -39,6 +39,7 @@
     SyncJobs,
 )
 from firworks.kernel.pools.ordering import rank_job
+from firworks.kernel.pools.owners import OWNER_GRACE_S, Owners
 from firworks.kernel.pools.paths import (
     EXPECTED_WAIT_CALLS,
     compute_later_s,
@@ -776,6 +777,31 @@
         assert not roster.is_suspected("a")
 
 
+class TestOwners:
+    def make_owners(self):
+        owners = Owners()
+        for number in range(3):
+            owners.put(f"a.1/{number}", "a", None)
+        owners.put("b.1/0", "b", None)
+        return owners
+
+    def test_jobs_of_a_run_that_was_replaced_are_named(self):
+        owners = self.make_owners()
+        owners.put("a.2/0", "a", None)
+        replaced = owners.list_replaced("a", "a.2")
+        assert replaced == ["a.1/0", "a.1/1", "a.1/2"]
+        assert not owners.list_replaced("b", "b.1")
+
+    def test_jobs_of_a_daemon_that_is_not_heard_again_are_named_once(self):
+        owners = self.make_owners()
+        owners.note_lost("a", 10.0)
+        owners.note_lost("b", 10.0)
+        owners.note_heard("b")
+        assert not owners.take_silent(10.0 + OWNER_GRACE_S)
+        assert len(owners.take_silent(10.1 + OWNER_GRACE_S)) == 3
+        assert not owners.take_silent(20.0)
+
+
 class TestPoolClient:
     def submit(self, job=None):
         roster = make_roster()
