--- a/firworks/kernel/pools/owners.py
+++ b/firworks/kernel/pools/owners.py
@@ -1,8 +1,8 @@
 """Which daemon has the request behind each job of a scheduler.
 
-Load pattern: many daemons are killed at the same moment, with all requests that they had.
-Their jobs would go on through all stages, before those of requests that still have a
-caller. The jobs of a run that has been replaced are dropped at once, and those of a
+Load pattern: many daemons are killed at the same moment, with all requests that they
+had. Their jobs would go on through all stages, before those of requests that still have
+a caller. The jobs of a run that has been replaced are dropped at once, and those of a
 daemon whose connection ended and that is not heard again, after a moment: one that
 lives dials again and names its jobs.
 """
@@ -58,11 +58,8 @@
 
     def take_silent(self, now):
         """Return the jobs of daemons that have not been heard since; only once."""
-        silent = [
-            name
-            for name, since_s in self._lost.items()
-            if now - since_s > OWNER_GRACE_S
-        ]
+        limit_s = now - OWNER_GRACE_S
+        silent = [name for name, since_s in self._lost.items() if since_s < limit_s]
         jobs = []
         for name in silent:
             del self._lost[name]
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -437,6 +437,26 @@
 
         play(scenario, gateways=2)
 
+    def test_a_gateway_that_lives_submits_jobs_again_that_were_dropped(self):
+        async def scenario(world):
+            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
+            set_fault(world, "repair", "hang")
+            one, other = world.gateways
+            scheduler = one if is_scheduler(one, "repair") else other
+            client = other if scheduler is one else one
+            asked = asyncio.ensure_future(
+                world.ask("/advice/a", "POST", client, b"", **self.HEADERS)
+            )
+            await wait_until(lambda: scheduler.pools.busy)
+            set_fault(world, "repair", "")
+            # An entry of an earlier run is told late.
+            name = client.settings.name
+            scheduler.roster.note_run(name, f"{name}.earlier")
+            scheduler.pools.note_member(name)
+            assert (await asked)[0] == 200
+
+        play(scenario, gateways=2)
+
     def test_batches_form_across_gateways(self, monkeypatch):
         # A machine that stalls is no silent scheduler or target here: pieces would be
         # made twice.
