Try the store often while nothing has been listed

A follower that has not listed its topic tries every 0.2 s. Ruled out: targets, schedulers, the time to load.

--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -9,6 +9,9 @@
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
+# Nothing can be served before a topic has been listed once: a daemon that starts in an
+# outage tries this often.
+UNLISTED_PAUSE_S = 0.2
 
 
 class _InterruptedError(Exception):
@@ -122,7 +125,8 @@
             except (StoreError, CodecError) as error:
                 self._note_failure(error)
                 await self._pause(pause_s)
-                pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+                longest_s = LONGEST_PAUSE_S if self._listed else UNLISTED_PAUSE_S
+                pause_s = min(longest_s, 2 * pause_s)
                 continue
             pause_s = FIRST_PAUSE_S
             self._note_success()
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from firworks.gateway import drains
+from firworks.gateway import drains, followers
 from firworks.gateway.process import CONFIGURATION_WAIT_S
 from firworks.kernel.forwarding import admission, readers
 from firworks.kernel.forwarding.news import AskNews, TargetEntry
@@ -729,6 +729,20 @@
 
         play(scenario, gateways=3)
 
+    def test_a_gateway_that_starts_in_an_outage_goes_on_trying(self, monkeypatch):
+        # With pauses that double without a bound, these tries would take minutes.
+        monkeypatch.setattr(followers, "LONGEST_PAUSE_S", 3600.0)
+
+        async def scenario(world):
+            world.store.down = True
+            late = await world.add_gateway("late", ready=False)
+            before = late.store.calls
+            await wait_until(lambda: late.store.calls > before + 12)
+            world.store.down = False
+            await wait_until(lambda: late.ready)
+
+        play(scenario)
+
     def test_one_topic_is_tried_while_the_store_is_away(self):
         async def scenario(world):
             (gateway,) = world.gateways
