Keep jobs of quiet daemons after a reset, and members while a reader has not listed them

Found on reading the diff: the own connection's renewal counted as the other's silence, so that jobs of a daemon with nothing to say were dropped after a second; one of two connections of a peer that ended counted as its loss; and a reader that had just started and not listed the members yet would have its followers forget them. Tests for the first and the third fail on the code before.

--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -52,11 +52,6 @@
         """Whether reading is left to another daemon."""
         return self._resting
 
-    @property
-    def listed(self):
-        """Whether the topic has been listed here."""
-        return self._listed
-
     @property
     def waits(self):
         """Whether a read is in progress."""
--- a/firworks/gateway/members.py
+++ b/firworks/gateway/members.py
@@ -21,12 +21,16 @@
         roster (Roster): The members.
         store (StoreClient): The store.
         on_member (callable): ``on_member(name)``, after a member appeared.
+
+    Attributes:
+        listed (bool): All members have been listed once.
     """
 
     def __init__(self, roster, store, on_member):
         self._roster = roster
         self._store = store
         self._on_member = on_member
+        self.listed = False
         self._registering = None
         self._leaving = False
 
@@ -40,6 +44,7 @@
         for name in self._roster.names:
             if name not in listed:
                 self._remove(name)
+        self.listed = True
         if self._roster.own.name not in listed:
             self.register()
 
--- a/firworks/gateway/news.py
+++ b/firworks/gateway/news.py
@@ -59,7 +59,7 @@
     def answer(self, record):
         """Tell a daemon (its `AskNews`) what it does not know."""
         self._roster.put(record.entry)
-        known = self._targets.listed and self._is_current()
+        known = self._targets.listed and self._members.listed and self._is_current()
         if self.seeker.deprived or not known:
             return
         raw = self._configurations.raw_after(record.version)
--- a/firworks/gateway/peers.py
+++ b/firworks/gateway/peers.py
@@ -39,15 +39,18 @@
         settings (GatewaySettings): Of this process.
         roster (Roster): The members.
         receive (callable): ``receive(peer, record)`` takes what comes.
-        on_lost (callable): ``on_lost(peer)``, after a connection was lost and, for the
-            own one, opened anew.
+        on_lost (callable): ``on_lost(peer)``, after the connection on which a member
+            sends was lost.
+        on_renewed (callable): ``on_renewed(peer)``, after the own connection to a
+            member was lost and opened anew.
         clock (callable): Returns monotonic seconds.
     """
 
-    def __init__(self, settings, roster, receive, on_lost, clock):
+    def __init__(self, settings, roster, receive, on_lost, on_renewed, clock):
         self._roster = roster
         self._receive = receive
         self._on_lost = on_lost
+        self._on_renewed = on_renewed
         self._disconnected = set()
         addresses = RosterAddresses(roster)
         context = AdapterContext(
@@ -92,4 +95,4 @@
             self._disconnected.add(event.peer)
         elif isinstance(event, PeerConnected) and event.peer in self._disconnected:
             self._disconnected.discard(event.peer)
-            self._on_lost(event.peer)
+            self._on_renewed(event.peer)
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -194,8 +194,12 @@
             runner.close()
 
     def note_link_lost(self, peer):
-        """Take in that messages from or to another gateway may be lost."""
+        """Take in that messages from another gateway may be lost, or that it died."""
         self._owners.note_lost(peer, self._clock())
+        self.sync_jobs(peer)
+
+    def sync_jobs(self, peer):
+        """Name the jobs at another gateway, as messages to or from it may be lost."""
         self._carry_out(self._client.sync(peer))
 
     def note_member(self, name):
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -132,6 +132,7 @@
             self.roster,
             self._receive,
             self.pools.note_link_lost,
+            self.pools.sync_jobs,
             self.clock,
         )
         self._members = MembersListener(self.roster, self.store, self._welcome_member)
--- a/firworks/gateway/readers.py
+++ b/firworks/gateway/readers.py
@@ -78,7 +78,7 @@
         self.targets_follower.set_resting(not reads)
         self.configuration_follower.set_resting(not reads)
         # A daemon that has not listed the members yet does not know whom to follow.
-        self.members_follower.set_resting(not reads and self.members_follower.listed)
+        self.members_follower.set_resting(not reads and self._members.listed)
         if (self.reader, reads) != self._logged:
             self._logged = (self.reader, reads)
             log_event(LogEvent.READER_CHANGED, reader=self.reader, reads=reads)
@@ -109,7 +109,8 @@
     def tell(self):
         """Tell the followers; called after the store has answered."""
         followers = self._choice.list_followers(self._clock())
-        if not followers or not self._targets.listed:
+        listed = self._targets.listed and self._members.listed
+        if not followers or not listed:
             self._told = None
             return
         facts = StoreFacts(
--- a/firworks/kernel/messages.py
+++ b/firworks/kernel/messages.py
@@ -199,7 +199,7 @@
 
 
 class PeerInboundLost(Event):
-    """The connection on which the daemon named `peer` sends to this one closed."""
+    """The last connection on which the daemon named `peer` sends to this one closed."""
 
     __slots__ = ("peer",)
 
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import ssl
+from collections import Counter
 from functools import singledispatchmethod
 
 from websockets.asyncio.server import serve
@@ -51,6 +52,8 @@
         self.dropped_messages = 0
         self._settings = context.settings
         self._links = {}
+        # Open connections on which each daemon sends to this one.
+        self._inbound = Counter()
         self._server = None
         self._client_tls = make_client_tls(context.settings)
 
@@ -146,6 +149,7 @@
         await self._receive_all(connection, peer)
 
     async def _receive_all(self, connection, peer):
+        self._inbound[peer] += 1
         try:
             async for data in connection:
                 self.received_messages += 1
@@ -157,7 +161,10 @@
         except ConnectionClosed as error:
             log_event(LogEvent.PEER_LOST, peer=peer, error=str(error))
         finally:
-            self.context.feed(PeerInboundLost(peer))
+            self._inbound[peer] -= 1
+            if not self._inbound[peer]:
+                del self._inbound[peer]
+                self.context.feed(PeerInboundLost(peer))
 
 
 def _decode(data):
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -437,6 +437,23 @@
 
         play(scenario, gateways=2)
 
+    def test_jobs_of_a_quiet_gateway_outlive_a_reset_of_the_way_to_it(self):
+        async def scenario(world):
+            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
+            set_fault(world, "repair", "hang")
+            one, other = world.gateways
+            scheduler = one if is_scheduler(one, "repair") else other
+            client = other if scheduler is one else one
+            asked = asyncio.ensure_future(
+                world.ask("/advice/a", "POST", client, b"", **self.HEADERS)
+            )
+            await wait_until(lambda: scheduler.pools.busy)
+            scheduler.pools.sync_jobs(client.settings.name)
+            assert not scheduler.pools._owners.take_silent(scheduler.clock() + 10.0)
+            asked.cancel()
+
+        play(scenario, gateways=2)
+
     def test_a_gateway_that_lives_submits_jobs_again_that_were_dropped(self):
         async def scenario(world):
             await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
@@ -606,7 +623,6 @@
     def test_a_target_that_left_meanwhile_gets_nothing(self):
         async def scenario(world):
             (gateway,) = world.gateways
-            await wait_until(lambda: gateway._targets_follower.listed)
             for name in ("loans-1", "loans-2"):
                 entry = world.targets[name].make_entry("draining")
                 world.store.put_target(name, entry)
@@ -743,6 +759,28 @@
 
         play(scenario)
 
+    def test_a_reader_that_has_not_listed_the_members_tells_nothing(self):
+        async def scenario(world):
+            reader, (follower, _) = await self.settle(world)
+            sent = []
+
+            class Recorder:
+                def send(self, peer, record):
+                    sent.append(record)
+
+            reader._readers.peers = reader._news.peers = Recorder()
+            asked = AskNews(follower.roster.own, -1, b"", b"")
+            reader._members.listed = False
+            reader._readers.tell()
+            reader._news.answer(asked)
+            assert not sent
+            reader._members.listed = True
+            reader._readers.tell()
+            reader._news.answer(asked)
+            assert sent
+
+        play(scenario, gateways=3)
+
     def test_one_topic_is_tried_while_the_store_is_away(self):
         async def scenario(world):
             (gateway,) = world.gateways
