--- a/firworks/gateway/news.py
+++ b/firworks/gateway/news.py
@@ -59,8 +59,8 @@
     def answer(self, record):
         """Tell a daemon (its `AskNews`) what it does not know."""
         self._roster.put(record.entry)
-        known = self._targets.listed and self._members.listed and self._is_current()
-        if self.seeker.deprived or not known:
+        listed = self._targets.listed and self._members.listed
+        if self.seeker.deprived or not (listed and self._is_current()):
             return
         raw = self._configurations.raw_after(record.version)
         known = self._targets.directory.list_all()
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -145,7 +145,6 @@
         self._tasks = []
         self._followers = []
         self._targets_follower = None
-        self._store_answers = True
         self._was_ready = False
         self._suspension = SuspensionDetector()
 
@@ -359,7 +358,6 @@
 
         Their connections may carry nothing, so that they begin anew afterwards.
         """
-        self._store_answers = answers
         if answers and not self._targets_follower.rests:
             self._standstill.note_confirmed(self.clock())
         for follower in self._followers:
--- a/firworks/tests/test_endless_answers.py
+++ b/firworks/tests/test_endless_answers.py
@@ -15,6 +15,7 @@
     EventSplitter,
     EventTooLongError,
 )
+from firworks.platform import store
 from firworks.standins.platform_targets import ENDLESS
 from firworks.tests.test_gateway import PROMPT, list_requests, play, set_fault
 
@@ -135,6 +136,17 @@
         asyncio.run(scenario())
 
 
+class TestStore:
+    def test_an_answer_of_the_store_is_read_up_to_a_bound(self, monkeypatch):
+        async def scenario(world):
+            (gateway,) = world.gateways
+            monkeypatch.setattr(store, "MAX_ANSWER_BYTES", 100)
+            with pytest.raises(store.StoreError, match="over 100 bytes"):
+                await gateway.store.list_newest(store.CONFIGURATION_TOPIC)
+
+        play(scenario)
+
+
 class TestEvents:
     def test_an_event_without_end_is_held_up_to_a_bound(self):
         splitter = EventSplitter()
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -58,6 +58,13 @@
     return gateway.roster.choose(pool) == gateway.settings.name
 
 
+async def find_pair(world, pool):
+    """Return a pool's scheduler and the other one of two gateways, which know it."""
+    await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
+    one, other = world.gateways
+    return (one, other) if is_scheduler(one, pool) else (other, one)
+
+
 def set_fault(world, service, fault, count=2):
     """Make the first targets of a service show a fault."""
     for target in list(world.targets.values()):
@@ -368,6 +375,16 @@
 class TestStages:
     HEADERS = {**PROMPT, "X-Pieces": "2,3", "X-Piece-Key": "k"}
 
+    async def begin_hanging(self, world):
+        """Return the scheduler, another gateway and its request, whose calls hang."""
+        set_fault(world, "repair", "hang")
+        scheduler, client = await find_pair(world, "repair")
+        asked = asyncio.ensure_future(
+            world.ask("/advice/a", "POST", client, b"", **self.HEADERS)
+        )
+        await wait_until(lambda: scheduler.pools.busy)
+        return scheduler, client, asked
+
     def test_results_reach_the_engine_and_are_freed(self):
         async def scenario(world):
             status, _, _ = await world.ask("/advice/a", "POST", **self.HEADERS)
@@ -397,10 +414,7 @@
     def test_a_result_that_is_lost_on_a_reset_connection_is_told_again(self, lost):
         async def scenario(world):
             pool = "repair" if lost is PiecesMade else "engines"
-            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
-            one, other = world.gateways
-            scheduler = one if is_scheduler(one, pool) else other
-            client = other if scheduler is one else one
+            scheduler, client = await find_pair(world, pool)
             peers = scheduler.pools.peers
             send, dropped = peers.send, []
 
@@ -420,15 +434,7 @@
 
     def test_jobs_of_a_gateway_that_died_are_dropped(self):
         async def scenario(world):
-            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
-            set_fault(world, "repair", "hang")
-            one, other = world.gateways
-            scheduler = one if is_scheduler(one, "repair") else other
-            client = other if scheduler is one else one
-            asked = asyncio.ensure_future(
-                world.ask("/advice/a", "POST", client, b"", **self.HEADERS)
-            )
-            await wait_until(lambda: scheduler.pools.busy)
+            scheduler, client, asked = await self.begin_hanging(world)
             # The client dies: it says nothing more, and its connections end.
             client.pools.peers.send = lambda peer, record: None
             await client.pools.peers.stop()
@@ -439,15 +445,7 @@
 
     def test_jobs_of_a_quiet_gateway_outlive_a_reset_of_the_way_to_it(self):
         async def scenario(world):
-            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
-            set_fault(world, "repair", "hang")
-            one, other = world.gateways
-            scheduler = one if is_scheduler(one, "repair") else other
-            client = other if scheduler is one else one
-            asked = asyncio.ensure_future(
-                world.ask("/advice/a", "POST", client, b"", **self.HEADERS)
-            )
-            await wait_until(lambda: scheduler.pools.busy)
+            scheduler, client, asked = await self.begin_hanging(world)
             scheduler.pools.sync_jobs(client.settings.name)
             assert not scheduler.pools._owners.take_silent(scheduler.clock() + 10.0)
             asked.cancel()
@@ -456,15 +454,7 @@
 
     def test_a_gateway_that_lives_submits_jobs_again_that_were_dropped(self):
         async def scenario(world):
-            await wait_until(lambda: all(g.roster.count == 2 for g in world.gateways))
-            set_fault(world, "repair", "hang")
-            one, other = world.gateways
-            scheduler = one if is_scheduler(one, "repair") else other
-            client = other if scheduler is one else one
-            asked = asyncio.ensure_future(
-                world.ask("/advice/a", "POST", client, b"", **self.HEADERS)
-            )
-            await wait_until(lambda: scheduler.pools.busy)
+            scheduler, client, asked = await self.begin_hanging(world)
             set_fault(world, "repair", "")
             # An entry of an earlier run is told late.
             name = client.settings.name
