--- /dev/null
+++ b/bench/crash_series.py
@@ -0,0 +1,114 @@
+"""Plays a request that ends each target which runs it, and the same ends without one.
+
+Run ``python -m bench.crash_series [--length 11]``. One request is sent again every 0.25 s
+through three gateways in turn. Printed are how many targets ended, and how many requests
+reached targets later than ``STABLE_S`` after the third end: at most three may. Then all
+targets of a service end at one moment while many callers ask for one thing: printed is
+how many of them are served from two seconds after the targets' return on.
+"""
+
+import asyncio
+import logging
+
+import fire
+from loguru import logger
+
+from firworks.events import TEXT_FORMAT
+from firworks.standins.crashing_targets import (
+    CLOSE,
+    EVENT,
+    FAIL,
+    HEAD,
+    RESET,
+    SILENT,
+    CrashingEngine,
+    CrashingStage,
+    CrashingTarget,
+)
+from firworks.tests.crash_world import make_path, run_crash_world
+
+PERIOD_S = 0.25
+# Allowance of the platform's rules between the third end and the sends that count.
+STABLE_S = 3.0
+HOT = "hot request after the end of its service"
+HOT_PER_S = 30
+WORK_S = 0.2
+BEFORE_S = 2.0
+DOWN_S = 1.0
+RETURN_S = 2.0
+AFTER_S = 4.0
+SERIES = (
+    ("closes, back after 1 s", CrashingTarget, {"manner": CLOSE}),
+    (
+        "closes, same entry each time",
+        CrashingTarget,
+        {"manner": CLOSE, "keeps_entry": True},
+    ),
+    ("reset, back at once", CrashingTarget, {"manner": RESET, "back_s": 0.0}),
+    (
+        "reset, back at once, same entry",
+        CrashingTarget,
+        {"manner": RESET, "back_s": 0.0, "keeps_entry": True},
+    ),
+    ("some runs fail", CrashingTarget, {"manner": FAIL, "back_s": 0.0}),
+    ("head, then reset", CrashingTarget, {"manner": HEAD, "back_s": 0.0}),
+    ("silent for 1 s", CrashingTarget, {"manner": SILENT}),
+    ("stream breaks off", CrashingEngine, {"manner": EVENT, "back_s": 0.0}),
+    ("a piece ends stage targets", CrashingStage, {"manner": CLOSE}),
+)
+
+
+async def play_series(cls, traits, length_s):
+    """Return (ends, requests that reached targets late) of one series."""
+    path, headers = make_path(cls)
+    async with run_crash_world(cls, **traits) as world:
+        count = int(length_s / PERIOD_S)
+        await world.repeat(path, PERIOD_S, count, **headers)
+        ended_s = world.ended_s
+        if len(ended_s) < 3:
+            return len(ended_s), 0
+        late = [time_s for time_s in world.reached_s if time_s > ended_s[2] + STABLE_S]
+        return len(ended_s), len(late)
+
+
+async def play_hot():
+    """Return (served, sent) of one hot request after its whole service has ended."""
+    async with run_crash_world(targets=3, manner=CLOSE, work_s=WORK_S) as world:
+        count = int((BEFORE_S + DOWN_S + RETURN_S + AFTER_S) * HOT_PER_S)
+        asking = asyncio.ensure_future(world.repeat("/stock/hot", 1 / HOT_PER_S, count))
+        await asyncio.sleep(BEFORE_S)
+        for target in world.crashing:
+            target.end(DOWN_S)
+        await asyncio.sleep(DOWN_S + RETURN_S)
+        first = len(world.statuses)
+        await asking
+        statuses = world.statuses[first:]
+        return statuses.count(200), len(statuses)
+
+
+def main(length=11.0, only="", log=""):
+    """Print the table.
+
+    Args:
+        length (float): Seconds of each series.
+        only (str): Plays the series whose names contain this.
+        log (str): File for the gateways' log; none without it.
+    """
+    logger.remove()
+    if log:
+        logger.add(log, format=TEXT_FORMAT)
+    # Answers that are cut off on purpose are not faults of the listener.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+    print("| How targets end | ended | reached late |\n|---|---|---|")
+    for name, cls, traits in SERIES:
+        if only not in name:
+            continue
+        ended, late = asyncio.run(play_series(cls, traits, length))
+        print(f"| {name} | {ended} | {late} |", flush=True)
+    if only in HOT:
+        served, sent = asyncio.run(play_hot())
+        print(f"{HOT}: {served} of {sent} served")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/firworks/standins/crashing_targets.py
@@ -0,0 +1,174 @@
+"""Stand-ins of targets that a request can end, in the ways that targets end.
+
+A request ends each target that begins to run it when its path, its body or the input of
+its stages contains ``DEADLY``. The target is back after some time as a new run.
+"""
+
+import asyncio
+import socket
+import struct
+
+from firworks.standins.platform_targets import (
+    STAMP,
+    PlatformEngine,
+    PlatformStage,
+    PlatformTarget,
+)
+
+DEADLY = b"deadly"
+# How a target ends.
+CLOSE = "close"  # the listener and all connections close
+RESET = "reset"  # all connections are reset, new ones open at once
+HEAD = "head"  # the same after the head and a part of an answer
+SILENT = "silent"  # connections stay open and carry nothing
+EVENT = "event"  # the stream breaks off after its first event
+FAIL = "fail"  # as RESET, but every other run is answered 500 instead
+MANNERS = (CLOSE, RESET, HEAD, SILENT, EVENT, FAIL)
+# An unclean end is seen as a reset and not as the end of an answer.
+_LINGER = struct.pack("ii", 1, 0)
+
+
+class Crashing:
+    """Adds ends and new runs to a stand-in of a target.
+
+    Attributes:
+        manner (str): How it ends; one of ``MANNERS``.
+        back_s (float): Time from an end to the next run.
+        work_s (float): Time that other requests take.
+        keeps_entry (bool): Each run has the same id and time of start.
+        ended_s (list of float): When it ended, by the loop's clock.
+        reached_s (list of float): When a deadly request reached it, likewise.
+        on_run (callable): ``on_run(target, before)``, after each new run; ``before``
+            is the id (str) of the run that ended.
+    """
+
+    manner = CLOSE
+    back_s = 1.0
+    work_s = 0.0
+    keeps_entry = False
+    born_ms = 1
+
+    def __init__(self, target_id, service, failure_domain="fd-1"):
+        super().__init__(target_id, service, failure_domain)
+        self.ended_s = []
+        self.reached_s = []
+        self.on_run = lambda target, before: None
+        self._name = target_id
+        self._spared = 0
+        self._silence = None
+        self._tasks = set()
+
+    def make_entry(self, state="ready"):
+        """Return its entry in the store (dict)."""
+        return {**super().make_entry(state), "born": self.born_ms}
+
+    def make_report(self):
+        """Return what it says of itself when it is asked (dict)."""
+        return {**super().make_report(), "born": self.born_ms}
+
+    def end(self, back_s=None):
+        """End the run now, whatever it is doing.
+
+        Args:
+            back_s (float or None): Time until the next run, if not as usual.
+        """
+        self.ended_s.append(asyncio.get_running_loop().time())
+        pause_s = self.back_s if back_s is None else back_s
+        if self.manner == SILENT:
+            self._silence = asyncio.Event()
+        else:
+            self._break_connections()
+            if self.manner == CLOSE:
+                self._server.close()
+        if pause_s or self.manner in (CLOSE, SILENT):
+            self._spawn(self._return(pause_s))
+        else:
+            self._begin_run()
+
+    async def serve(self, writer, line, headers, body):
+        """Answer a request that runs."""
+        await asyncio.sleep(self.work_s)
+        await super().serve(writer, line, headers, body)
+
+    async def stop(self):
+        """Close the listener and all connections."""
+        for task in self._tasks:
+            task.cancel()
+        await super().stop()
+
+    async def _return(self, pause_s):
+        await asyncio.sleep(pause_s)
+        if self._silence is not None:
+            self._break_connections()
+            self._silence.set()
+            self._silence = None
+        if not self._server.is_serving():
+            await self.start(int(self.address.rpartition(":")[2]))
+        self._begin_run()
+
+    def _begin_run(self):
+        before = self.target_id
+        if not self.keeps_entry:
+            self.born_ms += 1
+            self.target_id = f"{self._name}.{self.born_ms}"
+        self.on_run(self, before)
+
+    def _break_connections(self):
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
+            writer.transport.abort()
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _respond(self, writer, line, headers, body):
+        if self._silence is not None:
+            await self._silence.wait()
+            return
+        deadly = DEADLY in line.encode() or DEADLY in body
+        if deadly:
+            self.reached_s.append(asyncio.get_running_loop().time())
+        expected = headers.get("x-expect-instance")
+        if expected not in (None, self.target_id) or not deadly:
+            await super()._respond(writer, line, headers, body)
+            return
+        if self.manner == FAIL:
+            self._spared += 1
+            if self._spared % 2:
+                self._answer(writer, headers, 500, b"failed")
+                return
+        await self._begin_answer(writer, headers)
+        self.end()
+        if self._silence is not None:
+            await self._silence.wait()
+
+    async def _begin_answer(self, writer, headers):
+        """Send what comes of an answer before the end."""
+        if self.manner not in (HEAD, EVENT):
+            return
+        head = f"X-Request-Id: {headers['x-request-id']}\r\nX-Server-Stamp: {STAMP}\r\n"
+        if self.manner == HEAD:
+            data = f"HTTP/1.1 200 OK\r\n{head}Content-Length: 99\r\n\r\nbegin"
+        else:
+            event = f"id: {int(headers.get('last-event-id', 0)) + 1}\ndata: first\n\n"
+            head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+            data = f"HTTP/1.1 200 OK\r\n{head}\r\n{len(event):x}\r\n{event}\r\n"
+        writer.write(data.encode())
+        await writer.drain()
+        # Lets the bytes out before the reset discards what is on the way.
+        await asyncio.sleep(0.01)
+
+
+class CrashingTarget(Crashing, PlatformTarget):
+    """A service's target that a request can end."""
+
+
+class CrashingEngine(Crashing, PlatformEngine):
+    """An engine that a request can end."""
+
+
+class CrashingStage(Crashing, PlatformStage):
+    """A stage target that a piece can end."""
--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -8,6 +8,7 @@
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 EVENTS = 5
+HEALTH_PATH = "/healthz"
 _HEAD_END = b"\r\n\r\n"
 _SURPLUS = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
 _GARBAGE = b"\x00\x17 no answer\r\n\r\n"
@@ -104,6 +105,10 @@
             "sequence": 1,
         }
 
+    def make_report(self):
+        """Return what it says of itself when it is asked (dict)."""
+        return {"queued": 0, "busy": False}
+
     async def start(self, port=0):
         """Open the listener."""
         self._server = await asyncio.start_server(self._serve, LOOPBACK, port)
@@ -147,6 +152,13 @@
         if expected not in (None, self.target_id):
             self._answer(writer, headers, 421, b"", {"X-Instance-Id": self.target_id})
             return
+        if line.startswith(f"GET {HEALTH_PATH} "):
+            self._answer(writer, headers, 200, b"", {"X-Instance-Id": self.target_id})
+            return
+        if line.startswith("GET /report "):
+            report = json.dumps(self.make_report()).encode()
+            self._answer(writer, headers, 200, report)
+            return
         if self.fault == "busy":
             self._answer(writer, headers, 503, b"{}", {"X-Not-Run": "1"})
             return
