--- a/bench/crash_series.py
+++ b/bench/crash_series.py
@@ -1,10 +1,10 @@
 """Plays a request that ends each target which runs it, and the same ends without one.
 
-Run ``python -m bench.crash_series [--length 11]``. One request is sent again every 0.25 s
-through three gateways in turn. Printed are how many targets ended, and how many requests
-reached targets later than ``STABLE_S`` after the third end: at most three may. Then all
-targets of a service end at one moment while many callers ask for one thing: printed is
-how many of them are served from two seconds after the targets' return on.
+Run ``python -m bench.crash_series [--length 11]``. One request is sent again every
+0.25 s through three gateways in turn. Printed are how many targets ended, and how many
+requests reached targets later than ``STABLE_S`` after the third end: at most three may.
+Then all targets of a service end at one moment while many callers ask for one thing:
+printed is how many of them are served from two seconds after the targets' return on.
 """
 
 import asyncio
--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -51,13 +51,21 @@
         self._suspects.clear(fingerprint)
 
     async def _check(self, fingerprint, target):
+        verdict = "answers"
         try:
             connection = await self._connections.open(
                 target.address, self._clock, fresh=True
             )
         except ConnectError:
+            verdict = "down"
             run = f"{target.target_id}/{target.born_ms}"
             self.take_crash(fingerprint, run)
             self._tell(TargetCrashed(fingerprint, run))
         else:
             connection.abort()
+        log_event(
+            LogEvent.TARGET_CHECKED,
+            fingerprint=fingerprint.hex(),
+            target=target.target_id,
+            verdict=verdict,
+        )
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -129,6 +129,7 @@
             log_event(
                 LogEvent.STAGE_CALL_FAILED,
                 target=call.target.target_id,
+                jobs=list_requests(call),
                 pieces=len(call.pieces),
                 sent=sent,
                 error=repr(error),
@@ -157,7 +158,7 @@
             LogEvent.STAGE_CALL_ANSWERED,
             service=self.service.name,
             target=call.target.target_id,
-            jobs=sorted({piece.job.request_id for piece in call.pieces}),
+            jobs=list_requests(call),
             pieces=len(call.pieces),
             failed=reasons,
             took_s=round(now - call.started_s, 3),
@@ -209,3 +210,8 @@
         now = self._clock()
         for freed in waiting:
             self._carry_out(self.scheduler.note_freed(freed, now))
+
+
+def list_requests(call):
+    """Return the ids (list of str) of the requests whose pieces a call carries."""
+    return sorted({piece.job.request_id for piece in call.pieces})
