--- /dev/null
+++ b/firworks/tests/test_crashing_requests.py
@@ -0,0 +1,182 @@
+"""Requests that end the targets which run them, and harmless ones beside such ends."""
+
+import asyncio
+
+import pytest
+
+from firworks.standins.crashing_targets import (
+    CLOSE,
+    EVENT,
+    FAIL,
+    HEAD,
+    RESET,
+    SILENT,
+    CrashingEngine,
+    CrashingStage,
+    CrashingTarget,
+)
+from firworks.tests.crash_world import PIECES, make_path, run_crash_world
+from firworks.tests.gateway_world import KEY, make_configuration, wait_until
+
+# Ends a wait for something that never happens.
+LIMIT_S = 60.0
+PERIOD_S = 0.05
+REPEATS = 50
+# What is on its way when the third target ends; the platform's rules allow 3 s.
+SETTLE_S = 0.7
+# Requests that may reach targets afterwards, by the platform's rules.
+MOST_LATE = 3
+DEADLY_PATH = "/stock/deadly"
+OTHER_KEY = "other-key"
+
+
+def play(scenario, *args, **traits):
+    """Run ``scenario(world)`` on a site with targets that can end."""
+
+    async def run():
+        async with asyncio.timeout(LIMIT_S):
+            async with run_crash_world(*args, **traits) as world:
+                await scenario(world)
+
+    asyncio.run(run())
+
+
+def count_late(world):
+    """Return how many requests reached targets after the third end had settled."""
+    limit_s = world.ended_s[2] + SETTLE_S
+    return sum(time_s > limit_s for time_s in world.reached_s)
+
+
+async def end_three(world, path=DEADLY_PATH):
+    """Send a request until it has ended three targets and is refused."""
+    while len(world.ended_s) < 3 or world.statuses[-1] != 503:
+        await world.repeat(path, PERIOD_S, len(world.gateways))
+
+
+class TestRequestsThatEndTargets:
+    @pytest.mark.parametrize(
+        ("cls", "traits"),
+        [
+            (CrashingTarget, {"manner": CLOSE, "back_s": 0.2}),
+            (CrashingTarget, {"manner": CLOSE, "back_s": 0.2, "keeps_entry": True}),
+            (CrashingTarget, {"manner": RESET, "back_s": 0.0}),
+            (CrashingTarget, {"manner": RESET, "back_s": 0.0, "keeps_entry": True}),
+            (CrashingTarget, {"manner": FAIL, "back_s": 0.0}),
+            (CrashingTarget, {"manner": HEAD, "back_s": 0.0}),
+            (CrashingTarget, {"manner": SILENT, "back_s": 0.2}),
+            (CrashingEngine, {"manner": EVENT, "back_s": 0.0}),
+            (CrashingEngine, {"manner": CLOSE, "back_s": 0.2}),
+            (CrashingStage, {"manner": CLOSE, "back_s": 0.2}),
+            (CrashingStage, {"manner": RESET, "back_s": 0.0}),
+        ],
+        ids=[
+            "closes",
+            "closes-same-entry",
+            "reset",
+            "reset-same-entry",
+            "some-runs-fail",
+            "head",
+            "silent",
+            "event",
+            "engine-closes",
+            "piece",
+            "piece-reset",
+        ],
+    )
+    def test_a_request_that_ends_targets_is_not_sent_without_end(self, cls, traits):
+        async def scenario(world):
+            path, headers = make_path(cls)
+            await world.repeat(path, PERIOD_S, REPEATS, **headers)
+            assert len(world.ended_s) >= 3
+            assert count_late(world) <= MOST_LATE
+
+        play(scenario, cls, **traits)
+
+    def test_a_caller_with_two_keys_is_one_caller(self):
+        async def scenario(world):
+            account = {"name": "club", "api-keys": [KEY, OTHER_KEY], "priority": 1}
+            table = make_configuration(2, tenants=[account])
+            world.store.put_configuration(table)
+            await wait_until(
+                lambda: all(g.configuration.version == 2 for g in world.gateways)
+            )
+            await end_three(world)
+            before = len(world.reached_s)
+            for gateway in world.gateways:
+                status = await world.ask_quietly(DEADLY_PATH, gateway, key=OTHER_KEY)
+                assert status == 503
+            assert len(world.reached_s) == before
+
+        play(scenario, back_s=0.1)
+
+    def test_a_gateway_that_starts_later_knows_of_it(self):
+        async def scenario(world):
+            await end_three(world)
+            late = await world.add_gateway("gateway-late")
+            await wait_until(lambda: late.roster.count == 4)
+            await asyncio.sleep(SETTLE_S)
+            before = len(world.reached_s)
+            assert await world.ask_quietly(DEADLY_PATH, late) == 503
+            assert len(world.reached_s) == before
+
+        play(scenario, back_s=0.1)
+
+    def test_gateways_that_have_all_restarted_know_of_it(self):
+        async def scenario(world):
+            await end_three(world)
+            await asyncio.sleep(SETTLE_S)
+            for gateway in world.gateways:
+                await gateway.stop()
+            world.gateways.clear()
+            for number in (1, 2):
+                await world.add_gateway(f"gateway-{number}")
+            await asyncio.sleep(SETTLE_S)
+            before = len(world.reached_s)
+            for gateway in world.gateways:
+                assert await world.ask_quietly(DEADLY_PATH, gateway) == 503
+            assert len(world.reached_s) == before
+
+        play(scenario, back_s=0.1)
+
+
+class TestHarmlessRequests:
+    def test_a_hot_request_is_served_again_after_the_end_of_its_service(self):
+        async def scenario(world):
+            asking = asyncio.ensure_future(world.repeat("/stock/hot", 0.02, 200))
+            await wait_until(lambda: len(world.statuses) > 20)
+            for target in world.crashing:
+                target.end(0.3)
+            await asking
+            assert world.statuses[-30:] == [200] * 30
+
+        play(scenario, targets=3, manner=CLOSE, work_s=0.1)
+
+    def test_requests_in_one_call_with_it_are_served(self):
+        async def scenario(world):
+            path, headers = make_path(CrashingStage)
+            deadly = asyncio.ensure_future(world.repeat(path, 0.05, 40, **headers))
+            served = []
+            for number in range(20):
+                gateway = world.gateways[number % 3]
+                harmless = {"X-Piece-Key": f"k{number}", **PIECES}
+                served.append(world.ask_quietly("/advice/b", gateway, **harmless))
+                await asyncio.sleep(0.1)
+            statuses = await asyncio.gather(*served)
+            await deadly
+            assert statuses == [200] * 20
+
+        play(scenario, CrashingStage, manner=RESET, back_s=0.0)
+
+    def test_targets_that_reset_connections_and_live_charge_nobody(self):
+        async def scenario(world):
+            for target in world.crashing:
+                target.fault = "reset"
+            for number in range(6):
+                await world.ask_quietly("/stock/a", world.gateways[number % 3])
+            for target in world.crashing:
+                target.fault = ""
+            await asyncio.sleep(SETTLE_S)
+            for gateway in world.gateways:
+                assert await world.ask_quietly("/stock/a", gateway) == 200
+
+        play(scenario)
