Let gateways that start later, and fleets that restart, know of refused requests

What callers saw: after a restart the same request ended three targets more; with another key of its account, too.

A gateway now tells all that is refused, or nearly so, on each connection that it opens to another; the one that grants trials keeps refused requests under keys of their own in the topic of members, which every gateway lists at its start, so that no further call is made; one that a trial clears within 0.7 s is never written.

--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -5,6 +5,7 @@
 
 from firworks.events import LogEvent, log_event
 from firworks.gateway.checks import RunChecks
+from firworks.gateway.suspicion_keeper import SuspicionKeeper
 from firworks.kernel.forwarding.suspects import Suspects
 from firworks.kernel.forwarding.suspicions import (
     SuspectCleared,
@@ -21,6 +22,9 @@
 ASK_LIMIT_S = 0.25
 # A daemon that did not answer is not asked again for this time.
 SILENT_S = 3.0
+# Requests that are refused are looked through this often. One that a trial clears at
+# once is not written to the store.
+REVIEW_PERIOD_S = 0.7
 
 
 class CrashDesk:
@@ -37,6 +41,8 @@
         self._metrics = gateway.metrics
         self._asked = {}
         self._silent_s = {}
+        self._reviewed_s = float("-inf")
+        self._keeper = SuspicionKeeper(gateway.store)
         self.checks = RunChecks(
             gateway.connections,
             gateway.clock,
@@ -49,7 +55,7 @@
     @property
     def refused(self):
         """How many requests are refused."""
-        return len(self._suspects.refused)
+        return len(self._suspects.list_refused(self._clock()))
 
     def is_refused(self, fingerprint):
         """Return whether a request must not be sent to a target."""
@@ -97,6 +103,36 @@
         if self._suspects.clear(fingerprint):
             self._gateway.tell_peers(SuspectCleared(fingerprint))
 
+    def take_kept(self, value):
+        """Take in what the store keeps of a refused request (KeyedValue)."""
+        suspicion = self._keeper.decode(value)
+        if suspicion is not None:
+            self._suspects.take(suspicion, self._clock())
+
+    def brief(self, peer):
+        """Tell another daemon of all requests that are refused, or nearly so."""
+        now = self._clock()
+        for fingerprint in self._suspects.list_repeated():
+            record = self._suspects.describe(fingerprint, now)
+            self._gateway.pools.peers.send(peer, record)
+
+    def tick(self):
+        """Take in what the store tells of runs; keep what it is to keep."""
+        self.checks.review()
+        now = self._clock()
+        if now - self._reviewed_s < REVIEW_PERIOD_S:
+            return
+        self._reviewed_s = now
+        self._suspects.expire(now)
+        if self._choose_granter() == self._gateway.roster.own.name:
+            refused = self._suspects.list_refused(now - REVIEW_PERIOD_S)
+            self._keeper.update([self._suspects.describe(one, now) for one in refused])
+
+    def close(self):
+        """Give up what is in progress."""
+        self.checks.close()
+        self._keeper.close()
+
     @singledispatchmethod
     def take(self, record, peer):
         """Take in what another daemon tells.
--- a/firworks/gateway/members.py
+++ b/firworks/gateway/members.py
@@ -4,6 +4,7 @@
 
 from firworks.errors import CodecError
 from firworks.events import LogEvent, log_event
+from firworks.gateway.suspicion_keeper import KEY_PREFIX
 from firworks.kernel.codec import decode_record, encode_record
 from firworks.kernel.pools.messages import MemberEntry
 from firworks.platform.store import MEMBERS_TOPIC, StoreError
@@ -21,15 +22,18 @@
         roster (Roster): The members.
         store (StoreClient): The store.
         on_member (callable): ``on_member(name)``, after a member appeared.
+        on_suspicion (callable): ``on_suspicion(value)`` takes the values of refused
+            requests.
 
     Attributes:
         listed (bool): All members have been listed once.
     """
 
-    def __init__(self, roster, store, on_member):
+    def __init__(self, roster, store, on_member, on_suspicion):
         self._roster = roster
         self._store = store
         self._on_member = on_member
+        self._on_suspicion = on_suspicion
         self.listed = False
         self._registering = None
         self._leaving = False
@@ -50,6 +54,9 @@
 
     def take_value(self, value):
         """Take one entry, or that a member has left."""
+        if value.key.startswith(KEY_PREFIX):
+            self._on_suspicion(value)
+            return
         if value.key == self._roster.own.name:
             self._check_own(value)
             return
--- a/firworks/gateway/peers.py
+++ b/firworks/gateway/peers.py
@@ -43,14 +43,19 @@
             sends was lost.
         on_renewed (callable): ``on_renewed(peer)``, after the own connection to a
             member was lost and opened anew.
+        on_connected (callable): ``on_connected(peer)``, after any own connection was
+            opened.
         clock (callable): Returns monotonic seconds.
     """
 
-    def __init__(self, settings, roster, receive, on_lost, on_renewed, clock):
+    def __init__(
+        self, settings, roster, receive, on_lost, on_renewed, on_connected, clock
+    ):
         self._roster = roster
         self._receive = receive
         self._on_lost = on_lost
         self._on_renewed = on_renewed
+        self._on_connected = on_connected
         self._disconnected = set()
         addresses = RosterAddresses(roster)
         context = AdapterContext(
@@ -93,6 +98,8 @@
             self._on_lost(event.peer)
         elif isinstance(event, PeerDisconnected):
             self._disconnected.add(event.peer)
-        elif isinstance(event, PeerConnected) and event.peer in self._disconnected:
-            self._disconnected.discard(event.peer)
-            self._on_renewed(event.peer)
+        elif isinstance(event, PeerConnected):
+            self._on_connected(event.peer)
+            if event.peer in self._disconnected:
+                self._disconnected.discard(event.peer)
+                self._on_renewed(event.peer)
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -137,9 +137,12 @@
             self._receive,
             self.pools.note_link_lost,
             self.pools.sync_jobs,
+            self.crashes.brief,
             self.clock,
         )
-        self._members = MembersListener(self.roster, self.store, self._welcome_member)
+        self._members = MembersListener(
+            self.roster, self.store, self._welcome_member, self.crashes.take_kept
+        )
         self._news, self._readers = self._make_desks()
         self.relay = Relay(self)
         self.callers = CallersServer(self)
@@ -332,7 +335,7 @@
         for task in self._tasks:
             task.cancel()
         self.pools.close()
-        self.crashes.checks.close()
+        self.crashes.close()
         await self.pools.peers.stop()
         await self._readiness.stop()
         await self._metrics_server.stop()
@@ -430,7 +433,7 @@
             self._targets.expire()
             self._check_settings()
             self.pools.tick()
-            self.crashes.checks.review()
+            self.crashes.tick()
             self._news.tick(self.clock())
             self._readers.tick(self.clock())
             if self.ready and not self._was_ready:
--- a/firworks/gateway/tickets.py
+++ b/firworks/gateway/tickets.py
@@ -65,7 +65,9 @@
         self.target_id = ""
         self.stages_s = None
         self.first_s = None
-        self.fingerprint = make_fingerprint(admitted.request, body)
+        account = None if admitted.account is None else admitted.account.name
+        path = admitted.request.target_path
+        self.fingerprint = make_fingerprint(path, account, body)
 
     @property
     def request_id(self):
@@ -83,15 +85,18 @@
         return self.admitted.deadline_s - now
 
 
-def make_fingerprint(request, body):
+def make_fingerprint(target_path, account, body):
     """Return a hash of what a caller's tries of one request have in common.
 
+    A client account may have several keys, and a service several hosts.
+
     Args:
-        request (CallerRequest): The request.
-        body (bytes or None): Its body.
+        target_path (str): Path and query.
+        account (str or None): Name of the client account.
+        body (bytes or None): The body.
     """
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (request.method, request.host, request.target_path, request.key or ""):
+    for part in (target_path, account or ""):
         digest.update(part.encode())
         digest.update(b"\0")
     digest.update(body or b"")
--- a/firworks/kernel/forwarding/suspects.py
+++ b/firworks/kernel/forwarding/suspects.py
@@ -103,10 +103,22 @@
         """How many requests are under suspicion."""
         return len(self._suspects)
 
-    @property
-    def refused(self):
-        """Fingerprints (list of bytes) of the requests that are refused."""
-        return [name for name, one in self._suspects.items() if one.refused]
+    def list_refused(self, until_s):
+        """Return the fingerprints (list of bytes) of requests refused until a time."""
+        return [
+            fingerprint
+            for fingerprint, one in self._suspects.items()
+            if one.refused and one.ends[CRASHES_TO_REFUSE - 1][1] <= until_s
+        ]
+
+    def list_repeated(self):
+        """Return the fingerprints (list of bytes) of those at more than one end."""
+        return [name for name, one in self._suspects.items() if len(one.ends) > 1]
+
+    def expire(self, now):
+        """Forget what was not touched for ``FORGET_AFTER_S``."""
+        for fingerprint in list(self._suspects):
+            self._find(fingerprint, now)
 
     def note_crash(self, fingerprint, run, now):
         """Take in that a target ended under a request.
