Obey targets that say that they leave, or that they want no work for a time

What callers would see: requests sent to a target that is about to stop are cut, and a target that asks for a rest is kept from recovering. Cause: nothing read either header.

The adapter decodes both once. A target that leaves is left by every gateway until it has a new run, whatever its entry says; one that rests gets nothing from the gateway that it told, pieces, releases of results and checks included, and after that one request at a time until it takes one. Engines' schedulers are told by the excluded targets of a job. Where all targets of a service rest, callers are refused at once and told when to return, spread over half a second. Wishes that are no time or over 120 s are bounded and logged.

--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -34,10 +34,18 @@
         find_service (callable): ``find_service(name)`` returns the `Service`, or None.
         on_ended (callable): ``on_ended(run, fingerprints)``, for a run that has ended.
         metrics (GatewayMetrics): Counts the verdicts.
+        standings (Standings): Tells which targets may be asked.
     """
 
     def __init__(
-        self, connections, clock, find_target, find_service, on_ended, metrics
+        self,
+        connections,
+        clock,
+        find_target,
+        find_service,
+        on_ended,
+        metrics,
+        standings,
     ):
         self._connections = connections
         self._clock = clock
@@ -45,6 +53,7 @@
         self._find_service = find_service
         self._on_ended = on_ended
         self._metrics = metrics
+        self._standings = standings
         self._watch = Watch()
         self._running = {}
         self._tasks = set()
@@ -105,6 +114,8 @@
 
     async def _ask(self, target, silent):
         """Ask at a target's address; return the verdict and what it rests on."""
+        if not self._standings.may_send_notes(target):
+            return UNKNOWN, "it wants no work"
         exchange = Exchange(self._connections, target, self._clock)
         try:
             async with asyncio.timeout(ANSWER_LIMIT_S):
@@ -112,6 +123,7 @@
                 await exchange.send(head, method="GET", fresh=True)
                 body = await exchange.read_all()
             exchange.finish()
+            self._standings.note_answer(target, exchange)
         except AttemptError as error:
             exchange.abort()
             refused = error.kind == NOT_RUN and not error.sent
--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -50,6 +50,7 @@
             lambda name: gateway.configuration.services.get(name),
             self._note_ended,
             gateway.metrics,
+            gateway.standings,
         )
 
     @property
--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -106,10 +106,15 @@
             return False
         return self._clock() - self._quiet_since_s >= SILENT_S
 
+    @property
+    def misdirected(self):
+        """Whether another target answers at the address."""
+        return self.status == MISDIRECTED
+
     @property
     def not_run(self):
         """Whether the target states that it did not run the request."""
-        return self.status == MISDIRECTED or NOT_RUN_HEADER in self.headers
+        return self.misdirected or NOT_RUN_HEADER in self.headers
 
     async def read_some(self):
         """Return the next bytes of the body; empty at its end.
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -45,6 +45,9 @@
         self.suspect_trials = self._counter(
             "suspect_trials", "Trials of refused requests, as decided.", ("result",)
         )
+        self.target_rests = self._counter(
+            "target_rests", "Times that a target wanted no work for a while."
+        )
         self.suspended = self._gauge(
             "requests_suspended", "Requests refused, as they have ended targets."
         )
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -65,12 +65,15 @@
         roster (Roster): The members.
         metrics (GatewayMetrics): Counts calls and suspicions.
         crashes (CrashDesk): Finds out which requests end targets.
+        standings (Standings): Tells to which targets work may be sent.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
     """
 
-    def __init__(self, directory, connections, clock, roster, metrics, crashes):
+    def __init__(
+        self, directory, connections, clock, roster, metrics, crashes, standings
+    ):
         self.peers = None
         self._directory = directory
         self._connections = connections
@@ -78,6 +81,7 @@
         self._roster = roster
         self._metrics = metrics
         self._crashes = crashes
+        self._standings = standings
         self._client = PoolClient(roster)
         self._stages = {}
         self._engines = {}
@@ -369,6 +373,7 @@
                 self._deliver,
                 self._metrics,
                 self._crashes,
+                self._standings,
             )
         else:
             runner.scheduler.spec = service.stage_pool
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -26,6 +26,7 @@
 from firworks.gateway.readiness import MetricsServer, ReadinessServer
 from firworks.gateway.relays import Relay
 from firworks.gateway.settings import find_settings_path, load_gateway_settings
+from firworks.gateway.standings import Standings
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.kernel.forwarding.balancer import Balancer
 from firworks.kernel.forwarding.news import AskNews, News
@@ -33,7 +34,7 @@
 from firworks.kernel.forwarding.retry_budget import RetryBudget
 from firworks.kernel.forwarding.standstill import Standstill
 from firworks.kernel.forwarding.suspension import SuspensionDetector
-from firworks.kernel.forwarding.suspicions import SUSPICION_RECORDS
+from firworks.kernel.forwarding.suspicions import SUSPICION_RECORDS, LeavingTold
 from firworks.kernel.pools.messages import (
     MemberEntry,
     MemberLeaving,
@@ -122,6 +123,7 @@
             self.clock, self._apply_targets, self._note_targets
         )
         self.roster = Roster(self._make_entry())
+        self.standings = Standings(self)
         self.crashes = CrashDesk(self)
         self.pools = Pools(
             self.directory,
@@ -130,6 +132,7 @@
             self.roster,
             self.metrics,
             self.crashes,
+            self.standings,
         )
         self.pools.peers = Peers(
             settings,
@@ -272,6 +275,8 @@
         """Take a record from another gateway."""
         if isinstance(record, SUSPICION_RECORDS):
             self.crashes.take(record, peer)
+        elif isinstance(record, LeavingTold):
+            self.standings.take_told(record)
         elif isinstance(record, MemberLeaving):
             self._note_leaving(record)
         elif isinstance(record, AskNews):
@@ -409,6 +414,7 @@
             self._interrupt_followers()
 
     def _apply_targets(self):
+        self.standings.refresh()
         self.pools.refresh()
 
     def _make_entry(self):
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -15,6 +15,7 @@
 from firworks.kernel.forwarding.event_stream import EventSplitter, EventTooLongError
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
+    DEFAULT_RETRY_AFTER_S,
     FAILED,
     INPUTS_GONE,
     NOT_RUN,
@@ -36,6 +37,8 @@
 UNREPEATABLE_IDLE_S = 1.0
 # A larger answer is passed on while it is read.
 BUFFERED_ANSWER_BYTES = 1_048_576
+# Refused callers of one service are told to come back within this time of each other.
+RETURN_SPREAD_S = 0.5
 INPUT_STATUSES = (400, 409)
 
 
@@ -149,10 +152,12 @@
 
     async def _attempt_service(self, ticket):
         balancer = self._gateway.balancer
-        targets = self._gateway.directory.get_usable(ticket.service)
+        standings = self._gateway.standings
+        targets = standings.list_sendable(ticket.service)
         target = balancer.choose(targets, ticket.excluded, self._clock())
         if target is None:
-            raise PoolRefusedError("no target", 0.5)
+            self._check_rests(ticket)
+            raise PoolRefusedError("no target", DEFAULT_RETRY_AFTER_S)
         ticket.excluded.add(target.run)
         balancer.begin(target)
         begun_s, failed = self._clock(), False
@@ -165,7 +170,16 @@
             now = self._clock()
             balancer.end(target, failed, now - begun_s, now)
 
+    def _check_rests(self, ticket):
+        """Refuse a request while no target of its service wants work."""
+        wait_s = self._gateway.standings.get_service_wait_s(ticket.service)
+        if wait_s > 0.0:
+            # Those who are told to come back at one moment would come as a herd.
+            spread_s = self._gateway.rng.uniform(0.0, RETURN_SPREAD_S)
+            raise PoolRefusedError("its targets want no work", wait_s + spread_s)
+
     async def _attempt_engine(self, ticket):
+        self._check_rests(ticket)
         pools = self._gateway.pools
         job = self._make_engine_job(ticket)
         failed = False
@@ -204,11 +218,17 @@
             ticket.admitted.priority,
             self._find_begin_by_s(ticket),
             ticket.admitted.deadline_s,
-            tuple(target_id for target_id, _ in ticket.excluded),
+            self._list_excluded(ticket),
             domains,
             sizes,
         )
 
+    def _list_excluded(self, ticket):
+        """Return the ids of the engines that may not get a request (tuple of str)."""
+        resting = self._gateway.standings.list_resting(ticket.service)
+        runs = {*ticket.excluded, *(target.run for target in resting)}
+        return tuple(target_id for target_id, _ in runs)
+
     def _find_begin_by_s(self, ticket):
         """Return when the next event of a stream must have come."""
         admitted = ticket.admitted
@@ -219,8 +239,11 @@
 
     async def _send(self, ticket, target, note_begun):
         """Send the request to a target and pass its answer on."""
-        if self._gateway.directory.find(target.target_id) is None:
-            raise AttemptError(NOT_RUN, False, f"{target.target_id} is leaving")
+        standings = self._gateway.standings
+        if not standings.may_send(target):
+            detail = f"{target.target_id} leaves or wants no work"
+            raise AttemptError(NOT_RUN, False, detail)
+        standings.note_sent(target)
         ticket.target_id = target.target_id
         head = self._build_head(ticket, target)
         exchange = Exchange(self._gateway.connections, target, self._clock)
@@ -273,6 +296,8 @@
 
     async def _take_answer(self, ticket, exchange, note_begun):
         self._check_identity(ticket, exchange)
+        standings = self._gateway.standings
+        standings.note_answer(exchange.target, exchange, ticket.request_id)
         if exchange.not_run or exchange.status >= 500:
             body = await exchange.read_all()
             exchange.finish()
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -7,7 +7,7 @@
 from firworks.events import LogEvent, log_event
 from firworks.gateway.exchanges import Exchange
 from firworks.gateway.wakeups import WakeUp
-from firworks.kernel.forwarding.outcomes import BROKEN, AttemptError
+from firworks.kernel.forwarding.outcomes import BROKEN, NOT_RUN, AttemptError
 from firworks.kernel.pools.results import FreeResults, InputsRead, JobDone, JobRefused
 from firworks.kernel.pools.stages import StageScheduler
 from firworks.kernel.pools.workers import StageCall
@@ -38,9 +38,12 @@
             `InputsRead`.
         metrics (GatewayMetrics): Counts the calls.
         crashes (CrashDesk): Finds out which requests end targets.
+        standings (Standings): Tells to which targets work may be sent.
     """
 
-    def __init__(self, service, connections, clock, deliver, metrics, crashes):
+    def __init__(
+        self, service, connections, clock, deliver, metrics, crashes, standings
+    ):
         self.service = service
         self.scheduler = StageScheduler(service.stage_pool)
         self._connections = connections
@@ -48,6 +51,7 @@
         self._deliver = deliver
         self._metrics = metrics
         self._crashes = crashes
+        self._standings = standings
         self._tasks = set()
         self._wake_up = WakeUp(clock, self._wake)
         self._to_free = {}
@@ -186,6 +190,7 @@
             "POST", RUN_PATH, target.address, len(body), target.target_id
         )
         exchange = Exchange(self._connections, target, self._clock)
+        self._standings.note_sent(target)
         try:
             await exchange.send(head, body)
             data = await exchange.read_all()
@@ -193,6 +198,10 @@
             exchange.abort()
             raise
         exchange.finish()
+        self._standings.note_answer(target, exchange)
+        rest_s = self._standings.get_wait_s(target)
+        if rest_s:
+            self.scheduler.note_rest(target.run, self._clock() + rest_s)
         if exchange.status == 200:
             return decode_run(data, len(call.pieces))
         if exchange.not_run:
@@ -207,10 +216,13 @@
         head = build_call_head("POST", FREE_PATH, target.address, len(body))
         exchange = Exchange(self._connections, target, self._clock)
         try:
+            if not self._standings.may_send_notes(target):
+                raise AttemptError(NOT_RUN, False, "the target wants no work")
             async with asyncio.timeout(FREE_TIMEOUT_S):
                 await exchange.send(head, body)
                 await exchange.read_all()
             exchange.finish()
+            self._standings.note_answer(target, exchange)
         except (AttemptError, TimeoutError) as error:
             exchange.abort()
             log_event(
--- a/firworks/kernel/forwarding/directory.py
+++ b/firworks/kernel/forwarding/directory.py
@@ -56,6 +56,7 @@
         self.changes = 0
         self._targets = {}
         self._lapsed = {}
+        self._told_leaving = set()
         self._trouble_s = None
         self._returned_s = None
         self._by_service = {}
@@ -64,7 +65,7 @@
     def find(self, target_id):
         """Return the usable `Target` of that name, or None."""
         target = self._targets.get(target_id)
-        return None if target is None or target.leaving else target
+        return target if target is not None and self._is_usable(target) else None
 
     def find_known(self, target_id):
         """Return the known `Target` of that name, a leaving one included, or None."""
@@ -94,6 +95,17 @@
             for target_id in self._lapsed:
                 self._lapsed[target_id] = now + LAPSE_GRACE_S
 
+    def note_leaving(self, run):
+        """Take in that a run has said that it leaves; return whether that is new.
+
+        It ends with the run, whatever the entry says.
+        """
+        if run in self._told_leaving:
+            return False
+        self._told_leaving.add(run)
+        self._rebuild()
+        return True
+
     def put(self, target):
         """Take in a target's entry; return whether anything changed."""
         self._lapsed.pop(target.target_id, None)
@@ -158,10 +170,14 @@
         del self._targets[target_id]
         self._rebuild()
 
+    def _is_usable(self, target):
+        return not target.leaving and target.run not in self._told_leaving
+
     def _rebuild(self):
+        self._told_leaving &= {target.run for target in self._targets.values()}
         by_service = {}
         for target in self._targets.values():
-            if not target.leaving:
+            if self._is_usable(target):
                 by_service.setdefault(target.service, []).append(target)
         self._by_service = {
             name: tuple(sorted(found, key=lambda target: target.target_id))
--- a/firworks/kernel/forwarding/suspicions.py
+++ b/firworks/kernel/forwarding/suspicions.py
@@ -1,9 +1,22 @@
-"""What daemons tell each other of requests that end targets."""
+"""What daemons tell each other of targets: who leaves, and which requests end them."""
 
 from firworks.kernel.codec import register_record
 from firworks.kernel.messages import Record
 
 
+@register_record
+class LeavingTold(Record):
+    """A target has told the sender that it leaves.
+
+    Attributes:
+        target_id (str): The target.
+        born_ms (int): Names its run; see `Target`.
+    """
+
+    __slots__ = ("target_id", "born_ms")
+    TYPES = (str, int)
+
+
 @register_record
 class TargetCrashed(Record):
     """A target's run ended under some requests.
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -185,6 +185,12 @@
             worker.note_no_room(self.spec, now)
         return actions + self.plan(now)
 
+    def note_rest(self, run, until_s):
+        """Take in that a run wants no work until a time."""
+        worker = self._workers.get(run)
+        if worker is not None:
+            worker.note_full(until_s)
+
     def take_full(self, call_id, now):
         """Take in that a target had no room for a call and did not run it."""
         worker, call = self._end_call(call_id, now)
@@ -224,7 +230,7 @@
         """
         workers = self._list_usable(now)
         if not workers:
-            return self.get_nominal_s(job.count)
+            return self._compute_pause_s(now) + self.get_nominal_s(job.count)
         own = self._rank(job, now)
         ahead = job.count + sum(
             len(state.waiting)
@@ -284,6 +290,11 @@
             if run in self._usable and worker.paused_until_s <= now
         ]
 
+    def _compute_pause_s(self, now):
+        """Return the seconds until the first target takes calls again."""
+        pauses_s = [self._workers[run].paused_until_s - now for run in self._usable]
+        return max(0.0, min(pauses_s, default=0.0))
+
     def _rank(self, job, now):
         return rank_job(job, self.get_nominal_s(job.count), now)
 
--- a/firworks/platform/headers.py
+++ b/firworks/platform/headers.py
@@ -1,13 +1,20 @@
 """Reads callers' headers and writes the heads of requests to targets."""
 
+from email.utils import parsedate_to_datetime
+from math import isfinite
+
 from firworks.codes import Code
 from firworks.errors import RequestError
+from firworks.kernel.forwarding.notices import LONGEST_REST_S, NOTHING, Notice
 from firworks.kernel.forwarding.requests import CallerRequest, Prompt
 
 REQUEST_ID = "X-Request-Id"
 STAMP = "X-Server-Stamp"
 NOT_RUN = "X-Not-Run"
 LAST_EVENT_ID = "Last-Event-Id"
+_LEAVING = "Server-Leaving"
+_RETRY_AFTER = "Retry-After"
+BUSY = 503
 
 # Concern one connection only, or are computed anew.
 _PER_CONNECTION = {
@@ -158,6 +165,40 @@
     return None
 
 
+def read_notice(status, headers, unix_s):
+    """Return the `Notice` that an answer of a target holds.
+
+    Args:
+        status (int): Of the answer.
+        headers (mapping): Case-insensitive.
+        unix_s (float): The time of day, for a wish that is written as a date.
+    """
+    leaving = headers.get(_LEAVING, "").strip() == "1"
+    wish = headers.get(_RETRY_AFTER)
+    if wish is None or status != BUSY:
+        return Notice(True, 0.0, "") if leaving else NOTHING
+    rest_s = _read_rest_s(wish.strip(), unix_s)
+    odd = rest_s is None or not 0.0 <= rest_s <= LONGEST_REST_S
+    rest_s = 0.0 if rest_s is None else min(LONGEST_REST_S, max(0.0, rest_s))
+    return Notice(leaving, rest_s, wish if odd else "")
+
+
+def _read_rest_s(wish, unix_s):
+    """Return the seconds that a Retry-After names, or None if it names none."""
+    try:
+        seconds = float(wish)
+    except ValueError:
+        return _read_date_s(wish, unix_s)
+    return seconds if isfinite(seconds) else None
+
+
+def _read_date_s(wish, unix_s):
+    try:
+        return parsedate_to_datetime(wish).timestamp() - unix_s
+    except (ValueError, OverflowError):
+        return None
+
+
 def _list_own(own):
     yield "X-Deadline-Ms", max(1, int(own.left_s * 1000))
     yield "X-Expect-Instance", own.target_id
--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -73,6 +73,8 @@
             "surplus" (bytes behind the answer), "joined" (the same in one write),
             "stray" (a late answer comes before that to the second request), "early",
             "unframed", "torn", "stalled" and the keys of ``ENDLESS``.
+        leaves (bool): All answers say that it is about to stop.
+        wish (str or None): Its Retry-After beside a 503.
         endless_bytes (int): Most that was sent of one answer without an end.
         connections (int): Accepted since the start.
     """
@@ -85,6 +87,8 @@
         self.received = []
         self.runs = []
         self.fault = ""
+        self.leaves = False
+        self.wish = None
         self.connections = 0
         self.open_requests = 0
         self.endless_bytes = 0
@@ -205,6 +209,13 @@
         if self.fault == "surplus":
             writer.write(_SURPLUS)
 
+    def _list_wishes(self, status):
+        """Return what an answer says of the target, as (name, value) pairs."""
+        wishes = [("Server-Leaving", "1")] if self.leaves else []
+        if status == 503 and self.wish is not None:
+            wishes.append(("Retry-After", self.wish))
+        return wishes
+
     def _answer(
         self, writer, headers, status, body, extra=None, cut=False, framed=True
     ):
@@ -212,6 +223,7 @@
         names = {"X-Request-Id": headers.get("x-request-id", "")}
         if status != 503:
             names["X-Server-Stamp"] = STAMP
+        names.update(self._list_wishes(status))
         if framed:
             names["Content-Length"] = str(len(body))
         names.update(extra or {})
@@ -246,6 +258,7 @@
             f"X-Request-Id: {headers.get('x-request-id', '')}",
             f"X-Server-Stamp: {STAMP}",
             "Transfer-Encoding: chunked",
+            *(f"{name}: {value}" for name, value in self._list_wishes(200)),
         ]
         writer.write("\r\n".join(head).encode() + _HEAD_END)
         begin = int(headers.get("last-event-id", 0)) + 1
