Send nothing to failure domains that the operator has emptied

Cause: nothing read op/evacuate. Targets there are now left out where all targets are looked up, for services, engines, pieces, releases of results and checks; readers and news tell of it with the offset of the operator's topic, so that an older word changes nothing; a gateway that starts lists it with the configuration, at no further call.

--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -14,6 +14,7 @@
 from firworks.kernel.codec import decode_record, encode_record
 from firworks.kernel.forwarding.configuration import EngineSpec, StagePoolSpec
 from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.forwarding.evacuations import NOTHING_EVACUATED
 from firworks.kernel.forwarding.news import TargetEntry, digest_targets
 from firworks.kernel.forwarding.readers import StoreFacts
 from firworks.kernel.pools.engines import EngineScheduler
@@ -87,7 +88,18 @@
     changed = (TargetEntry(*targets[0].values()),)
 
     def tell(targets):
-        facts = StoreFacts(1, 1, digest_targets(targets), changed, (), b"", b"", (), ())
+        facts = StoreFacts(
+            1,
+            1,
+            digest_targets(targets),
+            changed,
+            (),
+            b"",
+            b"",
+            (),
+            (),
+            NOTHING_EVACUATED,
+        )
         decode_record(encode_record(facts))
         digest_targets(targets)
 
--- a/firworks/gateway/news.py
+++ b/firworks/gateway/news.py
@@ -54,7 +54,8 @@
         """Ask a daemon for what is not known here."""
         version = self._configurations.holder.version
         digests = (self._targets.digest, self._roster.digest)
-        self.peers.send(name, AskNews(self._roster.own, version, *digests))
+        offset = self._configurations.evacuations.current.offset
+        self.peers.send(name, AskNews(self._roster.own, version, *digests, offset))
 
     def answer(self, record):
         """Tell a daemon (its `AskNews`) what it does not know."""
@@ -65,7 +66,9 @@
         raw = self._configurations.raw_after(record.version)
         known = self._targets.directory.list_all()
         differs = self._targets.digest != record.digest
-        if not raw and not differs and self._roster.digest == record.members:
+        evacuated = self._configurations.evacuations.current
+        same = self._roster.digest == record.members
+        if same and not (raw or differs or evacuated.offset > record.evacuated):
             return
         entries = tuple(TargetEntry(*target.values()) for target in known)
         members = tuple(self._roster.entries.values())
@@ -77,6 +80,7 @@
                 self.targets_follower.offset,
                 entries if differs else (),
                 members,
+                evacuated,
             ),
         )
 
@@ -93,6 +97,7 @@
         self._members.take_told(record.members, left if followed else ())
         if not self.seeker.deprived and not followed:
             return
+        self._configurations.take_evacuated(record.evacuated, peer)
         if record.configuration:
             self._configurations.take_bytes(record.configuration, peer)
         if record.listed and record.offset >= self.targets_follower.offset:
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -117,7 +117,9 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self._configurations = ConfigurationListener(
-            self._apply_configuration, self._note_configurations
+            self._apply_configuration,
+            self._apply_evacuated,
+            self._note_configurations,
         )
         self._targets = TargetsListener(
             self.clock, self._apply_targets, self._note_targets
@@ -313,6 +315,7 @@
         self._readers.configuration_follower = self._follow(
             CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_WAIT_S, 0
         )
+        self._configurations.follower = self._readers.configuration_follower
         self._targets_follower = self._follow(
             TARGETS_TOPIC, self._targets, 0, self._get_targets_pause_s()
         )
@@ -362,6 +365,12 @@
         if not self._news.seeker.deprived:
             self._readers.tell()
 
+    def _apply_evacuated(self, domains):
+        self.directory.set_evacuated(domains)
+        self.pools.refresh()
+        if not self._news.seeker.deprived:
+            self._readers.tell()
+
     def _note_configurations(self, answers):
         self._news.seeker.note_store(CONFIGURATION_TOPIC, answers)
 
--- a/firworks/gateway/readers.py
+++ b/firworks/gateway/readers.py
@@ -98,6 +98,7 @@
         self._targets.take_changes(changed, record.gone)
         self.targets_follower.advance(record.offset)
         self._members.take_told(record.joined, record.left)
+        self._configurations.take_evacuated(record.evacuated, peer)
         if record.configuration:
             self._configurations.take_bytes(record.configuration, peer)
         differs = self._targets.digest != record.digest
@@ -121,6 +122,7 @@
             self._choose_configuration(len(followers)),
             self._roster.digest,
             *self._list_member_changes(),
+            self._configurations.evacuations.current,
         )
         for name in followers:
             self.peers.send(name, facts)
--- a/firworks/gateway/standings.py
+++ b/firworks/gateway/standings.py
@@ -33,7 +33,8 @@
 
     def may_send_notes(self, target):
         """Return whether a target may be told something that is no work."""
-        return self._rests.get_wait_s(target.run, self._clock()) == 0.0
+        rests = self._rests.get_wait_s(target.run, self._clock()) > 0.0
+        return not rests and self._gateway.directory.may_tell(target)
 
     def list_resting(self, service):
         """Return the targets (list) of a service that want no work now."""
--- a/firworks/gateway/state.py
+++ b/firworks/gateway/state.py
@@ -4,35 +4,73 @@
 from firworks.events import LogEvent, log_event
 from firworks.kernel.forwarding.configuration import ConfigurationHolder
 from firworks.kernel.forwarding.directory import TargetDirectory
+from firworks.kernel.forwarding.evacuations import Evacuations
 from firworks.kernel.forwarding.news import digest_targets
 from firworks.platform.configuration import decode_configuration
-from firworks.platform.store import CONFIGURATION_KEY
+from firworks.platform.store import CONFIGURATION_KEY, EVACUATION_PREFIX
 from firworks.platform.targets import decode_target
 
 
 class ConfigurationListener:
-    """Puts configurations from the store in force.
+    """Puts configurations and evacuations from the store in force.
 
     Args:
         on_change (callable): ``on_change(configuration)``, after a new one.
+        on_evacuated (callable): ``on_evacuated(domains)``, after a change of the
+            failure domains that get no work.
         on_store (callable): ``on_store(answers)``, after each call of the store.
+
+    Attributes:
+        evacuations (Evacuations): The failure domains that get no work.
+        follower (TopicFollower or None): Reads the topic; set before it begins.
     """
 
-    def __init__(self, on_change, on_store):
+    def __init__(self, on_change, on_evacuated, on_store):
         self.holder = ConfigurationHolder()
+        self.evacuations = Evacuations()
+        self.follower = None
+        self._on_evacuated = on_evacuated
         self._raw = b""
         self._on_change = on_change
         self._on_store = on_store
 
     def take_listing(self, values):
         """Take the newest values of the topic."""
+        domains = []
         for value in values:
-            self.take_value(value)
+            if not value.key.startswith(EVACUATION_PREFIX):
+                self.take_value(value)
+            elif value.value:
+                domains.append(value.key.removeprefix(EVACUATION_PREFIX))
+        self._note_evacuated(
+            self.evacuations.list_anew(domains, self.follower.offset), "store"
+        )
 
     def take_value(self, value):
         """Take one value; what cannot be read leaves the last one in force."""
         if value.key == CONFIGURATION_KEY:
             self.take_bytes(value.value, "store")
+        elif value.key.startswith(EVACUATION_PREFIX):
+            domain = value.key.removeprefix(EVACUATION_PREFIX)
+            changed = self.evacuations.note(
+                domain, bool(value.value), self.follower.offset
+            )
+            self._note_evacuated(changed, "store")
+
+    def take_evacuated(self, evacuated, source):
+        """Take another daemon's word on evacuations.
+
+        Args:
+            evacuated (Evacuated): What it knows.
+            source (str): Its name, for the log.
+        """
+        self._note_evacuated(self.evacuations.take(evacuated), source)
+
+    def _note_evacuated(self, changed, source):
+        if changed:
+            domains = self.evacuations.current.domains
+            log_event(LogEvent.DOMAINS_EVACUATED, domains=list(domains), source=source)
+            self._on_evacuated(domains)
 
     def take_bytes(self, data, source):
         """Take the record of a configuration.
--- a/firworks/kernel/forwarding/directory.py
+++ b/firworks/kernel/forwarding/directory.py
@@ -57,6 +57,7 @@
         self._targets = {}
         self._lapsed = {}
         self._told_leaving = set()
+        self._evacuated = frozenset()
         self._trouble_s = None
         self._returned_s = None
         self._by_service = {}
@@ -106,6 +107,15 @@
         self._rebuild()
         return True
 
+    def set_evacuated(self, domains):
+        """Take in the failure domains (iterable of str) that get no work."""
+        self._evacuated = frozenset(domains)
+        self._rebuild()
+
+    def may_tell(self, target):
+        """Return whether a known target may get messages that are no work."""
+        return target.failure_domain not in self._evacuated
+
     def put(self, target):
         """Take in a target's entry; return whether anything changed."""
         self._lapsed.pop(target.target_id, None)
@@ -171,7 +181,9 @@
         self._rebuild()
 
     def _is_usable(self, target):
-        return not target.leaving and target.run not in self._told_leaving
+        if target.leaving or target.run in self._told_leaving:
+            return False
+        return target.failure_domain not in self._evacuated
 
     def _rebuild(self):
         self._told_leaving &= {target.run for target in self._targets.values()}
--- a/firworks/kernel/forwarding/news.py
+++ b/firworks/kernel/forwarding/news.py
@@ -9,6 +9,7 @@
 
 from firworks.kernel.codec import register_record
 from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.forwarding.evacuations import Evacuated
 from firworks.kernel.messages import Record
 from firworks.kernel.pools.messages import MemberEntry
 
@@ -36,10 +37,11 @@
         version (int): Of its configuration; -1 without one.
         digest (bytes): Of its targets.
         members (bytes): Digest of its members.
+        evacuated (int): Offset of its word on evacuations.
     """
 
-    __slots__ = ("entry", "version", "digest", "members")
-    TYPES = (MemberEntry, int, bytes, bytes)
+    __slots__ = ("entry", "version", "digest", "members", "evacuated")
+    TYPES = (MemberEntry, int, bytes, bytes, int)
 
 
 @register_record
@@ -52,10 +54,18 @@
         offset (int): The targets' topic has been read up to here.
         targets (tuple of TargetEntry): All targets, if they differ.
         members (tuple of MemberEntry): Daemons that the sender knows.
+        evacuated (Evacuated): Failure domains that get no work.
     """
 
-    __slots__ = ("configuration", "listed", "offset", "targets", "members")
-    TYPES = (bytes, bool, int, (TargetEntry,), (MemberEntry,))
+    __slots__ = (
+        "configuration",
+        "listed",
+        "offset",
+        "targets",
+        "members",
+        "evacuated",
+    )
+    TYPES = (bytes, bool, int, (TargetEntry,), (MemberEntry,), Evacuated)
 
 
 class NewsSeeker:
--- a/firworks/kernel/forwarding/readers.py
+++ b/firworks/kernel/forwarding/readers.py
@@ -11,6 +11,7 @@
 from xxhash import xxh64_intdigest
 
 from firworks.kernel.codec import register_record
+from firworks.kernel.forwarding.evacuations import Evacuated
 from firworks.kernel.forwarding.news import TargetEntry
 from firworks.kernel.messages import Record
 from firworks.kernel.pools.messages import MemberEntry
@@ -61,6 +62,7 @@
         members (bytes): Digest of its members.
         joined (tuple of MemberEntry): Members that are new since its last word.
         left (tuple of str): Names of those that have left since.
+        evacuated (Evacuated): Failure domains that get no work.
     """
 
     __slots__ = (
@@ -73,6 +75,7 @@
         "members",
         "joined",
         "left",
+        "evacuated",
     )
     TYPES = (
         int,
@@ -84,6 +87,7 @@
         bytes,
         (MemberEntry,),
         (str,),
+        Evacuated,
     )
 
 
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -15,6 +15,8 @@
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+# Keys of the operator's topic under which the failure domains stand that get no work.
+EVACUATION_PREFIX = "evacuate/"
 TARGETS_TOPIC = "keyed.servers"
 MEMBERS_TOPIC = "keyed.firworks-members"
 
--- /dev/null
+++ b/firworks/tests/test_evacuations.py
@@ -0,0 +1,151 @@
+"""Failure domains that the operator empties of work and takes back."""
+
+import asyncio
+
+import pytest
+
+from firworks.kernel.forwarding.evacuations import Evacuated, Evacuations
+from firworks.platform.store import CONFIGURATION_TOPIC, EVACUATION_PREFIX
+from firworks.standins.platform_targets import (
+    PlatformEngine,
+    PlatformStage,
+    PlatformTarget,
+)
+from firworks.tests.gateway_world import run_world, wait_until
+
+LIMIT_S = 60.0
+ENGINE_HEADERS = {
+    "X-Model": "m",
+    "X-Token-Counts": "40,20",
+    "X-Prefix-Hash": "a1:30,b2:10",
+}
+PIECE_HEADERS = {"X-Pieces": "2,1", "X-Piece-Key": "k", **ENGINE_HEADERS}
+KINDS = [
+    (PlatformTarget, "loans", "/stock/a", {}),
+    (PlatformEngine, "engines", "/rules/a", ENGINE_HEADERS),
+    (PlatformStage, "repair", "/advice/a", PIECE_HEADERS),
+]
+KEY = EVACUATION_PREFIX + "fd-1"
+
+
+def play(scenario, gateways=2):
+    """Run ``scenario(world)`` on a site with two failure domains."""
+
+    async def run():
+        async with asyncio.timeout(LIMIT_S):
+            async with run_world(gateways) as world:
+                for cls, service, _, _ in KINDS:
+                    await world.add_target(cls, f"{service}-3", service, "fd-2")
+                await wait_until(lambda: all(map(knows_all, world.gateways)))
+                await scenario(world)
+
+    asyncio.run(run())
+
+
+def knows_all(gateway):
+    """Return whether a gateway knows the targets of both failure domains."""
+    return len(gateway.directory.list_all()) == 9
+
+
+def evacuate(world, evacuated=True):
+    """Write the operator's word on the first failure domain."""
+    world.store.put(CONFIGURATION_TOPIC, KEY, b"{}" if evacuated else b"")
+
+
+async def wait_until_known(world, evacuated=True):
+    """Wait until all gateways know the operator's word."""
+    domains = ("fd-1",) if evacuated else ()
+    await wait_until(
+        lambda: all(
+            gateway._configurations.evacuations.current.domains == domains
+            for gateway in world.gateways
+        )
+    )
+
+
+def count_received(world, domain):
+    """Return how many requests the targets of a failure domain have read."""
+    return sum(
+        len(target.received)
+        for target in world.targets.values()
+        if target.failure_domain == domain
+    )
+
+
+class TestEvacuations:
+    def test_a_listing_replaces_and_a_word_adds_or_removes(self):
+        evacuations = Evacuations()
+        assert evacuations.list_anew(["b", "a"], 5)
+        assert evacuations.note("b", False, 6)
+        assert evacuations.note("c", True, 7)
+        assert not evacuations.note("c", True, 8)
+        assert evacuations.current == Evacuated(8, ("a", "c"))
+
+    @pytest.mark.parametrize(("offset", "changes"), [(4, False), (5, True), (6, True)])
+    def test_an_older_word_of_another_daemon_changes_nothing(self, offset, changes):
+        evacuations = Evacuations()
+        evacuations.list_anew(["a"], 5)
+        assert evacuations.take(Evacuated(offset, ())) is changes
+
+
+class TestGateway:
+    @pytest.mark.parametrize(("cls", "service", "path", "headers"), KINDS)
+    def test_nothing_is_sent_to_an_emptied_failure_domain(
+        self, cls, service, path, headers
+    ):
+        async def scenario(world):
+            evacuate(world)
+            await wait_until_known(world)
+            before = count_received(world, "fd-1")
+            for number in range(6):
+                gateway = world.gateways[number % 2]
+                status, _, _ = await world.ask(path, "POST", gateway, **headers)
+                assert status == 200
+            assert count_received(world, "fd-1") == before
+            assert count_received(world, "fd-2") >= 6
+
+        play(scenario)
+
+    def test_it_is_used_again_when_it_is_taken_back(self):
+        async def scenario(world):
+            evacuate(world)
+            await wait_until_known(world)
+            evacuate(world, False)
+            await wait_until_known(world, False)
+            world.targets["loans-3"].fault = "busy"
+            assert (await world.ask("/stock/a"))[0] == 200
+
+        play(scenario)
+
+    def test_gateways_that_start_meanwhile_know_of_it(self):
+        async def scenario(world):
+            evacuate(world)
+            await wait_until_known(world)
+            world.store.trim(CONFIGURATION_TOPIC)
+            late = await world.add_gateway("gateway-late")
+            before = count_received(world, "fd-1")
+            for _ in range(4):
+                assert (await world.ask("/stock/a", gateway=late))[0] == 200
+            assert count_received(world, "fd-1") == before
+
+        play(scenario)
+
+    def test_a_gateway_that_the_store_turns_away_hears_of_it_from_others(self):
+        async def scenario(world):
+            world.store.turned_away.add("gateway-2")
+            evacuate(world)
+            await wait_until_known(world)
+
+        play(scenario)
+
+    def test_a_service_that_is_emptied_everywhere_is_refused(self):
+        async def scenario(world):
+            evacuate(world)
+            world.store.put_target("loans-3", None)
+            await wait_until_known(world)
+            await wait_until(
+                lambda: not world.gateways[0].directory.get_usable("loans")
+            )
+            assert (await world.ask("/stock/a"))[0] == 503
+
+        play(scenario)
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from firworks.gateway import drains, followers
 from firworks.gateway.process import CONFIGURATION_WAIT_S
 from firworks.kernel.forwarding import admission, readers
+from firworks.kernel.forwarding.evacuations import NOTHING_EVACUATED
 from firworks.kernel.forwarding.news import AskNews, TargetEntry
 from firworks.kernel.forwarding.readers import StoreFacts
 from firworks.kernel.pools import clients, stages
@@ -641,7 +642,7 @@
 
             gateway._news.peers = Recorder()
             entry = gateway.roster.own.replace(name="restarted")
-            asked = AskNews(entry, -1, b"", b"")
+            asked = AskNews(entry, -1, b"", b"", 0)
             gateway._standstill._confirmed_s = float("-inf")
             gateway._news.answer(asked)
             assert not sent
@@ -759,7 +760,7 @@
                     sent.append(record)
 
             reader._readers.peers = reader._news.peers = Recorder()
-            asked = AskNews(follower.roster.own, -1, b"", b"")
+            asked = AskNews(follower.roster.own, -1, b"", b"", 0)
             reader._members.listed = False
             reader._readers.tell()
             reader._news.answer(asked)
@@ -814,7 +815,18 @@
             offset = follower._readers.targets_follower.offset
             self.drain_target(world)
             await self.wait_drained([follower])
-            old = StoreFacts(1, offset, b"", (known,), ("loans-2",), b"", b"", (), ())
+            old = StoreFacts(
+                1,
+                offset,
+                b"",
+                (known,),
+                ("loans-2",),
+                b"",
+                b"",
+                (),
+                (),
+                NOTHING_EVACUATED,
+            )
             follower._receive(reader.settings.name, old)
             assert follower.directory.find("loans-1") is None
             assert follower.directory.find("loans-2") is not None
