Play requests that end targets, targets that leave and targets at rest in the soak

Its targets can end now, one or all of a service, in six manners, behind the proxies; one request that ends them is sent every 0.25 s through any gateway.

A fresh connection that a target closes without an answer counts as an end, as a proxy before it may accept.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -12,8 +12,9 @@
 import aiohttp
 import fire
 
-from bench.soak.callers import KINDS, Caller
+from bench.soak.callers import KINDS, Caller, DeadlyCaller
 from bench.soak.faults import FaultPlan
+from bench.soak.notices import check_ends, check_notices
 from bench.soak.promises import check_promises
 from bench.soak.site import run_site
 
@@ -48,8 +49,11 @@
             )
             for number in range(gateways * CALLERS_PER_GATEWAY)
         ]
+        deadly = DeadlyCaller(site, Random(rng.random()))
+        ending = asyncio.ensure_future(deadly.run())
         plan = FaultPlan(site, Random(rng.random()))
         await plan.run(length_s)
+        ending.cancel()
         violations = await check_recovery(site, attempts)
         for caller in callers:
             caller.cancel()
@@ -65,6 +69,9 @@
         runs = [run for run in runs if run.request_id in known or not run.request_id]
         by_name = {gateway.name: gateway for gateway in site.gateways}
         violations += check_promises(attempts, runs, plan, by_name, site)
+        violations += check_ends(deadly.sent, site, plan, by_name)
+        sent = {one.request_id: (one.gateway, one.sent_s) for one in attempts}
+        violations += check_notices(sent, site, plan, by_name)
         counts = collections.Counter(str(a.status or "no answer") for a in attempts)
         return violations, counts
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -4,8 +4,9 @@
 
 import aiohttp
 
+from firworks.standins.crashing_targets import DEADLY
 from firworks.standins.platform_targets import EVENTS, STAMP
-from firworks.tests.gateway_world import HOST
+from firworks.tests.gateway_world import HOST, KEY
 
 DEADLINE_S = 3.0
 # A caller that gets no answer leaves this long after its deadline.
@@ -60,6 +61,55 @@
 )
 
 
+DEADLY_PERIOD_S = 0.25
+
+
+class DeadlyCaller:
+    """Sends one request that ends targets again and again, through any gateway.
+
+    Args:
+        site (Site): Names gateways in rotation.
+        rng (random.Random): Chooses the gateway.
+
+    Attributes:
+        sent (dict of str to (str, float)): Gateway and time of each try, by its id.
+    """
+
+    def __init__(self, site, rng):
+        self.sent = {}
+        self._site = site
+        self._rng = rng
+
+    async def run(self):
+        """Send until cancelled; what comes of it shows at the targets."""
+        tries = set()
+        async with aiohttp.ClientSession() as session:
+            session._retry_connection = False
+            while True:
+                task = asyncio.ensure_future(self._try(session))
+                tries.add(task)
+                task.add_done_callback(tries.discard)
+                await asyncio.sleep(DEADLY_PERIOD_S)
+
+    async def _try(self, session):
+        gateway = self._site.choose_gateway(self._rng)
+        name = f"deadly-{len(self.sent)}"
+        self.sent[name] = (gateway.name, self._site.clock())
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": name,
+            "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "Authorization": f"Bearer {KEY}",
+        }
+        url = f"http://{gateway.get_address('callers')}/stock/{DEADLY.decode()}"
+        try:
+            async with asyncio.timeout(DEADLINE_S + PATIENCE_S):
+                async with session.get(url, headers=headers) as response:
+                    await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return  # the gateway was harmed, or cut an answer off
+
+
 class Attempt:
     """One request as its caller saw it.
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -49,6 +49,9 @@
             (2, self._harm_store),
             (2, self._change_configuration),
             (2, self._replace_target),
+            (2, self._end_targets),
+            (2, self._say_leaving),
+            (2, self._rest_target),
         )
 
     async def run(self, length_s):
@@ -152,6 +155,31 @@
         await asyncio.sleep(LONGEST_S)
         self._site.store.put_target(target.target_id, None)
 
+    async def _end_targets(self):
+        """End one target, or all of a service at one moment."""
+        service, _ = self._rng.choice(SERVICES)
+        serving = [t for t in self._site.list_serving() if t.service == service]
+        some = serving if self._rng.random() < 0.3 else [self._rng.choice(serving)]
+        for target in [one for one in some if not one.down]:
+            target.end()
+        await self._hold("target", f"{len(some)} of {service} ended")
+
+    async def _say_leaving(self):
+        """Let a target say that it leaves; later it ends and starts anew."""
+        target = self._rng.choice(self._site.list_serving())
+        target.leaves = True
+        await self._hold("leaving", target.target_id)
+        if target.leaves and not target.down:
+            target.end()
+
+    async def _rest_target(self):
+        """Let a target want no work for a time."""
+        target = self._rng.choice(self._site.list_serving())
+        target.fault = "busy"
+        target.wish = str(self._rng.choice((1, 2.5, 4)))
+        await self._hold("target", f"{target.target_id} rests", partial(_heal, target))
+
 
 def _heal(target):
     target.fault = ""
+    target.wish = None
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -10,12 +10,13 @@
 
 from bench.soak.gateways import DRAIN_LIMIT_S, GatewayProcess
 from bench.soak.proxies import LoopbackProxy
-from firworks.standins.platform_store import PlatformStore
-from firworks.standins.platform_targets import (
-    PlatformEngine,
-    PlatformStage,
-    PlatformTarget,
+from firworks.standins.crashing_targets import (
+    MANNERS,
+    CrashingEngine,
+    CrashingStage,
+    CrashingTarget,
 )
+from firworks.standins.platform_store import PlatformStore
 from firworks.standins.web import LOOPBACK
 from firworks.tests.gateway_world import KEY, make_configuration
 
@@ -24,15 +25,17 @@
 LEAVE_LIMIT_S = 2.0
 DOMAINS = ("fd-1", "fd-2", "fd-3")
 SERVICES = (
-    ("loans", PlatformTarget),
-    ("engines", PlatformEngine),
-    ("repair", PlatformStage),
+    ("loans", CrashingTarget),
+    ("engines", CrashingEngine),
+    ("repair", CrashingStage),
 )
 TARGETS_PER_SERVICE = 3
 # The platform asks each gateway whether it is ready, and leaves it after two misses.
 READY_PERIOD_S = 1.0
 MISSES = 2
 HEARTBEAT_S = 1.2
+# The entry of a run that ended goes after three heartbeats.
+LAPSE_S = 3.6
 # Below the ports that outgoing connections are given; each soak has some of its own,
 # so that another one does not take the port of a gateway that is down.
 FIRST_PORT = 20_000
@@ -135,11 +138,29 @@
         await proxy.start()
         self.targets[target.target_id] = target
         self.proxies[target.target_id] = proxy
+        target.manner = self._rng.choice(MANNERS)
+        target.back_s = self._rng.choice((0.0, 0.3, 1.0))
+        target.on_run = self._note_run
         # Entries and handles name the proxy.
         target.address = proxy.address
         self.store.put_target(target.target_id, target.make_entry())
         return target
 
+    def _note_run(self, target, before):
+        """Enter a target's new run; the entry of the one that ended lapses."""
+        for known in (self.targets, self.proxies):
+            known[target.target_id] = known.pop(before)
+        self.store.put_target(target.target_id, target.make_entry())
+        if before != target.target_id:
+            loop = asyncio.get_running_loop()
+            loop.call_later(LAPSE_S, self.store.put_target, before, None)
+
+    def list_told(self):
+        """Return id, arrivals and told of all runs of targets (list of tuple)."""
+        targets = self.targets.values()
+        past = [run for target in targets for run in target.past]
+        return past + [(one.target_id, one.arrivals, one.told) for one in targets]
+
     def list_serving(self):
         """Return the targets that do not leave."""
         return [
@@ -213,7 +234,7 @@
         """Let targets write their entries again, as they do to show that they live."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            for target in self.list_serving():
+            for target in [one for one in self.list_serving() if not one.down]:
                 self.store.put_target(target.target_id, target.make_entry())
 
 
--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -126,8 +126,9 @@
             self._standings.note_answer(target, exchange)
         except AttemptError as error:
             exchange.abort()
-            refused = error.kind == NOT_RUN and not error.sent
-            return (ENDED, "no connection") if refused else (UNKNOWN, "no answer")
+            if error.kind == NOT_RUN and not error.sent:
+                return ENDED, "no connection"
+            return UNKNOWN if silent else ENDED, "no answer"
         except TimeoutError:
             exchange.abort()
             return UNKNOWN, "no answer"
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -142,7 +142,7 @@
             self._receive,
             self.pools.note_link_lost,
             self.pools.sync_jobs,
-            self.crashes.brief,
+            self._brief,
             self.clock,
         )
         self._members = MembersListener(
@@ -388,6 +388,11 @@
             self._readers.tell()
         self._news.seeker.note_store(TARGETS_TOPIC, answers)
 
+    def _brief(self, peer):
+        """Tell another gateway what only gateways know, on a new connection."""
+        self.standings.brief(peer)
+        self.crashes.brief(peer)
+
     def _interrupt_followers(self):
         for follower in self._followers:
             follower.interrupt()
--- a/firworks/gateway/standings.py
+++ b/firworks/gateway/standings.py
@@ -100,6 +100,11 @@
             log_event(LogEvent.TARGET_LEAVING, target=record.target_id)
             self._gateway.pools.refresh()
 
+    def brief(self, peer):
+        """Tell another daemon which targets have said that they leave."""
+        for run in self._gateway.directory.list_told_leaving():
+            self._gateway.pools.peers.send(peer, LeavingTold(*run))
+
     def refresh(self):
         """Take in a change of the listed targets."""
         runs = {target.run for target in self._gateway.directory.list_all()}
--- a/firworks/kernel/forwarding/directory.py
+++ b/firworks/kernel/forwarding/directory.py
@@ -107,6 +107,10 @@
         self._rebuild()
         return True
 
+    def list_told_leaving(self):
+        """Return the known runs (list of tuple) that have said that they leave."""
+        return list(self._told_leaving)
+
     def set_evacuated(self, domains):
         """Take in the failure domains (iterable of str) that get no work."""
         self._evacuated = frozenset(domains)
--- a/firworks/standins/crashing_targets.py
+++ b/firworks/standins/crashing_targets.py
@@ -14,6 +14,7 @@
     PlatformStage,
     PlatformTarget,
 )
+from firworks.standins.web import LOOPBACK
 
 DEADLY = b"deadly"
 # How a target ends.
@@ -37,7 +38,11 @@
         work_s (float): Time that other requests take.
         keeps_entry (bool): Each run has the same id and time of start.
         ended_s (list of float): When it ended, by the loop's clock.
-        reached_s (list of float): When a deadly request reached it, likewise.
+        reached (list of (float, str)): When a deadly request reached it, likewise, and
+            its id.
+        down (bool): Its run has ended and the next one has not begun.
+        past (list of (str, list, list)): Id, ``arrivals`` and ``told`` of the runs that
+            have ended.
         on_run (callable): ``on_run(target, before)``, after each new run; ``before``
             is the id (str) of the run that ended.
     """
@@ -51,13 +56,21 @@
     def __init__(self, target_id, service, failure_domain="fd-1"):
         super().__init__(target_id, service, failure_domain)
         self.ended_s = []
-        self.reached_s = []
+        self.reached = []
+        self.past = []
+        self.down = False
         self.on_run = lambda target, before: None
         self._name = target_id
         self._spared = 0
+        self._port = 0
         self._silence = None
         self._tasks = set()
 
+    async def start(self, port=0):
+        """Open the listener."""
+        await super().start(port)
+        self._port = self._server.sockets[0].getsockname()[1]
+
     def make_entry(self, state="ready"):
         """Return its entry in the store (dict)."""
         return {**super().make_entry(state), "born": self.born_ms}
@@ -73,6 +86,7 @@
             back_s (float or None): Time until the next run, if not as usual.
         """
         self.ended_s.append(asyncio.get_running_loop().time())
+        self.down = True
         pause_s = self.back_s if back_s is None else back_s
         if self.manner == SILENT:
             self._silence = asyncio.Event()
@@ -103,7 +117,7 @@
             self._silence.set()
             self._silence = None
         if not self._server.is_serving():
-            await self.start(int(self.address.rpartition(":")[2]))
+            self._server = await asyncio.start_server(self._serve, LOOPBACK, self._port)
         self._begin_run()
 
     def _begin_run(self):
@@ -111,6 +125,9 @@
         if not self.keeps_entry:
             self.born_ms += 1
             self.target_id = f"{self._name}.{self.born_ms}"
+            self.past.append((before, self.arrivals, self.told))
+            self.leaves, self.arrivals, self.told = False, [], []
+        self.down = False
         self.on_run(self, before)
 
     def _break_connections(self):
@@ -130,7 +147,8 @@
             return
         deadly = DEADLY in line.encode() or DEADLY in body
         if deadly:
-            self.reached_s.append(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self.reached.append((now, headers.get("x-request-id", "")))
         expected = headers.get("x-expect-instance")
         if expected not in (None, self.target_id) or not deadly:
             await super()._respond(writer, line, headers, body)
--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -75,6 +75,10 @@
             "unframed", "torn", "stalled" and the keys of ``ENDLESS``.
         leaves (bool): All answers say that it is about to stop.
         wish (str or None): Its Retry-After beside a 503.
+        arrivals (list of (float, str)): When requests arrived for this run, by the
+            loop's clock, with their ids.
+        told (list of (float, str, str, str)): When an answer said something of the
+            target, the id of the request, the name of the header and its value.
         endless_bytes (int): Most that was sent of one answer without an end.
         connections (int): Accepted since the start.
     """
@@ -87,6 +91,8 @@
         self.received = []
         self.runs = []
         self.fault = ""
+        self.arrivals = []
+        self.told = []
         self.leaves = False
         self.wish = None
         self.connections = 0
@@ -156,6 +162,8 @@
         if expected not in (None, self.target_id):
             self._answer(writer, headers, 421, b"", {"X-Instance-Id": self.target_id})
             return
+        request_id = headers.get("x-request-id", "")
+        self.arrivals.append((asyncio.get_running_loop().time(), request_id))
         if line.startswith(f"GET {HEALTH_PATH} "):
             self._answer(writer, headers, 200, b"", {"X-Instance-Id": self.target_id})
             return
@@ -209,11 +217,13 @@
         if self.fault == "surplus":
             writer.write(_SURPLUS)
 
-    def _list_wishes(self, status):
+    def _list_wishes(self, status, request_id):
         """Return what an answer says of the target, as (name, value) pairs."""
         wishes = [("Server-Leaving", "1")] if self.leaves else []
         if status == 503 and self.wish is not None:
             wishes.append(("Retry-After", self.wish))
+        now = asyncio.get_running_loop().time()
+        self.told += [(now, request_id, name, value) for name, value in wishes]
         return wishes
 
     def _answer(
@@ -223,7 +233,7 @@
         names = {"X-Request-Id": headers.get("x-request-id", "")}
         if status != 503:
             names["X-Server-Stamp"] = STAMP
-        names.update(self._list_wishes(status))
+        names.update(self._list_wishes(status, names["X-Request-Id"]))
         if framed:
             names["Content-Length"] = str(len(body))
         names.update(extra or {})
@@ -252,13 +262,14 @@
         The fault "torn" breaks off inside an event, "stalled" goes on with a byte now
         and then that ends none.
         """
+        request_id = headers.get("x-request-id", "")
         head = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
-            f"X-Request-Id: {headers.get('x-request-id', '')}",
+            f"X-Request-Id: {request_id}",
             f"X-Server-Stamp: {STAMP}",
             "Transfer-Encoding: chunked",
-            *(f"{name}: {value}" for name, value in self._list_wishes(200)),
+            *(f"{name}: {value}" for name, value in self._list_wishes(200, request_id)),
         ]
         writer.write("\r\n".join(head).encode() + _HEAD_END)
         begin = int(headers.get("last-event-id", 0)) + 1
--- a/firworks/tests/crash_world.py
+++ b/firworks/tests/crash_world.py
@@ -45,7 +45,7 @@
     @property
     def reached_s(self):
         """When the deadly request reached targets, in order (list of float)."""
-        return sorted(time_s for one in self.crashing for time_s in one.reached_s)
+        return sorted(time_s for one in self.crashing for time_s, _ in one.reached)
 
     async def add_crashing(self, cls, service, count, **traits):
         """Start targets that can end; `traits` are attributes of `Crashing`."""
--- a/firworks/tests/test_soak.py
+++ b/firworks/tests/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
@@ -17,6 +18,7 @@
     TERMINATED,
     GatewayProcess,
 )
+from bench.soak.notices import check_ends, check_notices
 from bench.soak.promises import (
     check_allowed,
     check_answer,
@@ -233,3 +235,64 @@
 
     def test_seeds_that_failed_name_their_cause(self):
         assert all(case["cause"] for case in list_seeds())
+
+
+class TestEnds:
+    """Requests that end targets, as the soak's targets see them."""
+
+    def check(self, tmp_path, reached, events=(), spans=()):
+        gateway = make_gateway(tmp_path, events)
+        site = SimpleNamespace(targets={"a": SimpleNamespace(reached=reached)})
+        plan = FaultPlan(site, Random(1))
+        plan.spans = list(spans)
+        sent = {name: (gateway.name, time_s) for time_s, name in reached}
+        return check_ends(sent, site, plan, {gateway.name: gateway})
+
+    def make_reached(self, late):
+        """Return three ends and some requests that come later."""
+        times = [100.0, 100.1, 100.2, *(110.0 + number for number in range(late))]
+        return [(time_s, f"deadly-{number}") for number, time_s in enumerate(times)]
+
+    def test_three_more_are_allowed(self, tmp_path):
+        assert self.check(tmp_path, self.make_reached(3)) == []
+        assert len(self.check(tmp_path, self.make_reached(4))) == 1
+
+    def test_a_gateway_that_was_disturbed_is_excused(self, tmp_path):
+        reached = self.make_reached(4)
+        assert self.check(tmp_path, reached, [(109.0, KILLED)]) == []
+        span = (108.0, 109.0, "way to store", "gateway-1")
+        assert self.check(tmp_path, reached, spans=[span]) == []
+
+
+class TestNotices:
+    """What targets said of themselves, and what arrived afterwards."""
+
+    def check(self, tmp_path, header, value, arrivals, events=()):
+        gateway = make_gateway(tmp_path, events)
+        told = [(100.0, "first", header, value)]
+        arrivals = [(99.9, "first"), *arrivals]
+        site = SimpleNamespace(list_told=lambda: [("loans-1", arrivals, told)])
+        sent = {name: (gateway.name, time_s) for time_s, name in arrivals}
+        gateways = {gateway.name: gateway}
+        return check_notices(sent, site, FaultPlan(site, Random(1)), gateways)
+
+    @pytest.mark.parametrize(("time_s", "broken"), [(101.9, 0), (102.1, 1)])
+    def test_one_that_leaves_gets_nothing_after_the_limit(
+        self, tmp_path, time_s, broken
+    ):
+        found = self.check(tmp_path, "Server-Leaving", "1", [(time_s, "late")])
+        assert len(found) == broken
+
+    @pytest.mark.parametrize(("count", "broken"), [(2, 0), (3, 1)])
+    def test_one_at_rest_gets_two_at_the_most(self, tmp_path, count, broken):
+        arrivals = [(101.0 + number / 10, f"r{number}") for number in range(count)]
+        assert len(self.check(tmp_path, "Retry-After", "4", arrivals)) == broken
+
+    def test_what_comes_at_once_or_after_the_rest_is_allowed(self, tmp_path):
+        arrivals = [(100.4, "a"), (100.45, "b"), (100.49, "c"), (104.1, "d")]
+        assert self.check(tmp_path, "Retry-After", "4", arrivals) == []
+
+    @pytest.mark.parametrize("event", [PAUSED, STARTED])
+    def test_a_gateway_that_paused_or_restarted_is_excused(self, tmp_path, event):
+        arrivals, events = [(103.0, "late")], [(101.0, event)]
+        assert self.check(tmp_path, "Server-Leaving", "1", arrivals, events) == []
--- a/firworks/tests/test_standings.py
+++ b/firworks/tests/test_standings.py
@@ -166,6 +166,22 @@
 
         play(scenario)
 
+    def test_a_gateway_that_starts_later_is_told(self):
+        async def scenario(world):
+            one, _ = list_targets(world, "loans")
+            one.leaves = True
+            while not one.received:
+                await ask_often(world, "/stock/a", {}, 2)
+            before = len(one.received)
+            late = await world.add_gateway("gateway-late")
+            directory = late.directory
+            await wait_until(lambda: directory.find(one.target_id) is None)
+            for _ in range(4):
+                assert (await world.ask("/stock/a", gateway=late))[0] == 200
+            assert len(one.received) == before
+
+        play(scenario)
+
     def test_another_target_at_its_address_is_not_believed(self):
         async def scenario(world):
             one, other = list_targets(world, "loans")
