Give cold engines no more requests a second than they bear

Nothing read an entry's cold-left-ms or a service's cold-per-s: a scheduler placed all that waited on engines that had just started, as they look best while empty. The rate is kept by the pool's scheduler; two that act at once may each give so much.

--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -47,7 +47,9 @@
 def make_targets(count, service="pool"):
     """Return some targets, spread over three failure domains."""
     return [
-        Target(f"t-{i}", service, f"10.0.0.1:{i + 1}", f"fd-{i % 3}", "v", 4, False, 1)
+        Target(
+            f"t-{i}", service, f"10.0.0.1:{i + 1}", f"fd-{i % 3}", "v", 4, False, 1, 0.0
+        )
         for i in range(count)
     ]
 
@@ -117,7 +119,7 @@
         )
 
     def prepare():
-        scheduler = EngineScheduler(EngineSpec(ENGINE_SLOTS, ENGINE_TOKENS))
+        scheduler = EngineScheduler(EngineSpec(ENGINE_SLOTS, ENGINE_TOKENS, 0))
         scheduler.set_targets(make_targets(count), 0.0)
         for _ in range(count * ENGINE_SLOTS // 2):
             scheduler.submit(make_job(next(numbers)), 0.0)
--- a/firworks/kernel/forwarding/configuration.py
+++ b/firworks/kernel/forwarding/configuration.py
@@ -71,9 +71,10 @@
     Attributes:
         slots (int): Requests that run at once.
         memory_tokens (int): Tokens that fit into its KV cache.
+        cold_per_s (float): Requests a second that it bears while it is cold; 0 for any.
     """
 
-    __slots__ = ("slots", "memory_tokens")
+    __slots__ = ("slots", "memory_tokens", "cold_per_s")
 
 
 class StagePoolSpec(Struct):
--- a/firworks/kernel/forwarding/directory.py
+++ b/firworks/kernel/forwarding/directory.py
@@ -26,6 +26,8 @@
         slots (int): Requests that it runs at once.
         leaving (bool): It is emptied and will stop.
         born_ms (int): Unix time of its start in milliseconds; 0 if unknown.
+        cold_s (float): When its entry was written it was to be slow for so long, and to
+            end under many requests a second.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "slots",
         "leaving",
         "born_ms",
+        "cold_s",
     )
 
     @property
--- a/firworks/kernel/forwarding/news.py
+++ b/firworks/kernel/forwarding/news.py
@@ -25,7 +25,7 @@
     """A target as one daemon tells another; see `Target`."""
 
     __slots__ = Target.__slots__
-    TYPES = (str, str, str, str, str, int, bool, int)
+    TYPES = (str, str, str, str, str, int, bool, int, float)
 
 
 @register_record
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -9,9 +9,13 @@
 Load pattern: schedulers come and go, and a new one does not know what engines have
 read. Prompts that begin with the same part prefer the same engines by rendezvous hash,
 so that it finds most of them where the last one had put them.
+
+Load pattern: engines start, or turn cold, while many requests wait. Empty, they look
+best for all of these, and end under more in a second than they bear. They say for how
+long they are cold; until then they get no more than that.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 from xxhash import xxh64_intdigest
 
@@ -34,6 +38,8 @@
 LONGEST_PAUSE_S = 8.0
 # After its deadline a request is forgotten, if its daemon does not tell of its end.
 EXPIRY_S = 1.0
+# The time over which requests to a cold engine are counted.
+COLD_WINDOW_S = 1.0
 MEGABYTE = 1_000_000
 
 
@@ -62,7 +68,16 @@
 class _Engine:
     """What the scheduler knows of one engine."""
 
-    __slots__ = ("target", "jobs", "unread", "parts", "paused_until_s", "failures")
+    __slots__ = (
+        "target",
+        "jobs",
+        "unread",
+        "parts",
+        "paused_until_s",
+        "failures",
+        "cold_until_s",
+        "placed_s",
+    )
 
     def __init__(self, target):
         self.target = target
@@ -71,6 +86,25 @@
         self.parts = OrderedDict()
         self.paused_until_s = 0.0
         self.failures = 0
+        self.cold_until_s = 0.0
+        # When it got its last requests, while it is cold.
+        self.placed_s = deque()
+
+    def bears_from_s(self, cold_per_s, now):
+        """Return from when it bears another request, while it is cold.
+
+        Args:
+            cold_per_s (float): Requests that it bears in a second; 0 for any.
+            now (float): Monotonic seconds.
+        """
+        if self.cold_until_s <= now or not cold_per_s:
+            self.placed_s.clear()
+            return now
+        while self.placed_s and self.placed_s[0] + COLD_WINDOW_S <= now:
+            self.placed_s.popleft()
+        if len(self.placed_s) < cold_per_s:
+            return now
+        return min(self.cold_until_s, self.placed_s[0] + COLD_WINDOW_S)
 
     @property
     def unread_tokens(self):
@@ -125,6 +159,8 @@
                 del self._engines[run]
         for run, target in known.items():
             engine = self._engines.setdefault(run, _Engine(target))
+            if engine.target != target or engine.cold_until_s == 0.0:
+                engine.cold_until_s = now + target.cold_s
             engine.target = target
         self._usable = tuple(known)
         return self.plan(now)
@@ -200,7 +236,7 @@
                 actions.append(NotPlaced(job))
             elif (engine := self._choose(job, now)) is not None:
                 del self._waiting[job.job_id]
-                actions.append(self._place(job, engine))
+                actions.append(self._place(job, engine, now))
         return actions
 
     def next_due_s(self, now):
@@ -213,6 +249,11 @@
             for engine in self._engines.values()
             if engine.paused_until_s > now
         ]
+        bears_s = [
+            self._engines[run].bears_from_s(self.spec.cold_per_s, now)
+            for run in self._usable
+        ]
+        times += [time_s for time_s in bears_s if time_s > now]
         return min(times)
 
     def _drop_expired(self, now):
@@ -243,9 +284,11 @@
         }
         return min(order, key=costs.get)
 
-    def _place(self, job, engine):
+    def _place(self, job, engine, now):
         cached = engine.count_cached(job)
         engine.add(job, job.tokens_in - cached, self.spec.memory_tokens)
+        if engine.cold_until_s > now:
+            engine.placed_s.append(now)
         self._by_job[job.job_id] = engine
         return Placed(job, engine.target, cached)
 
@@ -254,6 +297,8 @@
             return False
         if len(engine.jobs) >= self.spec.slots:
             return False
+        if engine.bears_from_s(self.spec.cold_per_s, now) > now:
+            return False
         used = engine.used_tokens + job.tokens_in + job.tokens_out
         return not engine.jobs or used <= MEMORY_SHARE * self.spec.memory_tokens
 
--- a/firworks/platform/configuration.py
+++ b/firworks/platform/configuration.py
@@ -77,16 +77,18 @@
         health_path=get_text(row, "health-path"),
         # Counted at one target, over the connections of all daemons.
         max_connections=int(get_number(row, "max-conns", 0)),
-        engine=_decode_engine(get_table(row, "engine")),
+        engine=_decode_engine(
+            get_table(row, "engine"), get_number(row, "cold-per-s", 0)
+        ),
         stage_pool=_decode_stage_pool(get_table(row, "pieces")),
     )
 
 
-def _decode_engine(row):
+def _decode_engine(row, cold_per_s):
     if row is None:
         return None
     slots = int(get_number(row, "slots"))
-    return EngineSpec(slots, int(get_number(row, "kv-capacity")))
+    return EngineSpec(slots, int(get_number(row, "kv-capacity")), cold_per_s)
 
 
 def _decode_stage_pool(row):
--- a/firworks/platform/targets.py
+++ b/firworks/platform/targets.py
@@ -41,6 +41,7 @@
         slots=max(1, int(slots)),
         leaving=state == "draining",
         born_ms=born,
+        cold_s=max(0.0, get_number(table, "cold-left-ms", 0) / 1000),
     )
 
 
--- a/firworks/tests/pool_world.py
+++ b/firworks/tests/pool_world.py
@@ -192,7 +192,9 @@
         self._lacking = set()
         for name, spec in pools.items():
             entries = [
-                Target(f"{name}-{i}", name, f"{name}-{i}", f"fd-{i}", "", 1, False, 0)
+                Target(
+                    f"{name}-{i}", name, f"{name}-{i}", f"fd-{i}", "", 1, False, 0, 0.0
+                )
                 for i in range(target_count)
             ]
             for entry in entries:
--- a/firworks/tests/test_answer_streams.py
+++ b/firworks/tests/test_answer_streams.py
@@ -46,7 +46,7 @@
         self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
         port = self._server.sockets[0].getsockname()[1]
         self.target = Target(
-            "t", "loans", f"{LOOPBACK}:{port}", "fd-1", "", 1, False, 0
+            "t", "loans", f"{LOOPBACK}:{port}", "fd-1", "", 1, False, 0, 0.0
         )
 
     def stop(self):
--- a/firworks/tests/test_forwarding.py
+++ b/firworks/tests/test_forwarding.py
@@ -44,7 +44,7 @@
 def make_target(target_id, service="loans", domain="fd-1", leaving=False):
     """Return a `Target`."""
     address = f"10.0.0.{sum(target_id.encode()) % 250}:80"
-    return Target(target_id, service, address, domain, "v1", 4, leaving, 0)
+    return Target(target_id, service, address, domain, "v1", 4, leaving, 0, 0.0)
 
 
 def make_request(path, host=HOST, key=KEY, patience_s=None, request_id="r"):
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -59,7 +59,9 @@
 def make_targets(count, service="repair"):
     """Return targets, each in a failure domain of its own."""
     return [
-        Target(f"{service}-{i}", service, f"10.0.0.{i}:80", f"fd-{i}", "", 1, False, 0)
+        Target(
+            f"{service}-{i}", service, f"10.0.0.{i}:80", f"fd-{i}", "", 1, False, 0, 0.0
+        )
         for i in range(count)
     ]
 
@@ -575,6 +577,10 @@
         assert self.mean(self.play(bursts=(), prepare=prepare)) > 0.7
 
 
+# Requests a second that a cold engine bears.
+COLD_PER_S = 16
+
+
 def make_engine_job(name, parts=(), tokens_in=1000, **changes):
     """Return an `EngineJob`."""
     ids = tuple(part for part, _ in parts)
@@ -585,7 +591,7 @@
 
 def make_engines(count=3, slots=4, memory_tokens=100_000):
     """Return an `EngineScheduler` with targets."""
-    scheduler = EngineScheduler(EngineSpec(slots, memory_tokens))
+    scheduler = EngineScheduler(EngineSpec(slots, memory_tokens, COLD_PER_S))
     scheduler.set_targets(make_targets(count, "engine"), 0.0)
     return scheduler
 
@@ -976,6 +982,42 @@
         assert PING_LIMIT_S > 0
 
 
+class TestColdEngines:
+    """Engines that have just started, or turned cold, while many requests wait."""
+
+    def place(self, cold_s, length_s=1.0, period_s=0.02):
+        """Return how many requests an engine gets that end as soon as they begin."""
+        scheduler = make_engines(1, 500, 10**9)
+        cold = make_targets(1, "engine")[0].replace(cold_s=cold_s)
+        scheduler.set_targets([cold], 0.0)
+        placed, now, number = [], 0.0, 0
+        while now < length_s:
+            number += 1
+            job = make_engine_job(f"r{number}", deadline_s=60.0, begin_by_s=50.0)
+            placed += pick(scheduler.submit(job, now), Placed)
+            now += period_s
+        return len(placed)
+
+    def test_a_cold_engine_gets_no_more_than_it_bears(self):
+        assert self.place(cold_s=3.0) == COLD_PER_S
+
+    def test_a_warm_engine_gets_all(self):
+        assert self.place(cold_s=0.0) > 2 * COLD_PER_S
+
+    def test_the_limit_ends_with_the_time_that_the_engine_told(self):
+        assert self.place(cold_s=0.5) > COLD_PER_S
+
+    def test_a_request_that_waits_is_placed_when_the_engine_bears_it(self):
+        scheduler = make_engines(count=1, slots=500, memory_tokens=10**9)
+        cold = make_targets(1, "engine")[0].replace(cold_s=3.0)
+        scheduler.set_targets([cold], 0.0)
+        for number in range(COLD_PER_S + 1):
+            job = make_engine_job(f"r{number}", deadline_s=60.0, begin_by_s=50.0)
+            scheduler.submit(job, 0.0)
+        assert scheduler.next_due_s(0.0) == pytest.approx(1.0)
+        assert len(pick(scheduler.plan(1.0), Placed)) == 1
+
+
 class TestLonePieces:
     """A piece ends the targets that make it, and others are in its calls."""
 
--- a/firworks/tests/test_suspicions.py
+++ b/firworks/tests/test_suspicions.py
@@ -30,7 +30,9 @@
 
 def make_target(born_ms=7, leaving=False, target_id="loans-1"):
     """Return a `Target`."""
-    return Target(target_id, "loans", "10.0.0.1:80", "fd-1", "v1", 4, leaving, born_ms)
+    return Target(
+        target_id, "loans", "10.0.0.1:80", "fd-1", "v1", 4, leaving, born_ms, 0.0
+    )
 
 
 def make_refused(now=0.0):
