Keep a target's word that it leaves when it comes before or outlives its entry

A gateway that starts is told of it before it has listed the targets, and forgot it then, as the word was dropped with every run that was not listed; likewise when an entry lapsed and came back. Found by reading; the test failed before. At most 1,024 runs are kept.

--- a/firworks/kernel/forwarding/directory.py
+++ b/firworks/kernel/forwarding/directory.py
@@ -12,6 +12,8 @@
 LAPSE_GRACE_S = 2.3
 # An outage can end entries that expired just before it was noticed.
 OUTAGE_MEMORY_S = 4.0
+# Runs kept that have said that they leave; they may be told before their entries.
+TOLD_LIMIT = 1_024
 
 
 class Target(Struct):
@@ -59,7 +61,8 @@
         self.changes = 0
         self._targets = {}
         self._lapsed = {}
-        self._told_leaving = set()
+        # Insertion order tells which is the oldest.
+        self._told_leaving = {}
         self._evacuated = frozenset()
         self._trouble_s = None
         self._returned_s = None
@@ -106,12 +109,14 @@
         """
         if run in self._told_leaving:
             return False
-        self._told_leaving.add(run)
+        self._told_leaving[run] = True
+        if len(self._told_leaving) > TOLD_LIMIT:
+            del self._told_leaving[next(iter(self._told_leaving))]
         self._rebuild()
         return True
 
     def list_told_leaving(self):
-        """Return the known runs (list of tuple) that have said that they leave."""
+        """Return the runs (list of tuple) that have said that they leave."""
         return list(self._told_leaving)
 
     def set_evacuated(self, domains):
@@ -193,7 +198,6 @@
         return target.failure_domain not in self._evacuated
 
     def _rebuild(self):
-        self._told_leaving &= {target.run for target in self._targets.values()}
         by_service = {}
         for target in self._targets.values():
             if self._is_usable(target):
--- a/firworks/tests/test_forwarding.py
+++ b/firworks/tests/test_forwarding.py
@@ -158,6 +158,19 @@
 
 
 class TestDirectory:
+    def test_a_run_that_said_that_it_leaves_is_left_before_and_after_its_entry(self):
+        directory = TargetDirectory()
+        target = make_target("a")
+        assert directory.note_leaving(target.run)
+        assert not directory.note_leaving(target.run)
+        directory.put(target)
+        assert directory.find("a") is None
+        directory.remove("a", 1.0)
+        directory.put(target)
+        assert directory.get_usable("loans") == ()
+        directory.put(target.replace(born_ms=9))
+        assert directory.find("a").born_ms == 9
+
     def test_a_leaving_target_is_not_usable(self):
         directory = TargetDirectory()
         directory.put(make_target("a"))
