Wake a scheduler for what became due between its decision and its timer

What callers saw: a request whose second stage waited for a free target was refused four seconds later, at its deadline, though nothing else was in progress. Cause: a scheduler decides at one reading of the clock and asks for its next wake-up at a later one; a time between the two was neither acted upon nor set, and the job slept until another event. Times are now compared with the moment of the last decision, so that one which has passed is due at once. Two tests on a virtual clock failed before.

test_a_job_in_progress_past_its_deadline_asks_for_no_wake_up asked for a due time before the decision of that moment, which may now lie in the past; it asks after the decision, at each step, and still guards against a wake-up that repeats without end.

--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -150,6 +150,7 @@
         self._usable = ()
         self._by_job = {}
         self._waiting = {}
+        self._planned_s = float("inf")
 
     def set_targets(self, targets, now):
         """Take in the usable targets of the pool."""
@@ -225,6 +226,7 @@
 
     def plan(self, now):
         """Place the requests that wait, the most urgent first."""
+        self._planned_s = now
         self._drop_expired(now)
         actions = []
         order = sorted(
@@ -240,7 +242,11 @@
         return actions
 
     def next_due_s(self, now):
-        """Return when `plan` should be called again, or None."""
+        """Return when `plan` should be called again, or None.
+
+        What became due since `plan` looked is due at once.
+        """
+        now = min(now, self._planned_s)
         if not self._waiting:
             return None
         times = [job.begin_by_s for job in self._waiting.values()]
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -69,6 +69,7 @@
         self._next_call = 0
         self._last_call_s = float("-inf")
         self._reviewed_s = float("-inf")
+        self._planned_s = float("inf")
 
     @property
     def spec(self):
@@ -241,6 +242,7 @@
 
     def plan(self, now):
         """Return the calls to send now, and the jobs that are past saving."""
+        self._planned_s = now
         self._drop_expired(now)
         actions = [*self._drop_lost(now), *self._drop_hopeless(now)]
         actions += self._list_read(now)
@@ -251,7 +253,11 @@
         return actions
 
     def next_due_s(self, now):
-        """Return when `plan` should be called again, or None."""
+        """Return when `plan` should be called again, or None.
+
+        What became due since `plan` looked is due at once.
+        """
+        now = min(now, self._planned_s)
         reads = [
             call.begun_s + FETCH_S
             for call in self._list_unread()
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -179,9 +179,9 @@
         scheduler.submit(make_job("b", 8, 60.0, 60.0), 0.0)
         for step in range(1, 40):
             now = step * 0.1
+            scheduler.plan(now)
             due_s = scheduler.next_due_s(now)
             assert due_s is None or due_s > now
-            scheduler.plan(now)
 
     def test_results_that_expired_take_up_no_room(self):
         scheduler = make_scheduler(spec=SPEC.replace(memory_bytes=4_000))
@@ -1048,3 +1048,27 @@
     def test_pieces_of_a_suspended_request_are_not_sent_again(self):
         done, sent = self.play(is_suspended=lambda fingerprint: True)
         assert sent == 1
+
+
+class TestDueTimes:
+    """A pool has little traffic, and time passes between a decision and its timer."""
+
+    def test_a_job_that_became_due_meanwhile_is_not_forgotten(self):
+        scheduler = make_scheduler(targets=2)
+        (call,) = pick(scheduler.submit(make_job("a"), 0.0), StageCall)
+        scheduler.take_answer(call.call_id, make_results(call), 0.001)
+        # The calls are spaced, so that this job waits though its target is free.
+        assert not pick(scheduler.submit(make_job("b"), 0.002), StageCall)
+        due_s = scheduler.next_due_s(0.002)
+        late_s = due_s + 0.001
+        assert scheduler.next_due_s(late_s) == due_s
+        assert pick(scheduler.plan(late_s), StageCall)
+
+    def test_a_request_whose_engine_became_due_meanwhile_is_not_forgotten(self):
+        scheduler = make_engines(count=1)
+        (placed,) = scheduler.submit(make_engine_job("a"), 0.0)
+        scheduler.end("a", True, 0.0)
+        assert not scheduler.submit(make_engine_job("b"), 0.1)
+        due_s = scheduler.next_due_s(0.1)
+        assert scheduler.next_due_s(due_s + 0.001) == due_s
+        assert pick(scheduler.plan(due_s + 0.001), Placed)
