Divide the settings file from the gateway's process, and the choice of pieces from their scheduler

Both modules had grown past one job. Behaviour stays; tests that named the parts that moved name them where they are now.

--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import gc
-import os
 import signal
 import sys
 import time
 import uuid
 from random import Random
 
-from firworks.errors import FirworksError, SettingsError
+from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event
 from firworks.gateway.answers import SERVER_NAME
 from firworks.gateway.callers import CallersServer
@@ -26,6 +25,7 @@
 from firworks.gateway.readiness import MetricsServer, ReadinessServer
 from firworks.gateway.relays import Relay
 from firworks.gateway.settings import find_settings_path, load_gateway_settings
+from firworks.gateway.settings_file import SettingsFile, apply_reloaded, read_stamp
 from firworks.gateway.standings import Standings
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.kernel.forwarding.balancer import Balancer
@@ -70,18 +70,6 @@
 # the store has been renewed.
 CATCH_UP_POLL_S = 0.005
 
-# Settings that apply without a restart; the others are bound at the start.
-RELOADED = (
-    "drain_limit_s",
-    "leave_limit_ms",
-    "retry_ratio",
-    "retry_slack",
-    "retry_window_s",
-    "seeds",
-)
-# The settings file may change without a signal; its time stamp is read this often.
-SETTINGS_CHECK_S = 1.0
-
 
 class Gateway:
     """One gateway; several may share a loop in tests.
@@ -102,9 +90,7 @@
 
     def __init__(self, settings, output=None, path=None, stamp=None):
         self.settings = settings
-        self._path = path
-        self._stamp = stamp
-        self._stamp_read_s = 0.0
+        self._file = SettingsFile(path, stamp)
         self.metrics = GatewayMetrics()
         self._output = output
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:8]}"
@@ -217,21 +203,10 @@
 
     def reload(self):
         """Read the settings file again; one that is not valid changes nothing."""
-        if self._path is None:
-            return
-        self._stamp = read_stamp(self._path)
-        try:
-            settings = load_gateway_settings(self._path)
-        except SettingsError as error:
-            log_event(LogEvent.SETTINGS_REFUSED, error=str(error))
+        settings = self._file.read()
+        if settings is None:
             return
-        changed = [
-            name
-            for name in RELOADED
-            if getattr(settings, name) != getattr(self.settings, name)
-        ]
-        for name in changed:
-            setattr(self.settings, name, getattr(settings, name))
+        changed = apply_reloaded(self.settings, settings)
         self.retry_budget.configure(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
@@ -242,11 +217,8 @@
         log_event(LogEvent.SETTINGS_RELOADED, changed=changed)
 
     def _check_settings(self):
-        now = self.clock()
-        if now - self._stamp_read_s >= SETTINGS_CHECK_S:
-            self._stamp_read_s = now
-            if read_stamp(self._path) != self._stamp:
-                self.reload()
+        if self._file.has_changed(self.clock()):
+            self.reload()
 
     def update_metrics(self):
         """Set the gauges of the gateway's state."""
@@ -462,14 +434,6 @@
             await asyncio.sleep(TICK_S)
 
 
-def read_stamp(path):
-    """Return the time stamp of a file, or None when there is none."""
-    try:
-        return None if path is None else os.stat(path).st_mtime_ns
-    except OSError:
-        return None
-
-
 async def run_gateway(settings, output=None, path=None, stamp=None):
     """Run a gateway until a signal has drained it.
 
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -5,13 +5,10 @@
 batches of all daemons. A batch is closed as late as possible, when a target is about
 to become free, so that the most urgent pieces go first and late arrivals still ride
 along. Work whose request can no longer be answered is dropped and not begun.
-
-Load pattern: a piece ends the target that makes it, and is sent again with the others
-of its call. Pieces that two calls have lost go with those of their own job alone.
 """
 
+from firworks.kernel.pools.batches import MAX_TRIES, choose_pieces
 from firworks.kernel.pools.holdings import Holdings, JobState
-from firworks.kernel.pools.nearness import awaits_nearer
 from firworks.kernel.pools.ordering import rank_job
 from firworks.kernel.pools.results import (
     REASON_ERROR,
@@ -38,10 +35,6 @@
 # divided by the number of targets, after one another: begun together they would end
 # together, and all that arrives meanwhile would wait for them.
 SPACING = 1.3
-# Tries of one piece, the first included.
-MAX_TRIES = 3
-# From this try on, a call carries the pieces of one job alone.
-LONE_TRY = MAX_TRIES
 # A target fetches the inputs of a call, some megabytes, when it begins it. They take up
 # room at their makers until then.
 FETCH_S = 0.08
@@ -345,28 +338,8 @@
         return sorted(ready, key=lambda worker: (ends[worker], worker.target.target_id))
 
     def _choose_pieces(self, worker, now):
-        """Return the pieces of the next call; a job is divided only if it must be."""
-        room = worker.count_room(self.spec, now)
-        usable = self._list_usable(now)
-        pieces = []
-        for state in self._list_waiting(now):
-            alone = any(1 + piece.tries >= LONE_TRY for piece in state.waiting)
-            if alone and pieces:
-                continue
-            size = max(1, state.job.result_bytes)
-            space = min(self.spec.batch - len(pieces), room // size)
-            wanted = len(state.waiting)
-            nominal_s = self.get_nominal_s(state.job.count)
-            if awaits_nearer(state.job, worker, usable, nominal_s, now):
-                continue
-            if wanted > space and not (wanted > self.spec.batch and not pieces):
-                continue
-            taken = state.waiting[: max(0, space)]
-            pieces += taken
-            room -= size * len(taken)
-            if len(pieces) == self.spec.batch or (alone and pieces):
-                break
-        return pieces
+        waiting, usable = self._list_waiting(now), self._list_usable(now)
+        return choose_pieces(self.spec, waiting, worker, usable, now)
 
     def _make_call(self, worker, pieces, now):
         for piece in pieces:
--- a/firworks/tests/gateway_world.py
+++ b/firworks/tests/gateway_world.py
@@ -20,6 +20,8 @@
 HOST = "desk.example"
 PATIENCE_MS = 5_000
 POLL_S = 0.01
+# Ends a wait for something that never happens.
+LIMIT_S = 60.0
 
 
 def make_route(name, service, kind="idempotent", **more):
@@ -183,3 +185,14 @@
     """Wait until a condition holds; the test's own limit ends a wait in vain."""
     while not condition():
         await asyncio.sleep(POLL_S)
+
+
+def play(scenario, gateways=1):
+    """Run ``scenario(world)`` on a site."""
+
+    async def run():
+        async with asyncio.timeout(LIMIT_S):
+            async with run_world(gateways) as world:
+                await scenario(world)
+
+    asyncio.run(run())
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -24,26 +24,13 @@
     KEY,
     make_configuration,
     make_route,
-    run_world,
+    play,
     wait_until,
 )
 
-# Ends a wait for something that never happens.
-LIMIT_S = 60.0
 PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
 
 
-def play(scenario, gateways=1):
-    """Run ``scenario(world)`` on a site."""
-
-    async def run():
-        async with asyncio.timeout(LIMIT_S):
-            async with run_world(gateways) as world:
-                await scenario(world)
-
-    asyncio.run(run())
-
-
 def list_requests(world, service):
     """Return the (line, headers, body) that targets of a service have read."""
     return [
--- a/firworks/tests/test_gateway_settings.py
+++ b/firworks/tests/test_gateway_settings.py
@@ -13,12 +13,13 @@
 import pytest
 
 from firworks.errors import SettingsError
-from firworks.gateway.process import Gateway, read_stamp
+from firworks.gateway.process import Gateway
 from firworks.gateway.settings import (
     PATH_VARIABLE,
     find_settings_path,
     load_gateway_settings,
 )
+from firworks.gateway.settings_file import read_stamp
 
 GOOD = """
 name = "front-1"
@@ -117,7 +118,7 @@
             gateway = self.make_gateway(path)
             path.write_text(GOOD + "leave_limit_ms = 3000\n")
             os.utime(path, ns=(1, 1))
-            gateway = Gateway(gateway.settings, None, str(path), gateway._stamp)
+            gateway = Gateway(gateway.settings, None, str(path), gateway._file.stamp)
             gateway._check_settings()
             assert gateway.settings.leave_limit_ms == 3000
 
--- a/firworks/tests/test_standings.py
+++ b/firworks/tests/test_standings.py
@@ -6,9 +6,8 @@
 
 from firworks.kernel.forwarding.notices import LONGEST_REST_S, PROBE_S, Rests
 from firworks.platform.headers import read_notice
-from firworks.tests.gateway_world import run_world, wait_until
+from firworks.tests.gateway_world import play, wait_until
 
-LIMIT_S = 60.0
 NOW_UNIX_S = 1_700_000_000.0
 RUN = ("loans-1", 0)
 ENGINE_HEADERS = {
@@ -24,17 +23,6 @@
 ]
 
 
-def play(scenario, gateways=1):
-    """Run ``scenario(world)`` on a site."""
-
-    async def run():
-        async with asyncio.timeout(LIMIT_S):
-            async with run_world(gateways) as world:
-                await scenario(world)
-
-    asyncio.run(run())
-
-
 def list_targets(world, service):
     """Return the targets of a service."""
     return [one for one in world.targets.values() if one.service == service]
