Keep a target's rest when its entry lapses and comes back

Only a new run ends a rest, and a new run has another name. Rests were dropped with each run that was not listed, as in an outage of the store. Found by reading; the test of the rests asks for it now. Rests that were over ten seconds ago are forgotten.

--- a/firworks/gateway/standings.py
+++ b/firworks/gateway/standings.py
@@ -108,7 +108,7 @@
     def refresh(self):
         """Take in a change of the listed targets."""
         runs = {target.run for target in self._gateway.directory.list_all()}
-        self._rests.keep(runs)
+        self._rests.expire(self._clock())
         self._odd &= runs
 
     def _note_leaving(self, target, request_id):
--- a/firworks/kernel/forwarding/notices.py
+++ b/firworks/kernel/forwarding/notices.py
@@ -14,6 +14,8 @@
 LONGEST_REST_S = 120.0
 # After a rest, a request that is not answered holds others up for this time.
 PROBE_S = 1.0
+# A run to which nothing was sent for this time after its rest is forgotten.
+FORGET_AFTER_S = 10.0
 
 
 class Notice(Struct):
@@ -84,7 +86,8 @@
             return 0.0
         return max(0.0, rest.until_s - now, rest.probed_s + PROBE_S - now)
 
-    def keep(self, runs):
-        """Forget all runs but these: a new run wants nothing yet."""
-        for run in [run for run in self._rests if run not in runs]:
-            del self._rests[run]
+    def expire(self, now):
+        """Forget runs whose rest was over long ago; a new run has none."""
+        for run, rest in list(self._rests.items()):
+            if rest.until_s + FORGET_AFTER_S <= now:
+                del self._rests[run]
--- a/firworks/tests/test_standings.py
+++ b/firworks/tests/test_standings.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from firworks.kernel.forwarding.notices import LONGEST_REST_S, PROBE_S, Rests
+from firworks.kernel.forwarding.notices import (
+    FORGET_AFTER_S,
+    LONGEST_REST_S,
+    PROBE_S,
+    Rests,
+)
 from firworks.platform.headers import read_notice
 from firworks.tests.gateway_world import play, wait_until
 
@@ -112,10 +117,13 @@
         rests.note_taken(RUN, now)
         assert rests.get_wait_s(RUN, now) == 0.0
 
-    def test_a_new_run_ends_it(self):
+    def test_a_new_run_ends_it_and_nothing_else_does(self):
         rests = Rests()
-        rests.note(RUN, 4.0, 10.0)
-        rests.keep({("loans-1", 1)})
+        rests.note(RUN, 30.0, 10.0)
+        rests.expire(30.0)
+        assert rests.get_wait_s(("loans-1", 1), 30.0) == 0.0
+        assert rests.get_wait_s(RUN, 30.0) == 10.0
+        rests.expire(40.0 + FORGET_AFTER_S)
         assert not rests.any
 
 
