--- a/firworks/gateway/standings.py
+++ b/firworks/gateway/standings.py
@@ -55,6 +55,8 @@
 
         Without any target, 0 too: nobody can say when there will be one.
         """
+        if not self._rests.any:
+            return 0.0
         usable = self._gateway.directory.get_usable(service)
         return min((self.get_wait_s(target) for target in usable), default=0.0)
 
