--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -75,6 +75,7 @@
             "unframed", "torn", "stalled" and the keys of ``ENDLESS``.
         leaves (bool): All answers say that it is about to stop.
         wish (str or None): Its Retry-After beside a 503.
+        limit (str or None): Its Server-Limit in all answers.
         arrivals (list of (float, str)): When requests arrived for this run, by the
             loop's clock, with their ids.
         told (list of (float, str, str, str)): When an answer said something of the
@@ -95,6 +96,7 @@
         self.told = []
         self.leaves = False
         self.wish = None
+        self.limit = None
         self.connections = 0
         self.open_requests = 0
         self.endless_bytes = 0
@@ -222,6 +224,8 @@
         wishes = [("Server-Leaving", "1")] if self.leaves else []
         if status == 503 and self.wish is not None:
             wishes.append(("Retry-After", self.wish))
+        if self.limit is not None:
+            wishes.append(("Server-Limit", self.limit))
         now = asyncio.get_running_loop().time()
         self.told += [(now, request_id, name, value) for name, value in wishes]
         return wishes
