Keep the limits that targets name, with permits for the whole fleet

Callers saw nothing; a target that named Server-Limit: 1 got up to 236 requests in 4 s where the platform's rule allows 11.

Cause: the header was read nowhere, so no gateway knew of a limit, and whether work may be sent to a target was decided by each gateway for itself.

Each request to a limited target now needs a permit from the coordinator of its service, one gateway that all follow: attempts, retries, resumed streams, calls of stages, releases of results and probes. A coordinator that less than half of the members follow grants their share only, so that gateways which disagree stay below one and a half times the limit. Free targets take the rest; if there are none, the most urgent requests get the permits and those that would get theirs too late are rejected at once, with a time of their own to return.

--- a/firworks/gateway/availability.py
+++ b/firworks/gateway/availability.py
@@ -5,7 +5,7 @@
 from firworks.events import LogEvent, log_event
 from firworks.kernel.forwarding.notices import TargetBackoffs
 from firworks.kernel.forwarding.suspicions import LeavingTold
-from firworks.platform.headers import read_notice
+from firworks.platform.headers import read_notice, read_rate_notice
 
 
 class TargetAvailability:
@@ -85,14 +85,14 @@
         """
         if exchange.misdirected:
             return  # The response came from another target at the same address.
-        notice = read_notice(exchange.status, exchange.headers, time.time())
-        if notice.unusual_value and target.incarnation not in self._logged_unusual:
-            self._logged_unusual.add(target.incarnation)
-            log_event(
-                LogEvent.TARGET_WISH_ODD,
-                target=target.target_id,
-                value=notice.unusual_value,
+        rate_notice = read_rate_notice(exchange.headers)
+        self._log_unusual(target, "limit", rate_notice.unusual_value)
+        if rate_notice.readable:
+            self._gateway.limits.record_response(
+                target, rate_notice.rate_per_s, exchange.sent_s, request_id
             )
+        notice = read_notice(exchange.status, exchange.headers, time.time())
+        self._log_unusual(target, "backoff", notice.unusual_value)
         if notice.leaving:
             self._mark_leaving(target, request_id)
         now = self._clock()
@@ -129,7 +129,19 @@
             target.incarnation for target in self._gateway.directory.list_all()
         }
         self._backoffs.expire(self._clock())
-        self._logged_unusual &= incarnations
+        self._gateway.limits.retain(incarnations)
+        self._logged_unusual = {
+            one for one in self._logged_unusual if one[0] in incarnations
+        }
+
+    def _log_unusual(self, target, kind, value):
+        """Log a value that was not applied as sent, once for each incarnation."""
+        if not value or (target.incarnation, kind) in self._logged_unusual:
+            return
+        self._logged_unusual.add((target.incarnation, kind))
+        log_event(
+            LogEvent.TARGET_WISH_ODD, target=target.target_id, kind=kind, value=value
+        )
 
     def _mark_leaving(self, target, request_id):
         if not self._gateway.directory.mark_leaving(target.incarnation):
--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -36,7 +36,8 @@
         find_service (callable): ``find_service(name)`` returns the `Service`, or None.
         on_ended (callable): Called with (incarnation, fingerprints) when it ended.
         metrics (GatewayMetrics): Counts the verdicts of checks.
-        availability (Standings): Tells which targets may be probed.
+        availability (TargetAvailability): Tells which targets may be probed.
+        limits (TargetLimits): Grants permits for probes of limited targets.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         on_ended,
         metrics,
         availability,
+        limits,
     ):
         self._connections = connections
         self._clock = clock
@@ -56,6 +58,7 @@
         self._on_ended = on_ended
         self._metrics = metrics
         self._availability = availability
+        self._limits = limits
         self._unresolved = UnresolvedIncarnations()
         self._in_progress = {}
         self._tasks = set()
@@ -120,14 +123,11 @@
         """Query the process at a target's address; return the verdict and evidence."""
         if not self._availability.may_send_control(target):
             return UNKNOWN, "target backs off or leaves"
+        if not await self._limits.acquire_control(target, PROBE_TIMEOUT_S):
+            return UNKNOWN, "target accepts no more requests"
         exchange = Exchange(self._connections, target, self._clock)
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                head = self._build_probe_head(target)
-                await exchange.send(head, method="GET", fresh=True)
-                body = await exchange.read_all()
-            exchange.finish()
-            self._availability.record_response(target, exchange)
+            body = await self._query(target, exchange)
         except AttemptError as error:
             exchange.abort()
             if error.kind == NOT_RUN and not error.sent:
@@ -143,6 +143,32 @@
             identity = decode_identity(exchange.status, exchange.headers, b"{}")
         return classify_identity(target, identity, silent), "identity"
 
+    async def probe(self, target):
+        """Ask a target for a response, for what its headers say; ignore failures."""
+        exchange = Exchange(self._connections, target, self._clock)
+        try:
+            await self._query(target, exchange)
+        except (AttemptError, TimeoutError) as error:
+            exchange.abort()
+            log_event(
+                LogEvent.TARGET_CHECKED,
+                target=target.target_id,
+                born_ms=target.born_ms,
+                verdict=UNKNOWN,
+                evidence=repr(error),
+                fingerprints=[],
+            )
+
+    async def _query(self, target, exchange):
+        """Send a probe and return the body (bytes) of the response."""
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            head = self._build_probe_head(target)
+            await exchange.send(head, method="GET", fresh=True)
+            self._availability.record_response(target, exchange)
+            body = await exchange.read_all()
+        exchange.finish()
+        return body
+
     def _build_probe_head(self, target):
         service = self._find_service(target.service)
         plain = service is None or not (service.engine or service.stage_pool)
--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -15,13 +15,12 @@
     TrialAsked,
     TrialReturned,
 )
+from firworks.kernel.pools.selection import MemberSelector
 
 # Ranking key: the first responsive member in the rank of this key grants trials.
 TRIALS = "trials"
 # A round trip between gateways takes a few milliseconds, some tens under load.
 TRIAL_REQUEST_TIMEOUT_S = 0.25
-# A gateway that did not reply is not asked again for this time.
-GRANTER_RETRY_S = 3.0
 # Quarantined requests are written to the store at this interval, so that one which a
 # trial clears at once is not written.
 REVIEW_PERIOD_S = 0.7
@@ -40,7 +39,7 @@
         self._clock = gateway.clock
         self._metrics = gateway.metrics
         self._pending_trials = {}
-        self._unresponsive_since_s = {}
+        self._granters = MemberSelector(gateway.roster)
         self._reviewed_s = float("-inf")
         self._suspicion_store = SuspicionStore(gateway.store)
         self.checks = LivenessChecker(
@@ -51,6 +50,7 @@
             self._record_ended,
             gateway.metrics,
             gateway.availability,
+            gateway.limits,
         )
 
     @property
@@ -189,15 +189,7 @@
 
     def _choose_granter(self):
         """Return the name of the gateway that grants trials now."""
-        roster, now = self._gateway.roster, self._clock()
-        for name in roster.rank(TRIALS):
-            unresponsive = (
-                self._unresponsive_since_s.get(name, float("-inf"))
-                > now - GRANTER_RETRY_S
-            )
-            if not (unresponsive or roster.is_suspected(name)):
-                return name
-        return roster.own.name
+        return self._granters.choose(TRIALS, self._clock())
 
     def _grant(self, fingerprint, peer):
         """Return whether a trial is granted; a granted one is broadcast."""
@@ -217,7 +209,7 @@
             async with asyncio.timeout(TRIAL_REQUEST_TIMEOUT_S):
                 return await pending
         except TimeoutError:
-            self._unresponsive_since_s[granter] = self._clock()
+            self._granters.mark_unresponsive(granter, self._clock())
             return False
         finally:
             del self._pending_trials[fingerprint]
--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -11,14 +11,21 @@
         service (Service): The service of the pool.
         clock (callable): Returns monotonic seconds.
         deliver (callable): ``deliver(result)`` receives each `Placed` and `NotPlaced`.
+        limits (TargetLimits): Permits for engines that name a limit.
     """
 
-    def __init__(self, service, clock, deliver):
-        self.scheduler = EngineScheduler(service.engine)
+    def __init__(self, service, clock, deliver, limits):
+        self.scheduler = EngineScheduler(service.engine, limits.limiter)
+        self._service = service
+        self._limits = limits
         self._clock = clock
         self._deliver = deliver
         self._timer = RestartableTimer(clock, self._run_scheduler)
 
+    def plan(self):
+        """Place the requests that can be placed now."""
+        self._run_scheduler()
+
     def set_targets(self, targets):
         """Replace the usable targets (iterable of Target)."""
         self._deliver_all(self.scheduler.set_targets(targets, self._clock()))
@@ -50,6 +57,8 @@
     def _deliver_all(self, results):
         for result in results:
             self._deliver(result)
+        if self._limits.active and self.scheduler.waiting:
+            self._limits.prefetch(self._service.name, self.scheduler.targets)
         self._timer.set(self.scheduler.next_due_s(self._clock()))
 
     def _run_scheduler(self):
--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -31,6 +31,7 @@
         reason (str): Reason phrase of the response.
         headers (CIMultiDictProxy): Headers of the response; None before.
         raw_headers (tuple of (bytes, bytes)): Headers as received.
+        sent_s (float): When the request was sent, in monotonic seconds; 0 before.
     """
 
     def __init__(self, connections, target, clock):
@@ -39,6 +40,7 @@
         self.reason = ""
         self.headers = None
         self.raw_headers = ()
+        self.sent_s = 0.0
         self._connections = connections
         self._clock = clock
         self._connection = None
@@ -66,7 +68,7 @@
         except ConnectError as error:
             raise AttemptError(NOT_RUN, False, str(error)) from error
         self._connection.send(head, body, method == "HEAD")
-        self._last_progress_s = self._clock()
+        self.sent_s = self._last_progress_s = self._clock()
         await self._read_head()
 
     async def skip_response(self):
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -48,6 +48,20 @@
         self.target_rests = self._counter(
             "target_rests", "Times that a target wanted no work for a while."
         )
+        self.requests_limited = self._counter(
+            "requests_limited",
+            "Requests that limits of targets affected.",
+            ("outcome",),
+        )
+        self.permits = self._counter(
+            "permits", "Permits that this gateway asked for, by result.", ("result",)
+        )
+        self.limited_targets = self._gauge(
+            "limited_targets", "Targets that name a limit of requests per second."
+        )
+        self.permits_waiting = self._gauge(
+            "permits_waiting", "Requests of all gateways that wait here for a permit."
+        )
         self.suspended = self._gauge(
             "requests_suspended", "Requests refused, as they have ended targets."
         )
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -37,9 +37,6 @@
 from firworks.kernel.pools.owners import JobOwners
 from firworks.kernel.pools.results import InputsRead, JobDone, JobRefused
 
-# Retry-After for callers when no engine had capacity before their deadline.
-ENGINE_RETRY_AFTER_S = 1.0
-
 
 class PoolRefusedError(Exception):
     """A pool rejected a job.
@@ -68,14 +65,23 @@
         roster (Roster): Gateways in the cluster.
         metrics (GatewayMetrics): Counts calls and suspicions.
         crashes (CrashDesk): Tracks requests that crash targets.
-        availability (Standings): Tells which targets accept work.
+        availability (TargetAvailability): Tells which targets accept work.
+        limits (TargetLimits): Permits for targets that name a limit.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
     """
 
     def __init__(
-        self, directory, connections, clock, roster, metrics, crashes, availability
+        self,
+        directory,
+        connections,
+        clock,
+        roster,
+        metrics,
+        crashes,
+        availability,
+        limits,
     ):
         self.peers = None
         self._directory = directory
@@ -85,6 +91,7 @@
         self._metrics = metrics
         self._crashes = crashes
         self._availability = availability
+        self._limits = limits
         self._client = PoolClient(roster)
         self._stages = {}
         self._engines = {}
@@ -123,6 +130,12 @@
         for name, runner in [*self._stages.items(), *self._engines.items()]:
             runner.set_targets(self._directory.get_usable(name))
 
+    def plan(self, service):
+        """Let the scheduler of a service decide again, as permits have changed."""
+        runner = self._stages.get(service) or self._engines.get(service)
+        if runner is not None:
+            runner.plan()
+
     def note_suspended(self, suspended_s):
         """Extend time-outs after this process was suspended for some seconds."""
         self._client.note_suspended(suspended_s)
@@ -364,7 +377,9 @@
     def _configure_engines(self, name, service):
         runner = self._engines.get(name)
         if runner is None:
-            self._engines[name] = EnginePoolRunner(service, self._clock, self._deliver)
+            self._engines[name] = EnginePoolRunner(
+                service, self._clock, self._deliver, self._limits
+            )
         else:
             runner.scheduler.spec = service.engine
 
@@ -379,6 +394,7 @@
                 self._metrics,
                 self._crashes,
                 self._availability,
+                self._limits,
             )
         else:
             runner.scheduler.spec = service.stage_pool
@@ -423,4 +439,4 @@
 
 @make_reply.register
 def _(result: NotPlaced):
-    return RequestRefused(result.job.job_id, ENGINE_RETRY_AFTER_S)
+    return RequestRefused(result.job.job_id, result.retry_after_s)
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -17,6 +17,7 @@
 from firworks.gateway.crashes import CrashTracker
 from firworks.gateway.drains import drain
 from firworks.gateway.followers import TopicFollower
+from firworks.gateway.limits import TargetLimits
 from firworks.gateway.members import MembersListener
 from firworks.gateway.metrics import GatewayMetrics
 from firworks.gateway.peers import PeerConnections
@@ -40,6 +41,7 @@
     MemberLeaving,
 )
 from firworks.kernel.pools.roster import Roster
+from firworks.kernel.target_limits.messages import LIMIT_RECORDS
 from firworks.log_output import BoundedOutput
 from firworks.platform.stages import get_handle_address
 from firworks.platform.store import (
@@ -88,6 +90,7 @@
         retry_budget (RetryBudget): Limits retries.
         crashes (CrashTracker): Quarantines requests that crash targets.
         availability (TargetAvailability): Whether targets accept work now.
+        limits (TargetLimits): Permits for targets that name a limit of requests.
     """
 
     def __init__(self, settings, output=None, path=None, mtime_ns=None):
@@ -113,6 +116,7 @@
             self.clock, self._apply_targets, self._on_targets_store_status
         )
         self.roster = Roster(self._make_entry())
+        self.limits = TargetLimits(self)
         self.availability = TargetAvailability(self)
         self.crashes = CrashTracker(self)
         self.pools = Pools(
@@ -123,6 +127,7 @@
             self.metrics,
             self.crashes,
             self.availability,
+            self.limits,
         )
         self.pools.peers = PeerConnections(
             settings,
@@ -240,6 +245,8 @@
         metrics.in_progress.set(self.callers.in_progress)
         metrics.suspended.set(self.crashes.quarantined_count)
         metrics.queued.set(self.pools.queued_pieces)
+        metrics.limited_targets.set(self.limits.limiter.limits.count)
+        metrics.permits_waiting.set(self.limits.limiter.coordinator.waiting_count)
         metrics.ready.set(int(self.ready))
         metrics.version.set(self._configurations.holder.version)
         dropped = 0 if self._output is None else self._output.dropped
@@ -259,6 +266,8 @@
         """Dispatch a record from another gateway."""
         if isinstance(record, SUSPICION_RECORDS):
             self.crashes.receive(record, peer)
+        elif isinstance(record, LIMIT_RECORDS):
+            self.limits.receive(peer, record)
         elif isinstance(record, LeavingTold):
             self.availability.apply_peer_report(record)
         elif isinstance(record, MemberLeaving):
@@ -328,6 +337,7 @@
             task.cancel()
         self.pools.close()
         self.crashes.close()
+        self.limits.close()
         await self.pools.peers.stop()
         await self._readiness.stop()
         await self._metrics_server.stop()
@@ -377,6 +387,7 @@
     def _send_state_to_peer(self, peer):
         """Send a newly connected peer the state that the store does not list."""
         self.availability.send_leaving_targets(peer)
+        self.limits.send_limits(peer)
         self.crashes.send_suspicions(peer)
 
     def _interrupt_followers(self):
@@ -446,6 +457,7 @@
             self._check_settings()
             self.pools.tick()
             self.crashes.tick()
+            self.limits.tick()
             self._state_exchange.tick(self.clock())
             self._replicator.tick(self.clock())
             if self.ready and not self._was_ready:
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -10,6 +10,7 @@
     make_forwarded_response,
 )
 from firworks.gateway.exchanges import Exchange
+from firworks.gateway.limits import DELAYED, MOVED, REFUSED, PermitDeniedError
 from firworks.gateway.pools import PoolRefusedError
 from firworks.gateway.stage_runs import StageRun
 from firworks.kernel.forwarding.admission import (
@@ -22,11 +23,16 @@
     DEFAULT_RETRY_AFTER_S,
     FAILED,
     INPUTS_GONE,
+    MIN_RETRY_TIME_S,
     NOT_RUN,
     AttemptError,
 )
 from firworks.kernel.pools.jobs import EngineJob
-from firworks.kernel.pools.results import REASON_GONE, REASON_SUSPENDED
+from firworks.kernel.pools.results import (
+    REASON_GONE,
+    REASON_LIMITED,
+    REASON_SUSPENDED,
+)
 from firworks.platform.headers import (
     REQUEST_ID,
     STAMP,
@@ -39,6 +45,8 @@
 # The target may have closed connections that idled longer, so that a request sent on
 # them fails after it was sent; non-repeatable requests do not use them.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
+# Shorter delays of requests by limits of targets are not logged.
+MIN_LOGGED_DELAY_S = 0.05
 # Larger responses are forwarded while they are read.
 MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
 # Random addition to Retry-After, so that rejected callers do not retry all at once.
@@ -162,12 +170,7 @@
 
     async def _attempt_service(self, context):
         balancer = self._gateway.balancer
-        availability = self._gateway.availability
-        targets = availability.list_available(context.service)
-        target = balancer.choose(targets, context.excluded, self._clock())
-        if target is None:
-            self._check_backoffs(context)
-            raise PoolRefusedError("no target", DEFAULT_RETRY_AFTER_S)
+        target = await self._choose_target(context)
         context.excluded.add(target.incarnation)
         balancer.begin(target)
         started_s, failed = self._clock(), False
@@ -180,6 +183,57 @@
             now = self._clock()
             balancer.end(target, failed, now - started_s, now)
 
+    async def _choose_target(self, context):
+        """Return the target of a request, with a permit if it is limited.
+
+        Raises:
+            PoolRefusedError: When there is no target, or none accepts it in time.
+        """
+        limits, balancer = self._gateway.limits, self._gateway.balancer
+        available = self._gateway.availability.list_available(context.service)
+        targets = [one for one in available if one.incarnation not in context.excluded]
+        preferred = balancer.choose(targets, (), self._clock())
+        if preferred is None:
+            self._check_backoffs(context)
+            raise PoolRefusedError("no target", DEFAULT_RETRY_AFTER_S)
+        limited = limits.list_limited(targets)
+        if not limited:
+            return preferred
+        if len(limited) == len(targets):
+            return await self._acquire_target(context, limited)
+        target = preferred
+        if not limits.may_send(target):
+            permitted = [one for one in targets if limits.may_send(one)]
+            target = balancer.choose(permitted, (), self._clock())
+            limits.prefetch(context.service, limited)
+            limits.log_request(context, MOVED, 0.0)
+        limits.take(target)
+        return target
+
+    async def _acquire_target(self, context, targets):
+        """Wait for a permit for one of some limited targets, and return that target."""
+        started_s = self._clock()
+        latency_s = self._gateway.balancer.get_latency_s(targets)
+        latest_start_s = context.admitted.deadline_s - max(latency_s, MIN_RETRY_TIME_S)
+        try:
+            target = await self._gateway.limits.acquire(
+                context.service, targets, context.admitted.priority, latest_start_s
+            )
+        except PermitDeniedError as error:
+            waited_s = self._clock() - started_s
+            self._gateway.limits.log_request(context, REFUSED, waited_s)
+            raise PoolRefusedError(REASON_LIMITED, error.retry_after_s) from error
+        self._log_delay(context, started_s)
+        return target
+
+    def _log_delay(self, context, started_s):
+        """Log that a request waited while targets of its service were limited."""
+        waited_s = self._clock() - started_s
+        if self._gateway.limits.active and waited_s >= MIN_LOGGED_DELAY_S:
+            available = self._gateway.availability.list_available(context.service)
+            if self._gateway.limits.list_limited(available):
+                self._gateway.limits.log_request(context, DELAYED, waited_s)
+
     def _check_backoffs(self, context):
         """Raise `PoolRefusedError` if all targets of the service back off."""
         wait_s = self._gateway.availability.get_service_backoff_s(context.service)
@@ -200,7 +254,9 @@
                 context.stages.free()
 
         try:
-            target_id = await pools.place_request(context.service, job)
+            started_s = self._clock()
+            target_id = await self._place_request(context, job)
+            self._log_delay(context, started_s)
             target = self._gateway.directory.find(target_id)
             if target is None:
                 context.excluded.add((target_id, 0))
@@ -213,6 +269,17 @@
         finally:
             pools.end_request(job.job_id, failed)
 
+    async def _place_request(self, context, job):
+        """Have a request placed on an engine; return the id (str) of the engine."""
+        limits, started_s = self._gateway.limits, self._clock()
+        try:
+            return await self._gateway.pools.place_request(context.service, job)
+        except PoolRefusedError:
+            available = self._gateway.availability.list_available(context.service)
+            if limits.list_limited(available):
+                limits.log_request(context, REFUSED, self._clock() - started_s)
+            raise
+
     def _make_engine_job(self, context):
         prompt = context.admitted.request.prompt
         parts = () if prompt is None else prompt.parts
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -24,6 +24,8 @@
 FREE_TIMEOUT_S = 1.0
 # Results released within this time are freed by one call.
 FREE_DELAY_S = 0.05
+# Interval of attempts to free results of a target that accepts no more requests now.
+LIMITED_FREE_RETRY_S = 0.2
 
 
 class StagePoolRunner:
@@ -37,14 +39,24 @@
             and `InputsRead`.
         metrics (GatewayMetrics): Counts the calls.
         crashes (CrashDesk): Tracks requests that crash targets.
-        availability (Standings): Tells which targets accept work.
+        availability (TargetAvailability): Tells which targets accept work.
+        limits (TargetLimits): Permits for targets that name a limit.
     """
 
     def __init__(
-        self, service, connections, clock, deliver, metrics, crashes, availability
+        self,
+        service,
+        connections,
+        clock,
+        deliver,
+        metrics,
+        crashes,
+        availability,
+        limits,
     ):
         self.service = service
-        self.scheduler = StageScheduler(service.stage_pool)
+        self.scheduler = StageScheduler(service.stage_pool, limits.limiter)
+        self._limits = limits
         self._connections = connections
         self._clock = clock
         self._deliver = deliver
@@ -59,6 +71,10 @@
         """Replace the usable targets (iterable of Target)."""
         self._execute_all(self.scheduler.set_targets(targets, self._clock()))
 
+    def plan(self):
+        """Send the calls that can be sent now."""
+        self._run_scheduler()
+
     def submit(self, job):
         """Submit a `PieceJob`."""
         self._execute_all(self.scheduler.submit(job, self._clock()))
@@ -86,6 +102,8 @@
     def _execute_all(self, actions):
         for action in actions:
             self._execute(action)
+        if self._limits.active and self.scheduler.queued_pieces:
+            self._limits.prefetch(self.service.name, self.scheduler.targets)
         self._timer.set(self.scheduler.next_due_s(self._clock()))
 
     def _run_scheduler(self):
@@ -110,14 +128,23 @@
         key = action.target.incarnation
         pending = self._pending_frees.setdefault(key, [])
         if not pending:
-            loop = asyncio.get_running_loop()
-            loop.call_later(FREE_DELAY_S, self._start_free, key)
+            due_s = self._clock() + self.service.stage_pool.result_ttl_s
+            self._schedule_free(FREE_DELAY_S, key, due_s)
         pending.append(action)
 
-    def _start_free(self, key):
-        pending = self._pending_frees.pop(key, ())
-        if pending:
-            self._spawn(self._free(pending))
+    def _schedule_free(self, delay_s, key, due_s):
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._start_free, key, due_s)
+
+    def _start_free(self, key, expired_s):
+        """Free results, once a limited target accepts a request, until they expire."""
+        pending = self._pending_frees[key]
+        permitted = self._limits.take(pending[0].target)
+        if not permitted and self._clock() < expired_s:
+            self._schedule_free(LIMITED_FREE_RETRY_S, key, expired_s)
+            return
+        del self._pending_frees[key]
+        self._spawn(self._free(pending, permitted))
 
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
@@ -192,12 +219,12 @@
         self._availability.record_request(target)
         try:
             await exchange.send(head, body)
+            self._availability.record_response(target, exchange)
             data = await exchange.read_all()
         except TimeoutError:
             exchange.abort()
             raise
         exchange.finish()
-        self._availability.record_response(target, exchange)
         backoff_s = self._availability.get_wait_s(target)
         if backoff_s:
             self.scheduler.pause_target(target.incarnation, self._clock() + backoff_s)
@@ -207,21 +234,28 @@
             return None
         raise AttemptError(BROKEN, True, f"status {exchange.status}")
 
-    async def _free(self, pending):
-        """Ask a target to free results (list of FreeResults, all of one target)."""
+    async def _free(self, pending, permitted):
+        """Ask a target to free results.
+
+        Args:
+            pending (list of FreeResults): All of one target.
+            permitted (bool): Whether its limit, if any, allows a request.
+        """
         target = pending[0].target
         handles = [handle for freed in pending for handle in freed.handles]
         body = encode_free_request(handles)
         head = build_call_head("POST", FREE_PATH, target.address, len(body))
         exchange = Exchange(self._connections, target, self._clock)
         try:
+            if not permitted:
+                raise AttemptError(NOT_RUN, False, "target accepts no more requests")
             if not self._availability.may_send_control(target):
                 raise AttemptError(NOT_RUN, False, "target backs off or leaves")
             async with asyncio.timeout(FREE_TIMEOUT_S):
                 await exchange.send(head, body)
+                self._availability.record_response(target, exchange)
                 await exchange.read_all()
             exchange.finish()
-            self._availability.record_response(target, exchange)
         except (AttemptError, TimeoutError) as error:
             exchange.abort()
             log_event(
--- a/firworks/kernel/forwarding/balancer.py
+++ b/firworks/kernel/forwarding/balancer.py
@@ -61,6 +61,10 @@
             return None
         return min(candidates, key=lambda target: self._score(target, now))
 
+    def get_latency_s(self, targets):
+        """Return the least average latency of some targets in seconds; 0 if unknown."""
+        return min((self._get(target).latency_s for target in targets), default=0.0)
+
     def begin(self, target):
         """Count a request as in flight at a target."""
         self._get(target).in_flight += 1
--- a/firworks/kernel/forwarding/notices.py
+++ b/firworks/kernel/forwarding/notices.py
@@ -1,4 +1,4 @@
-"""Notices in the responses of targets: shutting down, or overloaded with Retry-After.
+"""Notices in the responses of targets: shutting down, overloaded, or limited.
 
 Load pattern: a target is about to shut down, or is overloaded, and says so in its
 responses before its entry in the store is updated, or while the store is unavailable. A
@@ -12,6 +12,8 @@
 # Upper bound of a back-off: a longer Retry-After may be meant as milliseconds, or be a
 # date from another clock.
 MAX_BACKOFF_S = 120.0
+# No target gets this many requests per second: a higher limit is none.
+MAX_LIMIT_PER_S = 10_000.0
 # An unanswered probe request delays the next one by this time.
 PROBE_TIMEOUT_S = 1.0
 # A back-off after which no request was accepted is removed this long after its end.
@@ -31,6 +33,21 @@
     __slots__ = ("leaving", "backoff_s", "unusual_value")
 
 
+class RateNotice(Struct):
+    """What a response states about the requests that its target accepts.
+
+    Attributes:
+        rate_per_s (float or None): Requests per second from all daemons together; None
+            for no limit. At 0 the target accepts none.
+        readable (bool): False if a limit is named that cannot be read. It then neither
+            starts nor ends a limit.
+        unusual_value (str): The header if it is malformed, repeated or too high;
+            otherwise empty.
+    """
+
+    __slots__ = ("rate_per_s", "readable", "unusual_value")
+
+
 EMPTY_NOTICE = Notice(False, 0.0, "")
 
 
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -13,6 +13,10 @@
 Load pattern: engines start, or become cold, while many requests wait. Being empty, they
 look best for all of these, and crash under more requests per second than they can take.
 They report how long they stay cold; until then the rate of requests is limited.
+
+Load pattern: engines name a limit of requests per second. The others take the rest; if
+all engines are limited, the most urgent requests are placed as the limits allow, and
+those that would be placed too late are refused at once.
 """
 
 from collections import OrderedDict, deque
@@ -21,6 +25,7 @@
 
 from firworks.kernel.messages import Struct
 from firworks.kernel.pools.jobs import sum_remote_bytes
+from firworks.kernel.target_limits.unlimited import UnlimitedTargets
 
 # Cost of a running request, in prompt tokens: it slows the engine's steps as much as
 # the prefill of this many tokens.
@@ -38,9 +43,13 @@
 MAX_BACKOFF_S = 8.0
 # A request expires this long after its deadline if its daemon does not report its end.
 EXPIRY_S = 1.0
+# Time from a placement to the first event, at least, for which a permit is reserved.
+FIRST_EVENT_S = 0.25
 # Sliding window over which requests to a cold engine are counted.
 COLD_WINDOW_S = 1.0
 MEGABYTE = 1_000_000
+# Retry-After for callers when no engine had capacity before their deadline.
+DEFAULT_RETRY_AFTER_S = 1.0
 
 
 class Placed(Struct):
@@ -56,13 +65,27 @@
 
 
 class NotPlaced(Struct):
-    """A request whose first-byte deadline passed before an engine had capacity.
+    """A request for which no engine has capacity before its first-byte deadline.
 
     Attributes:
         job (EngineJob): The request.
+        retry_after_s (float): When its caller should return.
     """
 
-    __slots__ = ("job",)
+    __slots__ = ("job", "retry_after_s")
+    DEFAULTS = {"retry_after_s": DEFAULT_RETRY_AFTER_S}
+
+
+class _LimitedJob(Struct):
+    """A queued request that only limited engines may serve.
+
+    Attributes:
+        job (EngineJob): The request.
+        candidates (tuple of tuple): Incarnations of the engines.
+        latest_start_s (float): When its placement is of no more use.
+    """
+
+    __slots__ = ("job", "candidates", "latest_start_s")
 
 
 class _Engine:
@@ -145,16 +168,28 @@
 
     Args:
         spec (EngineSpec): Capacity of each engine.
+        limits (TargetLimiter): Permits for engines that name a limit.
     """
 
-    def __init__(self, spec):
+    def __init__(self, spec, limits=None):
         self.spec = spec
+        self._limits = limits or UnlimitedTargets()
         self._engines = {}
         self._usable = ()
         self._by_job = {}
         self._waiting = {}
         self._planned_s = float("inf")
 
+    @property
+    def waiting(self):
+        """Whether any request waits for an engine."""
+        return bool(self._waiting)
+
+    @property
+    def targets(self):
+        """The usable targets (list of Target)."""
+        return [self._engines[incarnation].target for incarnation in self._usable]
+
     def set_targets(self, targets, now):
         """Set the usable targets of the pool (iterable of Target)."""
         by_incarnation = {target.incarnation: target for target in targets}
@@ -249,7 +284,7 @@
             elif (engine := self._choose(job, now)) is not None:
                 del self._waiting[job.job_id]
                 actions.append(self._place(job, engine, now))
-        return actions
+        return actions + self._refuse_limited(order, now)
 
     def next_due_s(self, now):
         """Return when `plan` should be called again, in monotonic seconds, or None.
@@ -269,9 +304,36 @@
             self._engines[incarnation].accepts_from_s(self.spec.cold_per_s, now)
             for incarnation in self._usable
         ]
+        accepting_s += [
+            now + self._limits.get_wait_s(incarnation, now)
+            for incarnation in self._usable
+        ]
         times += [time_s for time_s in accepting_s if time_s > now]
         return min(times)
 
+    def _refuse_limited(self, order, now):
+        """Refuse the queued requests that limits allow to be placed too late only."""
+        if not self._limits.active:
+            return []
+        limited = []
+        for job in order:
+            if job.job_id not in self._waiting:
+                continue
+            candidates = tuple(
+                incarnation
+                for incarnation in self._usable
+                if incarnation[0] not in job.excluded
+            )
+            rates_per_s = [self._limits.get_rate(one) for one in candidates]
+            if candidates and None not in rates_per_s:
+                latest_start_s = job.first_byte_deadline_s - FIRST_EVENT_S
+                limited.append(_LimitedJob(job, candidates, latest_start_s))
+        actions = []
+        for late, retry_after_s in self._limits.find_late(limited, now):
+            del self._waiting[late.job.job_id]
+            actions.append(NotPlaced(late.job, retry_after_s))
+        return actions
+
     def _drop_expired(self, now):
         """Remove requests whose daemons have not reported their end."""
         expired = [
@@ -304,6 +366,7 @@
     def _place(self, job, engine, now):
         cached = engine.count_cached(job)
         engine.add(job, job.tokens_in - cached, self.spec.memory_tokens)
+        self._limits.take(engine.target.incarnation, now)
         if engine.cold_until_s > now:
             engine.cold_placements_s.append(now)
         self._by_job[job.job_id] = engine
@@ -316,6 +379,8 @@
             return False
         if engine.accepts_from_s(self.spec.cold_per_s, now) > now:
             return False
+        if self._limits.get_wait_s(engine.target.incarnation, now) > 0.0:
+            return False
         used = engine.used_tokens + job.tokens_in + job.tokens_out
         return not engine.jobs or used <= MEMORY_SHARE * self.spec.memory_tokens
 
--- a/firworks/kernel/pools/results.py
+++ b/firworks/kernel/pools/results.py
@@ -9,6 +9,8 @@
 REASON_ERROR = "error"
 # Why a job is refused: its request has crashed several targets.
 REASON_SUSPENDED = "suspended"
+# Why a job is refused: the limits of its targets allow too few calls.
+REASON_LIMITED = "limits of all targets"
 
 
 class JobDone(Struct):
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -5,6 +5,10 @@
 daemons. A batch is closed as late as possible, when a target is about to become idle,
 so that the most urgent pieces go first and late arrivals are still included. Jobs whose
 request can no longer be answered in time are dropped before they start.
+
+Load pattern: targets name a limit of requests per second. A target without a permit
+gets no call; if all are limited, fewer and larger calls are made, and the wait for them
+is part of the estimates.
 """
 
 from firworks.kernel.pools.batches import MAX_ATTEMPTS, choose_pieces
@@ -13,6 +17,7 @@
     REASON_ERROR,
     REASON_GONE,
     REASON_LATE,
+    REASON_LIMITED,
     REASON_ROOM,
     REASON_SUSPENDED,
     FreeResults,
@@ -27,7 +32,12 @@
     StageCall,
     StageWorker,
     estimate_completion_s,
+    estimate_limited_completion_s,
+)
+from firworks.kernel.target_limits.forecasts import (
+    MIN_RETRY_AFTER_S,
 )
+from firworks.kernel.target_limits.unlimited import UnlimitedTargets
 
 # Time from sending a call to its start at the target: network latency and wake-ups.
 DISPATCH_LEAD_S = 0.008
@@ -52,9 +62,11 @@
 
     Args:
         spec (StagePoolSpec): Capacity of each target.
+        limits (TargetLimiter): Permits for targets that name a limit.
     """
 
-    def __init__(self, spec):
+    def __init__(self, spec, limits=None):
+        self._limits = limits or UnlimitedTargets()
         self._results = RetainedResults(spec)
         self._workers = {}
         self._usable = set()
@@ -78,6 +90,11 @@
         """Number of pieces queued for a call."""
         return sum(len(state.waiting) for state in self._jobs.values())
 
+    @property
+    def targets(self):
+        """The usable targets (list of Target)."""
+        return [self._workers[incarnation].target for incarnation in self._usable]
+
     @property
     def busy(self):
         """Whether any job is not finished."""
@@ -108,7 +125,7 @@
         """Queue a job, or refuse it if it cannot finish in time."""
         wait_s = self.estimate_wait(job, now)
         if now + wait_s + job.downstream_s > job.deadline_s:
-            return [JobRefused(job, REASON_LATE, max(0.1, wait_s))]
+            return [JobRefused(job, *self._explain_late(wait_s, now))]
         self._jobs[job.job_id] = JobState(job)
         return self.plan(now)
 
@@ -236,7 +253,7 @@
             for state in self._jobs.values()
             if self._rank(state.job, now) <= own
         )
-        return estimate_completion_s(self.spec, workers, ahead, now)
+        return self._estimate_completion_s(workers, ahead, now)
 
     def plan(self, now):
         """Return all actions that are due: calls, refusals and results to free."""
@@ -264,7 +281,11 @@
         if not any(state.waiting for state in self._jobs.values()):
             return min(fetch_times_s, default=None)
         times = [
-            max(worker.paused_until_s, worker.idle_from_s - DISPATCH_LEAD_S)
+            max(
+                worker.paused_until_s,
+                worker.idle_from_s - DISPATCH_LEAD_S,
+                now + self._limits.get_wait_s(incarnation, now),
+            )
             for incarnation, worker in self._workers.items()
             if incarnation in self._usable
         ]
@@ -274,7 +295,7 @@
             for state in self._jobs.values()
             if state.waiting
         ]
-        later = [time_s for time_s in times if time_s > now]
+        later = [time_s for time_s in times if now < time_s < float("inf")]
         return min([*later, *fetch_times_s], default=None)
 
     def _estimate_waiting_bytes(self):
@@ -328,11 +349,14 @@
     def _list_ready(self, now):
         """Return the targets that a call may be sent to now, earliest to answer first.
 
-        Slow targets are left out if waiting for a faster one takes less time.
+        Slow targets are left out if waiting for a faster one takes less time. Those
+        that accept no request now are no alternative.
         """
         nominal_s = self.get_nominal_s(self.spec.batch // 2)
         ends = {
-            worker: worker.predict(nominal_s, now) for worker in self._list_usable(now)
+            worker: worker.predict(nominal_s, now)
+            for worker in self._list_usable(now)
+            if self._limits.get_wait_s(worker.target.incarnation, now) == 0.0
         }
         if not ends:
             return []
@@ -353,6 +377,7 @@
         for piece in pieces:
             self._jobs[piece.job.job_id].waiting.remove(piece)
             worker.held_bytes += piece.job.result_bytes
+        self._limits.take(worker.target.incarnation, now)
         self._next_call += 1
         self._last_call_s = now
         nominal_s = self.get_nominal_s(len(pieces))
@@ -487,14 +512,42 @@
         for state in self._list_waiting(now):
             job = state.job
             pieces = ahead + len(state.waiting)
-            wait_s = estimate_completion_s(self.spec, workers, pieces, now)
-            late = self._rank(job, now)[0]
+            wait_s = self._estimate_completion_s(workers, pieces, now)
+            late = self._rank(job, now)[0] or self._is_limited(workers)
             if late and now + wait_s + job.downstream_s > job.deadline_s:
-                actions += self._refuse(state, REASON_LATE, max(0.1, wait_s))
+                actions += self._refuse(state, *self._explain_late(wait_s, now))
             else:
                 ahead += len(state.waiting)
         return actions
 
+    def _estimate_completion_s(self, workers, pieces, now):
+        """Return the seconds until some targets complete some pieces."""
+        intervals_s = {}
+        for worker in workers if self._limits.active else ():
+            rate_per_s = self._limits.get_rate(worker.target.incarnation)
+            if rate_per_s is not None:
+                wait_s = self._limits.get_wait_s(worker.target.incarnation, now)
+                interval_s = 1 / rate_per_s if rate_per_s else float("inf")
+                intervals_s[worker] = (wait_s, interval_s)
+        if not intervals_s:
+            return estimate_completion_s(self.spec, workers, pieces, now)
+        return estimate_limited_completion_s(
+            self.spec, workers, pieces, intervals_s, now
+        )
+
+    def _is_limited(self, workers):
+        """Return whether all of some targets name a limit."""
+        return self._limits.active and None not in [
+            self._limits.get_rate(worker.target.incarnation) for worker in workers
+        ]
+
+    def _explain_late(self, wait_s, now):
+        """Return reason and Retry-After (tuple) of a job that would take too long."""
+        usable = list(self._usable)
+        if usable and self._is_limited([self._workers[one] for one in usable]):
+            return REASON_LIMITED, self._limits.book_return(usable, now + wait_s, now)
+        return REASON_LATE, max(MIN_RETRY_AFTER_S, wait_s)
+
     def _refuse_expired(self, now):
         """Refuse the jobs whose pieces would be done too late if started now."""
         expired = [
--- a/firworks/kernel/pools/workers.py
+++ b/firworks/kernel/pools/workers.py
@@ -1,5 +1,7 @@
 """Scheduler state of each target of a stage pool."""
 
+import heapq
+
 # Weight of the latest call in the moving average of a target's slowdown.
 SLOWDOWN_WEIGHT = 0.5
 MAX_SLOWDOWN = 20.0
@@ -186,3 +188,28 @@
     last_size = pieces - (calls - 1) * spec.batch
     full_s = spec.estimate_call_s(spec.batch)
     return idle_times_s[index] - now + rounds * full_s + spec.estimate_call_s(last_size)
+
+
+def estimate_limited_completion_s(spec, workers, pieces, intervals_s, now):
+    """Return the seconds until targets, some of them limited, complete some pieces.
+
+    Args:
+        spec (StagePoolSpec): Capacity of each target.
+        workers (list of StageWorker): The targets; not empty.
+        pieces (int): Number of pieces, counted from the head of the queue.
+        intervals_s (dict of StageWorker to tuple): Seconds until the next call to each
+            limited target, and between its calls.
+        now (float): Monotonic seconds.
+    """
+    free, full_s = [], spec.estimate_call_s(spec.batch)
+    for number, worker in enumerate(workers):
+        wait_s, interval_s = intervals_s.get(worker, (0.0, 0.0))
+        begin_s = max(now + wait_s, worker.idle_from_s)
+        free.append((begin_s, number, max(full_s, interval_s)))
+    heapq.heapify(free)
+    last_begin_s = now
+    for _ in range(-(-pieces // spec.batch)):
+        last_begin_s, number, interval_s = heapq.heappop(free)
+        heapq.heappush(free, (last_begin_s + interval_s, number, interval_s))
+    last_size = pieces - (-(-pieces // spec.batch) - 1) * spec.batch
+    return last_begin_s - now + spec.estimate_call_s(last_size)
--- /dev/null
+++ b/firworks/kernel/target_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of requests per second that targets name for all daemons together."""
--- a/firworks/platform/headers.py
+++ b/firworks/platform/headers.py
@@ -1,11 +1,21 @@
 """Parses HTTP headers and builds the header sections of requests to targets."""
 
 from email.utils import parsedate_to_datetime
-from math import isfinite
+from math import isfinite, isinf
+from re import ASCII
+from re import compile as compile_pattern
+
+from multidict import CIMultiDict
 
 from firworks.codes import Code
 from firworks.errors import RequestError
-from firworks.kernel.forwarding.notices import EMPTY_NOTICE, MAX_BACKOFF_S, Notice
+from firworks.kernel.forwarding.notices import (
+    EMPTY_NOTICE,
+    MAX_BACKOFF_S,
+    MAX_LIMIT_PER_S,
+    Notice,
+    RateNotice,
+)
 from firworks.kernel.forwarding.requests import CallerRequest, Prompt
 
 REQUEST_ID = "X-Request-Id"
@@ -14,7 +24,11 @@
 LAST_EVENT_ID = "Last-Event-Id"
 _LEAVING = "Server-Leaving"
 _RETRY_AFTER = "Retry-After"
+_LIMIT = "Server-Limit"
+_DECIMAL = compile_pattern(r"\s*\+?(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?\s*", ASCII)
 SERVICE_UNAVAILABLE = 503
+# Of a header that is logged as malformed.
+MAX_LOGGED_CHARACTERS = 100
 
 # Hop-by-hop headers, and those that are set anew for each hop.
 _HOP_BY_HOP = {
@@ -191,6 +205,25 @@
     return Notice(leaving, backoff_s, retry_after if unusual else "")
 
 
+def read_rate_notice(headers):
+    """Return the `RateNotice` in the response of a target.
+
+    Args:
+        headers (mapping): Response headers with case-insensitive names.
+    """
+    if _LIMIT not in headers:
+        return RateNotice(None, True, "")
+    lines = CIMultiDict(headers).getall(_LIMIT)
+    texts = [text for line in lines for text in line.split(",")]
+    rates_per_s = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    finite = [rate for rate in rates_per_s if rate <= MAX_LIMIT_PER_S]
+    unlimited = any(isinf(rate) or rate > MAX_LIMIT_PER_S for rate in rates_per_s)
+    rate_per_s = min(finite, default=None)
+    usual = len(texts) == 1 and rate_per_s is not None
+    text = "" if usual else ", ".join(lines)[:MAX_LOGGED_CHARACTERS]
+    return RateNotice(rate_per_s, rate_per_s is not None or unlimited, text)
+
+
 def _read_retry_after_s(retry_after, unix_s):
     """Return the delay of a Retry-After value in seconds, or None if malformed."""
     try:
--- a/firworks/tests/test_target_limits.py
+++ b/firworks/tests/test_target_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from loguru import logger
 
 from firworks.tests.gateway_testbed import play, wait_until
 from firworks.tests.limit_rule import (
@@ -14,6 +15,8 @@
 from firworks.tests.test_availability import SERVICE_CASES, list_targets
 
 RATE_PER_S = 24
+# Requests that are still waiting at the end of a test end soon.
+SHORT_DEADLINE = {"X-Deadline-Ms": "1000"}
 
 
 async def send_steadily(testbed, path, headers, length_s, rate_per_s=RATE_PER_S):
@@ -24,7 +27,9 @@
     tasks = []
     for number in range(int(length_s * rate_per_s)):
         gateway = testbed.gateways[number % len(testbed.gateways)]
-        request = testbed.send_request(f"{path}{number}", "POST", gateway, **headers)
+        request = testbed.send_request(
+            f"{path}{number}", "POST", gateway, **{**SHORT_DEADLINE, **headers}
+        )
         tasks.append(asyncio.ensure_future(request))
         await asyncio.sleep(1 / rate_per_s)
     return [status for status, _, _ in await asyncio.gather(*tasks)]
@@ -85,3 +90,96 @@
             assert count_most(arrivals_s) <= compute_allowed(1)
 
         play(scenario, 3)
+
+    def test_callers_lose_nothing_beside_a_free_target(self):
+        async def scenario(testbed):
+            await wait_for_members(testbed)
+            limited, free = list_targets(testbed, "loans")
+            limited.limit = "1"
+            await send_steadily(testbed, "/stock/a", {}, 0.5)
+            before = len(limited.arrivals), len(free.arrivals)
+            statuses = await send_steadily(testbed, "/stock/a", {}, 3.0)
+            assert set(statuses) == {200}
+            got = len(limited.arrivals) - before[0]
+            assert 0 < got <= 5
+            assert len(free.arrivals) - before[1] == len(statuses) - got
+
+        play(scenario, 3)
+
+    @pytest.mark.parametrize(("service", "path", "headers"), SERVICE_CASES)
+    def test_callers_of_a_service_that_accepts_nothing_get_retry_after(
+        self, service, path, headers
+    ):
+        async def scenario(testbed):
+            for target in list_targets(testbed, service):
+                target.limit = "0"
+            limiter = testbed.gateways[0].limits.limiter
+            while limiter.limits.count < 2:
+                await testbed.send_request(path, "POST", **headers)
+            targets = list_targets(testbed, service)
+            received = sum(len(target.arrivals) for target in targets)
+            statuses, delays_s = set(), []
+            for _ in range(5):
+                status, answered, _ = await testbed.send_request(
+                    path, "POST", **headers
+                )
+                statuses.add(status)
+                delays_s.append(float(answered["Retry-After"]))
+            assert statuses == {503} and min(delays_s) > 1.0
+            assert len(set(delays_s)) > 1
+            assert sum(len(target.arrivals) for target in targets) == received
+
+        play(scenario)
+
+    def test_a_gateway_that_starts_later_is_informed(self):
+        async def scenario(testbed):
+            (first,) = testbed.gateways
+            limited, _ = list_targets(testbed, "loans")
+            limited.limit = "0"
+            while not first.limits.active:
+                await testbed.send_request("/stock/a")
+            late = await testbed.add_gateway("gateway-late")
+            await wait_until(lambda: late.limits.active)
+            before = len(limited.arrivals)
+            for _ in range(4):
+                assert (await testbed.send_request("/stock/a", gateway=late))[0] == 200
+            assert len(limited.arrivals) == before
+
+        play(scenario)
+
+    def test_a_target_that_is_well_again_gets_full_work(self):
+        async def scenario(testbed):
+            await wait_for_members(testbed)
+            limited, other = list_targets(testbed, "loans")
+            limited.limit, other.limit = "0", "0"
+            gateways = testbed.gateways
+            while any(one.limits.limiter.limits.count < 2 for one in gateways):
+                await send_steadily(testbed, "/stock/a", {}, 0.2)
+            limited.limit = other.limit = None
+            await wait_until(lambda: not any(one.limits.active for one in gateways))
+            assert set(await send_steadily(testbed, "/stock/a", {}, 0.5)) == {200}
+
+        play(scenario, 2)
+
+    def test_a_request_can_be_traced_to_the_limit_that_refused_it(self):
+        async def scenario(testbed):
+            for target in list_targets(testbed, "loans"):
+                target.limit = "0"
+            limits = testbed.gateways[0].limits
+            while limits.limiter.limits.count < 2:
+                await testbed.send_request("/stock/a")
+            lines = []
+            sink = logger.add(lambda line: lines.append(line.record["extra"]))
+            await testbed.send_request("/stock/a")
+            logger.remove(sink)
+            (line,) = [
+                one for one in lines if one.get("event_name") == "REQUEST_LIMITED"
+            ]
+            assert line["outcome"] == "refused" and line["request"]
+            assert sorted(line["targets"]) == ["loans-1", "loans-2"]
+            assert line["rates_per_s"] == [0.0, 0.0]
+            assert all(age_s >= 0.0 for age_s in line["ages_s"])
+            refused = limits._gateway.metrics.requests_limited.labels("refused")
+            assert refused._value.get() >= 1
+
+        play(scenario)
