--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,6 +14,7 @@
 
 from bench.soak.callers import KINDS, Caller, DeadlyCaller
 from bench.soak.faults import FaultPlan
+from bench.soak.limits import LimitPlan, check_limits
 from bench.soak.notices import check_ends, check_notices
 from bench.soak.promises import check_promises
 from bench.soak.site import run_site
@@ -52,7 +53,9 @@
         deadly = DeadlyCaller(site, Random(rng.random()))
         ending = asyncio.ensure_future(deadly.run())
         plan = FaultPlan(site, Random(rng.random()))
+        limits = asyncio.ensure_future(LimitPlan(site, Random(rng.random())).run())
         await plan.run(length_s)
+        limits.cancel()
         ending.cancel()
         violations = await check_recovery(site, attempts)
         for caller in callers:
@@ -72,6 +75,7 @@
         violations += check_ends(deadly.sent, site, plan, by_name)
         sent = {one.request_id: (one.gateway, one.sent_s) for one in attempts}
         violations += check_notices(sent, site, plan, by_name)
+        violations += check_limits(sent, site, plan, by_name)
         counts = collections.Counter(str(a.status or "no answer") for a in attempts)
         return violations, counts
 
