--- a/bench/soak/notices.py
+++ b/bench/soak/notices.py
@@ -11,6 +11,7 @@
 MOST_LATE = 3
 REST_GRACE_S = 0.5
 MOST_AT_REST = 2
+LEAVING, RETRY_AFTER = "Server-Leaving", "Retry-After"
 
 
 def check_ends(sent, site, plan, gateways):
@@ -52,11 +53,11 @@
             (time_s, *sent[name], name) for time_s, name in arrivals if name in sent
         ]
         for told_s, name, header, value in told:
-            if name not in sent:
+            if name not in sent or header not in (LEAVING, RETRY_AFTER):
                 continue
             gateway = sent[name][0]
             own = [one for one in known if one[1] == gateway]
-            if header == "Retry-After":
+            if header == RETRY_AFTER:
                 end_s = told_s + float(value)
                 late = [one for one in own if told_s + REST_GRACE_S < one[0] < end_s]
                 allowed = MOST_AT_REST
