--- a/firworks/tests/test_soak.py
+++ b/firworks/tests/test_soak.py
@@ -18,6 +18,7 @@
     TERMINATED,
     GatewayProcess,
 )
+from bench.soak.limits import check_limits
 from bench.soak.notices import check_ends, check_notices
 from bench.soak.promises import (
     check_allowed,
@@ -296,3 +297,45 @@
     def test_a_gateway_that_paused_or_restarted_is_excused(self, tmp_path, event):
         arrivals, events = [(103.0, "late")], [(101.0, event)]
         assert self.check(tmp_path, "Server-Leaving", "1", arrivals, events) == []
+
+    def test_a_limit_is_not_taken_for_leaving(self, tmp_path):
+        assert self.check(tmp_path, "Server-Limit", "1", [(104.0, "late")]) == []
+
+
+class TestLimits:
+    """What targets with a limit got from gateways that had heard of it."""
+
+    def check(self, tmp_path, count, events=(), spans=(), known=True, limit="1"):
+        gateway = make_gateway(tmp_path, events)
+        told = [
+            (100.0 + number, f"told-{number}", "Server-Limit", limit)
+            for number in range(12)
+        ]
+        arrivals = [(time_s - 0.1, name) for time_s, name, _, _ in told[:1]]
+        arrivals += [(105.0 + number / 100, f"r{number}") for number in range(count)]
+        site = SimpleNamespace(list_told=lambda: [("loans-1", arrivals, told)])
+        plan = FaultPlan(site, Random(1))
+        plan.spans = list(spans)
+        names = [name for _, name, _, _ in told]
+        names += [name for _, name in arrivals] if known else []
+        sent = {name: (gateway.name, 100.0) for name in names}
+        return check_limits(sent, site, plan, {gateway.name: gateway})
+
+    @pytest.mark.parametrize(("count", "broken"), [(11, 0), (12, 1)])
+    @pytest.mark.parametrize("known", [True, False])
+    def test_more_than_the_limit_allows_is_found(self, tmp_path, count, broken, known):
+        assert len(self.check(tmp_path, count, known=known)) == broken
+
+    def test_a_higher_limit_allows_more(self, tmp_path):
+        assert self.check(tmp_path, 35, limit="5") == []
+        assert len(self.check(tmp_path, 36, limit="5")) == 1
+
+    @pytest.mark.parametrize("known", [True, False])
+    @pytest.mark.parametrize("event", [PAUSED, STARTED, KILLED, TERMINATED])
+    def test_a_disturbed_gateway_is_excused(self, tmp_path, event, known):
+        events = [(101.0, event)]
+        assert self.check(tmp_path, 20, events, known=known) == []
+
+    def test_a_target_whose_way_was_harmed_is_excused(self, tmp_path):
+        span = (104.0, 105.0, "way to target", "loans-1 silent")
+        assert self.check(tmp_path, 20, spans=[span]) == []
