--- a/bench/pool_replay.py
+++ b/bench/pool_replay.py
@@ -11,7 +11,7 @@
 
 import fire
 
-from firworks.kernel.pools import critical_path, ordering, stages
+from firworks.kernel.pools import critical_path, fetches, ordering, stages
 from firworks.kernel.pools.retained_results import RetainedResults
 from firworks.tests.pool_simulation import Burst, PoolSimulation, evict_all
 from firworks.tests.pool_workloads import make_kathmandu, make_rimac, make_zwolle
@@ -92,7 +92,7 @@
     ("no wait reckoned at later stages", (critical_path, "EXPECTED_WAIT_CALLS", 0.0)),
     ("large results begun at once", (critical_path, "find_gate", lambda *args: None)),
     ("calls not spaced", (stages, "SPACING", 0.0)),
-    ("inputs kept until a stage is done", (stages, "FETCH_S", NEVER_S)),
+    ("inputs kept until a stage is done", (fetches, "FETCH_S", NEVER_S)),
     ("inputs given up when read", (RetainedResults, "take_surplus", evict_all)),
     ("hopeless jobs held", (stages, "REVIEW_PERIOD_S", NEVER_S)),
 )
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -64,7 +64,7 @@
         clock (callable): Returns monotonic seconds.
         roster (Roster): Gateways in the cluster.
         metrics (GatewayMetrics): Counts calls and suspicions.
-        crashes (CrashDesk): Tracks requests that crash targets.
+        crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
 
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -36,10 +36,7 @@
 from firworks.kernel.forwarding.retry_budget import RetryBudget
 from firworks.kernel.forwarding.suspension import SuspensionDetector
 from firworks.kernel.forwarding.suspicions import SUSPICION_RECORDS, LeavingTold
-from firworks.kernel.pools.messages import (
-    MemberEntry,
-    MemberLeaving,
-)
+from firworks.kernel.pools.messages import MemberEntry, MemberLeaving
 from firworks.kernel.pools.roster import Roster
 from firworks.kernel.target_limits.messages import LIMIT_RECORDS
 from firworks.log_output import BoundedOutput
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -10,9 +10,9 @@
     make_forwarded_response,
 )
 from firworks.gateway.exchanges import Exchange
-from firworks.gateway.limits import DELAYED, MOVED, REFUSED, PermitDeniedError
 from firworks.gateway.pools import PoolRefusedError
 from firworks.gateway.stage_runs import StageRun
+from firworks.gateway.target_selection import TargetSelection
 from firworks.kernel.forwarding.admission import (
     compute_caller_timeout_s,
     compute_stall_limit_s,
@@ -20,17 +20,14 @@
 from firworks.kernel.forwarding.event_stream import EventSplitter, EventTooLongError
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
-    DEFAULT_RETRY_AFTER_S,
     FAILED,
     INPUTS_GONE,
-    MIN_RETRY_TIME_S,
     NOT_RUN,
     AttemptError,
 )
 from firworks.kernel.pools.jobs import EngineJob
 from firworks.kernel.pools.results import (
     REASON_GONE,
-    REASON_LIMITED,
     REASON_SUSPENDED,
 )
 from firworks.platform.headers import (
@@ -45,12 +42,8 @@
 # The target may have closed connections that idled longer, so that a request sent on
 # them fails after it was sent; non-repeatable requests do not use them.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
-# Shorter delays of requests by limits of targets are not logged.
-MIN_LOGGED_DELAY_S = 0.05
 # Larger responses are forwarded while they are read.
 MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
-# Random addition to Retry-After, so that rejected callers do not retry all at once.
-RETRY_AFTER_JITTER_S = 0.5
 INPUT_STATUSES = (400, 409)
 
 
@@ -64,6 +57,7 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._clock = gateway.clock
+        self._selection = TargetSelection(gateway)
 
     async def serve(self, context):
         """Forward a request; return its response (aiohttp StreamResponse).
@@ -170,7 +164,7 @@
 
     async def _attempt_service(self, context):
         balancer = self._gateway.balancer
-        target = await self._choose_target(context)
+        target = await self._selection.choose(context)
         context.excluded.add(target.incarnation)
         balancer.begin(target)
         started_s, failed = self._clock(), False
@@ -183,67 +177,8 @@
             now = self._clock()
             balancer.end(target, failed, now - started_s, now)
 
-    async def _choose_target(self, context):
-        """Return the target of a request, with a permit if it is limited.
-
-        Raises:
-            PoolRefusedError: When there is no target, or none accepts it in time.
-        """
-        limits, balancer = self._gateway.limits, self._gateway.balancer
-        available = self._gateway.availability.list_available(context.service)
-        targets = [one for one in available if one.incarnation not in context.excluded]
-        preferred = balancer.choose(targets, (), self._clock())
-        if preferred is None:
-            self._check_backoffs(context)
-            raise PoolRefusedError("no target", DEFAULT_RETRY_AFTER_S)
-        limited = limits.list_limited(targets)
-        if not limited:
-            return preferred
-        if len(limited) == len(targets):
-            return await self._acquire_target(context, limited)
-        target = preferred
-        if not limits.may_send(target):
-            permitted = [one for one in targets if limits.may_send(one)]
-            target = balancer.choose(permitted, (), self._clock())
-            limits.prefetch(context.service, limited)
-            limits.log_request(context, MOVED, 0.0)
-        limits.take(target)
-        return target
-
-    async def _acquire_target(self, context, targets):
-        """Wait for a permit for one of some limited targets, and return that target."""
-        started_s = self._clock()
-        latency_s = self._gateway.balancer.get_latency_s(targets)
-        latest_start_s = context.admitted.deadline_s - max(latency_s, MIN_RETRY_TIME_S)
-        try:
-            target = await self._gateway.limits.acquire(
-                context.service, targets, context.admitted.priority, latest_start_s
-            )
-        except PermitDeniedError as error:
-            waited_s = self._clock() - started_s
-            self._gateway.limits.log_request(context, REFUSED, waited_s)
-            raise PoolRefusedError(REASON_LIMITED, error.retry_after_s) from error
-        self._log_delay(context, started_s)
-        return target
-
-    def _log_delay(self, context, started_s):
-        """Log that a request waited while targets of its service were limited."""
-        waited_s = self._clock() - started_s
-        if self._gateway.limits.active and waited_s >= MIN_LOGGED_DELAY_S:
-            available = self._gateway.availability.list_available(context.service)
-            if self._gateway.limits.list_limited(available):
-                self._gateway.limits.log_request(context, DELAYED, waited_s)
-
-    def _check_backoffs(self, context):
-        """Raise `PoolRefusedError` if all targets of the service back off."""
-        wait_s = self._gateway.availability.get_service_backoff_s(context.service)
-        if wait_s > 0.0:
-            # Jitter keeps the callers from retrying at the same moment.
-            jitter_s = self._gateway.rng.uniform(0.0, RETRY_AFTER_JITTER_S)
-            raise PoolRefusedError("all targets back off", wait_s + jitter_s)
-
     async def _attempt_engine(self, context):
-        self._check_backoffs(context)
+        self._selection.check_backoffs(context)
         pools = self._gateway.pools
         job = self._make_engine_job(context)
         failed = False
@@ -254,9 +189,7 @@
                 context.stages.free()
 
         try:
-            started_s = self._clock()
-            target_id = await self._place_request(context, job)
-            self._log_delay(context, started_s)
+            target_id = await self._selection.place(context, job)
             target = self._gateway.directory.find(target_id)
             if target is None:
                 context.excluded.add((target_id, 0))
@@ -269,17 +202,6 @@
         finally:
             pools.end_request(job.job_id, failed)
 
-    async def _place_request(self, context, job):
-        """Have a request placed on an engine; return the id (str) of the engine."""
-        limits, started_s = self._gateway.limits, self._clock()
-        try:
-            return await self._gateway.pools.place_request(context.service, job)
-        except PoolRefusedError:
-            available = self._gateway.availability.list_available(context.service)
-            if limits.list_limited(available):
-                limits.log_request(context, REFUSED, self._clock() - started_s)
-            raise
-
     def _make_engine_job(self, context):
         prompt = context.admitted.request.prompt
         parts = () if prompt is None else prompt.parts
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -38,7 +38,7 @@
         deliver (callable): ``deliver(result)`` receives each `JobDone`, `JobRefused`
             and `InputsRead`.
         metrics (GatewayMetrics): Counts the calls.
-        crashes (CrashDesk): Tracks requests that crash targets.
+        crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
     """
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -12,30 +12,25 @@
 """
 
 from firworks.kernel.pools.batches import MAX_ATTEMPTS, choose_pieces
+from firworks.kernel.pools.fetches import list_fetch_times, report_fetched
 from firworks.kernel.pools.ordering import rank_job
 from firworks.kernel.pools.results import (
     REASON_ERROR,
     REASON_GONE,
     REASON_LATE,
-    REASON_LIMITED,
     REASON_ROOM,
     REASON_SUSPENDED,
     FreeResults,
-    InputsRead,
     JobDone,
     JobRefused,
 )
 from firworks.kernel.pools.retained_results import JobState, RetainedResults
+from firworks.kernel.pools.worker_limits import WorkerLimits
 from firworks.kernel.pools.workers import (
     OVERDUE_FACTOR,
     OVERDUE_MARGIN_S,
     StageCall,
     StageWorker,
-    estimate_completion_s,
-    estimate_limited_completion_s,
-)
-from firworks.kernel.target_limits.forecasts import (
-    MIN_RETRY_AFTER_S,
 )
 from firworks.kernel.target_limits.unlimited import UnlimitedTargets
 
@@ -45,9 +40,6 @@
 # fixed time over the number of targets. Calls that start together also end together,
 # and all jobs that arrive in the meantime would have to wait for them.
 SPACING = 1.3
-# Time in which a target fetches the inputs of a call, some megabytes, after it begins
-# it. Until then they occupy memory of the targets that hold them.
-FETCH_S = 0.08
 # Interval at which queued jobs are checked for those that cannot finish in time.
 REVIEW_PERIOD_S = 0.1
 # Back-off after a target was full, and retry delay of jobs that failed.
@@ -66,7 +58,7 @@
     """
 
     def __init__(self, spec, limits=None):
-        self._limits = limits or UnlimitedTargets()
+        self._limits = WorkerLimits(limits or UnlimitedTargets())
         self._results = RetainedResults(spec)
         self._workers = {}
         self._usable = set()
@@ -253,14 +245,14 @@
             for state in self._jobs.values()
             if self._rank(state.job, now) <= own
         )
-        return self._estimate_completion_s(workers, ahead, now)
+        return self._limits.estimate_completion_s(self.spec, workers, ahead, now)
 
     def plan(self, now):
         """Return all actions that are due: calls, refusals and results to free."""
         self._planned_s = now
         self._drop_expired_results(now)
         actions = [*self._refuse_expired(now), *self._refuse_infeasible(now)]
-        actions += self._report_fetched(now)
+        actions += report_fetched(self._workers.values(), self._jobs, now)
         while call := self._plan_call(now):
             actions.append(call)
         for state in self._results.take_surplus(self._estimate_waiting_bytes()):
@@ -273,18 +265,14 @@
         Times that have passed since the last call of `plan` are due at once.
         """
         now = min(now, self._planned_s)
-        fetch_times_s = [
-            call.begun_s + FETCH_S
-            for call in self._list_awaiting_fetch()
-            if call.begun_s is not None
-        ]
+        fetch_times_s = list_fetch_times(self._workers.values())
         if not any(state.waiting for state in self._jobs.values()):
             return min(fetch_times_s, default=None)
         times = [
             max(
                 worker.paused_until_s,
                 worker.idle_from_s - DISPATCH_LEAD_S,
-                now + self._limits.get_wait_s(incarnation, now),
+                now + self._limits.get_wait_s(worker, now),
             )
             for incarnation, worker in self._workers.items()
             if incarnation in self._usable
@@ -356,7 +344,7 @@
         ends = {
             worker: worker.predict(nominal_s, now)
             for worker in self._list_usable(now)
-            if self._limits.get_wait_s(worker.target.incarnation, now) == 0.0
+            if self._limits.get_wait_s(worker, now) == 0.0
         }
         if not ends:
             return []
@@ -377,7 +365,7 @@
         for piece in pieces:
             self._jobs[piece.job.job_id].waiting.remove(piece)
             worker.held_bytes += piece.job.result_bytes
-        self._limits.take(worker.target.incarnation, now)
+        self._limits.take(worker, now)
         self._next_call += 1
         self._last_call_s = now
         nominal_s = self.get_nominal_s(len(pieces))
@@ -454,43 +442,6 @@
         """Return the latest time at which a job can start and still be of use."""
         return job.deadline_s - job.downstream_s - self.get_nominal_s(1)
 
-    def _list_awaiting_fetch(self):
-        return [
-            call
-            for worker in self._workers.values()
-            for call in worker.calls.values()
-            if not call.inputs_fetched
-        ]
-
-    def _report_fetched(self, now):
-        """Return an `InputsRead` for each job whose inputs have been fetched."""
-        fetched = [
-            call
-            for call in self._list_awaiting_fetch()
-            if call.begun_s is not None and call.begun_s + FETCH_S <= now
-        ]
-        jobs = {}
-        for call in fetched:
-            call.inputs_fetched = True
-            jobs.update({piece.job.job_id: piece.job for piece in call.pieces})
-        unfetched = {
-            piece.job.job_id
-            for call in self._list_awaiting_fetch()
-            for piece in call.pieces
-        }
-        return [
-            InputsRead(job)
-            for job_id, job in jobs.items()
-            if job.inputs
-            and job_id not in unfetched
-            and self._is_fully_dispatched(job_id)
-        ]
-
-    def _is_fully_dispatched(self, job_id):
-        """Return whether no piece of an unfinished job is queued for a call."""
-        state = self._jobs.get(job_id)
-        return state is not None and not state.waiting
-
     def _drop_expired_results(self, now):
         """Remove results that have expired at their targets."""
         for state in self._results.pop_expired(now):
@@ -512,41 +463,18 @@
         for state in self._list_waiting(now):
             job = state.job
             pieces = ahead + len(state.waiting)
-            wait_s = self._estimate_completion_s(workers, pieces, now)
-            late = self._rank(job, now)[0] or self._is_limited(workers)
+            wait_s = self._limits.estimate_completion_s(self.spec, workers, pieces, now)
+            late = self._rank(job, now)[0] or self._limits.are_limited(workers)
             if late and now + wait_s + job.downstream_s > job.deadline_s:
                 actions += self._refuse(state, *self._explain_late(wait_s, now))
             else:
                 ahead += len(state.waiting)
         return actions
 
-    def _estimate_completion_s(self, workers, pieces, now):
-        """Return the seconds until some targets complete some pieces."""
-        intervals_s = {}
-        for worker in workers if self._limits.active else ():
-            rate_per_s = self._limits.get_rate(worker.target.incarnation)
-            if rate_per_s is not None:
-                wait_s = self._limits.get_wait_s(worker.target.incarnation, now)
-                interval_s = 1 / rate_per_s if rate_per_s else float("inf")
-                intervals_s[worker] = (wait_s, interval_s)
-        if not intervals_s:
-            return estimate_completion_s(self.spec, workers, pieces, now)
-        return estimate_limited_completion_s(
-            self.spec, workers, pieces, intervals_s, now
-        )
-
-    def _is_limited(self, workers):
-        """Return whether all of some targets name a limit."""
-        return self._limits.active and None not in [
-            self._limits.get_rate(worker.target.incarnation) for worker in workers
-        ]
-
     def _explain_late(self, wait_s, now):
         """Return reason and Retry-After (tuple) of a job that would take too long."""
-        usable = list(self._usable)
-        if usable and self._is_limited([self._workers[one] for one in usable]):
-            return REASON_LIMITED, self._limits.book_return(usable, now + wait_s, now)
-        return REASON_LATE, max(MIN_RETRY_AFTER_S, wait_s)
+        usable = [self._workers[incarnation] for incarnation in self._usable]
+        return self._limits.explain_late(usable, wait_s, now)
 
     def _refuse_expired(self, now):
         """Refuse the jobs whose pieces would be done too late if started now."""
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -8,7 +8,7 @@
     StageSpec,
 )
 from firworks.kernel.forwarding.directory import Target
-from firworks.kernel.pools import critical_path, stages
+from firworks.kernel.pools import critical_path, fetches, stages
 from firworks.kernel.pools.clients import (
     ACK_TIMEOUT_S,
     MIN_RECONNECT_INTERVAL_S,
@@ -25,6 +25,7 @@
     find_gate,
 )
 from firworks.kernel.pools.engines import EngineScheduler, NotPlaced, Placed
+from firworks.kernel.pools.fetches import FETCH_S
 from firworks.kernel.pools.jobs import EngineJob, PieceJob
 from firworks.kernel.pools.messages import (
     DropJob,
@@ -47,7 +48,7 @@
 from firworks.kernel.pools.results import FreeResults, InputsRead, JobDone, JobRefused
 from firworks.kernel.pools.retained_results import RetainedResults
 from firworks.kernel.pools.roster import Roster
-from firworks.kernel.pools.stages import FETCH_S, MAX_ATTEMPTS, StageScheduler
+from firworks.kernel.pools.stages import MAX_ATTEMPTS, StageScheduler
 from firworks.kernel.pools.workers import UNKNOWN_EXPIRY_SHARE, StageCall
 from firworks.tests.pool_simulation import Burst, PoolSimulation, evict_all
 from firworks.tests.pool_workloads import make_rimac, make_zwolle
@@ -589,8 +590,8 @@
         monkeypatch.setattr(
             critical_path, "find_gate", lambda stages, counts, number: None
         )
-        for fetch_s in (stages.FETCH_S, 3600.0):
-            monkeypatch.setattr(stages, "FETCH_S", fetch_s)
+        for fetch_s in (fetches.FETCH_S, 3600.0):
+            monkeypatch.setattr(fetches, "FETCH_S", fetch_s)
             simulations = []
             for seed in SEEDS:
                 pools, kinds = make_rimac()
