Announce a limit that keeps changing twice a second; send limits ahead of jobs

A target whose limit changes with each response would have made each gateway send each change to all others. The coordinator still receives them all. A scheduler that restarted could get jobs on a new connection before the limits of its targets. Both were found in reading; the first has a test.

--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -444,6 +444,8 @@
     def _add_member(self, name):
         self.retry_budget.set_members(self.roster.count)
         self.pools.peers.connect(name)
+        # Ahead of the jobs that a restarted scheduler gets on the same connection.
+        self.limits.send_limits(name)
         self.pools.note_member(name)
 
     async def _tick(self):
--- a/firworks/kernel/target_limits/limiter.py
+++ b/firworks/kernel/target_limits/limiter.py
@@ -11,6 +11,10 @@
 
 from firworks.kernel.messages import Struct
 from firworks.kernel.pools.clients import SendTo
+from firworks.kernel.target_limits.announcements import (
+    LimitAnnouncements,
+    describe_limit,
+)
 from firworks.kernel.target_limits.coordinator import (
     Grant,
     PermitCoordinator,
@@ -32,8 +36,6 @@
 
 # A scheduler that waits for a permit of another daemon looks again after this time.
 PERMIT_POLL_S = 0.1
-# Minimum interval between corrections of one peer's view of a target.
-CORRECTION_INTERVAL_S = 1.0
 # Longer intervals between ticks mean that this process was paused.
 MAX_TICK_INTERVAL_S = 0.3
 
@@ -79,7 +81,7 @@
         self.coordinator = PermitCoordinator(self.limits, lambda: roster.count, rng)
         self._follower = CoordinatorFollower(roster)
         self._requests = PermitRequests(self._follower)
-        self._corrected_s = {}
+        self._announcements = LimitAnnouncements(roster, self.limits, self._follower)
         self._ticked_s = None
 
     @property
@@ -183,27 +185,27 @@
             sent_s (float): When the request was sent, in monotonic seconds.
             now (float): When the head of the response was received.
         """
+        before_per_s = self.get_rate(incarnation)
         if not self.limits.record(incarnation, service, rate_per_s, sent_s, now):
             return []
-        record = self._describe(incarnation, now)
+        urgent = None in (before_per_s, rate_per_s)
         return [
             LimitChanged(incarnation, service, rate_per_s, self._roster.own.name),
-            *(SendTo(name, record) for name in self._roster.names),
+            *self._announcements.announce(incarnation, urgent, now),
             *self._follow(now),
             *self.plan(now),
         ]
 
     def describe_all(self, now):
         """Return a `LimitNamed` for each known limit (list)."""
-        return [self._describe(one, now) for one, _ in self.limits.items()]
+        return [describe_limit(self.limits, one, now) for one, _ in self.limits.items()]
 
     def retain(self, incarnations):
         """Forget all targets but these (collection of tuple)."""
         self.limits.retain(incarnations)
         self.coordinator.retain(incarnations)
         self._requests.retain(incarnations)
-        for key in [one for one in self._corrected_s if one[1] not in incarnations]:
-            del self._corrected_s[key]
+        self._announcements.retain(incarnations)
 
     def tick(self, now):
         """Follow the coordinators, repeat requests and probe idle targets."""
@@ -217,6 +219,7 @@
             *self._follow(now),
             *self.plan(now),
         ]
+        actions += self._announcements.repeat(now)
         own_services = {
             service
             for service in self.limits.list_services()
@@ -262,7 +265,7 @@
             change = LimitChanged(incarnation, record.service, rate_per_s, peer)
             return [change, *self._follow(now), *self.plan(now)]
         if self.get_rate(incarnation) != rate_per_s:
-            return self._correct(incarnation, peer, now)
+            return self._announcements.correct(incarnation, peer, now)
         return []
 
     @_receive.register
@@ -338,29 +341,14 @@
             ):
                 continue
             introduced += [
-                SendTo(action.coordinator, self._describe(incarnation, now))
+                SendTo(
+                    action.coordinator, describe_limit(self.limits, incarnation, now)
+                )
                 for incarnation, limit in self.limits.items()
                 if limit.service == action.service
             ]
         return self._deliver_own([*introduced, *actions], now)
 
-    def _describe(self, incarnation, now):
-        limit = self.limits.get(incarnation)
-        rates_per_s = () if limit.rate_per_s is None else (limit.rate_per_s,)
-        sent_age_s, received_age_s = now - limit.sent_s, now - limit.received_s
-        return LimitNamed(
-            *incarnation, limit.service, rates_per_s, sent_age_s, received_age_s
-        )
-
-    def _correct(self, incarnation, peer, now):
-        """Send a peer what is known here of a target, unless that was done just now."""
-        corrected_s = self._corrected_s.get((peer, incarnation), float("-inf"))
-        known = self.limits.get(incarnation) is not None
-        if not known or now - corrected_s < CORRECTION_INTERVAL_S:
-            return []
-        self._corrected_s[peer, incarnation] = now
-        return [SendTo(peer, self._describe(incarnation, now))]
-
     def _check_pause(self, now):
         """After a pause of this process, void its permits and extend its time-outs."""
         if self._ticked_s is None or now - self._ticked_s <= MAX_TICK_INTERVAL_S:
--- a/firworks/tests/test_permits.py
+++ b/firworks/tests/test_permits.py
@@ -3,6 +3,8 @@
 import pytest
 from multidict import CIMultiDict
 
+from firworks.kernel.pools.clients import SendTo
+from firworks.kernel.target_limits.messages import LimitNamed
 from firworks.platform.headers import read_rate_notice
 from firworks.tests.limit_rule import STABLE_S, compute_allowed, count_most
 from firworks.tests.limit_simulation import LimitSimulation
@@ -144,6 +146,25 @@
         assert len(simulation.list_arrivals(target, STABLE_S, 10.0)) <= 2
         assert len(simulation.list_arrivals(target, 16.0, 26.0)) >= 60
 
+    def test_a_limit_that_keeps_changing_is_announced_twice_a_second(self):
+        simulation = LimitSimulation(50, [None])
+        (target,) = simulation.targets
+        limiter = simulation.daemons["daemon-0"].limiter
+        sent, now = 0, 0.0
+        while now < 10.0:
+            now += 0.05
+            actions = limiter.record_response(
+                target.incarnation, "loans", 5.0 + now, now - 0.01, now
+            )
+            actions += limiter.tick(now)
+            announced = [
+                one
+                for one in actions
+                if isinstance(one, SendTo) and isinstance(one.record, LimitNamed)
+            ]
+            sent += len({one.peer for one in announced}) > 1
+        assert 15 <= sent <= 21
+
     def test_a_slow_response_does_not_bring_an_old_limit_back(self):
         simulation = LimitSimulation(1, [None])
         limiter = simulation.daemons["daemon-0"].limiter
