--- a/firworks/gateway/limits.py
+++ b/firworks/gateway/limits.py
@@ -17,6 +17,8 @@
 
 # Probes come after all requests of callers, whose priorities are lower numbers.
 CONTROL_PRIORITY = 1_000
+# Limited targets listed in a log line about a request.
+MAX_LOGGED_TARGETS = 8
 DELAYED, MOVED, REFUSED = "delayed", "moved", "refused"
 
 
@@ -149,7 +151,7 @@
             (incarnation[0], limit.rate_per_s, round(now - limit.received_s, 3))
             for incarnation, limit in self.limiter.limits.items()
             if limit.service == context.service and limit.rate_per_s is not None
-        ]
+        ][:MAX_LOGGED_TARGETS]
         log_event(
             LogEvent.REQUEST_LIMITED,
             request=context.request_id,
