Check limited targets before callers' requests get their permits

A check of a target that broke off a request came after all waiting callers and was skipped after 0.5 s, so that a request which crashes limited targets was found seconds later, by the store's entry. Checks now come first and wait for up to 1 s. The new test failed before: each check was denied.

--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -21,6 +21,8 @@
 # Covers a busy target, which delays health checks; a healthy one replies within
 # milliseconds.
 PROBE_TIMEOUT_S = 0.5
+# Longest wait for a limited target to accept a probe.
+PERMIT_TIMEOUT_S = 1.0
 
 
 class LivenessChecker:
@@ -123,7 +125,7 @@
         """Query the process at a target's address; return the verdict and evidence."""
         if not self._availability.may_send_control(target):
             return UNKNOWN, "target backs off or leaves"
-        if not await self._limits.acquire_control(target, PROBE_TIMEOUT_S):
+        if not await self._limits.acquire_for_check(target, PERMIT_TIMEOUT_S):
             return UNKNOWN, "target accepts no more requests"
         exchange = Exchange(self._connections, target, self._clock)
         try:
--- a/firworks/gateway/limits.py
+++ b/firworks/gateway/limits.py
@@ -15,8 +15,9 @@
 )
 from firworks.kernel.target_limits.permit_requests import PermitDecided
 
-# Probes come after all requests of callers, whose priorities are lower numbers.
-CONTROL_PRIORITY = 1_000
+# Checks of targets that may have crashed come before all requests of callers: a request
+# that crashes targets must be found before it is sent again.
+CHECK_PRIORITY = -1
 # Limited targets listed in a log line about a request.
 MAX_LOGGED_TARGETS = 8
 DELAYED, MOVED, REFUSED = "delayed", "moved", "refused"
@@ -109,15 +110,15 @@
         self._gateway.metrics.permits.labels("granted").inc()
         return by_incarnation[incarnation]
 
-    async def acquire_control(self, target, timeout_s):
-        """Wait for a permit for a probe; return whether there is one in time."""
+    async def acquire_for_check(self, target, timeout_s):
+        """Wait for a permit to check a target; return whether there is one in time."""
         if self.take(target):
             return True
         try:
             latest_start_s = self._clock() + timeout_s
             async with asyncio.timeout(timeout_s):
                 await self.acquire(
-                    target.service, [target], CONTROL_PRIORITY, latest_start_s
+                    target.service, [target], CHECK_PRIORITY, latest_start_s
                 )
         except (PermitDeniedError, TimeoutError):
             return False
--- a/firworks/tests/test_target_limits.py
+++ b/firworks/tests/test_target_limits.py
@@ -91,6 +91,22 @@
 
         play(scenario, 3)
 
+    def test_a_check_of_a_limited_target_does_not_wait_behind_callers(self):
+        async def scenario(testbed):
+            limited, other = list_targets(testbed, "loans")
+            await other.stop()
+            testbed.store.put_target(other.target_id, None)
+            limited.limit, limited.fault = "4", "cut"
+            lines = []
+            sink = logger.add(lambda line: lines.append(line.record["extra"]))
+            await send_steadily(testbed, "/stock/a", {}, 3.0)
+            logger.remove(sink)
+            checks = [line["evidence"] for line in lines if line.get("event") == 924]
+            assert "identity" in checks
+            assert "target accepts no more requests" not in checks
+
+        play(scenario)
+
     def test_callers_lose_nothing_beside_a_free_target(self):
         async def scenario(testbed):
             await wait_for_members(testbed)
