--- a/firworks/tests/test_ctl.py
+++ b/firworks/tests/test_ctl.py
@@ -54,13 +54,16 @@
             (["check", ZWOLLE, "--unknown"], "Could not consume arg: --unknown"),
             (["check", "--file"], "without its value"),
             (["check", "--", ZWOLLE], "'--' is not supported"),
-            (["publish", ZWOLLE], "name the log service"),
+            (["publish", ZWOLLE], "specify the log service"),
             (["publish", ZWOLLE, "--resume=x"], "--resume needs the --base"),
             (["history", "test"], "environment 'test'; allowed: trial, production"),
-            (["status"], "name admin listeners"),
+            (["status"], "specify admin listeners"),
             (["burn", "localhost"], "'localhost' is not an admin listener"),
             (["ledger", "a", "s", "k", "--resolve", "no"], "allowed: ran, not-run"),
-            (["ledger", "a", "s", "k", "--resolve", "ran"], "--answer goes with"),
+            (
+                ["ledger", "a", "s", "k", "--resolve", "ran"],
+                "--answer and --resolve ran must",
+            ),
         ],
     )
     def test_wrong_usage_exits_2_with_a_code(self, capsys, monkeypatch, args, words):
--- a/firworks/tools/admin_client.py
+++ b/firworks/tools/admin_client.py
@@ -1,4 +1,4 @@
-"""Asks daemons' admin listeners over HTTP, on behalf of operators' tools."""
+"""HTTP client of the daemons' admin listeners."""
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
@@ -6,15 +6,15 @@
 from firworks.errors import AdminResponseError, UnreachableError
 
 TIMEOUT_S = 5.0
-MAX_ANSWER_BYTES = 16_777_216
+MAX_RESPONSE_BYTES = 16_777_216
 
 
 class AdminClient:
-    """Asks admin listeners; an async context manager.
+    """Sends requests to admin listeners; an async context manager.
 
     Args:
-        secret (str): The admin secret, or "".
-        timeout_s (float): Bound on one request.
+        secret (str): The admin secret; empty for none.
+        timeout_s (float): Timeout of each request.
     """
 
     def __init__(self, secret="", timeout_s=TIMEOUT_S):
@@ -29,28 +29,38 @@
         await self._session.close()
 
     async def get(self, address, path, **params):
-        """Return the JSON answer to a GET of `path` at `address` ("ip:port").
+        """Return the JSON response to a GET request.
+
+        Args:
+            address (str): "ip:port" of the listener.
+            path (str): Path of the resource.
+            **params: Query parameters.
 
         Raises:
-            UnreachableError: When no JSON answer arrives in time.
-            AdminResponseError: When the daemon answers with an error code.
+            UnreachableError: When no JSON response arrives in time.
+            AdminResponseError: When the daemon responds with an error code.
         """
-        return await self._ask("GET", address, path, params=params)
+        return await self._request("GET", address, path, params=params)
 
     async def post(self, address, path, body=None):
-        """Return the JSON answer to a POST; raises as `get` does."""
-        return await self._ask("POST", address, path, json=body)
+        """Return the JSON response to a POST request with a JSON body; see `get`."""
+        return await self._request("POST", address, path, json=body)
 
-    async def _ask(self, method, address, path, **kwargs):
+    async def _request(self, method, address, path, **kwargs):
         url = f"http://{address}{path}"
         try:
-            async with self._session.request(method, url, **kwargs) as answer:
-                if answer.content_length and answer.content_length > MAX_ANSWER_BYTES:
-                    raise UnreachableError(address, "answer is too long")
-                status = answer.status
-                table = await answer.json()
+            async with self._session.request(method, url, **kwargs) as response:
+                if (
+                    response.content_length
+                    and response.content_length > MAX_RESPONSE_BYTES
+                ):
+                    raise UnreachableError(
+                        address, f"response over {MAX_RESPONSE_BYTES} bytes"
+                    )
+                status = response.status
+                table = await response.json()
         except TimeoutError as error:
-            problem = f"no answer within {self._timeout.total} s"
+            problem = f"no response within {self._timeout.total} s"
             raise UnreachableError(address, problem) from error
         except (ClientError, OSError, ValueError) as error:
             raise UnreachableError(address, str(error) or repr(error)) from error
--- a/firworks/tools/burn.py
+++ b/firworks/tools/burn.py
@@ -1,4 +1,4 @@
-"""Collects burn snapshots from daemons and lays out the service-level report."""
+"""Collects burn snapshots from daemons and formats the service-level report."""
 
 import asyncio
 
@@ -11,22 +11,25 @@
 
 
 async def collect_report(addresses, secret="", timeout_s=5.0):
-    """Ask several daemons and return their merged `BurnReport`.
+    """Return the merged `BurnReport` of several daemons.
 
     Args:
         addresses (iterable of str): "ip:port" of admin listeners.
-        secret (str): The admin secret, or "".
-        timeout_s (float): Bound on each daemon's answer.
+        secret (str): The admin secret; empty for none.
+        timeout_s (float): Timeout of each daemon's response.
     """
     addresses = sorted(set(addresses))
     async with AdminClient(secret, timeout_s) as client:
-        results = await asyncio.gather(*(_ask(client, item) for item in addresses))
+        results = await asyncio.gather(
+            *(_fetch_snapshot(client, item) for item in addresses)
+        )
     unreachable = [item for item in results if isinstance(item, Unreachable)]
     snapshots = [item for item in results if not isinstance(item, Unreachable)]
     return merge_snapshots(snapshots, unreachable)
 
 
-async def _ask(client, address):
+async def _fetch_snapshot(client, address):
+    """Return the snapshot of a daemon, or `Unreachable`."""
     try:
         return parse_snapshot(await client.get(address, "/burn"), address)
     except UnreachableError as error:
@@ -36,7 +39,7 @@
 
 
 def format_report(report):
-    """Return the lines (list of str) of a `BurnReport` as text."""
+    """Return a `BurnReport` as lines of text (list of str)."""
     lines = [f"daemons: {', '.join(report.daemons) or 'none'}"]
     for item in report.unreachable:
         lines.append(f"UNREACHABLE {item.address}: {item.problem}")
--- a/firworks/tools/commands.py
+++ b/firworks/tools/commands.py
@@ -1,14 +1,14 @@
-"""The commands of ``firworksctl``; each returns what is to be run."""
+"""The commands of ``firworksctl``; each returns a `Command` to run later."""
 
 import asyncio
 from functools import partial
 
 from firworks.errors import UsageError
 from firworks.tools.operations import (
-    ask_ledger,
     check_file,
     drain_daemon,
     list_history,
+    look_up_key,
     promote_document,
     publish_document,
     restore_document,
@@ -19,7 +19,7 @@
 
 
 class Command:
-    """A command with its arguments, not yet run.
+    """A command with its arguments that has not been run yet.
 
     Args:
         run (callable): Function or coroutine function that returns a `Report`.
@@ -32,10 +32,10 @@
 
 
 def start_command(command):
-    """Return the coroutine of a `Command`, or the `Report` of a plain function.
+    """Call the function of a `Command`; return its coroutine or its `Report`.
 
     Raises:
-        FirworksError: When the command fails; so does the coroutine.
+        FirworksError: When the command fails; the coroutine may raise it too.
     """
     return command._run()
 
@@ -57,7 +57,7 @@
     service is named by --log or FIRWORKS_LOG_URL, admin listeners ("ip:port") by
     arguments or FIRWORKS_ADMIN (separated by commas), and the admin secret by
     FIRWORKS_ADMIN_SECRET. Exit codes: 0 done, 1 refused or failed, 2 wrong usage or
-    an invalid file, 3 the log service or a daemon did not answer.
+    an invalid file, 3 the log service or a daemon did not respond.
     """
 
     def check(self, file):
@@ -71,12 +71,12 @@
     def publish(self, file, base="", resume="", log=""):
         """Publish an environment document in trial.
 
-        Production takes a document by promote only.
+        Documents get into production by promote only.
 
         Args:
             file: Path of the TOML file.
             base: Version that it replaces; by default the current one.
-            resume: Id of a publication whose fate is unknown; needs --base.
+            resume: Id of a publication whose outcome is unknown; needs --base.
             log: URL of the log service.
         """
         return _defer(publish_document, file, base, resume, log)
@@ -102,7 +102,7 @@
         return _defer(restore_document, file, environment, log)
 
     def history(self, environment="production", log=""):
-        """List the publications that the log still tells of.
+        """List the publications that the log still contains.
 
         Args:
             environment: trial or production.
@@ -119,7 +119,7 @@
         return _defer(show_status, addresses)
 
     def ledger(self, account, service, key, address="", resolve="", answer=""):
-        """Look up an idempotency key, or settle one whose outcome is unknown.
+        """Look up an idempotency key, or resolve one whose outcome is unknown.
 
         Args:
             account: The client account.
@@ -127,9 +127,9 @@
             key: The idempotency key.
             address: Admin listener of any daemon.
             resolve: ran or not-run, after you have checked at the service.
-            answer: With --resolve ran, the JSON answer that resends get.
+            answer: With --resolve ran, the JSON response that resends get.
         """
-        return _defer(ask_ledger, account, service, key, address, resolve, answer)
+        return _defer(look_up_key, account, service, key, address, resolve, answer)
 
     def drain(self, address):
         """Let a daemon finish its requests and stop.
@@ -148,12 +148,16 @@
         return _defer(show_burn, addresses)
 
     def demo(self):
-        """Run a whole small site on loopback and check what it must show."""
+        """Run a small site on loopback and verify its results."""
         return _defer(show_demo)
 
 
 def _defer(run, *args):
-    """Return the `Command` that calls a coroutine function with texts."""
+    """Return the `Command` that calls a function with string arguments.
+
+    Raises:
+        UsageError: When fire has read a flag without a value, which it sets to True.
+    """
     if any(arg is True for arg in args):
         raise UsageError("a flag is given without its value")
     return Command(partial(run, *args))
--- a/firworks/tools/ctl.py
+++ b/firworks/tools/ctl.py
@@ -1,4 +1,4 @@
-"""``firworksctl``, the operators' command line."""
+"""``firworksctl``, the command line for operators."""
 
 import json
 import sys
@@ -35,7 +35,7 @@
     """Run one command and exit with its exit code.
 
     Args:
-        args (list of str): The command line; that of the process when None.
+        args (list of str or None): The arguments; those of the process if None.
     """
     args = list(sys.argv[1:] if args is None else args)
     as_json = "--json" in args
@@ -73,9 +73,11 @@
 
 
 def _parse(args):
-    """Let fire read the command line; nothing runs before all of it is read."""
+    """Return the `Command` of a command line, parsed by fire, without running it."""
     if "--" in args:
-        raise UsageError("'--' is not supported; write --key=VALUE for odd values")
+        raise UsageError(
+            "'--' is not supported; write --key=VALUE for values that begin with a dash"
+        )
     if args[0] not in _command_names():
         allowed = ", ".join(_command_names())
         raise UsageError(f"no command {args[0]!r}; allowed: {allowed}")
@@ -93,9 +95,9 @@
 
 
 def _quote(arg):
-    """Return an argument in the form that fire reads as this very text.
+    """Return an argument in a form that fire parses as exactly this string.
 
-    Unquoted, fire takes 007 for a number, and names of members for members.
+    Unquoted, fire parses 007 as a number, and names of attributes as attributes.
     """
     if not arg.startswith("-"):
         return repr(arg)
--- a/firworks/tools/demo.py
+++ b/firworks/tools/demo.py
@@ -1,4 +1,4 @@
-"""The demonstration: a whole site on loopback, and what it must show."""
+"""Demonstration: runs a small site on loopback and verifies its results."""
 
 import asyncio
 import random
@@ -20,7 +20,7 @@
 
 
 class DemonstrationError(FirworksError):
-    """The demonstration did not show what it must."""
+    """The demonstration gave an unexpected result."""
 
     code = Code.INTERNAL
 
@@ -29,10 +29,10 @@
     """Run the demonstration.
 
     Args:
-        write (callable): Takes each line of its report.
+        write (callable): ``write(line)`` is called for each line of output.
 
     Raises:
-        DemonstrationError: When something is not as it must be.
+        DemonstrationError: When a result is not as expected.
     """
     asyncio.run(_run_in_time(write))
 
@@ -68,7 +68,7 @@
     tried = await publish(log, "trial", data)
     write(f"published in trial: version {tried.offset}, digest {tried.digest[:12]}")
     promoted = await promote(log)
-    _require(promoted.digest == tried.digest, "production has another document")
+    _verify(promoted.digest == tried.digest, "production has another document")
     write(f"promoted to production: version {promoted.offset}, the same digest")
     for name in ("entry-1", "entry-2"):
         await site.start_daemon(name)
@@ -80,9 +80,9 @@
     question = {"prompt": "Which clocks are free for Saturday's round?"}
     async with _open_caller(site, 0) as caller:
         reply = await caller.stream("answer-question", question)
-    _require(reply.code == Code.OK, f"the question got {reply.table}")
-    _require(reply.whole, "the streamed answer is not whole")
-    write(f"four-stage answer, {len(reply.tokens)} tokens, whole: {reply.table}")
+    _verify(reply.code == Code.OK, f"the question got {reply.table}")
+    _verify(reply.whole, "the streamed response is incomplete")
+    write(f"four-stage response, {len(reply.tokens)} tokens, complete: {reply.table}")
     write("  " + "".join(reply.tokens[:8]) + "...")
 
 
@@ -91,16 +91,16 @@
     loan = {"club": "Het Witte Paard", "clocks": 12}
     async with _open_caller(site, 0) as caller:
         first = await caller.send("register-loan", loan, Idempotency_Key=key)
-    _require(first.code == Code.OK, f"the loan got {first.table}")
+    _verify(first.code == Code.OK, f"the loan got {first.table}")
     write(f"loan: {first.table}")
     async with _open_caller(site, 1) as caller:
         again = await caller.send("register-loan", loan, Idempotency_Key=key)
     write(f"the same loan, resent through the other daemon: {again.table}")
-    _require(again.code == Code.REPLAYED, "the resend was not answered as one")
+    _verify(again.code == Code.REPLAYED, "the resend was not recognised as one")
     same = again.table["answer"] == first.table["answer"]
-    _require(same, "the resend got another answer")
+    _verify(same, "the resend got another response")
     runs = sum(len(site.targets[name].runs) for name in _loan_targets(site))
-    _require(runs == 1, f"the loan ran {runs} times")
+    _verify(runs == 1, f"the loan ran {runs} times")
     write("the loan ran once")
 
 
@@ -118,7 +118,7 @@
     return site.document.pools["loans"].targets
 
 
-def _require(condition, problem):
+def _verify(condition, problem):
     if not condition:
         raise DemonstrationError(problem)
 
--- a/firworks/tools/operations.py
+++ b/firworks/tools/operations.py
@@ -1,4 +1,4 @@
-"""What operators can do: each function carries out one command and reports."""
+"""Functions of the commands of ``firworksctl``; each returns a `Report`."""
 
 import asyncio
 import os
@@ -26,10 +26,10 @@
 
 
 class Report(Struct):
-    """What a command has found.
+    """Result of a command.
 
     Attributes:
-        lines (tuple of str): For people.
+        lines (tuple of str): Text output.
         value (object): JSON value, for ``--json``.
         code (Code): ``OK`` unless the command failed in part.
     """
@@ -70,7 +70,7 @@
 
 
 async def promote_document(digest, base, log):
-    """Publish in production what trial has accepted."""
+    """Publish in production the document that trial has accepted."""
     return await _with_log(
         log,
         lambda client: publication.promote(client, digest or None, _read_version(base)),
@@ -79,7 +79,7 @@
 
 
 async def restore_document(file, environment, log):
-    """Publish where the log retains no version."""
+    """Publish in an environment of which the log retains no version."""
     _check_environment(environment)
     data = _read_file(file)
     parse_document(data, file)
@@ -90,11 +90,17 @@
     )
 
 
-async def _with_log(url, ask, environment):
-    """Ask the log service for a publication and report its decision."""
+async def _with_log(url, decide, environment):
+    """Call a function with a client of the log service; report its decision.
+
+    Args:
+        url (str): URL of the log service; empty for that of the environment variable.
+        decide (callable): ``decide(client)`` returns a coroutine for a `Decision`.
+        environment (str): Environment of the publication.
+    """
     client = HttpLog(_choose_log(url))
     try:
-        decision = await ask(client)
+        decision = await decide(client)
     finally:
         await client.close()
     line = f"{environment}: version {decision.offset}, digest {decision.digest}"
@@ -125,7 +131,7 @@
 
 
 async def show_status(addresses):
-    """Ask daemons for their state."""
+    """Query the state of daemons."""
     addresses = _choose_addresses(addresses)
     async with AdminClient(_read_secret()) as client:
         results = await asyncio.gather(
@@ -157,13 +163,15 @@
     )
 
 
-async def ask_ledger(account, service, key, address, resolve, answer):
-    """Look up a key or settle it."""
+async def look_up_key(account, service, key, address, resolve, answer):
+    """Look up an idempotency key, or resolve its outcome."""
     if resolve and resolve not in RESOLUTIONS:
         allowed = ", ".join(RESOLUTIONS)
         raise UsageError(f"--resolve {resolve!r}; allowed: {allowed}")
     if bool(answer) != (resolve == RESOLUTION_RAN):
-        raise UsageError(f"--answer goes with --resolve {RESOLUTION_RAN}, and only so")
+        raise UsageError(
+            f"--answer and --resolve {RESOLUTION_RAN} must be given together"
+        )
     address = _choose_addresses((address,) if address else ())[0]
     wanted = {"account": account, "service": service, "key": key}
     async with AdminClient(_read_secret()) as client:
@@ -179,14 +187,14 @@
 
 
 async def drain_daemon(address):
-    """Ask a daemon to finish and stop."""
+    """Start the drain of a daemon."""
     async with AdminClient(_read_secret()) as client:
         value = await client.post(address, "/drain")
     return Report((f"{address}: draining",), value)
 
 
 async def show_burn(addresses):
-    """Collect the service-level report."""
+    """Collect the service-level report of daemons."""
     report = await collect_report(_choose_addresses(addresses), _read_secret())
     code = Code.DAEMON_UNREACHABLE if report.unreachable else Code.OK
     return Report(tuple(format_report(report)), pack_struct(report), code)
@@ -223,7 +231,7 @@
 def _choose_log(url):
     url = url or os.environ.get(LOG_VARIABLE, "")
     if not url.startswith(("http://", "https://")):
-        raise UsageError(f"name the log service by --log URL or {LOG_VARIABLE}")
+        raise UsageError(f"specify the log service by --log URL or {LOG_VARIABLE}")
     return url
 
 
@@ -232,7 +240,7 @@
         text = os.environ.get(ADMIN_VARIABLE, "")
         addresses = tuple(item.strip() for item in text.split(",") if item.strip())
     if not addresses:
-        raise UsageError(f"name admin listeners as ip:port, or in {ADMIN_VARIABLE}")
+        raise UsageError(f"specify admin listeners as ip:port, or in {ADMIN_VARIABLE}")
     for address in addresses:
         _, separator, port = address.rpartition(":")
         if not separator or not port.isdigit():
