Cancel the requests for permits that a process pause replaced

After a pause of 0.3 s a gateway asks again under new numbers, as permits on their way may be old. The coordinator went on granting the old ones for 2.5 s, and those permits were lost.

--- a/firworks/kernel/target_limits/permit_requests.py
+++ b/firworks/kernel/target_limits/permit_requests.py
@@ -72,6 +72,8 @@
         self._numbers = count(1)
         # Permits for requests with lower numbers were granted before a process pause.
         self._first_valid = 0
+        # Cancellations of the requests that had those numbers.
+        self._cancellations = []
 
     @property
     def waiting(self):
@@ -150,7 +152,7 @@
 
     def repeat(self, now):
         """Return the actions (list) for requests that expired or are to be repeated."""
-        actions = []
+        actions, self._cancellations = self._cancellations, []
         for ask in list(self._asks.values()):
             if not ask.acknowledged and now - ask.sent_s > ACK_TIMEOUT_S:
                 self._follower.mark_unresponsive(ask.coordinator, now)
@@ -174,6 +176,8 @@
         self._permits.clear()
         self._first_valid = next(self._numbers)
         for ask in list(self._asks.values()):
+            cancelled = PermitCancelled(ask.number)
+            self._cancellations.append(SendTo(ask.coordinator, cancelled))
             del self._asks[ask.number]
             ask.number = next(self._numbers)
             ask.sent_s, ask.acknowledged = float("-inf"), True
--- a/firworks/tests/test_permits.py
+++ b/firworks/tests/test_permits.py
@@ -4,7 +4,13 @@
 from multidict import CIMultiDict
 
 from firworks.kernel.pools.clients import SendTo
-from firworks.kernel.target_limits.messages import LimitNamed
+from firworks.kernel.target_limits.messages import (
+    LimitNamed,
+    PermitAsked,
+    PermitCancelled,
+    PermitGranted,
+)
+from firworks.kernel.target_limits.permit_requests import PermitDecided
 from firworks.platform.headers import read_rate_notice
 from firworks.tests.limit_rule import STABLE_S, compute_allowed, count_most
 from firworks.tests.limit_simulation import LimitSimulation
@@ -109,6 +115,37 @@
         self.check(self.run_with(lambda one: one.start_daemon("daemon-new")))
 
 
+class TestProcessPause:
+    def make_limiter(self):
+        """Return the limiter of a daemon that asked another one for a permit."""
+        simulation = LimitSimulation(12, [None])
+        name = next(n for n in simulation.daemons if n != simulation.get_coordinator())
+        limiter = simulation.daemons[name].limiter
+        limiter.record_response(("target-0", 0), "loans", 1.0, 0.0, 0.1)
+        limiter.tick(0.2)
+        number, (asked,) = limiter.request("loans", [("target-0", 0)], 1, 9.0, 0.25)
+        return limiter, number, asked
+
+    def test_a_permit_from_before_a_pause_is_void(self):
+        limiter, _, asked = self.make_limiter()
+        granted = PermitGranted(asked.record.number, "target-0", 0)
+        actions = limiter.receive(granted, asked.peer, 5.0)
+        assert not any(isinstance(one, PermitDecided) for one in actions)
+        assert not limiter.take(("target-0", 0), 5.0)
+
+    def test_the_request_is_cancelled_and_repeated_after_a_pause(self):
+        limiter, number, asked = self.make_limiter()
+        sent = [one for one in limiter.tick(5.0) if isinstance(one, SendTo)]
+        sent = [one.record for one in sent if one.peer == asked.peer]
+        assert [one.number for one in sent if isinstance(one, PermitCancelled)] == [
+            asked.record.number
+        ]
+        (again,) = [one for one in sent if isinstance(one, PermitAsked)]
+        granted = PermitGranted(again.number, "target-0", 0)
+        (decided,) = limiter.receive(granted, asked.peer, 5.1)
+        assert decided.number == number and decided.incarnation == ("target-0", 0)
+
+
 class TestLimitMoves:
     def test_a_lower_limit_holds_at_once(self):
         simulation = LimitSimulation(12, [20])
