Don't take entries of crashed targets for alternatives to limited ones

A target that was not found at its address is passed over for a second where the others are limited, and counts as failed for the scheduler of its pool. The new test failed before: all requests went to the stale entry.

--- a/firworks/gateway/availability.py
+++ b/firworks/gateway/availability.py
@@ -7,6 +7,10 @@
 from firworks.kernel.forwarding.suspicions import LeavingTold
 from firworks.platform.headers import read_notice, read_rate_notice
 
+# A target that was not found at its address is tried again after this time if all
+# others are limited.
+ABSENCE_S = 1.0
+
 
 class TargetAvailability:
     """Combines the targets listed in the store with what their responses announce.
@@ -22,6 +26,7 @@
         self._gateway = gateway
         self._clock = gateway.clock
         self._backoffs = TargetBackoffs()
+        self._absent_s = {}
         self._logged_unusual = set()
 
     def get_wait_s(self, target):
@@ -75,6 +80,19 @@
         """Record that work is being sent to a target."""
         self._backoffs.mark_sent(target.incarnation, self._clock())
 
+    def record_absence(self, target):
+        """Record that a target was not found at its address."""
+        self._absent_s[target.incarnation] = self._clock()
+
+    def is_absent(self, target):
+        """Return whether a target was not found within the last ``ABSENCE_S``.
+
+        The entry of a crashed target is in the store for some seconds longer. Another
+        target may already respond at its address.
+        """
+        absent_s = self._absent_s.get(target.incarnation, float("-inf"))
+        return self._clock() - absent_s < ABSENCE_S
+
     def record_response(self, target, exchange, request_id=""):
         """Apply what a response announces about its target.
 
@@ -129,6 +147,8 @@
             target.incarnation for target in self._gateway.directory.list_all()
         }
         self._backoffs.expire(self._clock())
+        for incarnation in self._absent_s.keys() - incarnations:
+            del self._absent_s[incarnation]
         self._gateway.limits.retain(incarnations)
         self._logged_unusual = {
             one for one in self._logged_unusual if one[0] in incarnations
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -263,6 +263,8 @@
             return await self._handle_response(context, exchange, note_begun)
         except AttemptError as error:
             exchange.abort()
+            if error.target_absent:
+                availability.record_absence(target)
             if error.kind == BROKEN:
                 self._check_liveness(context, target, error.silent)
             raise
@@ -348,7 +350,7 @@
         if exchange.not_run and exchange.status in INPUT_STATUSES:
             raise AttemptError(INPUTS_GONE, True, detail)
         if exchange.not_run:
-            raise AttemptError(NOT_RUN, True, detail)
+            raise AttemptError(NOT_RUN, True, detail, misdirected=exchange.misdirected)
         raise AttemptError(FAILED, True, detail, (exchange, body))
 
     async def _forward_buffered(self, context, exchange):
--- a/firworks/gateway/target_selection.py
+++ b/firworks/gateway/target_selection.py
@@ -44,11 +44,13 @@
         limited = limits.list_limited(targets)
         if not limited:
             return preferred
-        if len(limited) == len(targets):
+        free = [one for one in targets if self._is_free(one)]
+        if not free:
             return await self._acquire(context, limited)
-        target = preferred
+        target = balancer.choose([*free, *limited], (), self._clock())
         if not limits.may_send(target):
-            permitted = [one for one in targets if limits.may_send(one)]
+            permitted = [one for one in limited if limits.may_send(one)]
+            permitted += free
             target = balancer.choose(permitted, (), self._clock())
             limits.prefetch(context.service, limited)
             limits.log_request(context, MOVED, 0.0)
@@ -106,6 +108,11 @@
         if waited_s >= MIN_LOGGED_DELAY_S and self._is_limited(context.service):
             self._gateway.limits.log_request(context, DELAYED, waited_s)
 
+    def _is_free(self, target):
+        """Return whether a target names no limit and was not found missing."""
+        absent = self._gateway.availability.is_absent(target)
+        return not (absent or self._gateway.limits.list_limited([target]))
+
     def _is_limited(self, service):
         """Return whether a target of a service names a limit."""
         available = self._gateway.availability.list_available(service)
--- a/firworks/kernel/forwarding/outcomes.py
+++ b/firworks/kernel/forwarding/outcomes.py
@@ -33,21 +33,30 @@
         detail (str): Description for the log.
         answer (object): The target's complete error response, or None.
         silent (bool): The target sent nothing until the attempt was abandoned.
+        misdirected (bool): Another target responded at the address.
     """
 
-    def __init__(self, kind, sent, detail, answer=None, silent=False):
+    def __init__(
+        self, kind, sent, detail, answer=None, silent=False, misdirected=False
+    ):
         super().__init__(detail)
         self.kind = kind
         self.sent = sent
         self.detail = detail
         self.answer = answer
         self.silent = silent
+        self.misdirected = misdirected
+
+    @property
+    def target_absent(self):
+        """Whether the target was not found at its address."""
+        return self.kind == NOT_RUN and (self.misdirected or not self.sent)
 
     @property
     def blames_target(self):
         """Whether the target is down or failing, as opposed to merely busy."""
         if self.kind == NOT_RUN:
-            return not self.sent
+            return self.target_absent
         return self.kind in (BROKEN, FAILED)
 
 
--- a/firworks/tests/test_target_limits.py
+++ b/firworks/tests/test_target_limits.py
@@ -107,6 +107,20 @@
 
         play(scenario)
 
+    def test_a_stale_entry_is_no_alternative_to_a_limited_target(self):
+        async def scenario(testbed):
+            limited, stale = list_targets(testbed, "loans")
+            limited.limit = "5"
+            while not testbed.gateways[0].limits.active:
+                await testbed.send_request("/stock/a")
+            stale.target_id = "someone-else"
+            before = len(stale.received)
+            statuses = await send_steadily(testbed, "/stock/a", {}, 3.0)
+            assert len(stale.received) - before < len(statuses) / 4
+            assert 200 in statuses
+
+        play(scenario)
+
     def test_callers_lose_nothing_beside_a_free_target(self):
         async def scenario(testbed):
             await wait_for_members(testbed)
