--- a/spec/claims.py
+++ b/spec/claims.py
@@ -71,7 +71,7 @@
         facts = [s.head == 0, s.oldest == 0, s.now >= -2 * SKEW]
         for i in self.claims:
             claim = Claim(s, i)
-            facts += [claim.phase == IDLE, claim.announced == UNTOLD, claim.runs == 0]
+            facts += [claim.phase == IDLE, claim.told == UNTOLD, claim.runs == 0]
             facts += [claim.first == ABSENT, claim.copy == ABSENT]
             facts += [claim.release == ABSENT, claim.refused == 0]
         return And(facts)
@@ -140,14 +140,14 @@
         at = self.appearance(claim, view)
         whole = self.guard("decided by the whole prefix", view <= s.oldest)
         won = self.wins(s, claim, view)
-        untold = self.guard(FINAL_DECISION, claim.announced == UNTOLD)
+        untold = self.guard(FINAL_DECISION, claim.told == UNTOLD)
         return And(
             Or(claim.phase == SENT, claim.phase == RELEASED),
             untold,
             0 <= view,
             at != ABSENT,
             whole,
-            claim.later(t).announced == If(won, WON, LOST),
+            claim.later(t).told == If(won, WON, LOST),
             s.keep(t, claim.name("told")),
         )
 
@@ -163,7 +163,7 @@
         changed = (claim.name("phase"), claim.name("runs"))
         return And(
             Or([claim.phase == phase for phase in phases]),
-            self.guard("only a winner dispatches", claim.announced == WON),
+            self.guard("only a winner dispatches", claim.told == WON),
             self.guard("window at dispatch", local <= WINDOW),
             later.phase == DISPATCHED,
             later.runs == claim.runs + 1,
@@ -244,20 +244,20 @@
         """Return the invariant of one claim."""
         facts = [
             Or([c.phase == phase for phase in (IDLE, SENT, RELEASED, DISPATCHED)]),
-            Or([c.announced == told for told in (UNTOLD, WON, LOST)]),
+            Or([c.told == told for told in (UNTOLD, WON, LOST)]),
             c.runs == If(c.phase == DISPATCHED, 1, 0),
             c.refused == If(c.phase == RELEASED, 1, 0),
-            Implies(c.phase == IDLE, And(c.first == ABSENT, c.announced == UNTOLD)),
+            Implies(c.phase == IDLE, And(c.first == ABSENT, c.told == UNTOLD)),
             Implies(c.phase != IDLE, s.now >= -2 * SKEW),
             Implies(c.first == ABSENT, c.copy == ABSENT),
             Implies(c.copy != ABSENT, c.copy > c.first),
             Implies(c.release != ABSENT, c.phase == RELEASED),
-            Implies(c.announced != UNTOLD, c.first != ABSENT),
+            Implies(c.told != UNTOLD, c.first != ABSENT),
             Implies(c.phase == DISPATCHED, self.wins(s, c, 0)),
             Or(c.release == ABSENT, And(c.release != c.first, c.release != c.copy)),
         ]
         late = s.now > WINDOW + SKEW
-        facts.append(Implies(c.announced == WON, Or(late, self.wins(s, c, 0))))
+        facts.append(Implies(c.told == WON, Or(late, self.wins(s, c, 0))))
         for offset, time in c.entries():
             gone = And(offset != ABSENT, offset < s.oldest)
             facts.append(Implies(gone, time <= s.now - RETENTION))
