Join repeated pieces of the limits; prefetch permits for limited targets only

Read once more as a whole: whether all of some targets are limited, the log line of a check, forgetting targets that are gone and whether one target is limited were each written twice. The metrics of a gateway are made in groups.

Two things change besides: schedulers that don't coordinate asked ahead for permits of free targets too, which a coordinator grants at once, so that the limited ones got none; and a response that changes no limit no longer sets the timer.

--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -152,14 +152,7 @@
             await self._query(target, exchange)
         except (AttemptError, TimeoutError) as error:
             exchange.abort()
-            log_event(
-                LogEvent.TARGET_CHECKED,
-                target=target.target_id,
-                born_ms=target.born_ms,
-                verdict=UNKNOWN,
-                evidence=repr(error),
-                fingerprints=[],
-            )
+            log_check(target.incarnation, UNKNOWN, repr(error), ())
 
     async def _query(self, target, exchange):
         """Send a probe and return the body (bytes) of the response."""
@@ -179,13 +172,25 @@
 
     def _record_verdict(self, incarnation, fingerprints, verdict, evidence):
         self._metrics.target_checks.labels(verdict).inc()
-        log_event(
-            LogEvent.TARGET_CHECKED,
-            target=incarnation[0],
-            born_ms=incarnation[1],
-            verdict=verdict,
-            evidence=evidence,
-            fingerprints=sorted(one.hex() for one in fingerprints),
-        )
+        log_check(incarnation, verdict, evidence, fingerprints)
         if verdict == ENDED:
             self._on_ended(incarnation, fingerprints)
+
+
+def log_check(incarnation, verdict, evidence, fingerprints):
+    """Log the outcome of a check of an incarnation.
+
+    Args:
+        incarnation (tuple): Id and start time of the target.
+        verdict (str): ``ENDED``, ``ALIVE`` or ``UNKNOWN``.
+        evidence (str): What the verdict is based on.
+        fingerprints (iterable of bytes): Requests that the target broke off.
+    """
+    log_event(
+        LogEvent.TARGET_CHECKED,
+        target=incarnation[0],
+        born_ms=incarnation[1],
+        verdict=verdict,
+        evidence=evidence,
+        fingerprints=sorted(one.hex() for one in fingerprints),
+    )
--- a/firworks/gateway/limits.py
+++ b/firworks/gateway/limits.py
@@ -60,11 +60,11 @@
 
     def list_limited(self, targets):
         """Return those of some targets (list of Target) that name a limit."""
-        if not self.active:
-            return []
-        return [
-            one for one in targets if self.limiter.get_rate(one.incarnation) is not None
-        ]
+        return [target for target in targets if self.is_limited(target)]
+
+    def is_limited(self, target):
+        """Return whether a target names a limit."""
+        return self.limiter.get_rate(target.incarnation) is not None
 
     def may_send(self, target):
         """Return whether a request may be sent to a target without waiting."""
@@ -75,9 +75,11 @@
         return self.limiter.take(target.incarnation, self._clock())
 
     def prefetch(self, service, targets):
-        """Ask for a permit for a later request to one of some limited targets."""
-        incarnations = [target.incarnation for target in targets]
-        self._execute_all(self.limiter.prefetch(service, incarnations, self._clock()))
+        """Ask for a permit for a later request to a limited one of some targets."""
+        limited = [target.incarnation for target in self.list_limited(targets)]
+        if limited:
+            actions = self.limiter.prefetch(service, limited, self._clock())
+            self._execute_all(actions)
 
     async def acquire(self, service, targets, priority, latest_start_s):
         """Wait for a permit for one of some limited targets; return that target.
@@ -136,7 +138,8 @@
         actions = self.limiter.record_response(
             target.incarnation, target.service, rate_per_s, sent_s, self._clock()
         )
-        self._execute_all(actions, request_id)
+        if actions:
+            self._execute_all(actions, request_id)
 
     def log_request(self, context, outcome, waited_s):
         """Log that limits affected a request.
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -36,6 +36,11 @@
         self.stage_seconds = self._histogram(
             "stage_call_seconds", "Time of a call of a stage pool.", ("service",)
         )
+        self._make_target_metrics()
+        self._make_state_metrics()
+
+    def _make_target_metrics(self):
+        """Make the metrics of members, checks, backoffs and limits."""
         self.suspected = self._counter(
             "members_suspected", "Times that another daemon did not answer."
         )
@@ -62,6 +67,9 @@
         self.permits_waiting = self._gauge(
             "permits_waiting", "Requests of all gateways that wait here for a permit."
         )
+
+    def _make_state_metrics(self):
+        """Make the gauges, which `Gateway.update_metrics` sets."""
         self.suspended = self._gauge(
             "requests_suspended", "Requests refused, as they have ended targets."
         )
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -147,8 +147,7 @@
         self._readiness = ReadinessServer(self)
         self._metrics_server = MetricsServer(self)
         self.draining = asyncio.Event()
-        self._tasks = []
-        self._followers = []
+        self._tasks, self._followers = [], []
         self._targets_follower = None
         self._was_ready = False
         self._suspension = SuspensionDetector()
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -26,10 +26,7 @@
     AttemptError,
 )
 from firworks.kernel.pools.jobs import EngineJob
-from firworks.kernel.pools.results import (
-    REASON_GONE,
-    REASON_SUSPENDED,
-)
+from firworks.kernel.pools.results import REASON_GONE, REASON_SUSPENDED
 from firworks.platform.headers import (
     REQUEST_ID,
     STAMP,
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -128,13 +128,13 @@
         key = action.target.incarnation
         pending = self._pending_frees.setdefault(key, [])
         if not pending:
-            due_s = self._clock() + self.service.stage_pool.result_ttl_s
-            self._schedule_free(FREE_DELAY_S, key, due_s)
+            expired_s = self._clock() + self.service.stage_pool.result_ttl_s
+            self._schedule_free(FREE_DELAY_S, key, expired_s)
         pending.append(action)
 
-    def _schedule_free(self, delay_s, key, due_s):
+    def _schedule_free(self, delay_s, key, expired_s):
         loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, self._start_free, key, due_s)
+        loop.call_later(delay_s, self._start_free, key, expired_s)
 
     def _start_free(self, key, expired_s):
         """Free results, once a limited target accepts a request, until they expire."""
--- a/firworks/gateway/target_selection.py
+++ b/firworks/gateway/target_selection.py
@@ -111,7 +111,7 @@
     def _is_free(self, target):
         """Return whether a target names no limit and was not found missing."""
         absent = self._gateway.availability.is_absent(target)
-        return not (absent or self._gateway.limits.list_limited([target]))
+        return not (absent or self._gateway.limits.is_limited(target))
 
     def _is_limited(self, service):
         """Return whether a target of a service names a limit."""
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -324,8 +324,7 @@
                 for incarnation in self._usable
                 if incarnation[0] not in job.excluded
             )
-            rates_per_s = [self._limits.get_rate(one) for one in candidates]
-            if candidates and None not in rates_per_s:
+            if self._limits.are_limited(candidates):
                 latest_start_s = job.first_byte_deadline_s - FIRST_EVENT_S
                 limited.append(_LimitedJob(job, candidates, latest_start_s))
         actions = []
--- a/firworks/kernel/pools/worker_limits.py
+++ b/firworks/kernel/pools/worker_limits.py
@@ -27,8 +27,8 @@
         return self._limiter.take(worker.target.incarnation, now)
 
     def are_limited(self, workers):
-        """Return whether all of some targets name a limit."""
-        return self._limiter.active and None not in map(self._get_rate, workers)
+        """Return whether there are some targets and all of them name a limit."""
+        return self._limiter.are_limited(list_incarnations(workers))
 
     def estimate_completion_s(self, spec, workers, pieces, now):
         """Return the seconds until some targets complete some pieces.
@@ -41,7 +41,7 @@
         """
         intervals_s = {}
         for worker in workers if self._limiter.active else ():
-            rate_per_s = self._get_rate(worker)
+            rate_per_s = self._limiter.get_rate(worker.target.incarnation)
             if rate_per_s is not None:
                 interval_s = 1 / rate_per_s if rate_per_s else float("inf")
                 intervals_s[worker] = (self.get_wait_s(worker, now), interval_s)
@@ -57,11 +57,12 @@
             wait_s (float): Seconds until they would complete the job.
             now (float): Monotonic seconds.
         """
-        if not workers or not self.are_limited(workers):
+        if not self.are_limited(workers):
             return REASON_LATE, max(MIN_RETRY_AFTER_S, wait_s)
-        incarnations = [worker.target.incarnation for worker in workers]
-        room_s = now + wait_s
+        incarnations, room_s = list_incarnations(workers), now + wait_s
         return REASON_LIMITED, self._limiter.book_return(incarnations, room_s, now)
 
-    def _get_rate(self, worker):
-        return self._limiter.get_rate(worker.target.incarnation)
+
+def list_incarnations(workers):
+    """Return the incarnations (list of tuple) of some targets (StageWorker)."""
+    return [worker.target.incarnation for worker in workers]
--- a/firworks/kernel/target_limits/announcements.py
+++ b/firworks/kernel/target_limits/announcements.py
@@ -68,7 +68,7 @@
         return [SendTo(peer, describe_limit(self._limits, incarnation, now))]
 
     def retain(self, incarnations):
-        """Forget all targets but these (collection of tuple)."""
+        """Forget all targets but these (set of tuple)."""
         self._pending.intersection_update(incarnations)
         for incarnation in self._announced_s.keys() - incarnations:
             del self._announced_s[incarnation]
--- a/firworks/kernel/target_limits/coordinator.py
+++ b/firworks/kernel/target_limits/coordinator.py
@@ -207,8 +207,8 @@
         return probes
 
     def retain(self, incarnations):
-        """Forget all targets but these (collection of tuple)."""
-        for incarnation in [one for one in self._buckets if one not in incarnations]:
+        """Forget all targets but these (set of tuple)."""
+        for incarnation in self._buckets.keys() - incarnations:
             del self._buckets[incarnation]
 
     def find_late(self, order, now):
--- a/firworks/kernel/target_limits/limiter.py
+++ b/firworks/kernel/target_limits/limiter.py
@@ -93,6 +93,11 @@
         """Return the requests per second (float) that a target accepts, or None."""
         return self.limits.get_rate(incarnation)
 
+    def are_limited(self, incarnations):
+        """Return whether there are some targets and all of them name a limit."""
+        rates_per_s = [self.get_rate(one) for one in incarnations]
+        return bool(rates_per_s) and None not in rates_per_s
+
     def get_coordinator(self, service, now):
         """Return the name of the daemon whose permits are used for a service."""
         return self._follower.choose(service, now)
@@ -201,7 +206,7 @@
         return [describe_limit(self.limits, one, now) for one, _ in self.limits.items()]
 
     def retain(self, incarnations):
-        """Forget all targets but these (collection of tuple)."""
+        """Forget all targets but these (set of tuple)."""
         self.limits.retain(incarnations)
         self.coordinator.retain(incarnations)
         self._requests.retain(incarnations)
--- a/firworks/kernel/target_limits/named_limits.py
+++ b/firworks/kernel/target_limits/named_limits.py
@@ -98,8 +98,8 @@
         return changed
 
     def retain(self, incarnations):
-        """Forget the limits of all targets but these (collection of tuple)."""
-        for incarnation in [one for one in self._limits if one not in incarnations]:
+        """Forget the limits of all targets but these (set of tuple)."""
+        for incarnation in self._limits.keys() - incarnations:
             del self._limits[incarnation]
 
 
--- a/firworks/kernel/target_limits/permit_requests.py
+++ b/firworks/kernel/target_limits/permit_requests.py
@@ -184,8 +184,8 @@
             self._asks[ask.number] = ask
 
     def retain(self, incarnations):
-        """Forget the permits of all targets but these (collection of tuple)."""
-        for incarnation in [one for one in self._permits if one not in incarnations]:
+        """Forget the permits of all targets but these (set of tuple)."""
+        for incarnation in self._permits.keys() - incarnations:
             del self._permits[incarnation]
 
     def _send(self, ask, now):
--- a/firworks/kernel/target_limits/unlimited.py
+++ b/firworks/kernel/target_limits/unlimited.py
@@ -10,6 +10,10 @@
         """Return None: there is no limit."""
         return None
 
+    def are_limited(self, incarnations):
+        """Return False: no target names a limit."""
+        return False
+
     def get_wait_s(self, incarnation, now):
         """Return 0.0: requests may be sent at once."""
         return 0.0
--- a/firworks/tests/test_target_limits.py
+++ b/firworks/tests/test_target_limits.py
@@ -177,6 +177,19 @@
 
         play(scenario)
 
+    def test_a_value_that_is_no_limit_is_logged_once(self):
+        async def scenario(testbed):
+            limited, _ = list_targets(testbed, "loans")
+            limited.limit, lines = "soon", []
+            sink = logger.add(lambda line: lines.append(line.record["extra"]))
+            assert set(await send_steadily(testbed, "/stock/a", {}, 0.5)) == {200}
+            logger.remove(sink)
+            (line,) = [one for one in lines if one.get("event") == 927]
+            assert (line["target"], line["value"]) == (limited.target_id, "soon")
+            assert not testbed.gateways[0].limits.active
+
+        play(scenario)
+
     def test_a_target_that_is_well_again_gets_full_work(self):
         async def scenario(testbed):
             await wait_for_members(testbed)
