--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -135,6 +135,8 @@
             left_s=round(context.remaining_s(now), 3),
             budget=within_budget,
             again=verdict.retry,
+            begun=context.response is not None,
+            parts=context.list_part_ids(),
             detail=failure.detail,
         )
         return verdict
--- a/firworks/gateway/request_contexts.py
+++ b/firworks/gateway/request_contexts.py
@@ -80,6 +80,11 @@
         staged = self.stages is not None or self.stages_s is not None
         return self.progress.may_have_run or staged or self.response is not None
 
+    def list_part_ids(self):
+        """Return the ids (list of str) of the parts of its prompt, in order."""
+        prompt = self.admitted.request.prompt
+        return [] if prompt is None else [part_id for part_id, _ in prompt.parts]
+
     def remaining_s(self, now):
         """Return the seconds left until its deadline."""
         return self.admitted.deadline_s - now
