--- a/firworks/standins/crashing_targets.py
+++ b/firworks/standins/crashing_targets.py
@@ -1,8 +1,8 @@
 """Stand-ins for targets that a request can crash, with different symptoms.
 
 A request crashes each target that starts to process it if its path, its body or the
-input of its stages contains ``DEADLY``. The target restarts after some time as a new
-incarnation.
+input of its stages contains ``DEADLY``, or if its prompt has the part ``DEADLY_PART``.
+The target restarts after some time as a new incarnation.
 """
 
 import asyncio
@@ -18,6 +18,7 @@
 from firworks.standins.web import LOOPBACK
 
 DEADLY = b"deadly"
+DEADLY_PART = "dead"
 # Symptoms of a crash.
 CLOSE = "close"  # the listener and all connections close
 RESET = "reset"  # all connections are reset, new ones open at once
@@ -37,6 +38,7 @@
         manner (str): Symptom of its crashes; one of ``MANNERS``.
         back_s (float): Time from a crash to the restart.
         work_s (float): Duration of other requests.
+        prefill_s (float): Time from the arrival of a deadly request to the crash.
         keeps_entry (bool): All incarnations have the same id and start time.
         ended_s (list of float): Times of its crashes, by the loop's clock.
         reached (list of (float, str)): Arrival times of deadly requests, likewise, and
@@ -51,6 +53,7 @@
     manner = CLOSE
     back_s = 1.0
     work_s = 0.0
+    prefill_s = 0.0
     keeps_entry = False
     born_ms = 1
 
@@ -146,7 +149,7 @@
         if self._silence is not None:
             await self._silence.wait()
             return
-        deadly = DEADLY in line.encode() or DEADLY in body
+        deadly = is_deadly(line, headers, body)
         if deadly:
             now = asyncio.get_running_loop().time()
             self.reached.append((now, headers.get("x-request-id", "")))
@@ -159,6 +162,9 @@
             if self._spared % 2:
                 self._answer(writer, headers, 500, b"failed")
                 return
+        await asyncio.sleep(self.prefill_s)
+        if self.down or writer.is_closing():
+            return
         await self._begin_response(writer, headers)
         self.end()
         if self._silence is not None:
@@ -181,6 +187,13 @@
         await asyncio.sleep(0.01)
 
 
+def is_deadly(line, headers, body):
+    """Return whether a request crashes targets."""
+    prompt = headers.get("x-prefix-hash", "").split(",")
+    parts = [part.partition(":")[0] for part in prompt]
+    return DEADLY in line.encode() or DEADLY in body or DEADLY_PART in parts
+
+
 class CrashingTarget(Crashing, PlatformTarget):
     """Target of a plain service that a request can crash."""
 
--- a/firworks/tests/crash_testbed.py
+++ b/firworks/tests/crash_testbed.py
@@ -69,10 +69,10 @@
         await asyncio.sleep(LAPSE_S)
         self.store.put_target(target_id, None)
 
-    async def send_tolerantly(self, path, gateway, **headers):
+    async def send_tolerantly(self, path, gateway, body=None, **headers):
         """Return the status of a request; 0 when the connection breaks."""
         try:
-            return (await self.send_request(path, "POST", gateway, **headers))[0]
+            return (await self.send_request(path, "POST", gateway, body, **headers))[0]
         except aiohttp.ClientError:
             return 0
 
