Quarantine the parts of prompts that crash engines

Cause: only whole requests could be suspects (path, account, body), and no two of these are alike. One decision, in kernel/forwarding/suspects.py, now takes features: the request and the parts of its prompt but the last. A part that never had a response is in quarantine from its first crash on, with trials that are a budget of the whole fleet; a response, or a second of a stream, clears it, and peers that had one tell the reporter. A part convicted in a trial of its own explains the crashes of its companions. The trial is taken right before the send, so that what waited in pools or stages is checked again; attempts without a response are abandoned at the second crash; a request that broke with an unanswered part waits for the verdict on its target before it is sent again.

--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -5,6 +5,7 @@
 from firworks.errors import CodecError
 from firworks.events import LogEvent, log_event
 from firworks.gateway.exchanges import Exchange
+from firworks.kernel.forwarding.features import describe_feature
 from firworks.kernel.forwarding.liveness import (
     ALIVE,
     ENDED,
@@ -21,6 +22,8 @@
 # Covers a busy target, which delays health checks; a healthy one replies within
 # milliseconds.
 PROBE_TIMEOUT_S = 0.5
+# Longest wait of a request for the verdict on the target that broke it off.
+VERDICT_TIMEOUT_S = 0.6
 # Longest wait for a limited target to accept a probe.
 PERMIT_TIMEOUT_S = 1.0
 
@@ -63,14 +66,14 @@
         self._limits = limits
         self._unresolved = UnresolvedIncarnations()
         self._in_progress = {}
-        self._tasks = set()
+        self._tasks = {}
 
     def begin(self, target, fingerprints, silent=False):
         """Start a check of a target, or join the one in progress.
 
         Args:
             target (Target): The target that broke off the requests.
-            fingerprints (iterable of bytes): Fingerprints of the requests.
+            fingerprints (iterable of bytes): Fingerprints of the requests' features.
             silent (bool): It sent nothing until the requests were abandoned.
         """
         if silent and self._list_recently_active(target):
@@ -80,8 +83,14 @@
             return
         self._in_progress[target.incarnation] = set(fingerprints)
         task = asyncio.ensure_future(self._check(target, silent))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[target.incarnation] = task
+        task.add_done_callback(lambda _: self._tasks.pop(target.incarnation))
+
+    async def wait(self, incarnation):
+        """Wait until a check of an incarnation in progress has a verdict, if any."""
+        task = self._tasks.get(incarnation)
+        if task is not None:
+            await asyncio.wait({task}, timeout=VERDICT_TIMEOUT_S)
 
     def poll_unresolved(self):
         """Resolve checks with an unknown verdict from the entries in the store."""
@@ -93,7 +102,7 @@
 
     def close(self):
         """Cancel all checks in progress."""
-        for task in self._tasks:
+        for task in self._tasks.values():
             task.cancel()
 
     def _list_recently_active(self, target):
@@ -184,7 +193,8 @@
         incarnation (tuple): Id and start time of the target.
         verdict (str): ``ENDED``, ``ALIVE`` or ``UNKNOWN``.
         evidence (str): What the verdict is based on.
-        fingerprints (iterable of bytes): Requests that the target broke off.
+        fingerprints (iterable of bytes): Features of the requests that the target
+            broke off.
     """
     log_event(
         LogEvent.TARGET_CHECKED,
@@ -192,5 +202,5 @@
         born_ms=incarnation[1],
         verdict=verdict,
         evidence=evidence,
-        fingerprints=sorted(one.hex() for one in fingerprints),
+        fingerprints=sorted(describe_feature(one) for one in fingerprints),
     )
--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Quarantines requests that crash targets, across all gateways."""
+"""Quarantines features of requests that crash targets, across all gateways."""
 
 import asyncio
 from functools import singledispatchmethod
@@ -6,7 +6,8 @@
 from firworks.events import LogEvent, log_event
 from firworks.gateway.checks import LivenessChecker
 from firworks.gateway.suspicion_store import SuspicionStore
-from firworks.kernel.forwarding.suspects import SuspectRequests
+from firworks.kernel.forwarding.features import describe_feature, is_part
+from firworks.kernel.forwarding.suspects import Suspects
 from firworks.kernel.forwarding.suspicions import (
     SuspectCleared,
     Suspicion,
@@ -21,21 +22,26 @@
 TRIALS = "trials"
 # A round trip between gateways takes a few milliseconds, some tens under load.
 TRIAL_REQUEST_TIMEOUT_S = 0.25
-# Quarantined requests are written to the store at this interval, so that one which a
+# Quarantined features are written to the store at this interval, so that one which a
 # trial clears at once is not written.
 REVIEW_PERIOD_S = 0.7
 
 
 class CrashTracker:
-    """Tracks requests suspected of crashing targets and grants trials for them.
+    """Tracks features suspected of crashing targets and grants trials for them.
 
     Args:
         gateway (Gateway): Provides targets, services and members from the store.
+
+    Attributes:
+        on_crash (callable): ``on_crash(fingerprint)`` is called for each feature in
+            quarantine that was at more than one crash, after the latest of them.
     """
 
     def __init__(self, gateway):
+        self.on_crash = lambda fingerprint: None
         self._gateway = gateway
-        self._suspects = SuspectRequests()
+        self._suspects = Suspects()
         self._clock = gateway.clock
         self._metrics = gateway.metrics
         self._pending_trials = {}
@@ -53,69 +59,85 @@
             gateway.limits,
         )
 
-    @property
-    def quarantined_count(self):
-        """Number of quarantined requests."""
-        return len(self._suspects.list_quarantined(self._clock()))
+    def count_quarantined(self):
+        """Return the numbers of quarantined requests and of quarantined parts."""
+        quarantined = self._suspects.list_quarantined(self._clock())
+        parts = sum(is_part(fingerprint) for fingerprint in quarantined)
+        return len(quarantined) - parts, parts
 
     def is_quarantined(self, fingerprint):
-        """Return whether a request must not be sent to a target."""
+        """Return whether a feature must not be sent to a target, but in a trial."""
         return self._suspects.is_quarantined(fingerprint, self._clock())
 
-    def get_retry_after_s(self, fingerprint):
+    def select_quarantined(self, fingerprints):
+        """Return those (tuple of bytes) of some features that are in quarantine."""
+        return tuple(one for one in fingerprints if self.is_quarantined(one))
+
+    def select_unanswered(self, parts):
+        """Return those (list of bytes) of some parts that had no response lately."""
+        return [part for part in parts if not self._suspects.is_answered(part)]
+
+    def is_trial_due(self, fingerprints):
+        """Return whether a trial of a request with quarantined features may begin."""
+        return self._suspects.check_trial(fingerprints, self._clock()).due
+
+    def get_retry_after_s(self, fingerprints):
         """Return the seconds until a caller should retry a quarantined request."""
-        verdict = self._suspects.check_trial(fingerprint, self._clock())
+        verdict = self._suspects.check_trial(fingerprints, self._clock())
         return max(TRIAL_REQUEST_TIMEOUT_S, verdict.retry_after_s)
 
-    async def request_trial(self, fingerprint):
-        """Ask for a trial, which sends a quarantined request to one target.
+    async def request_trial(self, fingerprints):
+        """Ask for a trial, which sends a request to one target.
+
+        Args:
+            fingerprints (tuple of bytes): Its features in quarantine.
 
         Returns:
             bool: Whether the trial is granted.
         """
-        due = self._suspects.check_trial(fingerprint, self._clock()).due
-        if not due or fingerprint in self._pending_trials:
+        if not self.is_trial_due(fingerprints) or fingerprints in self._pending_trials:
             return False
         granter = self._choose_granter()
         own = self._gateway.roster.own.name
         if granter == own:
-            granted = self._grant(fingerprint, own)
+            granted = self._grant(fingerprints, own)
         else:
-            granted = await self._request_grant(fingerprint, granter)
+            granted = await self._request_grant(fingerprints, granter)
         if granted:
-            self._suspects.record_trial(fingerprint, self._clock())
+            self._suspects.record_trial(fingerprints, self._clock())
         self._metrics.suspect_trials.labels("granted" if granted else "denied").inc()
         log_event(
             LogEvent.TRIAL_DECIDED,
-            fingerprint=fingerprint.hex(),
+            fingerprint=describe_all(fingerprints),
             granter=granter,
             granted=granted,
         )
         return granted
 
-    def return_trial(self, fingerprint, reached):
+    def return_trial(self, fingerprints, reached):
         """Give back a granted trial that no target has run.
 
         Args:
-            fingerprint (bytes): Fingerprint of the request.
+            fingerprints (tuple of bytes): Features of the request in quarantine.
             reached (bool): It was sent, and every target rejected it without running.
         """
-        self._suspects.return_trial(fingerprint, reached, self._clock())
-        self._gateway.broadcast(TrialReturned(fingerprint, reached))
+        self._suspects.return_trial(fingerprints, reached, self._clock())
+        self._gateway.broadcast(TrialReturned(fingerprints, reached))
 
-    def clear(self, fingerprint):
-        """Clear a request of suspicion after its complete response."""
-        if self._suspects.clear(fingerprint):
+    def record_answer(self, fingerprints):
+        """Clear the features of a request of suspicion after its response."""
+        for fingerprint in self._suspects.record_answer(fingerprints):
+            log_event(LogEvent.SUSPECT_CLEARED, feature=describe_feature(fingerprint))
             self._gateway.broadcast(SuspectCleared(fingerprint))
 
     def apply_stored_suspicion(self, value):
-        """Merge a quarantined request's suspicion read from the store (KeyedValue)."""
+        """Merge a quarantined feature's suspicion read from the store (KeyedValue)."""
         suspicion = self._suspicion_store.decode(value)
         if suspicion is not None:
             self._suspects.merge(suspicion, self._clock())
 
     def send_suspicions(self, peer):
-        """Send a peer all requests under suspicion of more than one crash."""
+        """Send a peer all features under suspicion that it needs to know."""
         now = self._clock()
         for fingerprint in self._suspects.list_repeat_suspects():
             record = self._suspects.describe(fingerprint, now)
@@ -152,58 +174,85 @@
 
     @receive.register
     def _(self, record: TargetCrashed, peer):
-        now = self._clock()
         for fingerprint in record.fingerprints:
-            if self._suspects.record_crash(fingerprint, record.incarnation, now):
-                log_event(
-                    LogEvent.REQUEST_SUSPECTED,
-                    fingerprint=fingerprint.hex(),
-                    target=record.incarnation,
-                )
+            if is_part(fingerprint) and fingerprint not in record.answered:
+                self._tell_if_answered(fingerprint, peer)
+        self._record_crash(record)
 
     @receive.register
     def _(self, record: SuspectCleared, peer):
+        # A peer that has had a response tells only the one that reported the crash.
+        if self._suspects.is_reported_here(record.fingerprint):
+            self._gateway.broadcast(record)
         self._suspects.clear(record.fingerprint)
 
     @receive.register
     def _(self, record: Suspicion, peer):
-        self._suspects.merge(record, self._clock())
+        if not self._suspects.merge(record, self._clock()):
+            self._tell_if_answered(record.fingerprint, peer)
 
     @receive.register
     def _(self, record: TrialAsked, peer):
-        self._suspects.merge(record.suspicion, self._clock())
-        fingerprint = record.suspicion.fingerprint
-        granted = self._grant(fingerprint, peer)
-        self._gateway.pools.peers.send(peer, TrialAnswered(fingerprint, granted))
+        for suspicion in record.suspicions:
+            self.receive(suspicion, peer)
+        fingerprints = tuple(one.fingerprint for one in record.suspicions)
+        granted = self._grant(fingerprints, peer)
+        self._gateway.pools.peers.send(peer, TrialAnswered(fingerprints, granted))
 
     @receive.register
     def _(self, record: TrialAnswered, peer):
-        pending = self._pending_trials.get(record.fingerprint)
+        pending = self._pending_trials.get(record.fingerprints)
         if pending is not None and not pending.done():
             pending.set_result(record.granted)
 
     @receive.register
     def _(self, record: TrialReturned, peer):
         now = self._clock()
-        self._suspects.return_trial(record.fingerprint, record.reached, now)
+        self._suspects.return_trial(record.fingerprints, record.reached, now)
+
+    def _tell_if_answered(self, part, peer):
+        """Tell a peer that suspects a part if it has had a response here."""
+        if self._suspects.is_answered(part):
+            self._gateway.pools.peers.send(peer, SuspectCleared(part))
+
+    def _record_crash(self, record):
+        """Record a crash (TargetCrashed) that this gateway or a peer has found."""
+        now = self._clock()
+        for fingerprint in record.fingerprints:
+            is_new = self._suspects.record_crash(
+                fingerprint, record.incarnation, now, fingerprint in record.answered
+            )
+            if not is_new:
+                continue
+            if not is_part(fingerprint) or self.is_quarantined(fingerprint):
+                log_event(
+                    LogEvent.REQUEST_SUSPECTED,
+                    fingerprint=describe_feature(fingerprint),
+                    target=record.incarnation,
+                )
+            if self._suspects.has_crashed_repeatedly(fingerprint):
+                self.on_crash(fingerprint)
 
     def _choose_granter(self):
         """Return the name of the gateway that grants trials now."""
         return self._granters.choose(TRIALS, self._clock())
 
-    def _grant(self, fingerprint, peer):
+    def _grant(self, fingerprints, peer):
         """Return whether a trial is granted; a granted one is broadcast."""
         now = self._clock()
-        if not self._suspects.check_trial(fingerprint, now).due:
+        if not self._suspects.check_trial(fingerprints, now).due:
             return False
-        self._suspects.record_trial(fingerprint, now)
-        self._gateway.broadcast(self._suspects.describe(fingerprint, now))
+        suspects = self.select_quarantined(fingerprints)
+        self._suspects.record_trial(suspects, now)
+        for fingerprint in suspects:
+            self._gateway.broadcast(self._suspects.describe(fingerprint, now))
         return True
 
-    async def _request_grant(self, fingerprint, granter):
+    async def _request_grant(self, fingerprints, granter):
         pending = asyncio.get_running_loop().create_future()
-        self._pending_trials[fingerprint] = pending
-        known = self._suspects.describe(fingerprint, self._clock())
+        self._pending_trials[fingerprints] = pending
+        now = self._clock()
+        known = tuple(self._suspects.describe(one, now) for one in fingerprints)
         self._gateway.pools.peers.send(granter, TrialAsked(known))
         try:
             async with asyncio.timeout(TRIAL_REQUEST_TIMEOUT_S):
@@ -212,11 +261,21 @@
             self._granters.mark_unresponsive(granter, self._clock())
             return False
         finally:
-            del self._pending_trials[fingerprint]
+            del self._pending_trials[fingerprints]
 
     def _record_ended(self, incarnation, fingerprints):
+        parts = [one for one in fingerprints if is_part(one)]
         record = TargetCrashed(
-            tuple(fingerprints), f"{incarnation[0]}/{incarnation[1]}"
+            tuple(fingerprints),
+            f"{incarnation[0]}/{incarnation[1]}",
+            tuple(part for part in parts if self._suspects.is_answered(part)),
         )
-        self.receive(record, self._gateway.roster.own.name)
+        self._record_crash(record)
+        for part in parts:
+            self._suspects.mark_reported(part)
         self._gateway.broadcast(record)
+
+
+def describe_all(fingerprints):
+    """Return the text (str) by which logs name some features."""
+    return " ".join(describe_feature(one) for one in fingerprints)
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -70,6 +70,9 @@
 
     def _make_state_metrics(self):
         """Make the gauges, which `Gateway.update_metrics` sets."""
+        self.suspended_parts = self._gauge(
+            "parts_suspended", "Prompt parts refused, as they have crashed targets."
+        )
         self.suspended = self._gauge(
             "requests_suspended", "Requests refused, as they have ended targets."
         )
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -12,12 +12,14 @@
 from firworks.gateway.exchanges import Exchange
 from firworks.gateway.pools import PoolRefusedError
 from firworks.gateway.stage_runs import StageRun
+from firworks.gateway.suspensions import Suspensions
 from firworks.gateway.target_selection import TargetSelection
 from firworks.kernel.forwarding.admission import (
     compute_caller_timeout_s,
     compute_stall_limit_s,
 )
 from firworks.kernel.forwarding.event_stream import EventSplitter, EventTooLongError
+from firworks.kernel.forwarding.features import StreamProof
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
     FAILED,
@@ -55,6 +57,7 @@
         self._gateway = gateway
         self._clock = gateway.clock
         self._selection = TargetSelection(gateway)
+        self._suspensions = Suspensions(gateway.crashes)
 
     async def serve(self, context):
         """Forward a request; return its response (aiohttp StreamResponse).
@@ -71,16 +74,11 @@
         finally:
             if context.stages is not None:
                 context.stages.free()
-            if context.trial and not context.may_have_run:
-                reached = context.progress.sends > 0
-                self._gateway.crashes.return_trial(context.fingerprint, reached)
+            self._suspensions.return_trials(context)
 
     async def _serve(self, context):
-        crashes = self._gateway.crashes
-        if crashes.is_quarantined(context.fingerprint):
-            if not await crashes.request_trial(context.fingerprint):
-                return self._reject_quarantined(context)
-            context.trial = True
+        if not await self._suspensions.admit(context):
+            return self._reject_quarantined(context)
         while True:
             try:
                 await self._run_stages(context)
@@ -91,6 +89,7 @@
                 self._restart_stages(context)
             except AttemptError as failure:
                 context.progress.record(failure)
+                await self._suspensions.settle(context, failure)
                 verdict = self._decide_retry(context, failure)
                 if not verdict.retry:
                     return await self._handle_final_failure(
@@ -116,9 +115,7 @@
     def _decide_retry(self, context, failure):
         now = self._clock()
         budget = self._gateway.retry_budget
-        quarantined = self._gateway.crashes.is_quarantined(context.fingerprint)
-        may_resend = not quarantined or (context.trial and failure.kind == NOT_RUN)
-        within_budget = may_resend and (
+        within_budget = self._suspensions.may_resend(context, failure) and (
             not failure.sent or budget.try_acquire(context.service, now)
         )
         verdict = context.progress.judge(
@@ -244,14 +241,16 @@
         if not availability.may_send(target):
             detail = f"{target.target_id} backs off or leaves"
             raise AttemptError(NOT_RUN, False, detail)
+        await self._suspensions.acquire_trial(context)
         availability.record_request(target)
-        context.target_id = target.target_id
+        context.target_id, context.incarnation = target.target_id, target.incarnation
         head = self._build_head(context, target)
         exchange = Exchange(self._gateway.connections, target, self._clock)
         max_idle_s = None if context.progress.repeatable else NON_REPEATABLE_MAX_IDLE_S
         method = context.admitted.request.method
         try:
-            await exchange.send(head, context.body or b"", method, max_idle_s)
+            async with self._suspensions.watch(context):
+                await exchange.send(head, context.body or b"", method, max_idle_s)
             if (
                 self._is_mismatched(context, exchange)
                 and not context.progress.repeatable
@@ -270,9 +269,9 @@
         except asyncio.CancelledError:
             # The deadline passed, or the caller left, before the response ended.
             exchange.abort()
-            context.progress.may_have_run = (
-                context.progress.may_have_run or exchange.pending
-            )
+            if exchange.pending:
+                context.progress.may_have_run = True
+                context.part_trial = ()
             if exchange.is_stalled():
                 self._check_liveness(context, target, True)
             raise
@@ -283,7 +282,7 @@
     def _check_liveness(self, context, target, silent):
         """Start to check whether a target terminated during a request."""
         checks = self._gateway.crashes.checks
-        checks.begin(target, (context.fingerprint,), silent)
+        checks.begin(target, context.features, silent)
 
     def _build_head(self, context, target):
         admitted = context.admitted
@@ -361,9 +360,15 @@
             if size > MAX_BUFFERED_RESPONSE_BYTES:
                 return await self._forward_unbuffered(context, exchange, parts)
         exchange.finish()
-        self._gateway.crashes.clear(context.fingerprint)
+        self._record_answer(context, exchange)
         return await self._send_buffered(context, exchange, b"".join(parts))
 
+    def _record_answer(self, context, exchange):
+        """Clear a request of suspicion, and if it was successful, its parts."""
+        context.part_trial = ()
+        answered = context.features if exchange.status < 300 else context.features[:1]
+        self._gateway.crashes.record_answer(answered)
+
     async def _send_buffered(self, context, exchange, body):
         response = make_forwarded_response(exchange, len(body))
         await self._start_response(context, response)
@@ -378,7 +383,7 @@
         while part := await exchange.read_chunk():
             await response.write(part)
         exchange.finish()
-        self._gateway.crashes.clear(context.fingerprint)
+        self._record_answer(context, exchange)
         await response.write_eof()
         return response
 
@@ -397,6 +402,7 @@
         if context.response is None:
             await self._start_response(context, make_forwarded_response(exchange, None))
         limit_s, waited_s = compute_stall_limit_s(context.admitted.route), 0.0
+        proof = StreamProof()
         while True:
             started_s = self._clock()
             part = await self._read_with_timeout(exchange, limit_s - waited_s)
@@ -409,12 +415,14 @@
                 raise AttemptError(BROKEN, True, str(error)) from error
             if events:
                 waited_s = 0.0
+                if proof.record_events(self._clock()):
+                    self._gateway.crashes.record_answer(context.parts)
                 await context.response.write(events)
                 context.last_event_id = splitter.last_id
         if splitter.has_partial_event:
             raise AttemptError(BROKEN, True, "stream ended inside an event")
         exchange.finish()
-        self._gateway.crashes.clear(context.fingerprint)
+        self._record_answer(context, exchange)
         await context.response.write_eof()
         return context.response
 
@@ -446,8 +454,7 @@
 
     def _reject_quarantined(self, context):
         """Reject a request that is quarantined for crashing targets."""
-        detail = "request suspended after it crashed several targets"
-        after_s = self._gateway.crashes.get_retry_after_s(context.fingerprint)
+        detail, after_s = self._suspensions.explain(context)
         return self._reject(context, Code.SUSPENDED, detail, after_s)
 
     def _reject(self, context, code, detail, retry_after_s=None):
--- a/firworks/gateway/request_contexts.py
+++ b/firworks/gateway/request_contexts.py
@@ -1,11 +1,8 @@
 """State of one request across its attempts."""
 
-from hashlib import blake2b
-
+from firworks.kernel.forwarding.features import list_shared_parts, make_fingerprint
 from firworks.kernel.forwarding.outcomes import Progress
 
-FINGERPRINT_BYTES = 16
-
 
 class RequestContext:
     """State of a request in progress.
@@ -24,7 +21,13 @@
         response (StreamResponse or None): Set before its head is sent to the caller.
         trial (bool): It is quarantined and has a trial on one target.
         fingerprint (bytes): Hash of path, client account and body.
+        parts (tuple of bytes): Fingerprints of the parts of its prompt that other
+            requests may share.
+        part_trial (tuple of bytes): Those that it has a trial for on one target.
+        attempt_scope (asyncio.Timeout or None): Ends the attempt in progress when it is
+            rescheduled; None while the response has begun or nothing is sent.
         target_id (str): Last target that it was sent to; empty before.
+        incarnation (tuple or None): Its incarnation; None before.
         stages_s (float or None): Duration of its stages in seconds.
         first_s (float or None): Seconds from arrival to the response head.
     """
@@ -43,7 +46,11 @@
         "response",
         "trial",
         "fingerprint",
+        "parts",
+        "part_trial",
+        "attempt_scope",
         "target_id",
+        "incarnation",
         "stages_s",
         "first_s",
     )
@@ -63,11 +70,15 @@
         self.response = None
         self.trial = False
         self.target_id = ""
+        self.incarnation = None
         self.stages_s = None
         self.first_s = None
         account = None if admitted.account is None else admitted.account.name
         path = admitted.request.target_path
         self.fingerprint = make_fingerprint(path, account, body)
+        self.parts = list_shared_parts(admitted.request.prompt)
+        self.part_trial = ()
+        self.attempt_scope = None
 
     @property
     def request_id(self):
@@ -80,6 +91,11 @@
         staged = self.stages is not None or self.stages_s is not None
         return self.progress.may_have_run or staged or self.response is not None
 
+    @property
+    def features(self):
+        """Fingerprints (tuple of bytes) of what may make it crash targets."""
+        return (self.fingerprint, *self.parts)
+
     def list_part_ids(self):
         """Return the ids (list of str) of the parts of its prompt, in order."""
         prompt = self.admitted.request.prompt
@@ -88,22 +104,3 @@
     def remaining_s(self, now):
         """Return the seconds left until its deadline."""
         return self.admitted.deadline_s - now
-
-
-def make_fingerprint(target_path, account, body):
-    """Return a hash (bytes) that is equal for all retries of a request by its caller.
-
-    Keys and hosts are left out: a client account may have several keys, and a service
-    several hosts.
-
-    Args:
-        target_path (str): Path and query.
-        account (str or None): Name of the client account.
-        body (bytes or None): Request body.
-    """
-    digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (target_path, account or ""):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(body or b"")
-    return digest.digest()
--- a/firworks/kernel/forwarding/outcomes.py
+++ b/firworks/kernel/forwarding/outcomes.py
@@ -15,6 +15,8 @@
 BROKEN = "broken"
 # The target reported a failure.
 FAILED = "failed"
+# Abandoned before a response, as its features crash targets: the request may have run.
+SUSPENDED = "suspended"
 # Stage results that the request needs no longer exist; it did not run.
 INPUTS_GONE = "inputs gone"
 
@@ -28,7 +30,8 @@
     """An attempt at a target ended without a usable response.
 
     Attributes:
-        kind (str): ``NOT_RUN``, ``BROKEN``, ``FAILED`` or ``INPUTS_GONE``.
+        kind (str): ``NOT_RUN``, ``BROKEN``, ``FAILED``, ``SUSPENDED`` or
+            ``INPUTS_GONE``.
         sent (bool): A target has read, or may have read, the request.
         detail (str): Description for the log.
         answer (object): The target's complete error response, or None.
@@ -92,7 +95,17 @@
     def record(self, failure):
         """Record a failed attempt (AttemptError)."""
         self.sends += failure.sent
-        self.may_have_run = self.may_have_run or failure.kind in (BROKEN, FAILED)
+        self.may_have_run = self.may_have_run or failure.kind in (
+            BROKEN,
+            FAILED,
+            SUSPENDED,
+        )
+
+    @property
+    def may_retry(self):
+        """Whether it may be sent to another target, time and budgets aside."""
+        may_repeat = self.repeatable or not self.may_have_run
+        return may_repeat and self.sends < self.max_attempts
 
     def judge(self, failure, left_s, within_budget):
         """Return the `RetryDecision` after a failure that has been recorded.
@@ -102,10 +115,8 @@
             left_s (float): Time until the deadline.
             within_budget (bool): The retry budget allows a retry.
         """
-        may_repeat = self.repeatable or not self.may_have_run
         time_left = left_s > MIN_RETRY_TIME_S
-        attempts_left = self.sends < self.max_attempts
-        if may_repeat and time_left and attempts_left and within_budget:
+        if self.may_retry and time_left and within_budget:
             return RetryDecision(True, Code.OK)
         return RetryDecision(False, self._choose_refusal_code(failure))
 
--- a/firworks/kernel/forwarding/suspicions.py
+++ b/firworks/kernel/forwarding/suspicions.py
@@ -1,4 +1,7 @@
-"""Messages between daemons about leaving targets and requests that crash targets."""
+"""Messages between daemons about leaving targets and features that crash targets.
+
+A feature is a request or a part of prompts; see `firworks.kernel.forwarding.features`.
+"""
 
 from firworks.kernel.codec import register_record
 from firworks.kernel.messages import Record
@@ -22,17 +25,19 @@
     """A target crashed while it was running some requests.
 
     Attributes:
-        fingerprints (tuple of bytes): Fingerprints of the requests.
+        fingerprints (tuple of bytes): Fingerprints of the features of the requests.
         incarnation (str): Identity of the target's incarnation.
+        answered (tuple of bytes): Those of the features that are parts and had a
+            response after all crashes that the sender knew.
     """
 
-    __slots__ = ("fingerprints", "incarnation")
-    TYPES = ((bytes,), str)
+    __slots__ = ("fingerprints", "incarnation", "answered")
+    TYPES = ((bytes,), str, (bytes,))
 
 
 @register_record
 class SuspectCleared(Record):
-    """A suspect request (bytes, its fingerprint) was answered completely."""
+    """A suspect feature (bytes, its fingerprint) had a complete response."""
 
     __slots__ = ("fingerprint",)
     TYPES = (bytes,)
@@ -40,13 +45,15 @@
 
 @register_record
 class Suspicion(Record):
-    """Crashes and trials of a suspect request, as known to the sender.
+    """Crashes and trials of a suspect feature, as known to the sender.
 
     Attributes:
-        fingerprint (bytes): Fingerprint of the request.
+        fingerprint (bytes): Fingerprint of the feature.
         incarnations (tuple of str): Incarnations that crashed, one for each crash.
         crash_ages_s (tuple of float): Seconds since each of the crashes.
         trial_ages_s (tuple of float): Seconds since each of its trials began.
+        solo_trial_ages_s (tuple of float): Those of requests without other features in
+            quarantine.
         trial_returned (bool): A trial that targets rejected has been discarded.
     """
 
@@ -55,21 +62,23 @@
         "incarnations",
         "crash_ages_s",
         "trial_ages_s",
+        "solo_trial_ages_s",
         "trial_returned",
     )
-    TYPES = (bytes, (str,), (float,), (float,), bool)
+    TYPES = (bytes, (str,), (float,), (float,), (float,), bool)
 
 
 @register_record
 class TrialAsked(Record):
-    """Requests permission for a trial of a quarantined request.
+    """Requests permission for a trial of a request with quarantined features.
 
     Attributes:
-        suspicion (Suspicion): Crashes and trials known to the sender.
+        suspicions (tuple of Suspicion): Crashes and trials of each of the features, as
+            known to the sender.
     """
 
-    __slots__ = ("suspicion",)
-    TYPES = (Suspicion,)
+    __slots__ = ("suspicions",)
+    TYPES = ((Suspicion,),)
 
 
 @register_record
@@ -77,12 +86,12 @@
     """Reply to `TrialAsked`.
 
     Attributes:
-        fingerprint (bytes): Fingerprint of the request.
-        granted (bool): The requesting daemon may send it to one target.
+        fingerprints (tuple of bytes): Fingerprints of the features.
+        granted (bool): The requesting daemon may send a request to one target.
     """
 
-    __slots__ = ("fingerprint", "granted")
-    TYPES = (bytes, bool)
+    __slots__ = ("fingerprints", "granted")
+    TYPES = ((bytes,), bool)
 
 
 @register_record
@@ -90,12 +99,12 @@
     """A trial of a request was inconclusive, as no target ran it.
 
     Attributes:
-        fingerprint (bytes): Fingerprint of the request.
+        fingerprints (tuple of bytes): Fingerprints of the features.
         reached (bool): A target has read the request and rejected it.
     """
 
-    __slots__ = ("fingerprint", "reached")
-    TYPES = (bytes, bool)
+    __slots__ = ("fingerprints", "reached")
+    TYPES = ((bytes,), bool)
 
 
 SUSPICION_RECORDS = (
