Run the stages again for a stream that resumes on another engine

What callers saw: a stream on a route with stages that broke off midway, mostly because its engine crashed, ended there although it may be resumed. Cause: the results are freed once the response begins, and the resumed attempt named the freed handles; the next engine rejected it with 409, which was the last attempt allowed. The stages run again before the resume now, with the deadline of the next event; a first-byte deadline may have passed by then.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -148,6 +148,7 @@
             gateway.locate_result,
             MIN_FIRST_TOKEN_S,
             context.fingerprint,
+            self._compute_event_deadline_s(context),
         )
         started_s = self._clock()
         context.inputs = await context.stages.run()
@@ -181,8 +182,10 @@
 
         def note_begun():
             pools.note_begun(job.job_id)
+            # A stream that breaks off later needs new results.
             if context.stages is not None:
                 context.stages.free()
+                context.stages = None
 
         try:
             target_id = await self._selection.place(context, job)
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -16,13 +16,16 @@
             holds a stage result, or None.
         last_s (float): Expected time of the request's target in seconds.
         fingerprint (bytes): Fingerprint of the request.
+        deadline_s (float): When the next event of the request's answer must arrive, in
+            monotonic seconds.
     """
 
-    def __init__(self, pools, admitted, locate, last_s, fingerprint):
+    def __init__(self, pools, admitted, locate, last_s, fingerprint, deadline_s):
         self._pools = pools
         self._admitted = admitted
         self._locate = locate
         self._fingerprint = fingerprint
+        self._deadline_s = deadline_s
         self._downstream_s = compute_downstream_s(
             admitted.route.stages,
             admitted.request.piece_counts,
@@ -134,7 +137,7 @@
             stage.result_bytes,
             self._admitted.priority,
             self._admitted.soft_deadline_s,
-            self._admitted.first_byte_deadline_s,
+            self._deadline_s,
             self._downstream_s[number],
             # Each piece fetches all inputs.
             *self.sum_bytes_by_domain(inputs, pieces),
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -394,6 +394,32 @@
         await wait_until(lambda: scheduler.pools.busy)
         return scheduler, client, request
 
+    def test_a_broken_stream_resumes_with_results_of_its_own(self):
+        async def scenario(testbed):
+            table = make_configuration(2)
+            for route in table["routes"]:
+                route["resumable"] = route["name"] == "advice"
+            testbed.store.put_configuration(table)
+            gateway = testbed.gateways[0]
+            await wait_until(lambda: gateway.configuration.version == 2)
+            set_fault(testbed, "engines", "torn", count=1)
+            for number in range(8):
+                prompt = {**self.HEADERS, "X-Prefix-Hash": f"a{number}:40"}
+                status, _, body = await testbed.send_request(
+                    "/advice/a", "POST", **prompt
+                )
+                assert status == 200 and body.count(b"id:") == EVENTS
+            handles = {}
+            for _, headers, _ in list_requests(testbed, "engines"):
+                if "x-inputs" in headers:
+                    inputs = set(headers["x-inputs"].split(","))
+                    handles.setdefault(headers["x-request-id"], []).append(inputs)
+            resumed = [sent for sent in handles.values() if len(sent) == 2]
+            assert resumed
+            assert not any(first & second for first, second in resumed)
+
+        play(scenario)
+
     def test_results_reach_the_engine_and_are_freed(self):
         async def scenario(testbed):
             status, _, _ = await testbed.send_request(
