--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -53,7 +53,7 @@
             gateway.clock,
             lambda target_id: gateway.directory.find_known(target_id),
             lambda name: gateway.configuration.services.get(name),
-            self._record_ended,
+            self.record_ended,
             gateway.metrics,
             gateway.availability,
             gateway.limits,
@@ -130,6 +130,24 @@
             log_event(LogEvent.SUSPECT_CLEARED, feature=describe_feature(fingerprint))
             self._gateway.broadcast(SuspectCleared(fingerprint))
 
+    def record_ended(self, incarnation, fingerprints):
+        """Record that a target crashed while it ran requests of this gateway.
+
+        Args:
+            incarnation (tuple): Id and start time of the target.
+            fingerprints (iterable of bytes): Features of the requests.
+        """
+        parts = [one for one in fingerprints if is_part(one)]
+        record = TargetCrashed(
+            tuple(fingerprints),
+            f"{incarnation[0]}/{incarnation[1]}",
+            tuple(part for part in parts if self._suspects.is_answered(part)),
+        )
+        self._record_crash(record)
+        for part in parts:
+            self._suspects.mark_reported(part)
+        self._gateway.broadcast(record)
+
     def apply_stored_suspicion(self, value):
         """Merge a quarantined feature's suspicion read from the store (KeyedValue)."""
         suspicion = self._suspicion_store.decode(value)
@@ -263,18 +281,6 @@
         finally:
             del self._pending_trials[fingerprints]
 
-    def _record_ended(self, incarnation, fingerprints):
-        parts = [one for one in fingerprints if is_part(one)]
-        record = TargetCrashed(
-            tuple(fingerprints),
-            f"{incarnation[0]}/{incarnation[1]}",
-            tuple(part for part in parts if self._suspects.is_answered(part)),
-        )
-        self._record_crash(record)
-        for part in parts:
-            self._suspects.mark_reported(part)
-        self._gateway.broadcast(record)
-
 
 def describe_all(fingerprints):
     """Return the text (str) by which logs name some features."""
--- a/firworks/tests/test_crashing_parts.py
+++ b/firworks/tests/test_crashing_parts.py
@@ -4,8 +4,12 @@
 
 import pytest
 
+from firworks.gateway.suspicion_store import SUSPICION_KEY_PREFIX
+from firworks.kernel.forwarding.features import PART_PREFIX
+from firworks.platform.store import MEMBERS_TOPIC
 from firworks.standins.crashing_targets import (
     CLOSE,
+    DEADLY_PART,
     EVENT,
     HEAD,
     RESET,
@@ -54,6 +58,16 @@
     return sum(time_s > limit_s for time_s in testbed.reached_s)
 
 
+def list_stored_parts(testbed):
+    """Return the ids of the prompt parts whose quarantine is in the store."""
+    prefix = SUSPICION_KEY_PREFIX + PART_PREFIX.hex()
+    return [
+        bytes.fromhex(key.removeprefix(prefix)).decode()
+        for key in testbed.store.get_values(MEMBERS_TOPIC)
+        if key.startswith(prefix)
+    ]
+
+
 async def play(testbed, traffic, before_s=0.5, length_s=2.5):
     """Send sound requests for a while, then all; return the share served at the end."""
     if before_s:
@@ -121,6 +135,22 @@
 
         run_scenario(scenario)
 
+    def test_quarantine_survives_a_restart_of_all_gateways(self):
+        async def scenario(testbed):
+            await play(testbed, PromptTraffic(testbed, 20, 8), length_s=2.0)
+            await wait_until(lambda: list_stored_parts(testbed) == [DEADLY_PART])
+            for gateway in testbed.gateways:
+                await gateway.stop()
+            testbed.gateways.clear()
+            for number in (1, 2):
+                await testbed.add_gateway(f"gateway-{number}")
+            await asyncio.sleep(SETTLE_S)
+            before = len(testbed.reached_s)
+            await PromptTraffic(testbed, 0, 8).run(1.0)
+            assert len(testbed.reached_s) <= before + 1
+
+        run_scenario(scenario)
+
 
 class TestSoundParts:
     def test_parts_of_all_prompts_are_served_after_all_engines_crashed_twice(self):
--- a/firworks/tests/test_suspicions.py
+++ b/firworks/tests/test_suspicions.py
@@ -3,6 +3,11 @@
 import pytest
 
 from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.forwarding.features import (
+    MAX_PARTS,
+    list_shared_parts,
+    make_part_fingerprint,
+)
 from firworks.kernel.forwarding.liveness import (
     ALIVE,
     ENDED,
@@ -12,9 +17,12 @@
     UnresolvedIncarnations,
     classify_identity,
 )
+from firworks.kernel.forwarding.requests import Prompt
 from firworks.kernel.forwarding.suspects import (
     CRASHES_TO_QUARANTINE,
     FORGET_AFTER_S,
+    MAX_ANSWERED,
+    PART_TRIAL_DELAYS_S,
     REJECTED_TRIAL_DELAY_S,
     RETURNED_TRIAL_DELAY_S,
     SAME_CRASH_WINDOW_S,
@@ -23,6 +31,8 @@
 )
 
 POISON = b"poison"
+PART = b"part/dead"
+COMPANION = b"part/beside"
 LATER_S = 2 * SAME_CRASH_WINDOW_S
 # Requests that may reach targets after the third crash, by the platform's rules.
 MAX_SENDS = 3
@@ -143,6 +153,87 @@
         assert not suspects.is_quarantined(POISON, 20 * FORGET_AFTER_S)
 
 
+class TestPartTrials:
+    def test_second_trial_of_a_part_waits_for_the_schedule(self):
+        suspects = Suspects()
+        suspects.record_crash(PART, "run-0", 0.0)
+        assert suspects.check_trial((PART,), 0.0).due
+        suspects.record_trial((PART,), 0.0)
+        assert not suspects.check_trial((PART,), 0.1).due
+        suspects.record_crash(PART, "run-1", 0.1)
+        assert not suspects.check_trial((PART,), PART_TRIAL_DELAYS_S[1]).due
+        assert suspects.check_trial((PART,), 0.1 + PART_TRIAL_DELAYS_S[1]).due
+
+    @pytest.mark.parametrize("first_crashes", [1, 3, 8])
+    @pytest.mark.parametrize("length_s", [60.0, 3_600.0, 80_000.0])
+    def test_deadly_part_is_sent_rarely(self, first_crashes, length_s):
+        suspects, now, late = Suspects(), 0.0, 0
+        crashes_s = [0.01 * number for number in range(first_crashes)]
+        for number, crash_s in enumerate(crashes_s):
+            suspects.record_crash(PART, f"run-{number}", crash_s)
+        while now < length_s:
+            now += 0.5
+            if not suspects.check_trial((PART,), now).due:
+                assert suspects.is_quarantined(PART, now)
+                continue
+            late += len(crashes_s) >= 5 and now > crashes_s[4] + 3.0
+            suspects.record_trial((PART,), now)
+            suspects.record_crash(PART, f"trial-{now}", now + 0.1)
+            crashes_s.append(now + 0.1)
+        assert late <= MAX_SENDS
+
+    def test_request_with_one_suspect_part_is_tried_before_one_with_two(self):
+        suspects = Suspects()
+        for part in (PART, COMPANION):
+            suspects.record_crash(part, "run-0", 0.0)
+        suspects.record_trial((PART, COMPANION), 0.0)
+        for part in (PART, COMPANION):
+            suspects.record_crash(part, "run-1", 0.1)
+        now = 0.1 + PART_TRIAL_DELAYS_S[0]
+        assert suspects.check_trial((COMPANION,), now).due
+        assert not suspects.check_trial((PART, COMPANION), now).due
+
+    def test_convicted_part_explains_the_crashes_of_its_companion(self):
+        suspects = Suspects()
+        for part in (PART, COMPANION):
+            suspects.record_crash(part, "run-0", 0.0)
+        suspects.record_trial((PART,), 1.0)
+        assert suspects.is_quarantined(COMPANION, 1.0)
+        suspects.record_crash(PART, "run-1", 1.1)
+        assert suspects.is_quarantined(PART, 1.2)
+        assert not suspects.is_quarantined(COMPANION, 1.2)
+        suspects.record_crash(COMPANION, "run-2", 2.0)
+        assert suspects.is_quarantined(COMPANION, 2.0)
+
+    def test_targets_killed_together_count_once_for_an_answered_part(self):
+        suspects = Suspects()
+        suspects.record_answer((PART,))
+        for number in range(20):
+            suspects.record_crash(PART, f"run-{number}", 0.01 * number)
+        assert not suspects.is_quarantined(PART, 1.0)
+
+    def test_answered_parts_are_remembered_up_to_a_number(self):
+        suspects = Suspects()
+        suspects.record_answer([b"part/%d" % number for number in range(MAX_ANSWERED)])
+        assert suspects.is_answered(b"part/0")
+        suspects.record_answer([b"part/more"])
+        assert not suspects.is_answered(b"part/0")
+
+
+class TestFeatures:
+    def test_the_last_part_is_no_suspect(self):
+        prompt = Prompt("m", 30, 5, (("aa", 10), ("bb", 10), ("cc", 10)))
+        assert list_shared_parts(prompt) == (b"part/aa", b"part/bb")
+        assert list_shared_parts(None) == ()
+
+    def test_long_prompts_and_ids_are_bounded(self):
+        parts = [(f"{number:x}", 1) for number in range(500)]
+        shared = list_shared_parts(Prompt("m", 500, 5, tuple(parts)))
+        assert len(shared) == MAX_PARTS
+        assert shared[0] == b"part/0" and shared[-1] == b"part/1f2"
+        assert len(make_part_fingerprint("a" * 10_000)) < 100
+
+
 class TestIdentityClassification:
     @pytest.mark.parametrize(
         ("target_id", "born_ms", "misdirected", "broken", "silent"),
