Check targets whose responses end with their connection

What callers saw: a request that crashes targets behind responses without a length or chunks was sent to one target after the other; each looked like a success. Cause: the OS closes the connections of a killed process, which is how such a response ends as well, and a response cleared its request of suspicion at once. After such a response its features wait for a check of the target's identity, one a second and target at most; it charges or clears them.

--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -24,6 +24,10 @@
 PROBE_TIMEOUT_S = 0.5
 # Longest wait of a request for the verdict on the target that broke it off.
 VERDICT_TIMEOUT_S = 0.6
+# Time from the end of a response without a length to the check of its target, and
+# minimum time from one such check of a target to the next.
+CONFIRM_DELAY_S = 0.05
+CONFIRM_INTERVAL_S = 1.0
 # Longest wait for a limited target to accept a probe.
 PERMIT_TIMEOUT_S = 1.0
 
@@ -40,6 +44,7 @@
             listed in the store, or None.
         find_service (callable): ``find_service(name)`` returns the `Service`, or None.
         on_ended (callable): Called with (incarnation, fingerprints) when it ended.
+        on_confirmed (callable): Called with fingerprints whose target still runs.
         metrics (GatewayMetrics): Counts the verdicts of checks.
         availability (TargetAvailability): Tells which targets may be probed.
         limits (TargetLimits): Grants permits for probes of limited targets.
@@ -52,6 +57,7 @@
         find_target,
         find_service,
         on_ended,
+        on_confirmed,
         metrics,
         availability,
         limits,
@@ -61,11 +67,14 @@
         self._find_target = find_target
         self._find_service = find_service
         self._on_ended = on_ended
+        self._on_confirmed = on_confirmed
         self._metrics = metrics
         self._availability = availability
         self._limits = limits
         self._unresolved = UnresolvedIncarnations()
         self._in_progress = {}
+        self._unconfirmed = {}
+        self._confirmed_s = {}
         self._tasks = {}
 
     def begin(self, target, fingerprints, silent=False):
@@ -86,6 +95,44 @@
         self._tasks[target.incarnation] = task
         task.add_done_callback(lambda _: self._tasks.pop(target.incarnation))
 
+    def confirm(self, target, fingerprints):
+        """Check whether a target still runs after a response without a length.
+
+        Load pattern: the OS closes the connections of a process that crashes, which is
+        how such a response ends as well.
+
+        Args:
+            target (Target): The target that sent the response.
+            fingerprints (iterable of bytes): Fingerprints of the request's features.
+        """
+        pending = self._unconfirmed.get(target.incarnation)
+        if pending is not None:
+            pending.update(fingerprints)
+            return
+        self._unconfirmed[target.incarnation] = set(fingerprints)
+        key = ("confirm", target.incarnation)
+        task = self._tasks[key] = asyncio.ensure_future(self._confirm(target))
+        task.add_done_callback(lambda _: self._tasks.pop(key))
+
+    async def _confirm(self, target):
+        now = self._clock()
+        latest_s = self._confirmed_s.get(target.incarnation, float("-inf"))
+        delay_s = max(CONFIRM_DELAY_S, latest_s + CONFIRM_INTERVAL_S - now)
+        await asyncio.sleep(delay_s)
+        fingerprints = self._unconfirmed.pop(target.incarnation)
+        self._confirmed_s = {
+            incarnation: time_s
+            for incarnation, time_s in self._confirmed_s.items()
+            if time_s > now - CONFIRM_INTERVAL_S
+        }
+        self._confirmed_s[target.incarnation] = self._clock()
+        verdict, evidence = await self._probe(target, silent=False)
+        if verdict == UNKNOWN:
+            self._unresolved.add(target, fingerprints, self._clock())
+        self._record_verdict(target.incarnation, fingerprints, verdict, evidence)
+        if verdict == ALIVE:
+            self._on_confirmed(fingerprints)
+
     async def wait(self, incarnation):
         """Wait until a check of an incarnation in progress has a verdict, if any."""
         task = self._tasks.get(incarnation)
--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -54,6 +54,7 @@
             lambda target_id: gateway.directory.find_known(target_id),
             lambda name: gateway.configuration.services.get(name),
             self.record_ended,
+            self.record_answer,
             gateway.metrics,
             gateway.availability,
             gateway.limits,
--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -119,6 +119,11 @@
         """Whether the target states that it did not run the request."""
         return self.misdirected or NOT_RUN_HEADER in self.headers
 
+    @property
+    def is_framed(self):
+        """Whether the response has a length or chunks, so that its end is certain."""
+        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+
     async def read_chunk(self):
         """Return the next bytes of the body; empty at the end.
 
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -370,7 +370,10 @@
         """Clear a request of suspicion, and if it was successful, its parts."""
         context.part_trial = ()
         answered = context.features if exchange.status < 300 else context.features[:1]
-        self._gateway.crashes.record_answer(answered)
+        if exchange.is_framed:
+            self._gateway.crashes.record_answer(answered)
+        else:
+            self._gateway.crashes.checks.confirm(exchange.target, answered)
 
     async def _send_buffered(self, context, exchange, body):
         response = make_forwarded_response(exchange, len(body))
