--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -98,6 +98,7 @@
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:8]}"
         self.rng = Random(f"{settings.seed}/{self.incarnation}")
         self.store = StoreClient(settings.store, settings.name)
+        self.store.on_restored = self._on_store_restored
         self.connections = TargetConnections()
         self._process_pause = ProcessPauseDetector()
         self.balancer = Balancer(settings.failure_domain, self.rng)
@@ -368,6 +369,10 @@
             CONFIGURATION_TOPIC, answers
         )
 
+    def _on_store_restored(self, era, previous):
+        """Log that the store came back from an older copy of its contents."""
+        log_event(LogEvent.STORE_RESTORED, era=era, previous=previous)
+
     def _on_targets_store_status(self, answers):
         """Pause the long polls while reads of the targets find that the store is down.
 
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -20,6 +20,9 @@
 TARGETS_TOPIC = "keyed.servers"
 MEMBERS_TOPIC = "keyed.firworks-members"
 
+# Header of all responses: rises when the store comes back from an older copy.
+ERA = "Store-Era"
+
 # Responses take a few milliseconds; up to 100 times as long when the store is slow.
 CALL_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
@@ -45,11 +48,16 @@
         name (str): Name of this daemon, sent as User-Agent to identify it.
 
     Attributes:
+        era (int): Number of times that the store was restored from a copy, as last
+            stated; 0 until it states it.
+        on_restored (callable): ``on_restored(era, previous)`` is called when it rises.
         calls (int): Calls made since the start, failed ones included.
         read_bytes (int): Total size of the response bodies.
     """
 
     def __init__(self, address, name):
+        self.era = 0
+        self.on_restored = lambda era, previous: None
         self.calls = 0
         self.read_bytes = 0
         self._base = f"http://{address}"
@@ -129,6 +137,7 @@
                 ) as response:
                     data = await self._read_body(response)
                     status = response.status
+                    self._note_era(response.headers.get(ERA))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise StoreError(f"{path}: {error!r}") from error
         self.read_bytes += len(data)
@@ -138,6 +147,14 @@
             raise StoreError(f"{path}: unexpected status {status}")
         return data
 
+    def _note_era(self, value):
+        """Note the era that a response states; one that is no number is ignored."""
+        if value is None or not value.isdecimal():
+            return
+        previous, self.era = self.era, max(self.era, int(value))
+        if self.era > previous:
+            self.on_restored(self.era, previous)
+
     async def _read_body(self, response):
         parts, size = [], 0
         async for part in response.content.iter_any():
--- a/firworks/standins/platform_store.py
+++ b/firworks/standins/platform_store.py
@@ -4,7 +4,7 @@
 import base64
 import json
 
-from aiohttp.web import Response, get, json_response, post
+from aiohttp.web import Response, get, post
 
 from firworks.platform.records import encode_keyed
 from firworks.platform.store import (
@@ -15,6 +15,8 @@
 from firworks.standins.web import WebStandin, wait_for_ever
 
 LONGEST_WAIT_S = 30.0
+MAX_PAGE_ITEMS = 500
+ERA_HEADER = "Store-Era"
 
 
 class PlatformStore(WebStandin):
@@ -25,6 +27,10 @@
         silent (bool): No call gets a response.
         lost (set of str): Topics whose next read with records gets no response.
         turned_away (set of str): User agents whose calls get status 503.
+        era (int or None): Number of times that it was restored from a copy, stated in
+            all responses; None for a store that does not state it.
+        page_size (int): Maximum number of keys in a page of a listing.
+        on_page (callable): Called without arguments before each page of a listing.
         calls (list of str): Paths of all calls, in order.
         topics (list of str): Topics of these calls.
     """
@@ -35,6 +41,9 @@
         self.silent = False
         self.lost = set()
         self.turned_away = set()
+        self.era = 0
+        self.page_size = MAX_PAGE_ITEMS
+        self.on_page = lambda: None
         self.calls = []
         self.topics = []
         self._topics = {}
@@ -67,6 +76,30 @@
         """Delete the history of a topic; the newest value of each key is retained."""
         self._first[topic] = len(self._topics.get(topic, ()))
 
+    def take_copy(self):
+        """Return a copy of all topics, for `restore`."""
+        return {topic: list(records) for topic, records in self._topics.items()}
+
+    def restore(self, copy, eras=1):
+        """Replace all topics by a copy; what was written since is lost.
+
+        Args:
+            copy (dict): From `take_copy`.
+            eras (int): By how much the era rises.
+        """
+        self._topics = {topic: list(records) for topic, records in copy.items()}
+        self._first = {
+            topic: min(first, len(self._topics.get(topic, ())))
+            for topic, first in self._first.items()
+        }
+        if self.era is not None:
+            self.era += eras
+        self._wake_readers()
+
+    def count_records(self, topic):
+        """Return the offset after the last record of a topic."""
+        return len(self._topics.get(topic, ()))
+
     def get_values(self, topic):
         """Return the newest value (bytes) of each key (str)."""
         values = {}
@@ -77,9 +110,17 @@
 
     def _add(self, topic, records):
         self._topics.setdefault(topic, []).extend(records)
+        self._wake_readers()
+
+    def _wake_readers(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _respond(self, **content):
+        """Return a response that states the era."""
+        headers = {} if self.era is None else {ERA_HEADER: str(self.era)}
+        return Response(headers=headers, **content)
+
     async def _fail(self, request):
         """Return the response of a failing store, or None."""
         self.calls.append(request.path)
@@ -87,7 +128,7 @@
         if self.silent:
             await wait_for_ever()
         refused = self.down or request.headers.get("User-Agent") in self.turned_away
-        return Response(status=503) if refused else None
+        return self._respond(status=503) if refused else None
 
     async def _append(self, request):
         body = await request.read()
@@ -102,15 +143,20 @@
         topic = request.query["topic"]
         offset = len(self._topics.get(topic, ()))
         self._add(topic, records)
-        return json_response({"offset": offset, "end": offset + len(records)})
+        return self._respond_json({"offset": offset, "end": offset + len(records)})
+
+    def _respond_json(self, table, status=200):
+        text = json.dumps(table)
+        return self._respond(text=text, status=status, content_type="application/json")
 
     async def _read(self, request):
         failed = await self._fail(request)
         if failed is not None:
             return failed
         topic, start = request.query["topic"], int(request.query["from"])
-        if start < self._first.get(topic, 0):
-            return json_response({"first": self._first[topic]}, status=410)
+        first = self._first.get(topic, 0)
+        if not first <= start <= self.count_records(topic):
+            return self._respond_json({"first": first}, status=410)
         wait_s = min(LONGEST_WAIT_S, int(request.query.get("wait-ms", 0)) / 1000)
         try:
             async with asyncio.timeout(wait_s):
@@ -128,16 +174,24 @@
         extent = len(records).to_bytes(8, "big")
         extent += self._first.get(topic, 0).to_bytes(8, "big")
         parts = [len(r).to_bytes(4, "big") + r for r in records[start:]]
-        return Response(body=extent + b"".join(parts))
+        return self._respond(body=extent + b"".join(parts))
 
     async def _list(self, request):
         failed = await self._fail(request)
         if failed is not None:
             return failed
-        topic = request.query["topic"]
+        self.on_page()
+        topic, after = request.query["topic"], request.query.get("after", "")
+        values = self.get_values(topic)
+        keys = sorted(key for key in values if key > after)
+        page = keys[: self.page_size]
         items = [
-            {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
-            for key, value in sorted(self.get_values(topic).items())
+            {
+                "key": key,
+                "value": base64.b64encode(values[key]).decode(),
+                "offset": 0,
+            }
+            for key in page
         ]
-        end = len(self._topics.get(topic, ()))
-        return json_response({"items": items, "has-more": False, "end": end})
+        end, more = self.count_records(topic), len(keys) > len(page)
+        return self._respond_json({"items": items, "has-more": more, "end": end})
