Compare positions in the store by its era, and take no older copy for news

What callers saw: after the store came back from a copy, a configuration, an evacuation or a leaving target that was written at once was never seen; targets that the copy lacked were dropped; a gateway that started on it used the older configuration. Cause: positions in topics were offsets, which go back at a restore and are given out again; nothing read the store's count of its restores. A position is (era, offset) now, in followers, facts of readers, state exchange and evacuations. Any answer of another era lists the topics anew. Of a restored listing only what is newer than the local state is applied: configurations by version, targets that leave or started later; departed and leaving incarnations stay so, missing ones have the grace of an outage, evacuations stay until a second listing 4 s later. Newer configurations are taken from any peer. A listing that spans a restore is made again.

--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -16,6 +16,7 @@
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.forwarding.evacuations import NO_EVACUATIONS
 from firworks.kernel.forwarding.news import TargetEntry, digest_targets
+from firworks.kernel.forwarding.positions import ORIGIN
 from firworks.kernel.forwarding.readers import StoreFacts
 from firworks.kernel.pools.engines import EngineScheduler
 from firworks.kernel.pools.jobs import EngineJob, PieceJob
@@ -92,7 +93,7 @@
     def tell(targets):
         facts = StoreFacts(
             1,
-            1,
+            ORIGIN,
             digest_targets(targets),
             changed,
             (),
--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -4,6 +4,7 @@
 
 from firworks.errors import CodecError
 from firworks.events import LogEvent, log_event
+from firworks.kernel.forwarding.positions import ORIGIN, StorePosition
 from firworks.platform.records import decode_keyed
 from firworks.platform.store import StoreError, StoreGapError
 
@@ -14,6 +15,10 @@
 MAX_BACKOFF_BEFORE_LISTING_S = 0.2
 
 
+# Time for the store's clients to write again what it lost when it was restored.
+REWRITE_S = 4.0
+
+
 class _InterruptedError(Exception):
     """A read was cancelled so that it can be restarted."""
 
@@ -24,8 +29,10 @@
     Args:
         store (StoreClient): The store.
         topic (str): A keyed topic.
-        listener (object): Receives ``apply_listing(values)`` after a listing,
-            ``apply_value(value)`` for each later value, and
+        listener (object): Receives ``apply_listing(values)`` after a listing, or
+            ``apply_restored(values)`` after the first one since the store was restored
+            from a copy, which returns whether to list again once all has been written
+            again, ``apply_value(value)`` for each later value, and
             ``record_store_status(ok)`` after each call to the store.
         wait_s (float): Long-poll time: how long a read waits for records, in seconds.
         read_interval_s (float): Minimum time between two reads, in seconds.
@@ -37,11 +44,11 @@
         self._listener = listener
         self._wait_s = wait_s
         self._read_interval_s = read_interval_s
-        self._offset = None
+        self._must_list = True
         self._failed = False
         self._read_task = None
         self._interrupted = asyncio.Event()
-        self._known_offset = 0
+        self._position = ORIGIN
         self._delegated = False
         self._paused = False
         self._listed = False
@@ -58,13 +65,14 @@
         return self._read_task is not None
 
     @property
-    def offset(self):
-        """Offset up to which this gateway knows the topic (int)."""
-        return self._known_offset
+    def position(self):
+        """Position up to which this gateway knows the topic (StorePosition)."""
+        return self._position
 
-    def advance(self, offset):
-        """Record that another gateway has sent all records up to an offset."""
-        self._offset = self._known_offset = offset
+    def advance(self, position):
+        """Record that another gateway has sent all records up to a position."""
+        self._position = position
+        self._must_list, self._listed = False, True
 
     def set_delegated(self, delegated):
         """Stop reading because another gateway forwards updates, or resume."""
@@ -95,6 +103,11 @@
         self._refresh_pending = True
         self.interrupt()
 
+    def list_again(self):
+        """List the topic again, unless another gateway reads it for this one."""
+        self._must_list = True
+        self.interrupt()
+
     def set_read_interval(self, interval_s):
         """Set the minimum time between two reads, in seconds."""
         self._read_interval_s = interval_s
@@ -139,22 +152,22 @@
             return
 
     async def _step(self):
-        start = self._offset
-        if start is None or self._refresh_pending:
+        start = self._position
+        if self._must_list or self._refresh_pending:
             await self._list()
             return
         try:
             batch = await self._read()
         except StoreGapError:
-            self._offset = None
+            self._must_list = True
             return
-        if self._offset != start:
+        if self._position != start:
             # Another gateway has sent newer records in the meantime.
             return
-        if batch.end < start:
-            self._offset, self._known_offset = None, 0
+        if batch.era != start.era or batch.end < start.offset:
+            self._must_list = True
             return
-        self._offset = self._known_offset = start + len(batch.records)
+        self._position = StorePosition(start.era, start.offset + len(batch.records))
         for record in batch.records:
             try:
                 value = decode_keyed(record)
@@ -166,19 +179,24 @@
             self._listener.apply_value(value)
 
     async def _list(self):
-        values, offset = await self._store.list_newest(self._topic)
-        if offset < self._known_offset:
+        listing = await self._store.list_newest(self._topic)
+        position = StorePosition(listing.era, listing.offset)
+        if position.is_before(self._position):
             # Another gateway has sent newer records in the meantime, or the store was
             # reset and its offsets start again.
-            self._known_offset = 0
+            self._position = StorePosition(listing.era, 0)
             return
-        self._offset = self._known_offset = offset
-        self._refresh_pending = False
+        is_restored = self._listed and position.era > self._position.era
+        self._position = position
+        self._must_list, self._refresh_pending = False, False
         self._listed = True
-        self._listener.apply_listing(values)
+        if not is_restored:
+            self._listener.apply_listing(listing.values)
+        elif self._listener.apply_restored(listing.values):
+            asyncio.get_running_loop().call_later(REWRITE_S, self.list_again)
 
     async def _read(self):
-        read = self._store.read(self._topic, self._offset, self._wait_s)
+        read = self._store.read(self._topic, self._position.offset, self._wait_s)
         self._read_task = asyncio.ensure_future(read)
         try:
             return await self._read_task
--- a/firworks/gateway/members.py
+++ b/firworks/gateway/members.py
@@ -53,6 +53,27 @@
         if self._roster.own.name not in listed:
             self.register()
 
+    def apply_restored(self, values):
+        """Apply the copy of the topic from which the store was restored.
+
+        Members that it lacks write their entries again, as this one does; see
+        `register_again`. An entry of a known member may be of an older incarnation.
+
+        Returns:
+            bool: True, to remove those that are gone.
+        """
+        for value in values:
+            if value.key.startswith(SUSPICION_KEY_PREFIX):
+                self._on_suspicion(value)
+            elif value.value and self._roster.find(value.key) is None:
+                self.apply_value(value)
+        return True
+
+    async def register_again(self, delay_s):
+        """Write this gateway's own entry again after a delay in seconds."""
+        await asyncio.sleep(delay_s)
+        self.register()
+
     def apply_value(self, value):
         """Apply one record: a member's entry, its removal, or a suspicion."""
         if value.key.startswith(SUSPICION_KEY_PREFIX):
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -173,6 +173,7 @@
             self.clock,
             state_exchange.query_peer,
             self._process_pause.mark_confirmed,
+            self.store.note_era,
         )
         state_exchange.peers = replicator.peers = self.pools.peers
         return state_exchange, replicator
@@ -370,8 +371,10 @@
         )
 
     def _on_store_restored(self, era, previous):
-        """Log that the store came back from an older copy of its contents."""
+        """List all topics anew, as offsets have gone back."""
         log_event(LogEvent.STORE_RESTORED, era=era, previous=previous)
+        for follower in self._followers:
+            follower.list_again()
 
     def _on_targets_store_status(self, answers):
         """Pause the long polls while reads of the targets find that the store is down.
--- a/firworks/gateway/readers.py
+++ b/firworks/gateway/readers.py
@@ -25,6 +25,7 @@
         clock (callable): Returns monotonic seconds.
         ask_news (callable): ``ask_news(name)`` requests the full state of a gateway.
         mark_confirmed (callable): ``mark_confirmed(now)``, called on facts of a reader.
+        note_era (callable): ``note_era(era)``, called with the store's era of facts.
 
     Attributes:
         peers (Peers or None): Set before the first tick.
@@ -43,6 +44,7 @@
         clock,
         ask_news,
         mark_confirmed,
+        note_era,
     ):
         self.peers = None
         self.targets_follower = None
@@ -56,6 +58,7 @@
         self._clock = clock
         self._ask_news = ask_news
         self._mark_confirmed = mark_confirmed
+        self._note_era = note_era
         self._selector = ReaderSelector(roster, settings.leave_limit_ms / 1000)
         self._published_targets = None
         self._published_members = {}
@@ -92,13 +95,14 @@
 
     def apply_facts(self, peer, record):
         """Apply the facts (StoreFacts) that the peer has just read from the store."""
-        if record.offset < self.targets_follower.offset:
+        self._note_era(record.position.era)
+        if record.position.is_before(self.targets_follower.position):
             return
         self._selector.record_facts(peer, self._clock())
         self._mark_confirmed(self._clock())
         changed = [Target(*entry.values()) for entry in record.changed]
         self._targets.apply_changes(changed, record.gone)
-        self.targets_follower.advance(record.offset)
+        self.targets_follower.advance(record.position)
         self._members.apply_peer_report(record.joined, record.left)
         self._configurations.apply_evacuated(record.evacuated, peer)
         if record.configuration:
@@ -108,6 +112,8 @@
             self._ask_news(peer)
         if record.version > self._configurations.holder.version:
             self.configuration_follower.refresh()
+            # The store may have come back without it.
+            self._ask_news(peer)
 
     def publish_facts(self):
         """Send the state to the followers; called after the store has responded."""
@@ -118,7 +124,7 @@
             return
         facts = StoreFacts(
             self._configurations.holder.version,
-            self.targets_follower.offset,
+            self.targets_follower.position,
             self._targets.digest,
             *self._list_target_changes(),
             self._choose_configuration(len(followers)),
--- a/firworks/gateway/state.py
+++ b/firworks/gateway/state.py
@@ -46,9 +46,23 @@
             elif value.value:
                 domains.append(value.key.removeprefix(EVACUATION_PREFIX))
         self._notify_evacuated(
-            self.evacuations.apply_listing(domains, self.follower.offset), "store"
+            self.evacuations.apply_listing(domains, self.follower.position), "store"
         )
 
+    def apply_restored(self, values):
+        """Apply the copy of the topic from which the store was restored.
+
+        What this gateway knows of evacuations is newer; see `positions`.
+
+        Returns:
+            bool: True, as records written since may be among the values.
+        """
+        for value in values:
+            if not value.key.startswith(EVACUATION_PREFIX):
+                self.apply_value(value)
+        self.evacuations.keep(self.follower.position)
+        return True
+
     def apply_value(self, value):
         """Apply one value; an unreadable configuration leaves the last one in force."""
         if value.key == CONFIGURATION_KEY:
@@ -56,7 +70,7 @@
         elif value.key.startswith(EVACUATION_PREFIX):
             domain = value.key.removeprefix(EVACUATION_PREFIX)
             changed = self.evacuations.apply_change(
-                domain, bool(value.value), self.follower.offset
+                domain, bool(value.value), self.follower.position
             )
             self._notify_evacuated(changed, "store")
 
@@ -146,6 +160,27 @@
 
         A target whose entry is present but unreadable is kept as it is.
         """
+        previous_revision = self.directory.revision
+        readable, unreadable = self._decode_all(values)
+        gone = self.directory.replace_all(readable, unreadable, self._clock())
+        for target_id in gone:
+            log_event(LogEvent.TARGET_GONE, target=target_id, source="listing")
+        self.listed = True
+        self._notify_if_changed(previous_revision)
+
+    def apply_restored(self, values):
+        """Apply the copy of the topic from which the store was restored.
+
+        Returns:
+            bool: False; targets that are not entered again expire.
+        """
+        previous_revision = self.directory.revision
+        self.directory.merge_copy(*self._decode_all(values), self._clock())
+        self._notify_if_changed(previous_revision)
+        return False
+
+    def _decode_all(self, values):
+        """Return the readable targets (list of Target) and the ids of the others."""
         readable, unreadable = [], []
         for value in values:
             target = self._decode(value) if value.value else None
@@ -153,12 +188,7 @@
                 readable.append(target)
             elif value.value:
                 unreadable.append(value.key)
-        previous_revision = self.directory.revision
-        gone = self.directory.replace_all(readable, unreadable, self._clock())
-        for target_id in gone:
-            log_event(LogEvent.TARGET_GONE, target=target_id, source="listing")
-        self.listed = True
-        self._notify_if_changed(previous_revision)
+        return readable, unreadable
 
     def apply_value(self, value):
         """Apply one target's entry or its removal (KeyedValue)."""
--- a/firworks/gateway/state_exchange.py
+++ b/firworks/gateway/state_exchange.py
@@ -55,8 +55,8 @@
         """Ask a peer for what this gateway does not know yet."""
         version = self._configurations.holder.version
         digests = (self._targets.digest, self._roster.digest)
-        offset = self._configurations.evacuations.current.offset
-        self.peers.send(name, AskNews(self._roster.own, version, *digests, offset))
+        position = self._configurations.evacuations.current.position
+        self.peers.send(name, AskNews(self._roster.own, version, *digests, position))
 
     def answer_query(self, record):
         """Send the author of a query (AskNews) what it does not know.
@@ -73,7 +73,8 @@
         differs = self._targets.digest != record.digest
         evacuated = self._configurations.evacuations.current
         same = self._roster.digest == record.members
-        if same and not (raw or differs or evacuated.offset > record.evacuated):
+        is_newer = record.evacuated.is_before(evacuated.position)
+        if same and not (raw or differs or is_newer):
             return
         entries = tuple(TargetEntry(*target.values()) for target in known)
         members = tuple(self._roster.entries.values())
@@ -82,7 +83,7 @@
             News(
                 raw,
                 differs,
-                self.targets_follower.offset,
+                self.targets_follower.position,
                 entries if differs else (),
                 members,
                 evacuated,
@@ -92,8 +93,8 @@
     def apply_state(self, peer, record, followed):
         """Apply a peer's answer to a query.
 
-        Only members are applied while the store answers this gateway, unless the peer
-        is the one that reads the store on its behalf.
+        While the store answers this gateway, only members and a newer configuration are
+        applied, unless the peer is the one that reads the store on its behalf.
 
         Args:
             peer (str): Name of the peer.
@@ -103,13 +104,14 @@
         listed = {entry.name for entry in record.members}
         left = [name for name in self._roster.names if name not in listed]
         self._members.apply_peer_report(record.members, left if followed else ())
+        if record.configuration:
+            self._configurations.apply_record(record.configuration, peer)
         if not self.query_policy.store_unavailable and not followed:
             return
         self._configurations.apply_evacuated(record.evacuated, peer)
-        if record.configuration:
-            self._configurations.apply_record(record.configuration, peer)
-        if record.listed and record.offset >= self.targets_follower.offset:
-            self.targets_follower.advance(record.offset)
+        known = self.targets_follower.position
+        if record.listed and not record.position.is_before(known):
+            self.targets_follower.advance(record.position)
             targets = [Target(*entry.values()) for entry in record.targets]
             self._targets.apply_peer_report(targets)
             log_event(LogEvent.NEWS_TAKEN, peer=peer, targets=len(targets))
--- a/firworks/kernel/forwarding/directory.py
+++ b/firworks/kernel/forwarding/directory.py
@@ -5,6 +5,11 @@
 then on. An entry that disappears during a store outage may merely have expired because
 it could not be refreshed, so its target stays usable until ``LAPSE_GRACE_S`` after the
 store has recovered.
+
+Load pattern: the store comes back from an older copy. Targets that registered since are
+missing until they write their entries again; targets that have left since are listed
+as ready. A target that has announced that it is leaving stays unusable, and one whose
+entry was removed is used again only if it writes a new one.
 """
 
 from firworks.kernel.messages import Struct
@@ -14,6 +19,8 @@
 # Entries that disappear within this time after recovery are still attributed to the
 # outage: it can expire entries even before it is noticed.
 RECOVERY_WINDOW_S = 4.0
+# Number of incarnations kept whose entries were removed.
+MAX_DEPARTED = 1_024
 # Bounds the incarnations kept that have announced that they are leaving. They cannot be
 # limited to listed targets: an announcement may arrive before the entry.
 MAX_ANNOUNCED_LEAVING = 1_024
@@ -66,6 +73,7 @@
         self._lapsed = {}
         # In insertion order, so that the oldest can be dropped first.
         self._announced_leaving = {}
+        self._departed = {}
         self._evacuated = frozenset()
         self._outage_s = None
         self._recovered_s = None
@@ -112,11 +120,14 @@
         """
         if incarnation in self._announced_leaving:
             return False
+        self._keep_leaving(incarnation)
+        self._rebuild()
+        return True
+
+    def _keep_leaving(self, incarnation):
         self._announced_leaving[incarnation] = True
         if len(self._announced_leaving) > MAX_ANNOUNCED_LEAVING:
             del self._announced_leaving[next(iter(self._announced_leaving))]
-        self._rebuild()
-        return True
 
     def list_announced_leaving(self):
         """Return the incarnations (list of tuple) that announced that they leave."""
@@ -134,6 +145,9 @@
     def put(self, target):
         """Add or update a target; return whether anything changed."""
         self._lapsed.pop(target.target_id, None)
+        self._departed.pop(target.incarnation, None)
+        if target.leaving:
+            self._keep_leaving(target.incarnation)
         if self._targets.get(target.target_id) == target:
             return False
         self._targets[target.target_id] = target
@@ -176,6 +190,33 @@
         missing = [name for name in self._targets if name not in listed]
         return [name for name in missing if self.remove(name, now)]
 
+    def merge_copy(self, targets, unreadable, now):
+        """Apply a listing of an older copy from which the store was restored.
+
+        Known targets stay as they are unless they are listed as leaving or with a later
+        start; those that the copy lacks are removed unless their entries are written
+        again in time.
+
+        Args:
+            targets (iterable of Target): Targets whose entries could be decoded.
+            unreadable (iterable of str): Ids whose entries could not be decoded.
+            now (float): Monotonic seconds.
+        """
+        self.record_outage(now)
+        self.record_recovery(now)
+        listed = set(unreadable)
+        for target in targets:
+            listed.add(target.target_id)
+            known = self._targets.get(target.target_id)
+            if known is None:
+                is_newer = target.incarnation not in self._departed
+            else:
+                is_newer = target.leaving or target.born_ms > known.born_ms
+            if is_newer:
+                self.put(target)
+        for target_id in [name for name in self._targets if name not in listed]:
+            self.remove(target_id, now)
+
     def expire(self, now):
         """Remove targets whose entries were not refreshed in time; return their ids."""
         due = [
@@ -196,7 +237,10 @@
 
     def _remove_target(self, target_id):
         self._lapsed.pop(target_id, None)
-        del self._targets[target_id]
+        target = self._targets.pop(target_id)
+        self._departed[target.incarnation] = True
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
         self._rebuild()
 
     def _is_usable(self, target):
--- a/firworks/platform/records.py
+++ b/firworks/platform/records.py
@@ -26,18 +26,37 @@
         self.value = value
 
 
+class Listing:
+    """The newest values of a keyed topic.
+
+    Attributes:
+        values (list of KeyedValue): One for each key.
+        era (int): Number of restores of the store when they were read.
+        offset (int): Offset to read on from.
+    """
+
+    __slots__ = ("values", "era", "offset")
+
+    def __init__(self, values, era, offset):
+        self.values = values
+        self.era = era
+        self.offset = offset
+
+
 class Slice:
     """A range of a partition's records, as returned by one read.
 
     Attributes:
+        era (int): Number of restores of the store when it was read.
         end (int): Offset after the last record of the partition.
         first (int): Offset of the oldest record retained.
         records (list of bytes): In order, starting at the requested offset.
     """
 
-    __slots__ = ("end", "first", "records")
+    __slots__ = ("era", "end", "first", "records")
 
-    def __init__(self, end, first, records):
+    def __init__(self, era, end, first, records):
+        self.era = era
         self.end = end
         self.first = first
         self.records = records
@@ -48,9 +67,13 @@
     return b"".join(_LENGTH.pack(len(record)) + record for record in records)
 
 
-def decode_slice(data):
+def decode_slice(data, era=0):
     """Return the `Slice` encoded in the response to a read.
 
+    Args:
+        data (bytes): Body of the response.
+        era (int): Number of restores of the store that the response states.
+
     Raises:
         CodecError: When the response is truncated.
     """
@@ -70,7 +93,7 @@
             raise CodecError(f"read response truncated in a record at byte {position}")
         records.append(data[position : position + length])
         position += length
-    return Slice(end, first, records)
+    return Slice(era, end, first, records)
 
 
 def encode_keyed(key, value):
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -5,7 +5,9 @@
 import aiohttp
 
 from firworks.errors import FirworksError
+from firworks.events import LogEvent, log_event
 from firworks.platform.records import (
+    Listing,
     decode_newest,
     decode_slice,
     encode_keyed,
@@ -48,8 +50,8 @@
         name (str): Name of this daemon, sent as User-Agent to identify it.
 
     Attributes:
-        era (int): Number of times that the store was restored from a copy, as last
-            stated; 0 until it states it.
+        era (int): Number of times that the store was restored from a copy, as far as
+            known; 0 until it is stated.
         on_restored (callable): ``on_restored(era, previous)`` is called when it rises.
         calls (int): Calls made since the start, failed ones included.
         read_bytes (int): Total size of the response bodies.
@@ -57,6 +59,8 @@
 
     def __init__(self, address, name):
         self.era = 0
+        self._era_known = False
+        self._unreadable_era = None
         self.on_restored = lambda era, previous: None
         self.calls = 0
         self.read_bytes = 0
@@ -81,24 +85,28 @@
             await self._session.close()
 
     async def list_newest(self, topic):
-        """Return (list of `KeyedValue`, offset to read on from) of a keyed topic.
+        """Return the `Listing` of a keyed topic.
 
         Raises:
-            StoreError: When the call fails or times out, or its response is unusable.
+            StoreError: When the call fails or times out, its response is unusable, or
+                the store was restored between two pages.
         """
-        values, start, after, more = [], None, None, True
+        values, start, after, more, first_era = [], None, None, True, None
         while more:
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["after"] = after
-            data = await self._call("GET", "/log-newest", query)
+            data, era = await self._call("GET", "/log-newest", query)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise StoreError(f"{topic}: store restored during a listing")
             page, more, end = decode_newest(data)
             # The pages are not one snapshot: read on from the end offset of the first.
             start = end if start is None else start
             values += page
             more = more and bool(page)
             after = page[-1].key if page else None
-        return values, start
+        return Listing(values, first_era, start)
 
     async def read(self, topic, offset, wait_s):
         """Return the `Slice` from an offset on, waiting for records if there are none.
@@ -116,8 +124,8 @@
         if wait_s > 0:
             query["wait-ms"] = str(int(wait_s * 1000))
         timeout_s = wait_s + READ_TIMEOUT_MARGIN_S
-        data = await self._call("GET", "/log-read", query, timeout_s=timeout_s)
-        return decode_slice(data)
+        data, era = await self._call("GET", "/log-read", query, timeout_s=timeout_s)
+        return decode_slice(data, era)
 
     async def put_value(self, topic, key, value):
         """Set a key of a keyed topic; an empty value deletes the key.
@@ -129,6 +137,7 @@
         await self._call("POST", "/log-append", {"topic": topic, "part": "0"}, body)
 
     async def _call(self, method, path, query, body=None, timeout_s=CALL_TIMEOUT_S):
+        """Return the body (bytes) of a response and the era (int) that it states."""
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_s):
@@ -137,7 +146,7 @@
                 ) as response:
                     data = await self._read_body(response)
                     status = response.status
-                    self._note_era(response.headers.get(ERA))
+                    era = self._read_era(response.headers.get(ERA))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise StoreError(f"{path}: {error!r}") from error
         self.read_bytes += len(data)
@@ -145,16 +154,30 @@
             raise StoreGapError(f"{path}: offset no longer retained (status 410)")
         if status != 200:
             raise StoreError(f"{path}: unexpected status {status}")
-        return data
-
-    def _note_era(self, value):
-        """Note the era that a response states; one that is no number is ignored."""
-        if value is None or not value.isdecimal():
-            return
-        previous, self.era = self.era, max(self.era, int(value))
-        if self.era > previous:
+        return data, era
+
+    def note_era(self, era):
+        """Record an era (int) of the store, as this or another daemon has read it."""
+        previous, self.era = self.era, max(self.era, era)
+        is_first, self._era_known = not self._era_known, True
+        if self.era > previous and not is_first:
             self.on_restored(self.era, previous)
 
+    def _read_era(self, value):
+        """Return the era (int) that a response states.
+
+        The last one that is known stands in for one that is missing or not a number.
+        """
+        if value is None:
+            return self.era
+        if not value.isdecimal():
+            if value != self._unreadable_era:
+                self._unreadable_era = value
+                log_event(LogEvent.STORE_ERA_UNREADABLE, value=value)
+            return self.era
+        self.note_era(int(value))
+        return int(value)
+
     async def _read_body(self, response):
         parts, size = [], 0
         async for part in response.content.iter_any():
