Write member entries and quarantined features again after a restore of the store

What callers saw: nothing yet; a fleet that restarted later would have sent requests that crash targets again, and a gateway that started did not find those whose entries were lost. Cause: a gateway that does not read the members' topic itself, and the one that writes quarantined features, took their records to be there. Evidence: TestOwnRecords failed in three cases. Every gateway that learns of a new era, by itself or from its reader, writes its own entry within a second; records of features are written again at the next review.

--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -155,6 +155,10 @@
         if suspicion is not None:
             self._suspects.merge(suspicion, self._clock())
 
+    def store_again(self):
+        """Write the records of quarantined features again after a loss of the store."""
+        self._suspicion_store.forget()
+
     def send_suspicions(self, peer):
         """Send a peer all features under suspicion that it needs to know."""
         now = self._clock()
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -60,6 +60,8 @@
 MEMBERS_LONG_POLL_S = 25.0
 # Batches the registrations of gateways that start together into few reads.
 MEMBERS_READ_INTERVAL_S = 1.5
+# After the store was restored, all gateways write their entries again within this time.
+REGISTRATION_SPREAD_S = 1.0
 # Each heartbeat of a target rewrites its entry, so entries are read in batches, at this
 # share of the time within which a leaving target must get no more work.
 TARGETS_READ_INTERVAL_SHARE = 0.3
@@ -371,10 +373,15 @@
         )
 
     def _on_store_restored(self, era, previous):
-        """List all topics anew, as offsets have gone back."""
+        """List all topics anew, and write again what this gateway had written."""
         log_event(LogEvent.STORE_RESTORED, era=era, previous=previous)
         for follower in self._followers:
             follower.list_again()
+        self.crashes.store_again()
+        if self._members.listed:
+            delay_s = self.rng.uniform(0.0, REGISTRATION_SPREAD_S)
+            again = self._members.register_again(delay_s)
+            self._tasks.append(asyncio.ensure_future(again))
 
     def _on_targets_store_status(self, answers):
         """Pause the long polls while reads of the targets find that the store is down.
--- a/firworks/gateway/suspicion_store.py
+++ b/firworks/gateway/suspicion_store.py
@@ -70,6 +70,10 @@
                 self._write(changes[:MAX_WRITES_PER_UPDATE])
             )
 
+    def forget(self):
+        """Write all records again, as the store may have lost them."""
+        self._stored.clear()
+
     def close(self):
         """Stop writing."""
         if self._write_task is not None:
