--- a/firworks/tests/gateway_testbed.py
+++ b/firworks/tests/gateway_testbed.py
@@ -189,6 +189,37 @@
         await asyncio.sleep(POLL_S)
 
 
+async def run_together(run, cases):
+    """Run ``run(case)`` for all cases at the same time.
+
+    Raises:
+        AssertionError: Names the cases that failed.
+    """
+    results = await asyncio.gather(*map(run, cases), return_exceptions=True)
+    failed = {
+        str(case): repr(result)
+        for case, result in zip(cases, results, strict=True)
+        if isinstance(result, BaseException)
+    }
+    assert not failed, failed
+
+
+def play_cases(make_scenario, cases):
+    """Run ``make_scenario(*case)`` on a testbed of its own for each case, together.
+
+    Args:
+        make_scenario (callable): Returns a scenario.
+        cases (list of tuple): Number of gateways and arguments of each case.
+    """
+
+    async def run(case):
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            async with run_testbed(case[0]) as testbed:
+                await make_scenario(*case[1:])(testbed)
+
+    asyncio.run(run_together(run, cases))
+
+
 def play(scenario, gateways=1):
     """Run ``scenario(testbed)`` on a new testbed, within ``TEST_TIMEOUT_S``."""
 
