Let the soak send prompts with a deadly part and restore the store from copies

Beside the one deadly request, a second caller sends requests that are all different and share a part that crashes engines; after five crashes three more may reach engines. The store comes back from a copy that was taken before one of the last eight faults, and what was written since is written again. Targets also break off responses without a length.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -12,10 +12,10 @@
 import aiohttp
 import fire
 
-from bench.soak.callers import KINDS, Caller, DeadlyCaller
+from bench.soak.callers import KINDS, Caller, DeadlyCaller, make_deadly_prompt
 from bench.soak.faults import FaultPlan
 from bench.soak.limits import LimitPlan, check_limits
-from bench.soak.notices import check_ends, check_notices
+from bench.soak.notices import PART_ENDS, check_ends, check_notices
 from bench.soak.promises import check_promises
 from bench.soak.site import run_site
 
@@ -51,12 +51,14 @@
             for number in range(gateways * CALLERS_PER_GATEWAY)
         ]
         deadly = DeadlyCaller(site, Random(rng.random()))
-        ending = asyncio.ensure_future(deadly.run())
         plan = FaultPlan(site, Random(rng.random()))
         limits = asyncio.ensure_future(LimitPlan(site, Random(rng.random())).run())
+        tainted = DeadlyCaller(site, Random(rng.random()), "part", make_deadly_prompt)
+        ending = asyncio.gather(deadly.run(), tainted.run())
         await plan.run(length_s)
         limits.cancel()
         ending.cancel()
+        await asyncio.gather(ending, return_exceptions=True)
         violations = await check_recovery(site, attempts)
         for caller in callers:
             caller.cancel()
@@ -73,6 +75,7 @@
         by_name = {gateway.name: gateway for gateway in site.gateways}
         violations += check_promises(attempts, runs, plan, by_name, site)
         violations += check_ends(deadly.sent, site, plan, by_name)
+        violations += check_ends(tainted.sent, site, plan, by_name, PART_ENDS)
         sent = {one.request_id: (one.gateway, one.sent_s) for one in attempts}
         violations += check_notices(sent, site, plan, by_name)
         violations += check_limits(sent, site, plan, by_name)
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from firworks.standins.crashing_targets import DEADLY
+from firworks.standins.crashing_targets import DEADLY, DEADLY_PART
 from firworks.standins.platform_targets import EVENTS, STAMP
 from firworks.tests.gateway_testbed import HOST, KEY
 
@@ -64,21 +64,36 @@
 DEADLY_PERIOD_S = 0.25
 
 
+def make_deadly_request(number):
+    """Return path and headers of a request that crashes targets, always the same."""
+    return f"/stock/{DEADLY.decode()}", {}
+
+
+def make_deadly_prompt(number):
+    """Return path and headers of a request, unlike any other but for its parts."""
+    parts = f"aa:500,{DEADLY_PART}:50,{number:x}:50"
+    return f"/rules/{number}", {**PROMPT, "X-Prefix-Hash": parts}
+
+
 class DeadlyCaller:
-    """Sends one request that ends targets again and again, through any gateway.
+    """Sends requests that crash targets again and again, through any gateway.
 
     Args:
         site (Site): Names gateways in rotation.
         rng (random.Random): Chooses the gateway.
+        name (str): Begins the ids of its requests.
+        make_request (callable): ``make_request(number)`` returns path and headers.
 
     Attributes:
         sent (dict of str to (str, float)): Gateway and time of each try, by its id.
     """
 
-    def __init__(self, site, rng):
+    def __init__(self, site, rng, name="deadly", make_request=make_deadly_request):
         self.sent = {}
         self._site = site
         self._rng = rng
+        self._name = name
+        self._make_request = make_request
 
     async def run(self):
         """Send until cancelled; what comes of it shows at the targets."""
@@ -93,18 +108,21 @@
 
     async def _try(self, session):
         gateway = self._site.choose_gateway(self._rng)
-        name = f"deadly-{len(self.sent)}"
+        path, own_headers = self._make_request(len(self.sent))
+        name = f"{self._name}-{len(self.sent)}"
         self.sent[name] = (gateway.name, self._site.clock())
         headers = {
+            **own_headers,
             "Host": HOST,
             "X-Request-Id": name,
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "Authorization": f"Bearer {KEY}",
         }
-        url = f"http://{gateway.get_address('callers')}/stock/{DEADLY.decode()}"
+        method = "POST" if own_headers else "GET"
+        url = f"http://{gateway.get_address('callers')}{path}"
         try:
             async with asyncio.timeout(DEADLINE_S + PATIENCE_S):
-                async with session.get(url, headers=headers) as response:
+                async with session.request(method, url, headers=headers) as response:
                     await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError):
             return  # the gateway was harmed, or cut an answer off
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,6 +1,7 @@
 """Draws faults from a seed and injects them, in series and overlapping."""
 
 import asyncio
+from collections import deque
 from functools import partial
 
 from bench.soak.gateways import PAUSED
@@ -18,7 +19,11 @@
     "joined",
     "stray",
     "unframed",
+    "unframed reset",
+    "unframed torn",
 )
+# How many copies of the store are kept; one is taken before each fault.
+COPIES = 8
 STORE_FAULTS = ("down", "silent")
 LONGEST_S = 3.0
 # Mean time from one fault to the next.
@@ -41,6 +46,7 @@
         self._site = site
         self._rng = rng
         self._running = set()
+        self._copies = deque(maxlen=COPIES)
         self._kinds = (
             (3, self._signal_gateways),
             (2, self._pause_gateway),
@@ -59,6 +65,7 @@
         end_s = self._site.clock() + length_s
         while self._site.clock() < end_s:
             await asyncio.sleep(self._rng.expovariate(1 / GAP_S))
+            self._copies.append(self._site.store.take_copy())
             weights = [weight for weight, _ in self._kinds]
             _, inject = self._rng.choices(self._kinds, weights)[0]
             task = asyncio.ensure_future(inject())
@@ -118,7 +125,7 @@
         await self._hold(kind, f"{name} {fault}", lambda: proxy.set_fault(""))
 
     async def _harm_store(self):
-        fault = self._rng.choice((*STORE_FAULTS, "turns away", "forgets"))
+        fault = self._rng.choice((*STORE_FAULTS, "turns away", "forgets", "restored"))
         store = self._site.store
         if fault == "turns away":
             names = [one.name for one in self._site.gateways]
@@ -129,6 +136,9 @@
             for topic in list(store._topics):
                 store.trim(topic)
             await self._hold("store", fault)
+        elif fault == "restored":
+            store.down, copy = True, self._rng.choice(self._copies)
+            await self._hold("store", fault, lambda: self._site.restore_store(copy))
         else:
             setattr(store, fault, True)
             await self._hold("store", fault, lambda: setattr(store, fault, False))
--- a/bench/soak/notices.py
+++ b/bench/soak/notices.py
@@ -8,26 +8,33 @@
 # The platform's rules: ends before a request counts as one that ends targets, requests
 # that may reach targets afterwards, and requests that may reach one at rest.
 ENDS = 3
+PART_ENDS = 5
 MOST_LATE = 3
 REST_GRACE_S = 0.5
 MOST_AT_REST = 2
 LEAVING, RETRY_AFTER = "Server-Leaving", "Retry-After"
 
 
-def check_ends(sent, site, plan, gateways):
-    """A request that has ended three targets reaches few more.
+def check_ends(sent, site, plan, gateways, ends=ENDS):
+    """Requests that have ended some targets reach few more.
 
     Args:
         sent (dict of str to (str, float)): Gateway and time of each try, by its id.
         site (Site): Its targets know when they were reached and ended.
         plan (FaultPlan): What was harmed.
         gateways (dict of str to GatewayProcess): The gateways.
+        ends (int): Ends after which few more are allowed.
     """
-    reached = [one for target in site.targets.values() for one in target.reached]
+    reached = [
+        one
+        for target in site.targets.values()
+        for one in target.reached
+        if one[1] in sent
+    ]
     ended_s = sorted(time_s for time_s, _ in reached)
-    if len(ended_s) < ENDS:
+    if len(ended_s) < ends:
         return []
-    limit_s = ended_s[ENDS - 1] + STABLE_S
+    limit_s = ended_s[ends - 1] + STABLE_S
     late = [
         name
         for time_s, name in reached
@@ -35,7 +42,7 @@
     ]
     if len(late) <= MOST_LATE:
         return []
-    return [f"a request that ends targets reached {len(late)} more: {late[:9]}"]
+    return [f"requests that end targets reached {len(late)} more: {late[:9]}"]
 
 
 def check_notices(sent, site, plan, gateways):
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -10,6 +10,7 @@
 
 from bench.soak.gateways import DRAIN_LIMIT_S, GatewayProcess
 from bench.soak.proxies import LoopbackProxy
+from firworks.platform.store import TARGETS_TOPIC
 from firworks.standins.crashing_targets import (
     MANNERS,
     CrashingEngine,
@@ -74,6 +75,7 @@
         self._count = gateways
         self._rng = Random(seed)
         self._version = 0
+        self._table = {}
         self._rotation = {}
         self._tasks = []
         self._numbers = 0
@@ -125,9 +127,26 @@
         keys = [OTHER_KEY] if keyed else []
         other = {"name": OTHER_ACCOUNT, "api-keys": keys, "priority": 2}
         table["tenants"].append(other)
+        self._table = table
         self.store.put_configuration(table)
         self.changes.append((self.clock(), routed, keyed))
 
+    def restore_store(self, copy):
+        """Bring the store back from a copy; what was written since is written again."""
+        self.store.restore(copy)
+        self.store.down = False
+        self.store.put_configuration(self._table)
+        for name, target in self.targets.items():
+            if name in self.left_s:
+                self.store.put_target(name, target.make_entry("draining"))
+        asyncio.get_running_loop().call_later(LAPSE_S, self._drop_silent)
+
+    def _drop_silent(self):
+        """Remove the entries of targets that do not write them any more."""
+        for name in self.store.get_values(TARGETS_TOPIC):
+            if name not in self.targets:
+                self.store.put_target(name, None)
+
     async def add_target(self, service, cls):
         """Start a target behind a proxy and enter it."""
         self._numbers += 1
