--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -94,6 +94,9 @@
             await self._wait_uncut(cut)
             if not link.silent:
                 writer.write_eof()
+        except ConnectionResetError:
+            # An orderly close may be the end of a response.
+            link.reset()
         except OSError:
             link.abort()
 
--- a/firworks/tests/test_soak.py
+++ b/firworks/tests/test_soak.py
@@ -29,7 +29,7 @@
     check_runs,
     check_time,
 )
-from bench.soak.proxies import CUT_DOWN, RESET, SILENT, LoopbackProxy
+from bench.soak.proxies import CUT_DOWN, RESET, SILENT, LoopbackProxy, reset
 from bench.soak.site import OTHER_KEY
 from firworks.standins.platform_targets import STAMP, Run
 from firworks.standins.web import LOOPBACK
@@ -227,6 +227,31 @@
 
         asyncio.run(scenario())
 
+    def test_a_reset_of_the_server_reaches_the_client(self):
+        """A client may take an orderly close for the end of a response."""
+
+        async def scenario():
+            async def serve(reader, writer):
+                writer.write(b"part")
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                reset(writer)
+
+            server = await asyncio.start_server(serve, LOOPBACK, 0)
+            port = server.sockets[0].getsockname()[1]
+            proxy = LoopbackProxy(f"{LOOPBACK}:{port}")
+            await proxy.start()
+            host, port = proxy.address.rsplit(":", 1)
+            reader, writer = await asyncio.open_connection(host, int(port))
+            assert await reader.readexactly(4) == b"part"
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+            await proxy.stop()
+            server.close()
+
+        asyncio.run(scenario())
+
 
 class TestSoak:
     def test_a_short_run_breaks_no_promise(self, tmp_path):
@@ -258,6 +283,15 @@
         assert self.check(tmp_path, self.make_reached(3)) == []
         assert len(self.check(tmp_path, self.make_reached(4))) == 1
 
+    def test_a_pause_that_began_before_and_ended_within_the_time_is_excused(
+        self, tmp_path
+    ):
+        reached = self.make_reached(4)
+        events = [(106.9, PAUSED), (109.9, RESUMED)]
+        assert self.check(tmp_path, reached, events) == []
+        events = [(103.0, PAUSED), (106.9, RESUMED)]
+        assert len(self.check(tmp_path, reached, events)) == 1
+
     def test_a_gateway_that_was_disturbed_is_excused(self, tmp_path):
         reached = self.make_reached(4)
         assert self.check(tmp_path, reached, [(109.0, KILLED)]) == []
