Send positions in the store as integers, which older gateways decode

Records with a nested position could not be decoded by gateways of the build before, which close the connection then; facts are sent twice a second, so that a rolling update would have cut old and new gateways off from each other. An era in the high bits keeps order and wire format; an older gateway takes a position of a later era for an offset beyond the end and lists its topics.

--- a/bench/crash_series.py
+++ b/bench/crash_series.py
@@ -6,10 +6,10 @@
 Then all targets of a service end at one moment while many callers ask for one thing:
 printed is how many of them are served from two seconds after the targets' return on.
 
-A second table is of a prompt part that crashes engines: requests with it, no two alike,
-beside sound ones of the same caller. Printed are the crashes, the requests with the part
-that reached engines later than ``STABLE_S`` after the fifth crash (at most three may),
-and which share of the sound requests was served before, during, and from
+A second table is of a prompt part that crashes engines: requests with it, no two
+alike, beside sound ones of the same caller. Printed are the crashes, the requests with
+the part that reached engines later than ``STABLE_S`` after the fifth crash (at most
+three may), and which share of the sound requests was served before, during, and from
 ``SETTLED_S`` on.
 """
 
--- a/firworks/gateway/followers.py
+++ b/firworks/gateway/followers.py
@@ -4,7 +4,12 @@
 
 from firworks.errors import CodecError
 from firworks.events import LogEvent, log_event
-from firworks.kernel.forwarding.positions import ORIGIN, StorePosition
+from firworks.kernel.forwarding.positions import (
+    ORIGIN,
+    get_era,
+    get_offset,
+    make_position,
+)
 from firworks.platform.records import decode_keyed
 from firworks.platform.store import StoreError, StoreGapError
 
@@ -66,7 +71,7 @@
 
     @property
     def position(self):
-        """Position up to which this gateway knows the topic (StorePosition)."""
+        """Position up to which this gateway knows the topic (int)."""
         return self._position
 
     def advance(self, position):
@@ -164,10 +169,10 @@
         if self._position != start:
             # Another gateway has sent newer records in the meantime.
             return
-        if batch.era != start.era or batch.end < start.offset:
+        if batch.era != get_era(start) or batch.end < get_offset(start):
             self._must_list = True
             return
-        self._position = StorePosition(start.era, start.offset + len(batch.records))
+        self._position = start + len(batch.records)
         for record in batch.records:
             try:
                 value = decode_keyed(record)
@@ -180,13 +185,13 @@
 
     async def _list(self):
         listing = await self._store.list_newest(self._topic)
-        position = StorePosition(listing.era, listing.offset)
-        if position.is_before(self._position):
+        position = make_position(listing.era, listing.offset)
+        if position < self._position:
             # Another gateway has sent newer records in the meantime, or the store was
             # reset and its offsets start again.
-            self._position = StorePosition(listing.era, 0)
+            self._position = make_position(listing.era, 0)
             return
-        is_restored = self._listed and position.era > self._position.era
+        is_restored = self._listed and get_era(position) > get_era(self._position)
         self._position = position
         self._must_list, self._refresh_pending = False, False
         self._listed = True
@@ -196,7 +201,7 @@
             asyncio.get_running_loop().call_later(REWRITE_S, self.list_again)
 
     async def _read(self):
-        read = self._store.read(self._topic, self._position.offset, self._wait_s)
+        read = self._store.read(self._topic, get_offset(self._position), self._wait_s)
         self._read_task = asyncio.ensure_future(read)
         try:
             return await self._read_task
--- a/firworks/gateway/readers.py
+++ b/firworks/gateway/readers.py
@@ -3,6 +3,7 @@
 from firworks.events import LogEvent, log_event
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.forwarding.news import TargetEntry
+from firworks.kernel.forwarding.positions import get_era
 from firworks.kernel.forwarding.readers import (
     FollowStore,
     ReaderSelector,
@@ -95,8 +96,8 @@
 
     def apply_facts(self, peer, record):
         """Apply the facts (StoreFacts) that the peer has just read from the store."""
-        self._note_era(record.position.era)
-        if record.position.is_before(self.targets_follower.position):
+        self._note_era(get_era(record.position))
+        if record.position < self.targets_follower.position:
             return
         self._selector.record_facts(peer, self._clock())
         self._mark_confirmed(self._clock())
--- a/firworks/gateway/state_exchange.py
+++ b/firworks/gateway/state_exchange.py
@@ -73,7 +73,7 @@
         differs = self._targets.digest != record.digest
         evacuated = self._configurations.evacuations.current
         same = self._roster.digest == record.members
-        is_newer = record.evacuated.is_before(evacuated.position)
+        is_newer = record.evacuated < evacuated.position
         if same and not (raw or differs or is_newer):
             return
         entries = tuple(TargetEntry(*target.values()) for target in known)
@@ -110,7 +110,7 @@
             return
         self._configurations.apply_evacuated(record.evacuated, peer)
         known = self.targets_follower.position
-        if record.listed and not record.position.is_before(known):
+        if record.listed and record.position >= known:
             self.targets_follower.advance(record.position)
             targets = [Target(*entry.values()) for entry in record.targets]
             self._targets.apply_peer_report(targets)
--- a/firworks/kernel/forwarding/evacuations.py
+++ b/firworks/kernel/forwarding/evacuations.py
@@ -7,7 +7,7 @@
 """
 
 from firworks.kernel.codec import register_record
-from firworks.kernel.forwarding.positions import ORIGIN, StorePosition
+from firworks.kernel.forwarding.positions import ORIGIN
 from firworks.kernel.messages import Record
 
 
@@ -16,12 +16,12 @@
     """The failure domains that get no work, as of a position.
 
     Attributes:
-        position (StorePosition): Up to which the operator's topic has been read.
+        position (int): Up to which the operator's topic has been read.
         domains (tuple of str): Names of the failure domains, sorted.
     """
 
     __slots__ = ("position", "domains")
-    TYPES = (StorePosition, (str,))
+    TYPES = (int, (str,))
 
 
 NO_EVACUATIONS = Evacuated(ORIGIN, ())
@@ -38,7 +38,7 @@
 
         Args:
             domains (iterable of str): All evacuated failure domains.
-            position (StorePosition): Up to which the topic has been read.
+            position (int): Up to which the topic has been read.
         """
         return self._replace(Evacuated(position, tuple(sorted(domains))))
 
@@ -46,7 +46,7 @@
         """Keep the domains, although a copy of the topic may show older ones.
 
         Args:
-            position (StorePosition): Up to which the copy has been read.
+            position (int): Up to which the copy has been read.
         """
         self.current = Evacuated(position, self.current.domains)
 
@@ -56,7 +56,7 @@
         Args:
             domain (str): The failure domain.
             evacuated (bool): It gets no work; otherwise it is in service again.
-            position (StorePosition): Up to which the topic has been read.
+            position (int): Up to which the topic has been read.
         """
         others = [name for name in self.current.domains if name != domain]
         domains = [*others, domain] if evacuated else others
@@ -64,7 +64,7 @@
 
     def merge(self, evacuated):
         """Apply another daemon's state (Evacuated); return whether domains changed."""
-        if evacuated.position.is_before(self.current.position):
+        if evacuated.position < self.current.position:
             return False
         return self._replace(evacuated)
 
--- a/firworks/kernel/forwarding/news.py
+++ b/firworks/kernel/forwarding/news.py
@@ -10,7 +10,6 @@
 from firworks.kernel.codec import register_record
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.forwarding.evacuations import Evacuated
-from firworks.kernel.forwarding.positions import StorePosition
 from firworks.kernel.messages import Record
 from firworks.kernel.pools.messages import MemberEntry
 
@@ -38,11 +37,11 @@
         version (int): Version of its configuration; -1 without one.
         digest (bytes): Digest of its targets.
         members (bytes): Digest of its members.
-        evacuated (StorePosition): Position of its evacuated failure domains.
+        evacuated (int): Position of its evacuated failure domains.
     """
 
     __slots__ = ("entry", "version", "digest", "members", "evacuated")
-    TYPES = (MemberEntry, int, bytes, bytes, StorePosition)
+    TYPES = (MemberEntry, int, bytes, bytes, int)
 
 
 @register_record
@@ -52,7 +51,7 @@
     Attributes:
         configuration (bytes): Record of a newer configuration; empty without one.
         listed (bool): ``targets`` is the full list.
-        position (StorePosition): Up to which the targets' topic has been read.
+        position (int): Position up to which the targets' topic has been read.
         targets (tuple of TargetEntry): All targets, if the digests differ.
         members (tuple of MemberEntry): Members known to the replying daemon.
         evacuated (Evacuated): Failure domains that get no work.
@@ -66,7 +65,7 @@
         "members",
         "evacuated",
     )
-    TYPES = (bytes, bool, StorePosition, (TargetEntry,), (MemberEntry,), Evacuated)
+    TYPES = (bytes, bool, int, (TargetEntry,), (MemberEntry,), Evacuated)
 
 
 class PeerQueryPolicy:
--- a/firworks/kernel/forwarding/positions.py
+++ b/firworks/kernel/forwarding/positions.py
@@ -6,27 +6,31 @@
 era. What a daemon knows at a restore is newer than the copy: a listing of the new era
 takes nothing back, and what the copy lacks stays for the time in which the store's
 clients write it again.
+
+A position is an integer with the era in its high bits: positions are ordered as they
+are, and daemons that know no eras take those of the first era for offsets.
 """
 
-from firworks.kernel.codec import register_record
-from firworks.kernel.messages import Record
+OFFSET_BITS = 48
+_OFFSET_MASK = (1 << OFFSET_BITS) - 1
+ORIGIN = 0
 
 
-@register_record
-class StorePosition(Record):
-    """Position up to which a topic has been read.
+def make_position(era, offset):
+    """Return the position (int) of an offset in a topic.
 
-    Attributes:
+    Args:
         era (int): Number of restores of the store.
         offset (int): Offset of the next record.
     """
+    return era << OFFSET_BITS | offset
 
-    __slots__ = ("era", "offset")
-    TYPES = (int, int)
 
-    def is_before(self, other):
-        """Return whether another position (StorePosition) is newer."""
-        return self.values() < other.values()
+def get_era(position):
+    """Return the number of restores of the store (int) of a position."""
+    return position >> OFFSET_BITS
 
 
-ORIGIN = StorePosition(0, 0)
+def get_offset(position):
+    """Return the offset (int) of a position in its topic."""
+    return position & _OFFSET_MASK
--- a/firworks/kernel/forwarding/readers.py
+++ b/firworks/kernel/forwarding/readers.py
@@ -13,7 +13,6 @@
 from firworks.kernel.codec import register_record
 from firworks.kernel.forwarding.evacuations import Evacuated
 from firworks.kernel.forwarding.news import TargetEntry
-from firworks.kernel.forwarding.positions import StorePosition
 from firworks.kernel.messages import Record
 from firworks.kernel.pools.messages import MemberEntry
 
@@ -56,7 +55,7 @@
 
     Attributes:
         version (int): Version of its configuration; -1 without one.
-        position (StorePosition): Up to which the targets' topic has been read.
+        position (int): Position up to which the targets' topic has been read.
         digest (bytes): Digest of its targets.
         changed (tuple of TargetEntry): Targets changed since its last update.
         gone (tuple of str): Ids of targets removed since.
@@ -82,7 +81,7 @@
     )
     TYPES = (
         int,
-        StorePosition,
+        int,
         bytes,
         (TargetEntry,),
         (str,),
--- a/firworks/tests/test_evacuations.py
+++ b/firworks/tests/test_evacuations.py
@@ -5,7 +5,7 @@
 import pytest
 
 from firworks.kernel.forwarding.evacuations import Evacuated, Evacuations
-from firworks.kernel.forwarding.positions import StorePosition
+from firworks.kernel.forwarding.positions import make_position
 from firworks.platform.store import CONFIGURATION_TOPIC, EVACUATION_PREFIX
 from firworks.standins.platform_targets import (
     PlatformEngine,
@@ -76,11 +76,11 @@
 class TestEvacuations:
     def test_listing_replaces_and_record_adds_or_removes(self):
         evacuations = Evacuations()
-        assert evacuations.apply_listing(["b", "a"], StorePosition(0, 5))
-        assert evacuations.apply_change("b", False, StorePosition(0, 6))
-        assert evacuations.apply_change("c", True, StorePosition(0, 7))
-        assert not evacuations.apply_change("c", True, StorePosition(0, 8))
-        assert evacuations.current == Evacuated(StorePosition(0, 8), ("a", "c"))
+        assert evacuations.apply_listing(["b", "a"], make_position(0, 5))
+        assert evacuations.apply_change("b", False, make_position(0, 6))
+        assert evacuations.apply_change("c", True, make_position(0, 7))
+        assert not evacuations.apply_change("c", True, make_position(0, 8))
+        assert evacuations.current == Evacuated(make_position(0, 8), ("a", "c"))
 
     @pytest.mark.parametrize(
         ("era", "offset", "changes"),
@@ -88,8 +88,8 @@
     )
     def test_older_state_of_a_peer_is_ignored(self, era, offset, changes):
         evacuations = Evacuations()
-        evacuations.apply_listing(["a"], StorePosition(1, 5))
-        assert evacuations.merge(Evacuated(StorePosition(era, offset), ())) is changes
+        evacuations.apply_listing(["a"], make_position(1, 5))
+        assert evacuations.merge(Evacuated(make_position(era, offset), ())) is changes
 
 
 class TestGateway:
