--- a/firworks/gateway/members.py
+++ b/firworks/gateway/members.py
@@ -13,6 +13,8 @@
 # failure: many gateways may start during a store outage.
 INITIAL_RETRY_DELAY_S = 0.5
 MAX_RETRY_DELAY_S = 4.0
+# After the store was restored, all gateways write their entries again within this time.
+REGISTRATION_SPREAD_S = 1.0
 
 
 class MembersListener:
@@ -69,9 +71,13 @@
                 self.apply_value(value)
         return True
 
-    async def register_again(self, delay_s):
-        """Write this gateway's own entry again after a delay in seconds."""
-        await asyncio.sleep(delay_s)
+    async def register_again(self, rng):
+        """Write this gateway's own entry again after a delay.
+
+        Args:
+            rng (random.Random): Chooses the delay.
+        """
+        await asyncio.sleep(rng.uniform(0.0, REGISTRATION_SPREAD_S))
         self.register()
 
     def apply_value(self, value):
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -69,7 +69,7 @@
         )
 
     def _make_state_metrics(self):
-        """Make the gauges, which `Gateway.update_metrics` sets."""
+        """Make the gauges, which `update` sets."""
         self.suspended_parts = self._gauge(
             "parts_suspended", "Prompt parts refused, as they have crashed targets."
         )
@@ -92,6 +92,29 @@
             "log_lines_dropped", "Log lines left out so far."
         )
 
+    def update(self, gateway, version, dropped):
+        """Set all gauges to the current state of a gateway.
+
+        Args:
+            gateway (Gateway): The gateway.
+            version (int): Version of its configuration; -1 without one.
+            dropped (int): Log lines left out so far.
+        """
+        self.store_calls.set(gateway.store.calls)
+        self.store_bytes.set(gateway.store.read_bytes)
+        self.connections.set(gateway.connections.opened)
+        self.members.set(gateway.roster.count)
+        self.in_progress.set(gateway.callers.in_progress)
+        requests, parts = gateway.crashes.count_quarantined()
+        self.suspended.set(requests)
+        self.suspended_parts.set(parts)
+        self.queued.set(gateway.pools.queued_pieces)
+        self.limited_targets.set(gateway.limits.limiter.limits.count)
+        self.permits_waiting.set(gateway.limits.limiter.coordinator.waiting_count)
+        self.ready.set(int(gateway.ready))
+        self.version.set(version)
+        self.log_lines_dropped.set(dropped)
+
     def record_answer(self, route, status, duration_s):
         """Count a response to a caller and its latency.
 
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -60,8 +60,6 @@
 MEMBERS_LONG_POLL_S = 25.0
 # Batches the registrations of gateways that start together into few reads.
 MEMBERS_READ_INTERVAL_S = 1.5
-# After the store was restored, all gateways write their entries again within this time.
-REGISTRATION_SPREAD_S = 1.0
 # Each heartbeat of a target rewrites its entry, so entries are read in batches, at this
 # share of the time within which a leaving target must get no more work.
 TARGETS_READ_INTERVAL_SHARE = 0.3
@@ -100,7 +98,6 @@
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:8]}"
         self.rng = Random(f"{settings.seed}/{self.incarnation}")
         self.store = StoreClient(settings.store, settings.name)
-        self.store.on_restored = self._on_store_restored
         self.connections = TargetConnections()
         self._process_pause = ProcessPauseDetector()
         self.balancer = Balancer(settings.failure_domain, self.rng)
@@ -237,22 +234,8 @@
 
     def update_metrics(self):
         """Set all gauges to the gateway's current state."""
-        metrics = self.metrics
-        metrics.store_calls.set(self.store.calls)
-        metrics.store_bytes.set(self.store.read_bytes)
-        metrics.connections.set(self.connections.opened)
-        metrics.members.set(self.roster.count)
-        metrics.in_progress.set(self.callers.in_progress)
-        requests, parts = self.crashes.count_quarantined()
-        metrics.suspended.set(requests)
-        metrics.suspended_parts.set(parts)
-        metrics.queued.set(self.pools.queued_pieces)
-        metrics.limited_targets.set(self.limits.limiter.limits.count)
-        metrics.permits_waiting.set(self.limits.limiter.coordinator.waiting_count)
-        metrics.ready.set(int(self.ready))
-        metrics.version.set(self._configurations.holder.version)
         dropped = 0 if self._output is None else self._output.dropped
-        metrics.log_lines_dropped.set(dropped)
+        self.metrics.update(self, self._configurations.holder.version, dropped)
 
     def _mark_member_leaving(self, record):
         """Apply a gateway's announcement that it is stopping (MemberLeaving)."""
@@ -306,6 +289,7 @@
         await self.pools.peers.start()
         host = self.settings.peers.rsplit(":", 1)[0]
         self.roster.set_own_address(f"{host}:{self.pools.peers.port}")
+        self.store.on_restored = self._on_store_restored
         await self.store.start()
         self._replicator.configuration_follower = self._follow(
             CONFIGURATION_TOPIC, self._configurations, CONFIGURATION_LONG_POLL_S, 0
@@ -379,8 +363,7 @@
             follower.list_again()
         self.crashes.store_again()
         if self._members.listed:
-            delay_s = self.rng.uniform(0.0, REGISTRATION_SPREAD_S)
-            again = self._members.register_again(delay_s)
+            again = self._members.register_again(self.rng)
             self._tasks.append(asyncio.ensure_future(again))
 
     def _on_targets_store_status(self, answers):
