Add a failing test: a crash beside more parts than are kept is not reported

Found in reading the change: record_ended marks each part as reported after all have been recorded, when the table of suspects may have evicted some of them; the KeyError ends the report before it is sent. Needs over 4,096 features of one gateway's requests at one target.

--- a/firworks/tests/test_part_quarantine.py
+++ b/firworks/tests/test_part_quarantine.py
@@ -5,6 +5,7 @@
 import pytest
 
 from firworks.kernel.forwarding.features import make_part_fingerprint
+from firworks.kernel.forwarding.suspects import MAX_SUSPECTS
 from firworks.tests.part_simulation import DEADLY_PART, SYSTEM_PART, PartSimulation
 from firworks.tests.virtual_loop import run_virtual
 
@@ -206,3 +207,13 @@
             assert simulation.messages == 0
 
         play(scenario)
+
+    def test_crash_beside_more_parts_than_are_kept_is_reported(self):
+        async def scenario():
+            simulation = PartSimulation(2, 6)
+            gateway = list(simulation.gateways.values())[0]
+            parts = {make_part_fingerprint(f"{n}") for n in range(MAX_SUSPECTS + 1)}
+            gateway.crashes.record_ended(("engine-0", 0), parts)
+            assert simulation.messages == 1
+
+        play(scenario)
