--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -127,6 +127,7 @@
             LogEvent.ATTEMPT_FAILED,
             request=context.request_id,
             target=context.target_id,
+            software=context.software,
             kind=failure.kind,
             sends=context.progress.sends,
             left_s=round(context.remaining_s(now), 3),
@@ -247,6 +248,7 @@
         await self._suspensions.acquire_trial(context)
         availability.record_request(target)
         context.target_id, context.incarnation = target.target_id, target.incarnation
+        context.software = target.version
         head = self._build_head(context, target)
         exchange = Exchange(self._gateway.connections, target, self._clock)
         max_idle_s = None if context.progress.repeatable else NON_REPEATABLE_MAX_IDLE_S
--- a/firworks/gateway/request_contexts.py
+++ b/firworks/gateway/request_contexts.py
@@ -28,6 +28,7 @@
             rescheduled; None while the response has begun or nothing is sent.
         target_id (str): Last target that it was sent to; empty before.
         incarnation (tuple or None): Its incarnation; None before.
+        software (str): Software version of that target; empty if unknown.
         stages_s (float or None): Duration of its stages in seconds.
         first_s (float or None): Seconds from arrival to the response head.
     """
@@ -51,6 +52,7 @@
         "attempt_scope",
         "target_id",
         "incarnation",
+        "software",
         "stages_s",
         "first_s",
     )
@@ -71,6 +73,7 @@
         self.trial = False
         self.target_id = ""
         self.incarnation = None
+        self.software = ""
         self.stages_s = None
         self.first_s = None
         account = None if admitted.account is None else admitted.account.name
--- a/firworks/kernel/forwarding/requests.py
+++ b/firworks/kernel/forwarding/requests.py
@@ -31,6 +31,8 @@
         piece_counts (tuple of int): Number of pieces of each stage; empty without
             stages.
         piece_key (str): Input of the stages that depend on no others.
+        begun_as (str or None): Id of the attempt that received the first event of the
+            stream to be resumed.
     """
 
     __slots__ = (
@@ -44,8 +46,11 @@
         "prompt",
         "piece_counts",
         "piece_key",
+        "begun_as",
     )
 
+    DEFAULTS = {"begun_as": None}
+
     @property
     def path(self):
         """The path without its query string."""
--- a/firworks/platform/headers.py
+++ b/firworks/platform/headers.py
@@ -22,6 +22,7 @@
 STAMP = "X-Server-Stamp"
 NOT_RUN = "X-Not-Run"
 LAST_EVENT_ID = "Last-Event-Id"
+_RESUMES = "Resumes"
 _LEAVING = "Server-Leaving"
 _RETRY_AFTER = "Retry-After"
 _LIMIT = "Server-Limit"
@@ -122,6 +123,7 @@
         key=_read_key(headers.get("Authorization")),
         caller_timeout_s=_read_caller_timeout_s(headers.get("X-Deadline-Ms")),
         last_event_id=headers.get(LAST_EVENT_ID),
+        begun_as=headers.get(_RESUMES),
         prompt=_read_prompt(headers),
         piece_counts=_read_piece_counts(headers.get("X-Pieces", "")),
         piece_key=headers.get("X-Piece-Key", ""),
