Add failing tests: streams go on at another software version

Callers saw streams joined from two software versions: within one answer that the gateway resumed, when a caller took a stream up at another gateway, after all gateways were killed, and when no target of the version was left.

--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -68,6 +68,7 @@
 
     Attributes:
         address (str): "127.0.0.1:port", once started.
+        version (str): Version of its software; versions check nothing of each other.
         received (list of (str, dict, bytes)): Request line, headers by lower-case
             name, and body of each request.
         runs (list of Run): Requests that were not rejected, in order.
@@ -93,6 +94,7 @@
         self.service = service
         self.failure_domain = failure_domain
         self.address = ""
+        self.version = "v1"
         self.received = []
         self.runs = []
         self.fault = ""
@@ -114,7 +116,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.failure_domain,
-            "version": "v1",
+            "version": self.version,
             "slots": 4,
             "state": state,
             "cold-left-ms": 0,
--- /dev/null
+++ b/firworks/tests/test_stream_versions.py
@@ -0,0 +1,170 @@
+"""Tests that a stream goes on only at the software version that began it."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from firworks.standins.platform_targets import PlatformEngine
+from firworks.tests.gateway_testbed import TEST_TIMEOUT_S, run_testbed, wait_until
+
+# The caller's connection breaks after this event.
+BROKEN_AFTER = 2
+SLOW_S = 0.1
+
+
+def run(test):
+    """Run a test coroutine with a limit of time."""
+
+    async def limited():
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await test()
+
+    asyncio.run(limited())
+
+
+def set_version(testbed, target_id, version, state="ready"):
+    """Write a target's entry with another software version."""
+    target = testbed.targets[target_id]
+    target.version = version
+    testbed.store.put_target(target_id, target.make_entry(state))
+
+
+@asynccontextmanager
+async def run_versions(gateways=1, versions=("v1", "v2")):
+    """Run a testbed whose engines have the given software versions."""
+    async with run_testbed(0) as testbed:
+        for number, version in enumerate(versions, 1):
+            target_id = f"engine-{number}"
+            if target_id not in testbed.targets:
+                await testbed.add_target(PlatformEngine, target_id, "engines")
+            set_version(testbed, target_id, version)
+        for number in range(gateways):
+            await testbed.add_gateway(f"gateway-{number + 1}")
+        yield testbed
+
+
+def find_runs(testbed, request_id):
+    """Return the ids of the targets that ran a request, in order."""
+    runs = [run for target in testbed.targets.values() for run in target.runs]
+    runs.sort(key=lambda run: run.time_s)
+    return [run.target_id for run in runs if run.request_id == request_id]
+
+
+async def begin_stream(testbed, request_id, gateway=None, path="/rules/a"):
+    """Read a stream up to ``BROKEN_AFTER`` and drop it; return its target.
+
+    The engines pause before each event, so that the stream is in progress.
+    """
+    gateway = gateway or testbed.gateways[0]
+    for target in testbed.targets.values():
+        if isinstance(target, PlatformEngine):
+            target.pause_s = SLOW_S
+    headers = testbed.make_headers(**{"X-Request-Id": request_id})
+    url = f"http://127.0.0.1:{gateway.callers.port}{path}"
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url, headers=headers) as answer:
+            assert answer.status == 200
+            data = b""
+            while data.count(b"\n\n") < BROKEN_AFTER:
+                data += await answer.content.readany()
+            # Leaving closes the connection in the middle of the response.
+    for target in testbed.targets.values():
+        if isinstance(target, PlatformEngine):
+            target.pause_s = 0.0
+    return find_runs(testbed, request_id)[-1]
+
+
+async def take_up(testbed, begun_as, request_id, gateway=None, path="/rules/a"):
+    """Take a stream up after ``BROKEN_AFTER``; return (status, body, targets)."""
+    status, _, body = await testbed.send_request(
+        path,
+        gateway=gateway,
+        **{
+            "X-Request-Id": request_id,
+            "Resumes": begun_as,
+            "Last-Event-Id": str(BROKEN_AFTER),
+        },
+    )
+    return status, body, find_runs(testbed, request_id)
+
+
+def get_version(testbed, target_id):
+    """Return the software version of a target."""
+    return testbed.targets[target_id].version
+
+
+async def kill(testbed, gateways):
+    """End gateways without a drain."""
+    for gateway in gateways:
+        testbed.gateways.remove(gateway)
+        await gateway.stop()
+
+
+# A stream that began at one version of an engine went on at another version.
+class TestJoinedVersions:
+    def test_gateway_resumes_only_at_the_version_that_began(self):
+        async def test():
+            async with run_versions() as testbed:
+                for target_id in ("engine-1", "engine-2"):
+                    testbed.targets[target_id].fault = "torn"
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await testbed.send_request("/rules/a", **{"X-Request-Id": "s"})
+                assert len(find_runs(testbed, "s")) == 1
+
+        run(test)
+
+    @pytest.mark.parametrize("fault", ["", "busy"])
+    def test_caller_takes_up_at_another_gateway(self, fault):
+        async def test():
+            async with run_versions(gateways=2) as testbed:
+                first, second = testbed.gateways
+                begun = await begin_stream(testbed, "b", first)
+                testbed.targets[begun].fault = fault
+                status, _, targets = await take_up(testbed, "b", "t", second)
+                expected = (503, []) if fault else (200, [begun])
+                assert (status, targets) == expected
+
+        run(test)
+
+    def test_all_gateways_are_killed_at_once(self):
+        async def test():
+            async with run_versions(gateways=2) as testbed:
+                begun = {}
+                for number in range(8):
+                    gateway = testbed.gateways[number % 2]
+                    request_id = f"b{number}"
+                    begun[request_id] = await begin_stream(testbed, request_id, gateway)
+                await kill(testbed, list(testbed.gateways))
+                for number in range(2):
+                    await testbed.add_gateway(f"gateway-{number + 1}")
+                for request_id, target_id in begun.items():
+                    testbed.targets[target_id].fault = "busy"
+                    taken = await take_up(testbed, request_id, f"t{request_id}")
+                    testbed.targets[target_id].fault = ""
+                    status, _, targets = taken
+                    versions = {get_version(testbed, one) for one in targets}
+                    assert versions <= {get_version(testbed, target_id)}
+                    assert status in (200, 503)
+
+        run(test)
+
+    def test_no_target_of_the_version_is_left(self):
+        async def test():
+            async with run_versions(gateways=2) as testbed:
+                begun = await begin_stream(testbed, "b")
+                testbed.store.put_target(begun, None)
+                for gateway in testbed.gateways:
+                    await wait_until(
+                        lambda gateway=gateway: (
+                            gateway.directory.find_known(begun) is None
+                        )
+                    )
+                    request_id = f"t-{gateway.settings.name}"
+                    status, _, targets = await take_up(
+                        testbed, "b", request_id, gateway
+                    )
+                    assert (status, targets) == (503, [])
+
+        run(test)
