Let streams go on only at the software version that began them

Cause: the target of a stream that is resumed was chosen as that of a new one; the version of an entry was decoded and used by nothing, the attempt that a caller names read nowhere.

Each gateway records the version of the first event of its streams. While several versions may have served a service, or the store does not answer, it also tells the keeper of the service, the first gateway in its rank that knows these messages; the keeper writes them to the store in batches. A version is written to the store before the first stream begins there, so that whoever lists these records after a caller has come back knows all versions at which its stream may have begun; if there is only one, that is it. Requests that only engines of one version may serve go first, and the last places there are kept for them. A request that may go to none of the engines is refused at once instead of at its deadline. Gateways of an older build close the connection at unknown records, so the accepting end of a connection now tells the version of its protocol behind its nonce.

--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -53,6 +53,14 @@
         self.target_rests = self._counter(
             "target_rests", "Times that a target wanted no work for a while."
         )
+        self.resumptions = self._counter(
+            "stream_origins_found",
+            "Streams that callers resume, by how their version is known.",
+            ("evidence",),
+        )
+        self.resumptions_refused = self._counter(
+            "resumptions_refused", "Streams that could not go on.", ("reason",)
+        )
         self.requests_limited = self._counter(
             "requests_limited",
             "Requests that limits of targets affected.",
--- a/firworks/gateway/peers.py
+++ b/firworks/gateway/peers.py
@@ -101,6 +101,10 @@
         """Send a record to a member or a seed."""
         self._adapter.carry_out(SendPeer(peer, record))
 
+    def get_protocol(self, peer):
+        """Return the protocol version (int) of a connected gateway, or None."""
+        return self._adapter.get_protocol(peer)
+
     def _handle_event(self, event):
         if isinstance(event, PeerReceived):
             self._receive(event.peer, event.message)
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -29,6 +29,7 @@
 from firworks.gateway.settings_file import SettingsFile, apply_reloadable, read_mtime_ns
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.gateway.state_exchange import StateExchange
+from firworks.gateway.stream_versions import StreamVersions
 from firworks.kernel.forwarding.balancer import Balancer
 from firworks.kernel.forwarding.news import AskNews, News
 from firworks.kernel.forwarding.process_pause import ProcessPauseDetector
@@ -39,6 +40,7 @@
 from firworks.kernel.pools.messages import MemberEntry, MemberLeaving
 from firworks.kernel.pools.roster import Roster
 from firworks.kernel.target_limits.messages import LIMIT_RECORDS
+from firworks.kernel.versions.messages import VERSION_RECORDS
 from firworks.log_output import BoundedOutput
 from firworks.platform.stages import get_handle_address
 from firworks.platform.store import (
@@ -88,6 +90,7 @@
         crashes (CrashTracker): Quarantines requests that crash targets.
         availability (TargetAvailability): Whether targets accept work now.
         limits (TargetLimits): Permits for targets that name a limit of requests.
+        stream_versions (StreamVersions): Software versions at which streams began.
     """
 
     def __init__(self, settings, output=None, path=None, mtime_ns=None):
@@ -115,6 +118,7 @@
         self.roster = Roster(self._make_entry())
         self.limits = TargetLimits(self)
         self.availability = TargetAvailability(self)
+        self.stream_versions = StreamVersions(self)
         self.crashes = CrashTracker(self)
         self.pools = Pools(
             self.directory,
@@ -191,6 +195,11 @@
         """The known targets (TargetDirectory)."""
         return self._targets.directory
 
+    @property
+    def store_unavailable(self):
+        """Whether the store does not answer this gateway."""
+        return self._state_exchange.query_policy.store_unavailable
+
     @property
     def ready(self):
         """Whether the balancer may send callers to this gateway."""
@@ -253,6 +262,8 @@
             self.crashes.receive(record, peer)
         elif isinstance(record, LIMIT_RECORDS):
             self.limits.receive(peer, record)
+        elif isinstance(record, VERSION_RECORDS):
+            self.stream_versions.receive(record, peer)
         elif isinstance(record, LeavingTold):
             self.availability.apply_peer_report(record)
         elif isinstance(record, MemberLeaving):
@@ -324,6 +335,7 @@
         self.pools.close()
         self.crashes.close()
         self.limits.close()
+        self.stream_versions.close()
         await self.pools.peers.stop()
         await self._readiness.stop()
         await self._metrics_server.stop()
@@ -342,6 +354,7 @@
 
     def _apply_configuration(self, configuration):
         self.pools.configure(configuration.services)
+        self.stream_versions.configure(configuration)
         if not self._state_exchange.query_policy.store_unavailable:
             self._replicator.publish_facts()
 
@@ -362,6 +375,7 @@
         for follower in self._followers:
             follower.list_again()
         self.crashes.store_again()
+        self.stream_versions.store_again()
         if self._members.listed:
             again = self._members.register_again(self.rng)
             self._tasks.append(asyncio.ensure_future(again))
@@ -385,6 +399,7 @@
         self.availability.send_leaving_targets(peer)
         self.limits.send_limits(peer)
         self.crashes.send_suspicions(peer)
+        self.stream_versions.send_versions(peer)
 
     def _interrupt_followers(self):
         for follower in self._followers:
@@ -428,6 +443,7 @@
 
     def _apply_targets(self):
         self.availability.refresh()
+        self.stream_versions.observe_targets()
         self.pools.refresh()
 
     def _make_entry(self):
@@ -456,6 +472,7 @@
             self.pools.tick()
             self.crashes.tick()
             self.limits.tick()
+            self.stream_versions.tick()
             self._state_exchange.tick(self.clock())
             self._replicator.tick(self.clock())
             if self.ready and not self._was_ready:
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -12,6 +12,7 @@
 from firworks.gateway.exchanges import Exchange
 from firworks.gateway.pools import PoolRefusedError
 from firworks.gateway.stage_runs import StageRun
+from firworks.gateway.stream_versions import ResumptionRefusedError
 from firworks.gateway.suspensions import Suspensions
 from firworks.gateway.target_selection import TargetSelection
 from firworks.kernel.forwarding.admission import (
@@ -79,8 +80,28 @@
     async def _serve(self, context):
         if not await self._suspensions.admit(context):
             return self._reject_quarantined(context)
+        try:
+            await self._find_origin(context)
+            return await self._attempt_repeatedly(context)
+        except ResumptionRefusedError as error:
+            return self._reject_resumption(context, error.reason)
+
+    async def _find_origin(self, context):
+        """Find the version at which a caller's stream may be resumed."""
+        resumes = context.admitted.request.last_event_id is not None
+        if resumes and context.admitted.route.streaming:
+            versions = self._gateway.stream_versions
+            origin = await versions.find_origin(context)
+            context.service = origin.service
+            context.stream_version = origin.version
+            versions.check_usable(context)
+            versions.record_resumption(context)
+
+    async def _attempt_repeatedly(self, context):
+        versions = self._gateway.stream_versions
         while True:
             try:
+                versions.check_usable(context)
                 await self._run_stages(context)
                 return await self._attempt(context)
             except PoolRefusedError as error:
@@ -225,9 +246,10 @@
     def _list_excluded(self, context):
         """Return the ids (tuple of str) of engines that must not get a request."""
         backed_off = self._gateway.availability.list_backed_off(context.service)
+        incompatible = self._gateway.stream_versions.list_incompatible(context)
         incarnations = {
             *context.excluded,
-            *(target.incarnation for target in backed_off),
+            *(target.incarnation for target in (*backed_off, *incompatible)),
         }
         return tuple(target_id for target_id, _ in incarnations)
 
@@ -245,6 +267,7 @@
         if not availability.may_send(target):
             detail = f"{target.target_id} backs off or leaves"
             raise AttemptError(NOT_RUN, False, detail)
+        await self._gateway.stream_versions.check_target(context, target)
         await self._suspensions.acquire_trial(context)
         availability.record_request(target)
         context.target_id, context.incarnation = target.target_id, target.incarnation
@@ -292,11 +315,10 @@
     def _build_head(self, context, target):
         admitted = context.admitted
         configuration = self._gateway.configuration
-        account = None if admitted.account is None else admitted.account.name
         own = TargetHeaders(
             context.remaining_s(self._clock()),
             target.target_id,
-            account,
+            context.account_name,
             admitted.priority if admitted.request.prompt is not None else None,
             context.last_event_id,
             context.inputs,
@@ -425,6 +447,7 @@
                 waited_s = 0.0
                 if proof.record_events(self._clock()):
                     self._gateway.crashes.record_answer(context.parts)
+                self._gateway.stream_versions.record_event(context)
                 await context.response.write(events)
                 context.last_event_id = splitter.last_id
         if splitter.has_partial_event:
@@ -465,6 +488,13 @@
         detail, after_s = self._suspensions.explain(context)
         return self._reject(context, Code.SUSPENDED, detail, after_s)
 
+    def _reject_resumption(self, context, reason):
+        """Reject a stream that cannot go on; its caller may start a new one at once."""
+        self._gateway.metrics.resumptions_refused.labels(reason).inc()
+        if context.response is None and context.progress.may_have_run:
+            return self._reject(context, Code.TARGET_FAILED, reason)
+        return self._reject(context, Code.NOT_RESUMABLE, reason)
+
     def _reject(self, context, code, detail, retry_after_s=None):
         if context.response is not None:
             raise ResponseAbortedError(detail)
--- a/firworks/gateway/request_contexts.py
+++ b/firworks/gateway/request_contexts.py
@@ -29,6 +29,8 @@
         target_id (str): Last target that it was sent to; empty before.
         incarnation (tuple or None): Its incarnation; None before.
         software (str): Software version of that target; empty if unknown.
+        stream_version (str or None): Software version at which its stream began, and
+            at which alone it goes on; None before its first event.
         stages_s (float or None): Duration of its stages in seconds.
         first_s (float or None): Seconds from arrival to the response head.
     """
@@ -53,6 +55,7 @@
         "target_id",
         "incarnation",
         "software",
+        "stream_version",
         "stages_s",
         "first_s",
     )
@@ -74,15 +77,22 @@
         self.target_id = ""
         self.incarnation = None
         self.software = ""
+        self.stream_version = None
         self.stages_s = None
         self.first_s = None
-        account = None if admitted.account is None else admitted.account.name
+        account = self.account_name
         path = admitted.request.target_path
         self.fingerprint = make_fingerprint(path, account, body)
         self.parts = list_shared_parts(admitted.request.prompt)
         self.part_trial = ()
         self.attempt_scope = None
 
+    @property
+    def account_name(self):
+        """Name of the client account (str), or None."""
+        account = self.admitted.account
+        return None if account is None else account.name
+
     @property
     def request_id(self):
         """Request id given by the caller (str)."""
--- a/firworks/gateway/target_selection.py
+++ b/firworks/gateway/target_selection.py
@@ -36,7 +36,12 @@
         """
         limits, balancer = self._gateway.limits, self._gateway.balancer
         available = self._gateway.availability.list_available(context.service)
-        targets = [one for one in available if one.incarnation not in context.excluded]
+        incompatible = self._gateway.stream_versions.list_incompatible(context)
+        targets = [
+            one
+            for one in available
+            if one.incarnation not in context.excluded and one not in incompatible
+        ]
         preferred = balancer.choose(targets, (), self._clock())
         if preferred is None:
             self.check_backoffs(context)
--- a/firworks/kernel/forwarding/outcomes.py
+++ b/firworks/kernel/forwarding/outcomes.py
@@ -19,6 +19,8 @@
 SUSPENDED = "suspended"
 # Stage results that the request needs no longer exist; it did not run.
 INPUTS_GONE = "inputs gone"
+# Not sent, as the stream may not begin, or go on, at the target's software version.
+WRONG_VERSION = "wrong version"
 
 # Less time before the deadline is too short for a retry to succeed.
 MIN_RETRY_TIME_S = 0.05
@@ -30,8 +32,8 @@
     """An attempt at a target ended without a usable response.
 
     Attributes:
-        kind (str): ``NOT_RUN``, ``BROKEN``, ``FAILED``, ``SUSPENDED`` or
-            ``INPUTS_GONE``.
+        kind (str): ``NOT_RUN``, ``BROKEN``, ``FAILED``, ``SUSPENDED``,
+            ``INPUTS_GONE`` or ``WRONG_VERSION``.
         sent (bool): A target has read, or may have read, the request.
         detail (str): Description for the log.
         answer (object): The target's complete error response, or None.
--- a/firworks/kernel/messages.py
+++ b/firworks/kernel/messages.py
@@ -97,11 +97,13 @@
     """A value that is stored in the log service or sent to a peer.
 
     Subclasses are decorated with `firworks.kernel.codec.register_record` and define
-    ``TYPES``, the wire type of each field, in order.
+    ``TYPES``, the wire type of each field, in order, and ``PROTOCOL``, the least
+    version of the peers' protocol in which a daemon understands the record.
     """
 
     __slots__ = ()
     TYPES = ()
+    PROTOCOL = 0
 
 
 class Tick(Event):
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -17,6 +17,11 @@
 Load pattern: engines name a limit of requests per second. The others take the rest; if
 all engines are limited, the most urgent requests are placed as the limits allow, and
 those that would be placed too late are refused at once.
+
+Load pattern: during a release, few engines of the older version are left, and streams
+that began there can go on nowhere else. They go first, and the last places there are
+kept for them while other engines have room. A request that may go to none of the
+engines is refused at once.
 """
 
 from collections import OrderedDict, deque
@@ -38,6 +43,9 @@
 TOKENS_PER_REMOTE_MB = 400
 # Share of an engine's memory that placements may fill.
 MEMORY_SHARE = 0.92
+# Share of an engine's slots and memory that requests may fill which other engines could
+# serve as well, while requests that cannot go elsewhere may come.
+SHARED_SHARE = 0.8
 # Back-off after a failure of an engine, doubled by each further one.
 INITIAL_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 8.0
@@ -176,6 +184,7 @@
         self._limits = limits or UnlimitedTargets()
         self._engines = {}
         self._usable = ()
+        self._has_versions = False
         self._by_job = {}
         self._waiting = {}
         self._planned_s = float("inf")
@@ -206,6 +215,7 @@
                 engine.cold_until_s = now + target.cold_s
             engine.target = target
         self._usable = tuple(by_incarnation)
+        self._has_versions = len({one.version for one in by_incarnation.values()}) > 1
         return self.plan(now)
 
     def submit(self, job, now):
@@ -275,10 +285,14 @@
         actions = []
         order = sorted(
             self._waiting.values(),
-            key=lambda job: (job.priority, job.first_byte_deadline_s),
+            key=lambda job: (
+                not self._is_bound(job),
+                job.priority,
+                job.first_byte_deadline_s,
+            ),
         )
         for job in order:
-            if job.first_byte_deadline_s <= now:
+            if job.first_byte_deadline_s <= now or self._is_excluded(job):
                 del self._waiting[job.job_id]
                 actions.append(NotPlaced(job))
             elif (engine := self._choose(job, now)) is not None:
@@ -353,6 +367,9 @@
         ]
         if not eligible:
             return None
+        if self._has_versions and not self._is_bound(job):
+            shared = [one for one in eligible if self._has_shared_room(one, job)]
+            eligible = shared or eligible
         max_cached = max(engine.count_cached(job) for engine in self._engines.values())
         order = sorted(eligible, key=lambda engine: _hash_engine(engine, job))
         costs = {
@@ -383,6 +400,30 @@
         used = engine.used_tokens + job.tokens_in + job.tokens_out
         return not engine.jobs or used <= MEMORY_SHARE * self.spec.memory_tokens
 
+    def _has_shared_room(self, engine, job):
+        """Return whether places would be left for requests that can't go elsewhere."""
+        used = engine.used_tokens + job.tokens_in + job.tokens_out
+        return (
+            len(engine.jobs) < SHARED_SHARE * self.spec.slots
+            and used <= SHARED_SHARE * MEMORY_SHARE * self.spec.memory_tokens
+        )
+
+    def _is_bound(self, job):
+        """Return whether engines of one version only may serve a request."""
+        if not self._has_versions or not job.excluded:
+            return False
+        versions = {
+            self._engines[incarnation].target.version
+            for incarnation in self._usable
+            if incarnation[0] not in job.excluded
+        }
+        return len(versions) == 1
+
+    def _is_excluded(self, job):
+        """Return whether no engine may serve a request."""
+        excluded = [target_id in job.excluded for target_id, _ in self._usable]
+        return bool(excluded) and all(excluded)
+
     def _estimate_cost(self, engine, job, max_cached):
         """Return the cost of a placement in prompt tokens.
 
--- a/firworks/kernel/pools/selection.py
+++ b/firworks/kernel/pools/selection.py
@@ -18,12 +18,16 @@
     def choose(self, key, now):
         """Return the name of the member that decides matters of a key now."""
         for name in self._roster.rank(key):
-            since_s = self._unresponsive_since_s.get(name, float("-inf"))
-            responsive = since_s <= now - UNRESPONSIVE_S
-            if responsive and not self._roster.is_suspected(name):
+            if self.is_eligible(name, now):
                 return name
         return self._roster.own.name
 
+    def is_eligible(self, name, now):
+        """Return whether a member may be selected."""
+        since_s = self._unresponsive_since_s.get(name, float("-inf"))
+        responsive = since_s <= now - UNRESPONSIVE_S
+        return responsive and not self._roster.is_suspected(name)
+
     def mark_unresponsive(self, name, now):
         """Record that a member did not reply in time."""
         if name != self._roster.own.name:
--- /dev/null
+++ b/firworks/kernel/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Software versions of targets, and the version at which each stream goes on."""
--- a/firworks/platform/records.py
+++ b/firworks/platform/records.py
@@ -132,3 +132,12 @@
     if type(end) is not int:
         raise CodecError(f"end: {end!r} is not an integer")
     return values, fields.get("has-more") is True, end
+
+
+def decode_first_offset(data):
+    """Return the oldest retained offset (int) that a failed read states, or None."""
+    try:
+        first = parse_object(data).get("first")
+    except CodecError:
+        return None
+    return first if type(first) is int else None
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -8,6 +8,7 @@
 from firworks.events import LogEvent, log_event
 from firworks.platform.records import (
     Listing,
+    decode_first_offset,
     decode_newest,
     decode_slice,
     encode_keyed,
@@ -21,6 +22,8 @@
 EVACUATION_PREFIX = "evacuate/"
 TARGETS_TOPIC = "keyed.servers"
 MEMBERS_TOPIC = "keyed.firworks-members"
+VERSIONS_TOPIC = "keyed.firworks-versions"
+STREAMS_TOPIC = "firworks-streams"
 
 # Header of all responses: rises when the store comes back from an older copy.
 ERA = "Store-Era"
@@ -39,7 +42,15 @@
 
 
 class StoreGapError(StoreError):
-    """The requested offset is below the oldest record retained."""
+    """The requested offset is not retained.
+
+    Attributes:
+        first (int or None): Offset of the oldest record retained, if it is known.
+    """
+
+    def __init__(self, message, first=None):
+        super().__init__(message)
+        self.first = first
 
 
 class StoreClient:
@@ -133,7 +144,15 @@
         Raises:
             StoreError: When the value is not confirmed to be stored.
         """
-        body = encode_records([encode_keyed(key, value)])
+        await self.append(topic, [encode_keyed(key, value)])
+
+    async def append(self, topic, records):
+        """Append records (list of bytes) to a topic, all or none.
+
+        Raises:
+            StoreError: When they are not confirmed to be stored.
+        """
+        body = encode_records(records)
         await self._call("POST", "/log-append", {"topic": topic, "part": "0"}, body)
 
     async def _call(self, method, path, query, body=None, timeout_s=CALL_TIMEOUT_S):
@@ -151,7 +170,10 @@
             raise StoreError(f"{path}: {error!r}") from error
         self.read_bytes += len(data)
         if status == 410:
-            raise StoreGapError(f"{path}: offset no longer retained (status 410)")
+            raise StoreGapError(
+                f"{path}: offset no longer retained (status 410)",
+                decode_first_offset(data),
+            )
         if status != 200:
             raise StoreError(f"{path}: unexpected status {status}")
         return data, era
--- a/firworks/plugins/peer_handshake.py
+++ b/firworks/plugins/peer_handshake.py
@@ -12,6 +12,9 @@
 
 HANDSHAKE_TIMEOUT_S = 5.0
 NONCE_BYTES = 16
+# Version of the peers' protocol. The accepting end appends it to its nonce; daemons
+# that do not know it use the nonce as it is.
+PROTOCOL = 1
 # Name prefix of daemons that are known only by address.
 ANY_PEER = "any/"
 
@@ -64,6 +67,9 @@
             ``ANY_PEER`` accepts any.
         secret (str): The shared secret.
 
+    Returns:
+        int: Version of the protocol that the other end understands.
+
     Raises:
         PeerRefusedError: When the other end fails to authenticate in time.
     """
@@ -82,6 +88,7 @@
     proof = _compute_proof(secret, "dial", name, response.name, nonce, response.nonce)
     await connection.send(encode_record(PeerProof(proof)))
     await _receive(connection, PeerWelcome)
+    return next(iter(response.nonce[NONCE_BYTES:]), 0)
 
 
 async def accept_handshake(connection, name, secret):
@@ -94,7 +101,7 @@
         PeerRefusedError: When the other end fails to authenticate in time.
     """
     hello = await _receive(connection, PeerHello)
-    nonce = secrets.token_bytes(NONCE_BYTES)
+    nonce = secrets.token_bytes(NONCE_BYTES) + bytes([PROTOCOL])
     proof = _compute_proof(secret, "accept", hello.name, name, hello.nonce, nonce)
     await connection.send(encode_record(PeerChallenge(name, nonce, proof)))
     response = await _receive(connection, PeerProof)
--- a/firworks/plugins/peer_links.py
+++ b/firworks/plugins/peer_links.py
@@ -33,12 +33,17 @@
         address (str): "ip:port".
         persistent (bool): Reconnect after a failure, and stay open when idle.
         tls (SSLContext or None): TLS context, or None for a plain connection.
+
+    Attributes:
+        protocol (int or None): Version of the protocol that the daemon understands;
+            None while there is no connection.
     """
 
     def __init__(self, owner, settings, peer, address, persistent, tls=None):
         self.peer = peer
         self.address = address
         self.persistent = persistent
+        self.protocol = None
         self._owner = owner
         self._settings = settings
         self._tls = tls
@@ -65,12 +70,18 @@
         self.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
-    def enqueue(self, data):
-        """Queue an encoded message; return False when the queue is full."""
+    def enqueue(self, data, protocol=0):
+        """Queue an encoded message; return False when the queue is full.
+
+        Args:
+            data (bytes): The message.
+            protocol (int): Least version of the protocol that the daemon must
+                understand; otherwise the message is dropped.
+        """
         full = self._queued_bytes + len(data) > QUEUE_LIMIT_BYTES
         if full or len(self._queue) >= QUEUE_LIMIT_MESSAGES:
             return False
-        self._queue.append((asyncio.get_running_loop().time(), data))
+        self._queue.append((asyncio.get_running_loop().time(), data, protocol))
         self._queued_bytes += len(data)
         self._wake.set()
         return True
@@ -105,7 +116,7 @@
         finally:
             if self._connection is not None:
                 self._connection.transport.abort()
-                self._connection = None
+                self._connection = self.protocol = None
             if opened:
                 self._owner.feed(PeerDisconnected(self.peer))
         return opened
@@ -123,7 +134,7 @@
         )
         try:
             name, secret = self._settings.name, self._settings.peer_secret
-            await dial_handshake(connection, name, self.peer, secret)
+            self.protocol = await dial_handshake(connection, name, self.peer, secret)
         except BaseException:
             connection.transport.abort()
             raise
@@ -149,9 +160,9 @@
         self._wake.clear()
         now = asyncio.get_running_loop().time()
         while self._queue:
-            queued_s, data = self._queue.popleft()
+            queued_s, data, protocol = self._queue.popleft()
             self._queued_bytes -= len(data)
-            if now - queued_s > QUEUE_AGE_LIMIT_S:
+            if now - queued_s > QUEUE_AGE_LIMIT_S or protocol > self.protocol:
                 self._owner.dropped_messages += 1
                 continue
             await connection.send(data)
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -118,7 +118,8 @@
                 self.dropped_messages += 1
                 return
             link = self._open(action.peer, address, persistent=False)
-        if not link.enqueue(encode_record(action.message)):
+        message = action.message
+        if not link.enqueue(encode_record(message), message.PROTOCOL):
             self.dropped_messages += 1
 
     def _open(self, peer, address, persistent):
@@ -129,6 +130,11 @@
         link.start()
         return link
 
+    def get_protocol(self, peer):
+        """Return the protocol version (int) of a connected daemon, or None."""
+        link = self._links.get(peer)
+        return None if link is None else link.protocol
+
     def feed(self, event):
         """Feed an event of a link into the kernel."""
         self.context.feed(event)
