Decode numbers and texts from outside in one way, with their ranges

Seen: a gateway that starts beside an entry of another writer with slots 1e999 or NaN, a cold time of 400 digits or a port of 5,000 never becomes ready; one that runs stops following the list. Found by the property test besides: a lone surrogate in any text of an entry breaks the digest of targets; a Keep-Alive, Content-Length, X-Pieces or Store-Era of thousands of digits; token counts that no float holds, which break the scheduler of a pool; objects of another kind in the configuration, in stage results and in engine events of firworksd; NaN, infinity and integers over 64 bits in records of peers; errors of thousands of characters.

--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -8,6 +8,8 @@
 from aiohttp.helpers import set_exception
 from aiohttp.http_exceptions import HttpProcessingError
 
+from firworks.decoding import parse_integer
+from firworks.errors import CodecError
 from firworks.sockets import enable_dead_peer_detection
 
 CONNECT_TIMEOUT_S = 0.5
@@ -133,8 +135,12 @@
             return
         self._overhead = 0
         length = data[0].headers.get("Content-Length", "")
-        if not self._skip_body and length.isdecimal():
-            self._body_remaining = int(length)
+        if not self._skip_body and length:
+            try:
+                self._body_remaining = parse_integer(length, "Content-Length")
+            except CodecError as error:
+                self._abort_response(str(error))
+                return
         super().feed_data(data, size)
 
     def skip_response(self):
--- a/firworks/kernel/codec.py
+++ b/firworks/kernel/codec.py
@@ -1,14 +1,20 @@
 """CBOR codec for records: a type name and field values, checked on both sides."""
 
+from sys import float_info
+
 import cbor2
 
+from firworks.decoding import MIN_INTEGER, check_integer, check_number
 from firworks.errors import CodecError
 from firworks.kernel.messages import Record
 
 MAX_DEPTH = 12
+MAX_FLOAT = float_info.max
 
 _PLAIN_TYPES = (int, str, bytes, bool, float)
 
+_NUMBERS = (int, float)
+
 _RECORDS = {}
 
 
@@ -68,7 +74,9 @@
         raise CodecError(f"{name} must have {len(cls.TYPES)} fields")
     values = [
         # Fast path: most fields have a plain type and need no further check.
-        value if type(value) is kind else _check(value, kind, f"{name}.{field}", depth)
+        value
+        if type(value) is kind and kind not in _NUMBERS
+        else _check(value, kind, f"{name}.{field}", depth)
         for value, kind, field in zip(packed[1:], cls.TYPES, cls.fields(), strict=True)
     ]
     return cls(*values)
@@ -82,8 +90,12 @@
         if not isinstance(record, kind):
             raise CodecError(f"{where} must be a {kind.__name__}")
         return record
-    if kind is float and type(value) is int:
-        return float(value)
+    if kind is int:
+        return check_integer(value, where, MIN_INTEGER)
+    if kind is float:
+        if type(value) not in _NUMBERS:
+            raise CodecError(f"{where} must be float")
+        return float(check_number(value, where, -MAX_FLOAT, MAX_FLOAT))
     if type(value) is not kind:
         raise CodecError(f"{where} must be {kind.__name__}")
     return value
@@ -93,6 +105,7 @@
     """Check a field whose type is ``(item_type,)``: a sequence of that type."""
     if not isinstance(value, list):
         raise CodecError(f"{where} must be an array")
-    if kind[0] in _PLAIN_TYPES and set(map(type, value)) <= {kind[0]}:
+    is_plain = kind[0] in _PLAIN_TYPES and kind[0] not in _NUMBERS
+    if is_plain and set(map(type, value)) <= {kind[0]}:
         return tuple(value)
     return tuple(_check(item, kind[0], where, depth + 1) for item in value)
--- a/firworks/kernel/forwarding/positions.py
+++ b/firworks/kernel/forwarding/positions.py
@@ -12,7 +12,9 @@
 """
 
 OFFSET_BITS = 48
-_OFFSET_MASK = (1 << OFFSET_BITS) - 1
+MAX_OFFSET = (1 << OFFSET_BITS) - 1
+# So that positions fit into 64 bits.
+MAX_ERA = (1 << 15) - 1
 ORIGIN = 0
 
 
@@ -33,4 +35,4 @@
 
 def get_offset(position):
     """Return the offset (int) of a position in its topic."""
-    return position & _OFFSET_MASK
+    return position & MAX_OFFSET
--- a/firworks/platform/configuration.py
+++ b/firworks/platform/configuration.py
@@ -1,6 +1,6 @@
 """Decoder of the operator's configuration record."""
 
-from firworks.errors import CodecError
+from firworks.decoding import check_integer, check_text
 from firworks.kernel.forwarding.configuration import (
     Account,
     CallerLimits,
@@ -12,9 +12,11 @@
     StageSpec,
 )
 from firworks.platform.fields import (
+    get_integer,
     get_list,
     get_number,
     get_object,
+    get_objects,
     get_string,
     parse_object,
 )
@@ -30,13 +32,11 @@
         CodecError: When a required field is missing or a field has the wrong type.
     """
     fields = parse_object(data)
-    version = fields.get("version")
-    if type(version) is not int:
-        raise CodecError(f"version: {version!r} is not an integer")
-    routes = [_decode_route(row) for row in get_list(fields, "routes")]
-    services = [_decode_service(row) for row in get_list(fields, "services")]
+    version = get_integer(fields, "version")
+    routes = [_decode_route(row) for row in get_objects(fields, "routes")]
+    services = [_decode_service(row) for row in get_objects(fields, "services")]
     limits = _decode_limits(get_object(fields, "limits"))
-    accounts = _decode_accounts(get_list(fields, "tenants"))
+    accounts = _decode_accounts(get_objects(fields, "tenants"))
     return Configuration(version, routes, services, limits, accounts, bool(accounts))
 
 
@@ -44,7 +44,7 @@
     # Routes shared by several services have "traffic-split" instead of "service".
     split = [
         (get_string(part, "service"), float(get_number(part, "weight")))
-        for part in get_list(row, "traffic-split")
+        for part in get_objects(row, "traffic-split")
     ]
     if not split:
         split = [(get_string(row, "service"), 1.0)]
@@ -59,7 +59,7 @@
         priority=int(get_number(row, "priority", 0)),
         services=tuple(split),
         max_attempts=max(1, int(get_number(row, "max-attempts", 1))),
-        stages=tuple(_decode_stage(stage) for stage in get_list(row, "stages")),
+        stages=tuple(_decode_stage(stage) for stage in get_objects(row, "stages")),
         public=row.get("public") is True,
         resumable=row.get("resumable") is True,
         gap_s=get_number(row, "gap-aim-ms", 0) / 1000,
@@ -67,7 +67,7 @@
 
 
 def _decode_stage(row):
-    after = tuple(int(number) for number in get_list(row, "after"))
+    after = tuple(check_integer(one, "after") for one in get_list(row, "after"))
     return StageSpec(
         get_string(row, "service"), after, int(get_number(row, "bytes", 0))
     )
@@ -126,5 +126,5 @@
             get_string(row, "name"), priority if type(priority) is int else None
         )
         for key in get_list(row, "api-keys"):
-            by_key[key] = account
+            by_key[check_text(key, "api-keys")] = account
     return by_key
--- a/firworks/platform/fields.py
+++ b/firworks/platform/fields.py
@@ -2,6 +2,14 @@
 
 import json
 
+from firworks.decoding import (
+    MAX_INTEGER,
+    MAX_NUMBER,
+    check_integer,
+    check_number,
+    check_text,
+    describe_value,
+)
 from firworks.errors import CodecError
 
 
@@ -26,22 +34,27 @@
     Raises:
         CodecError: When it is missing or not a string.
     """
-    value = fields.get(name)
-    if not isinstance(value, str):
-        raise CodecError(f"{name}: {value!r} is not a string")
-    return value
+    return check_text(fields.get(name), name)
 
 
-def get_number(fields, name, default=None):
-    """Return a numeric field, or the default if it is missing.
+def get_number(fields, name, default=None, maximum=MAX_NUMBER):
+    """Return a non-negative numeric field, or the default if it is missing.
 
     Raises:
-        CodecError: When it is missing without a default, or not a number.
+        CodecError: When it is missing without a default, not a number, negative or
+            over the maximum.
     """
-    value = fields.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise CodecError(f"{name}: {value!r} is not a number")
-    return value
+    return check_number(fields.get(name, default), name, maximum=maximum)
+
+
+def get_integer(fields, name, default=None, maximum=MAX_INTEGER):
+    """Return a non-negative integer field, or the default if it is missing.
+
+    Raises:
+        CodecError: When it is missing without a default, not an integer, negative or
+            over the maximum.
+    """
+    return check_integer(fields.get(name, default), name, maximum=maximum)
 
 
 def get_list(fields, name):
@@ -54,10 +67,23 @@
     if value is None:
         return []
     if not isinstance(value, list):
-        raise CodecError(f"{name}: {value!r} is not a list")
+        raise CodecError(f"{name}: {describe_value(value)} is not a list")
     return value
 
 
+def get_objects(fields, name):
+    """Return a list field whose items are objects; see `get_list`.
+
+    Raises:
+        CodecError: When it is not a list of objects.
+    """
+    rows = get_list(fields, name)
+    for row in rows:
+        if not isinstance(row, dict):
+            raise CodecError(f"{name}: {describe_value(row)} is not an object")
+    return rows
+
+
 def get_object(fields, name):
     """Return a nested object, or None if it is missing or null.
 
@@ -66,5 +92,5 @@
     """
     value = fields.get(name)
     if value is not None and not isinstance(value, dict):
-        raise CodecError(f"{name}: {value!r} is not an object")
+        raise CodecError(f"{name}: {describe_value(value)} is not an object")
     return value
--- a/firworks/platform/headers.py
+++ b/firworks/platform/headers.py
@@ -8,7 +8,8 @@
 from multidict import CIMultiDict
 
 from firworks.codes import Code
-from firworks.errors import RequestError
+from firworks.decoding import MAX_NUMBER, check_number, describe_value, parse_integer
+from firworks.errors import CodecError, RequestError
 from firworks.kernel.forwarding.notices import (
     EMPTY_NOTICE,
     MAX_BACKOFF_S,
@@ -28,6 +29,11 @@
 _LIMIT = "Server-Limit"
 _DECIMAL = compile_pattern(r"\s*\+?(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?\s*", ASCII)
 SERVICE_UNAVAILABLE = 503
+# A connection that idled for longer is not reused.
+MAX_KEEP_ALIVE_S = 86_400
+# Upper limits of what a request states about itself.
+MAX_PIECES = 100_000
+MAX_TOKENS = 1_000_000_000
 # Of a header that is logged as malformed.
 MAX_LOGGED_CHARACTERS = 100
 
@@ -184,8 +190,11 @@
     """Return the idle timeout of the Keep-Alive header in seconds, or None."""
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdecimal():
-            return int(value)
+        if name.lower() == "timeout":
+            try:
+                return parse_integer(value, "Keep-Alive", MAX_KEEP_ALIVE_S)
+            except CodecError:
+                return None
     return None
 
 
@@ -274,20 +283,26 @@
     if value is None:
         return None
     try:
-        return max(0.0, float(value) / 1000)
-    except ValueError as error:
+        milliseconds = float(value)
+        return max(0.0, check_number(milliseconds, "", -MAX_NUMBER) / 1000)
+    except (ValueError, CodecError) as error:
         raise RequestError(
-            Code.MALFORMED_REQUEST, f"X-Deadline-Ms: {value!r} is not a number"
+            Code.MALFORMED_REQUEST,
+            f"X-Deadline-Ms: {describe_value(value)} is not a number of milliseconds",
         ) from error
 
 
 def _read_piece_counts(value):
     try:
-        return tuple(int(part) for part in value.split(",") if part.strip())
-    except ValueError as error:
-        raise RequestError(
-            Code.MALFORMED_REQUEST, f"X-Pieces: {value!r} is not a list of integers"
-        ) from error
+        counts = [
+            parse_integer(part, "X-Pieces", MAX_PIECES)
+            for part in value.split(",")
+            if part.strip()
+        ]
+        check_number(sum(counts), "X-Pieces", maximum=MAX_PIECES)
+    except CodecError as error:
+        raise RequestError(Code.MALFORMED_REQUEST, str(error)) from error
+    return tuple(counts)
 
 
 def _read_prompt(headers):
@@ -295,13 +310,16 @@
     if counts is None:
         return None
     try:
-        tokens_in, tokens_out = (int(part) for part in counts.split(","))
+        tokens_in, tokens_out = (
+            parse_integer(part, "X-Token-Counts", MAX_TOKENS)
+            for part in counts.split(",")
+        )
         parts = []
         for part in headers.get("X-Prefix-Hash", "").split(","):
             if part.strip():
                 part_id, _, tokens = part.strip().partition(":")
-                parts.append((part_id, int(tokens)))
-    except ValueError as error:
+                parts.append((part_id, parse_integer(tokens, part_id, MAX_TOKENS)))
+    except (ValueError, CodecError) as error:
         problem = f"X-Token-Counts or X-Prefix-Hash: {error}"
         raise RequestError(Code.MALFORMED_REQUEST, problem) from error
     return Prompt(headers.get("X-Model", ""), tokens_in, tokens_out, tuple(parts))
--- a/firworks/platform/records.py
+++ b/firworks/platform/records.py
@@ -5,7 +5,13 @@
 import struct
 
 from firworks.errors import CodecError
-from firworks.platform.fields import get_list, parse_object
+from firworks.kernel.forwarding.positions import MAX_OFFSET
+from firworks.platform.fields import (
+    get_integer,
+    get_objects,
+    get_string,
+    parse_object,
+)
 
 _LENGTH = struct.Struct(">I")
 _EXTENT = struct.Struct(">QQ")
@@ -122,22 +128,27 @@
     """
     fields = parse_object(data)
     values = []
-    for row in get_list(fields, "items"):
+    for row in get_objects(fields, "items"):
         try:
-            value = base64.b64decode(row["value"])
-            values.append(KeyedValue(str(row["key"]), value))
-        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+            value = base64.b64decode(get_string(row, "value"))
+        except (ValueError, binascii.Error) as error:
             raise CodecError(f"malformed item in a listing: {error!r}") from error
-    end = fields.get("end")
-    if type(end) is not int:
-        raise CodecError(f"end: {end!r} is not an integer")
-    return values, fields.get("has-more") is True, end
+        values.append(KeyedValue(get_string(row, "key"), value))
+    return values, fields.get("has-more") is True, get_offset(fields, "end")
 
 
 def decode_first_offset(data):
     """Return the oldest retained offset (int) that a failed read states, or None."""
     try:
-        first = parse_object(data).get("first")
+        return get_offset(parse_object(data), "first")
     except CodecError:
         return None
-    return first if type(first) is int else None
+
+
+def get_offset(fields, name):
+    """Return an offset in a topic (int).
+
+    Raises:
+        CodecError: When it is not one.
+    """
+    return get_integer(fields, name, maximum=MAX_OFFSET)
--- a/firworks/platform/stages.py
+++ b/firworks/platform/stages.py
@@ -2,8 +2,9 @@
 
 import json
 
+from firworks.decoding import check_text
 from firworks.errors import CodecError
-from firworks.platform.fields import get_list, parse_object
+from firworks.platform.fields import get_objects, parse_object
 
 RUN_PATH = "/stage-run"
 FREE_PATH = "/stage-free"
@@ -41,17 +42,16 @@
     Raises:
         CodecError: When a result is malformed or their number is not `count`.
     """
-    rows = get_list(parse_object(data), "items")
+    rows = get_objects(parse_object(data), "items")
     if len(rows) != count:
         raise CodecError(f"response has {len(rows)} results for {count} pieces")
     results = []
     for row in rows:
-        if not isinstance(row, dict):
-            raise CodecError(f"items: {row!r} is not an object")
         handle = row.get("handle")
-        if handle is not None and not isinstance(handle, str):
-            raise CodecError(f"handle: {handle!r} is not a string")
-        results.append((handle, str(row.get("reason", ""))))
+        if handle is not None:
+            check_text(handle, "handle")
+        reason = "" if handle is not None else check_text(row.get("reason"), "reason")
+        results.append((handle, reason))
     return results
 
 
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -4,8 +4,10 @@
 
 import aiohttp
 
-from firworks.errors import FirworksError
+from firworks.decoding import parse_integer
+from firworks.errors import CodecError, FirworksError
 from firworks.events import LogEvent, log_event
+from firworks.kernel.forwarding.positions import MAX_ERA
 from firworks.platform.records import (
     Listing,
     decode_first_offset,
@@ -33,6 +35,8 @@
 IDLE_TIMEOUT_S = 30.0
 # A page of a listing has 1 MB; a configuration of 1,400 routes has about 500 KB.
 MAX_RESPONSE_BYTES = 8_388_608
+# Of a header that is logged as malformed.
+MAX_LOGGED_CHARACTERS = 100
 # Added to the long-poll time of a read.
 READ_TIMEOUT_MARGIN_S = 0.8
 
@@ -192,13 +196,17 @@
         """
         if value is None:
             return self.era
-        if not value.isdecimal():
+        try:
+            era = parse_integer(value, ERA, MAX_ERA)
+        except CodecError:
             if value != self._unreadable_era:
                 self._unreadable_era = value
-                log_event(LogEvent.STORE_ERA_UNREADABLE, value=value)
+                log_event(
+                    LogEvent.STORE_ERA_UNREADABLE, value=value[:MAX_LOGGED_CHARACTERS]
+                )
             return self.era
-        self.note_era(int(value))
-        return int(value)
+        self.note_era(era)
+        return era
 
     async def _read_body(self, response):
         parts, size = [], 0
--- a/firworks/platform/targets.py
+++ b/firworks/platform/targets.py
@@ -1,12 +1,21 @@
 """Decoders of the registry entries and identities of targets."""
 
+from firworks.decoding import describe_value, parse_integer
 from firworks.errors import CodecError
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.forwarding.liveness import Identity
-from firworks.platform.fields import get_number, get_string, parse_object
+from firworks.platform.fields import (
+    get_integer,
+    get_number,
+    get_string,
+    parse_object,
+)
 
 STATES = ("ready", "draining")
 MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
+# A target is cold for some seconds after its start.
+MAX_COLD_MS = 3_600_000.0
 # Engines and stage targets report their load and start time here.
 REPORT_PATH = "/report"
 MISDIRECTED = 421
@@ -26,13 +35,10 @@
     fields = parse_object(data)
     state = get_string(fields, "state")
     if state not in STATES:
-        raise CodecError(f"state: {state!r} is not one of {STATES}")
+        raise CodecError(f"state: {describe_value(state)} is not one of {STATES}")
     address = get_string(fields, "address")
     _check_address(address)
-    born = fields.get("born", 0)
-    if type(born) is not int:
-        raise CodecError(f"born: {born!r} is not an integer")
-    slots = get_number(fields, "slots", 1)
+    slots = get_number(fields, "slots", 1, MAX_SLOTS)
     return Target(
         target_id=target_id,
         service=get_string(fields, "service"),
@@ -41,8 +47,8 @@
         version=get_string(fields, "version") if "version" in fields else "",
         slots=max(1, int(slots)),
         leaving=state == "draining",
-        born_ms=born,
-        cold_s=max(0.0, get_number(fields, "cold-left-ms", 0) / 1000),
+        born_ms=get_integer(fields, "born", 0),
+        cold_s=get_number(fields, "cold-left-ms", 0, MAX_COLD_MS) / 1000,
     )
 
 
@@ -68,8 +74,9 @@
 def _check_address(address):
     host, _, port = address.rpartition(":")
     parts = host.split(".")
-    numbers = [*parts, port]
-    if len(parts) != 4 or not all(part.isdecimal() for part in numbers):
-        raise CodecError(f"address: {address!r} is not an IPv4 address and port")
-    if max(map(int, parts)) > 255 or not 0 < int(port) <= MAX_PORT:
-        raise CodecError(f"address: {address!r} is not an IPv4 address and port")
+    if len(parts) != 4:
+        raise CodecError(f"address: {describe_value(address)} has no IPv4 address")
+    for part in parts:
+        parse_integer(part, "address", 255)
+    if parse_integer(port, "address", MAX_PORT) == 0:
+        raise CodecError("address: port 0")
--- a/firworks/plugins/http_engines.py
+++ b/firworks/plugins/http_engines.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+from firworks.decoding import check_integer
+from firworks.errors import CodecError
 from firworks.kernel.calls import CallChunk, CallCompleted
 from firworks.plugins.target_calls import (
     IDENTITY_HEADER,
@@ -142,20 +144,29 @@
 
 
 def _parse_event(data):
-    event = json.loads(data)
+    try:
+        event = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise InvalidResponseError("an event is not JSON") from error
     if not isinstance(event, dict):
         raise InvalidResponseError("an event is not a JSON object")
     if event.get("done"):
-        if not isinstance(event.get("count"), int):
-            raise InvalidResponseError("the last event has no valid token count")
+        _check_count(event, "count")
         return event
     tokens = event.get("tokens")
-    well_formed = isinstance(event.get("offset"), int) and isinstance(tokens, list)
-    if not well_formed or not all(isinstance(token, str) for token in tokens):
-        raise InvalidResponseError("an event has no valid offset or tokens")
+    _check_count(event, "offset")
+    if not isinstance(tokens, list) or not all(isinstance(one, str) for one in tokens):
+        raise InvalidResponseError("an event has no valid tokens")
     return event
 
 
+def _check_count(event, name):
+    try:
+        check_integer(event.get(name), name)
+    except CodecError as error:
+        raise InvalidResponseError(f"an event has no valid {error}") from error
+
+
 def register(registry):
     """Add the adapter to the registry."""
     registry.add("targets", "engine", EngineCalls)
--- a/firworks/plugins/http_vms.py
+++ b/firworks/plugins/http_vms.py
@@ -6,6 +6,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from firworks.adapter import Adapter
+from firworks.decoding import describe_value
 from firworks.events import LogEvent, log_event
 from firworks.kernel.messages import VmEntry, VmsListed
 
@@ -98,11 +99,12 @@
     values = {name: item.get(name) for name in _TEXT_FIELDS}
     for name, value in values.items():
         if not isinstance(value, str) or not value:
-            raise ValueError(
-                f"VM {item.get('name')!r}: {name} must be a non-empty string"
-            )
+            described = describe_value(values["name"])
+            raise ValueError(f"VM {described}: {name} must be a non-empty string")
     if values["role"] not in _ROLES:
-        raise ValueError(f"VM {values['name']!r}: role must be one of {_ROLES}")
+        raise ValueError(
+            f"VM {describe_value(values['name'])}: role must be one of {_ROLES}"
+        )
     return VmEntry(**values, leaving=item.get("leaving") is True)
 
 
--- a/firworks/plugins/target_loads.py
+++ b/firworks/plugins/target_loads.py
@@ -1,5 +1,7 @@
 """Parses the load reports of targets and the engine cache events in them."""
 
+from firworks.decoding import check_integer
+from firworks.errors import CodecError
 from firworks.kernel.calls import TargetReported
 
 MILLISECONDS_PER_S = 1000.0
@@ -60,8 +62,10 @@
         raise ValueError("load report must be a JSON object")
     counts = {name: body.get(name, 0) for name in COUNT_FIELDS}
     for name, value in counts.items():
-        if type(value) is not int or value < 0:
-            raise ValueError(f"{name} must be a non-negative integer")
+        try:
+            check_integer(value, name)
+        except CodecError as error:
+            raise ValueError(str(error)) from error
     return counts
 
 
