Close connections that carried a refusal without a request id

Seen in a test: a target that writes an earlier refusal once more on a kept connection, ahead of the next response or a later one, without an id: of 12 requests that may run only once, 1 to 6 were told 503 though they ran, also when the refusal was a 421.

Cause: a refusal without an id is believed for whatever request waits on its connection. Ways: to believe none on a used connection (502 for each request that a full target refuses, also where it is true); to keep such connections for repeatable requests only (those are served worse); to close the connection after each one. The last was built: no connection that is used again has carried a refusal that could be repeated. It costs one new connection for each refusal without an id; one with an id is checked against the request and its connection kept. It holds for requests, checks, reports and stage calls, which share the class.

--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -8,7 +8,7 @@
 from firworks.gateway.connections import ConnectError
 from firworks.kernel.forwarding.outcomes import BROKEN, NOT_RUN, AttemptError
 from firworks.platform.headers import NOT_RUN as NOT_RUN_HEADER
-from firworks.platform.headers import read_keep_alive_s
+from firworks.platform.headers import REQUEST_ID, read_keep_alive_s
 from firworks.platform.targets import MISDIRECTED
 
 # Limit of buffered response bodies; that of a stage call lists some hundred results.
@@ -162,7 +162,16 @@
         return b"".join(parts)
 
     def finish(self):
-        """Return the connection to the pool, which closes it if it is not reusable."""
+        """Return the connection to the pool, which closes it if it is not reusable.
+
+        A connection that carried a refusal without a request id is closed: a faulty
+        target may repeat the refusal ahead of a later response, where it would say
+        that a request has not run which runs.
+        """
+        if self.not_run and REQUEST_ID not in self.headers:
+            self._last_progress_s = None
+            self.abort()
+            return
         connection, self._connection = self._connection, None
         self._last_progress_s = None
         if connection is not None:
--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -87,8 +87,14 @@
             responses: time, id of the request, name and value of the header.
         endless_bytes (int): Most bytes sent of one response without an end.
         connections (int): Connections accepted since the start.
+        repeat_refusal_after (int): If not 0, the first request of each connection is
+            refused without an id, and the refusal written once more ahead of the
+            response to the request this many later.
+        refusal (bytes): That refusal.
     """
 
+    refusal = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\n{}"
+
     def __init__(self, target_id, service, failure_domain="fd-1"):
         self.target_id = target_id
         self.service = service
@@ -104,11 +110,14 @@
         self.retry_after = None
         self.limit = None
         self.connections = 0
+        self.repeat_refusal_after = 0
         self.open_requests = 0
         self.endless_bytes = 0
         self._server = None
         self._writers = set()
         self._used = set()
+        # Requests of each connection since its first one.
+        self._counts = {}
 
     def make_entry(self, state="ready"):
         """Return its entry in the store (dict)."""
@@ -152,6 +161,8 @@
                 length = int(headers.get("content-length", 0))
                 body = await reader.readexactly(length)
                 self.received.append((line, headers, body))
+                if self._repeat_refusal(writer):
+                    continue
                 self.open_requests += 1
                 try:
                     await self._respond(writer, line, headers, body)
@@ -163,8 +174,22 @@
         finally:
             self._writers.discard(writer)
             self._used.discard(writer)
+            self._counts.pop(writer, None)
             writer.close()
 
+    def _repeat_refusal(self, writer):
+        """Refuse the first request of a connection, and repeat that refusal later.
+
+        Returns:
+            bool: Whether the current request is refused.
+        """
+        if not self.repeat_refusal_after:
+            return False
+        number = self._counts[writer] = self._counts.get(writer, -1) + 1
+        if number in (0, self.repeat_refusal_after):
+            writer.write(self.refusal)
+        return number == 0
+
     async def _respond(self, writer, line, headers, body):
         expected = headers.get("x-expect-instance")
         if expected not in (None, self.target_id):
