--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -15,7 +15,7 @@
     UnresolvedIncarnations,
     classify_identity,
 )
-from firworks.kernel.forwarding.outcomes import NOT_RUN, AttemptError
+from firworks.kernel.forwarding.outcomes import NOT_RUN, WRONG_VERSION, AttemptError
 from firworks.platform.headers import build_call_head
 from firworks.platform.targets import REPORT_PATH, decode_identity
 
@@ -210,11 +210,32 @@
             exchange.abort()
             log_check(target.incarnation, UNKNOWN, repr(error), ())
 
-    async def _query(self, target, exchange):
+    async def verify_incarnation(self, target):
+        """Check that the listed incarnation of a target is at the end of a connection.
+
+        Load pattern: a target restarts under its id with newer software, and its entry
+        is updated later. The next request to the target uses the same connection.
+
+        Raises:
+            AttemptError: When another incarnation responds, or none does.
+        """
+        exchange = Exchange(self._connections, target, self._clock)
+        try:
+            body = await self._query(target, exchange, fresh=False)
+            identity = decode_identity(exchange.status, exchange.headers, body)
+        except (AttemptError, CodecError, TimeoutError) as error:
+            exchange.abort()
+            raise AttemptError(NOT_RUN, False, f"no report: {error!r}") from error
+        if identity.born_ms not in (None, target.born_ms) or identity.misdirected:
+            log_check(target.incarnation, ENDED, "identity", ())
+            detail = f"{target.target_id} has restarted"
+            raise AttemptError(WRONG_VERSION, False, detail)
+
+    async def _query(self, target, exchange, fresh=True):
         """Send a probe and return the body (bytes) of the response."""
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             head = self._build_probe_head(target)
-            await exchange.send(head, method="GET", fresh=True)
+            await exchange.send(head, method="GET", fresh=fresh)
             self._availability.record_response(target, exchange)
             body = await exchange.read_all()
         exchange.finish()
--- a/firworks/gateway/stream_versions.py
+++ b/firworks/gateway/stream_versions.py
@@ -168,6 +168,10 @@
         if not is_compatible(target, context.stream_version, versions):
             detail = f"{target.target_id} has version {target.version!r}"
             raise AttemptError(WRONG_VERSION, False, detail)
+        is_engine = self._gateway.pools.has_engines(context.service)
+        limited = self._gateway.limits.is_limited(target)
+        if is_engine and target.born_ms and not limited:
+            await self._gateway.crashes.checks.verify_incarnation(target)
 
     def record_event(self, context):
         """Record that a request has received an event from its last target."""
--- a/firworks/tests/test_stream_versions.py
+++ b/firworks/tests/test_stream_versions.py
@@ -168,3 +168,19 @@
                     assert (status, targets) == (503, [])
 
         run(test)
+
+    def test_target_restarted_under_its_id_with_newer_software(self):
+        async def test():
+            async with run_versions() as testbed:
+                begun = await begin_stream(testbed, "b")
+                target = testbed.targets[begun]
+                entry = target.make_entry()
+                testbed.store.put_target(begun, {**entry, "born": 1_000})
+                directory = testbed.gateways[0].directory
+                await wait_until(lambda: directory.find_known(begun).born_ms == 1_000)
+                # The entry still names the incarnation before.
+                target.make_report = lambda: {"queued": 0, "born": 2_000}
+                status, _, targets = await take_up(testbed, "b", "t")
+                assert (status, targets) == (503, [])
+
+        run(test)
