Let the soak resume streams, release versions, kill all gateways and repeat refusals

Engines of several versions serve side by side and send different events; callers take up streams that broke off, through any gateway, and a stream that holds events of two versions is a broken promise. Other writers leave odd entries, targets repeat refusals without an id, and all gateways are killed at once, also right after a release.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -5,17 +5,21 @@
 import aiohttp
 
 from firworks.standins.crashing_targets import DEADLY, DEADLY_PART
-from firworks.standins.platform_targets import EVENTS, STAMP
+from firworks.standins.platform_targets import EVENTS, STAMP, make_event
 from firworks.tests.gateway_testbed import HOST, KEY
 
 DEADLINE_S = 3.0
 # A caller that gets no answer leaves this long after its deadline.
 PATIENCE_S = 4.0
 PAUSE_S = 0.05
-STREAM = b"".join(
-    f"id: {number}\ndata: token {number}\n\n".encode()
-    for number in range(1, EVENTS + 1)
-)
+VERSIONS = ("v1", "v2", "v3")
+STREAMS = [
+    b"".join(make_event(number, version) for number in range(1, EVENTS + 1))
+    for version in VERSIONS
+]
+# How often a caller takes up a stream that broke off.
+MAX_TAKE_UPS = 3
+TAKE_UP_PAUSE_S = 0.2
 PROMPT = {
     "X-Model": "m",
     "X-Token-Counts": "600,5",
@@ -46,9 +50,9 @@
         self.headers = headers
         self.share = share
 
-    def make_answer(self, line):
-        """Return the whole answer (bytes) that a target gives to a request line."""
-        return STREAM if self.headers else f"answer to {line} HTTP/1.1".encode()
+    def make_answers(self, line):
+        """Return the whole answers (list of bytes) that targets give to a line."""
+        return STREAMS if self.headers else [f"answer to {line} HTTP/1.1".encode()]
 
 
 KINDS = (
@@ -142,7 +146,8 @@
         ended_s (float): When the answer was whole, or the caller left.
         status (int or None): Of the answer.
         whole (bool): The answer came to its end.
-        answer (bytes): What came of its body.
+        answer (bytes): What came of its body, after that of the tries before.
+        begun_as (str): Id of the attempt that it takes up; empty for a new one.
         echoed (tuple of (str or None)): Id and stamp of the answer.
         error (str): What went wrong on the connection; else empty.
     """
@@ -159,6 +164,7 @@
         "status",
         "whole",
         "answer",
+        "begun_as",
         "echoed",
         "error",
     )
@@ -175,6 +181,7 @@
         self.status = None
         self.whole = False
         self.answer = b""
+        self.begun_as = ""
         self.echoed = (None, None)
         self.error = ""
 
@@ -210,15 +217,48 @@
                     kind = self._rng.choices(kinds, shares)[0]
                     attempt = await self.ask(session, gateway, kind)
                     stays = attempt.whole
+                    if kind.name == "rules" and attempt.answer and not stays:
+                        await self._take_up(attempt)
                     await asyncio.sleep(PAUSE_S)
 
-    async def ask(self, session, gateway, kind):
-        """Send one request and return the `Attempt`."""
+    async def _take_up(self, broken):
+        """Take up a stream that broke off after an event, through any gateway."""
+        taken, begun_as = broken, broken.request_id
+        for _ in range(MAX_TAKE_UPS):
+            if taken.whole and taken.status == 200:
+                return
+            await asyncio.sleep(TAKE_UP_PAUSE_S)
+            gateway = self._site.choose_gateway(self._rng)
+            async with aiohttp.ClientSession() as session:
+                session._retry_connection = False
+                taken = await self.ask(session, gateway, broken.kind, (broken, taken))
+                taken.begun_as = begun_as
+
+    async def ask(self, session, gateway, kind, resumed=None):
+        """Send one request and return the `Attempt`.
+
+        Args:
+            session (aiohttp.ClientSession): Sends it.
+            gateway (GatewayProcess): Gets it.
+            kind (Kind): What is asked for.
+            resumed (tuple of Attempt or None): The first and the last attempt of a
+                stream that goes on.
+        """
         self._count += 1
         name = f"c{self._number}-{self._count}"
         key = None if kind.name == "open" else self._site.choose_key(self._rng)
+        if resumed is not None:
+            key = resumed[0].key
         attempt = Attempt(name, kind, key, gateway.name, self._site.clock())
+        own_headers = {}
+        if resumed is not None:
+            first, last = resumed
+            attempt.line, attempt.body = first.line, first.body
+            attempt.answer = last.answer
+            own_headers["Resumes"] = first.request_id
+            own_headers["Last-Event-Id"] = str(last.answer.count(b"\n\n"))
         headers = {
+            **own_headers,
             "Host": HOST,
             "X-Request-Id": name,
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
@@ -226,7 +266,8 @@
         }
         if key is not None:
             headers["Authorization"] = f"Bearer {key}"
-        url = f"http://{gateway.get_address('callers')}/{kind.name}/{name}"
+        path = attempt.line.partition(" ")[2]
+        url = f"http://{gateway.get_address('callers')}{path}"
         try:
             async with asyncio.timeout(DEADLINE_S + PATIENCE_S):
                 async with session.request(
@@ -238,7 +279,8 @@
                         response.headers.get("X-Server-Stamp"),
                     )
                     async for part in response.content.iter_any():
-                        attempt.answer += part
+                        if response.status == 200 or resumed is None:
+                            attempt.answer += part
                     attempt.whole = True
         except aiohttp.ClientConnectorError as error:
             attempt.error = f"not connected: {error!r}"
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -7,6 +7,7 @@
 from bench.soak.gateways import PAUSED
 from bench.soak.proxies import FAULTS
 from bench.soak.site import SERVICES, TARGETS_PER_SERVICE
+from firworks.platform.store import TARGETS_TOPIC
 
 TARGET_FAULTS = (
     "busy",
@@ -22,6 +23,18 @@
     "unframed reset",
     "unframed torn",
 )
+_ODD_ENTRY = (
+    b'{"service": "engines", "address": "127.0.0.1:%b", "zone": "fd-1", '
+    b'"slots": %b, "state": "ready", "cold-left-ms": %b}'
+)
+ODD_ENTRIES = (
+    _ODD_ENTRY % (b"80", b"1e999", b"0"),
+    _ODD_ENTRY % (b"80", b"NaN", b"0"),
+    _ODD_ENTRY % (b"80", b"4", b"9" * 400),
+    _ODD_ENTRY % (b"9" * 5_000, b"4", b"0"),
+    _ODD_ENTRY % (b"70000", b"4", b"0"),
+    b"[" * 100_000,
+)
 # How many copies of the store are kept; one is taken before each fault.
 COPIES = 8
 STORE_FAULTS = ("down", "silent")
@@ -58,6 +71,9 @@
             (2, self._end_targets),
             (2, self._say_leaving),
             (2, self._rest_target),
+            (1, self._kill_all_gateways),
+            (1, self._write_odd_entries),
+            (2, self._repeat_refusals),
         )
 
     async def run(self, length_s):
@@ -102,6 +118,30 @@
                 getattr(gateway, act)()
             await asyncio.sleep(self._rng.choice((0.0, 0.0, 0.3, 1.0)))
 
+    async def _kill_all_gateways(self):
+        """Kill all gateways at once; some soon after a release."""
+        if self._rng.random() < 0.5:
+            service, cls = SERVICES[1]
+            await self._site.add_target(service, cls)
+            await asyncio.sleep(self._rng.uniform(0.5, 2.0))
+        for gateway in self._site.gateways:
+            gateway.kill()
+
+    async def _write_odd_entries(self):
+        """Let another writer leave odd entries among those of the targets."""
+        for number in range(3):
+            data = self._rng.choice(ODD_ENTRIES)
+            self._site.store.put(TARGETS_TOPIC, f"odd-{number}", data)
+        await asyncio.sleep(0)
+
+    async def _repeat_refusals(self):
+        """Let a target refuse requests, and repeat the refusals later."""
+        target = self._rng.choice(self._site.list_serving())
+        target.repeat_refusal_after = self._rng.choice((1, 2, 4))
+        await self._hold(
+            "target", f"{target.target_id} repeats", partial(_heal, target)
+        )
+
     async def _pause_gateway(self):
         gateway = self._rng.choice(self._site.gateways)
         gateway.pause()
@@ -193,3 +233,4 @@
 def _heal(target):
     target.fault = ""
     target.retry_after = None
+    target.repeat_refusal_after = 0
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -1,6 +1,6 @@
 """Checks the promises of docs/PROMISES.md from what callers and targets saw."""
 
-from bench.soak.callers import DEADLINE_S, is_targets
+from bench.soak.callers import DEADLINE_S, STREAMS, is_targets
 from bench.soak.gateways import KILLED, PAUSED, TERMINATED
 from bench.soak.site import LEAVE_LIMIT_S, OTHER_ACCOUNT, OTHER_KEY
 from firworks.tests.gateway_testbed import KEY
@@ -38,6 +38,7 @@
         own = runs_by_id.get(attempt.request_id, ())
         gateway = gateways[attempt.gateway]
         broken += check_answer(attempt)
+        broken += check_version(attempt)
         broken += check_runs(attempt, own)
         broken += check_time(attempt, gateway)
         broken += check_loss(attempt, own, gateway, plan)
@@ -53,10 +54,19 @@
     if attempt.status != 200 or not attempt.whole:
         return []
     own = is_targets(attempt) and attempt.echoed[0] == attempt.request_id
-    whole = attempt.answer == attempt.kind.make_answer(attempt.line)
+    whole = attempt.answer in attempt.kind.make_answers(attempt.line)
     return [] if own and whole else [f"{attempt.request_id}: not its whole answer"]
 
 
+def check_version(attempt):
+    """The events of a stream, over all its tries, are of one software version."""
+    if attempt.status != 200 or attempt.kind.name != "rules":
+        return []
+    if any(stream.startswith(attempt.answer) for stream in STREAMS):
+        return []
+    return [f"{attempt.request_id}: joined from several versions: {attempt.answer!r}"]
+
+
 def check_runs(attempt, runs):
     """What may not repeat runs once, and not at all if that was said."""
     if attempt.kind.repeatable:
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from bench.soak.callers import VERSIONS
 from bench.soak.gateways import DRAIN_LIMIT_S, GatewayProcess
 from bench.soak.proxies import LoopbackProxy
 from firworks.platform.store import TARGETS_TOPIC
@@ -24,6 +25,8 @@
 OTHER_KEY = "key-other"
 OTHER_ACCOUNT = "other"
 LEAVE_LIMIT_S = 2.0
+# Before each event of an engine.
+EVENT_PAUSES_S = (0.0, 0.02, 0.1)
 DOMAINS = ("fd-1", "fd-2", "fd-3")
 SERVICES = (
     ("loans", CrashingTarget),
@@ -74,6 +77,7 @@
         self._folder = folder
         self._count = gateways
         self._rng = Random(seed)
+        self._versions_rng = Random(f"versions/{seed}")
         self._version = 0
         self._table = {}
         self._rotation = {}
@@ -160,6 +164,9 @@
         target.manner = self._rng.choice(MANNERS)
         target.back_s = self._rng.choice((0.0, 0.3, 1.0))
         target.on_run = self._note_run
+        target.pause_s = self._versions_rng.choice(EVENT_PAUSES_S)
+        if self._numbers > len(SERVICES) * TARGETS_PER_SERVICE:
+            target.version = self._versions_rng.choice(VERSIONS)
         # Entries and handles name the proxy.
         target.address = proxy.address
         self.store.put_target(target.target_id, target.make_entry())
@@ -169,8 +176,11 @@
         """Enter a target's new run; the entry of the one that ended lapses."""
         for known in (self.targets, self.proxies):
             known[target.target_id] = known.pop(before)
-        self.store.put_target(target.target_id, target.make_entry())
-        if before != target.target_id:
+        if before == target.target_id:
+            self.store.put_target(target.target_id, target.make_entry())
+        else:
+            target.version = self._versions_rng.choice((target.version, *VERSIONS))
+            self.store.put_target(target.target_id, target.make_entry())
             loop = asyncio.get_running_loop()
             loop.call_later(LAPSE_S, self.store.put_target, before, None)
 
--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -319,7 +319,7 @@
         writer.write("\r\n".join(head).encode() + _HEAD_END)
         begin = int(headers.get("last-event-id", 0)) + 1
         for number in range(begin, EVENTS + 1):
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            event = make_event(number, self.version)
             if self.fault == "torn" and number == 3:
                 writer.write(_chunk(event[:-4]))
                 await writer.drain()
@@ -379,6 +379,12 @@
             self._answer(writer, headers, 200, answer)
 
 
+def make_event(number, version="v1"):
+    """Return an event (bytes) of the stream that each engine of a version sends."""
+    mark = "" if version == "v1" else f" of {version}"
+    return f"id: {number}\ndata: token {number}{mark}\n\n".encode()
+
+
 async def end_connection(writer, reset=False):
     """Close a connection after the bytes written so far, or reset it."""
     await writer.drain()
--- a/firworks/tests/test_soak.py
+++ b/firworks/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bench.soak.__main__ import list_seeds, soak
-from bench.soak.callers import KINDS, STREAM, Attempt
+from bench.soak.callers import KINDS, STREAMS, Attempt
 from bench.soak.faults import FaultPlan
 from bench.soak.gateways import (
     KILLED,
@@ -28,6 +28,7 @@
     check_loss,
     check_runs,
     check_time,
+    check_version,
 )
 from bench.soak.proxies import CUT_DOWN, RESET, SILENT, LoopbackProxy, reset
 from bench.soak.site import OTHER_KEY
@@ -47,7 +48,7 @@
     attempt.status = 200
     attempt.whole = True
     attempt.echoed = ("c1-1", STAMP)
-    attempt.answer = attempt.kind.make_answer(attempt.line)
+    attempt.answer = attempt.kind.make_answers(attempt.line)[0]
     for field, value in changes.items():
         setattr(attempt, field, value)
     return attempt
@@ -95,9 +96,18 @@
 
     def test_a_stream_that_lacks_an_event_is_found(self):
         assert not check_answer(make_attempt("rules"))
-        lacking = re.sub(rb"id: 3.*?\n\n", b"", STREAM, flags=re.S)
+        lacking = re.sub(rb"id: 3.*?\n\n", b"", STREAMS[0], flags=re.S)
         assert check_answer(make_attempt("rules", answer=lacking))
 
+    def test_a_stream_of_several_versions_is_found(self):
+        events = [stream.split(b"\n\n") for stream in STREAMS]
+        for whole in (True, False):
+            joined = b"\n\n".join([*events[0][:2], *events[1][2 : 6 if whole else 4]])
+            broken = make_attempt("rules", answer=joined, whole=whole)
+            assert check_version(broken)
+            begun = b"\n\n".join(events[1][:3])
+            assert not check_version(make_attempt("rules", answer=begun, whole=whole))
+
     def test_a_second_run_is_found(self):
         attempt = make_attempt()
         runs = [make_run(attempt), make_run(attempt)]
