--- a/firworks/standins/platform_store.py
+++ b/firworks/standins/platform_store.py
@@ -25,6 +25,7 @@
     Attributes:
         down (bool): All calls get status 503.
         silent (bool): No call gets a response.
+        read_only (bool): Appends get status 503.
         lost (set of str): Topics whose next read with records gets no response.
         turned_away (set of str): User agents whose calls get status 503.
         era (int or None): Number of times that it was restored from a copy, stated in
@@ -39,6 +40,7 @@
         super().__init__(port)
         self.down = False
         self.silent = False
+        self.read_only = False
         self.lost = set()
         self.turned_away = set()
         self.era = 0
@@ -100,6 +102,10 @@
         """Return the offset after the last record of a topic."""
         return len(self._topics.get(topic, ()))
 
+    def get_records(self, topic):
+        """Return all records of a topic (list of bytes)."""
+        return list(self._topics.get(topic, ()))
+
     def get_values(self, topic):
         """Return the newest value (bytes) of each key (str)."""
         values = {}
@@ -135,6 +141,8 @@
         failed = await self._fail(request)
         if failed is not None:
             return failed
+        if self.read_only:
+            return self._respond(status=503)
         records = []
         while body:
             length = int.from_bytes(body[:4], "big")
--- a/firworks/tests/test_stream_versions.py
+++ b/firworks/tests/test_stream_versions.py
@@ -6,8 +6,17 @@
 import aiohttp
 import pytest
 
-from firworks.standins.platform_targets import PlatformEngine
-from firworks.tests.gateway_testbed import TEST_TIMEOUT_S, run_testbed, wait_until
+from firworks.kernel.codec import decode_record
+from firworks.platform.store import STREAMS_TOPIC, VERSIONS_TOPIC
+from firworks.plugins import peer_handshake
+from firworks.standins.platform_targets import EVENTS, PlatformEngine
+from firworks.tests.gateway_testbed import (
+    KEY,
+    TEST_TIMEOUT_S,
+    make_configuration,
+    run_testbed,
+    wait_until,
+)
 
 # The caller's connection breaks after this event.
 BROKEN_AFTER = 2
@@ -95,6 +104,18 @@
     return testbed.targets[target_id].version
 
 
+def list_stored_versions(testbed):
+    """Return the versions that the store holds (list of ServedVersion)."""
+    values = testbed.store.get_values(VERSIONS_TOPIC).values()
+    return [decode_record(value) for value in values]
+
+
+def list_stored_streams(testbed):
+    """Return the digests of the streams that the store holds (set of bytes)."""
+    records = testbed.store.get_records(STREAMS_TOPIC)
+    return {digest for data in records for digest in decode_record(data).digests}
+
+
 async def kill(testbed, gateways):
     """End gateways without a drain."""
     for gateway in gateways:
@@ -184,3 +205,175 @@
                 assert (status, targets) == (503, [])
 
         run(test)
+
+
+class TestResumptions:
+    def test_streams_go_on_after_all_gateways_were_killed(self):
+        async def test():
+            async with run_versions(gateways=3) as testbed:
+                begun = {}
+                for number in range(12):
+                    gateway = testbed.gateways[number % 3]
+                    request_id = f"b{number}"
+                    target_id = await begin_stream(testbed, request_id, gateway)
+                    begun[request_id] = target_id
+                await wait_until(lambda: len(list_stored_streams(testbed)) >= 12)
+                await kill(testbed, list(testbed.gateways))
+                for number in range(3):
+                    await testbed.add_gateway(f"gateway-{number + 1}")
+                for number, (request_id, target_id) in enumerate(begun.items()):
+                    gateway = testbed.gateways[number % 3]
+                    taken = await take_up(testbed, request_id, f"t{number}", gateway)
+                    assert (taken[0], taken[2]) == (200, [target_id])
+
+        run(test)
+
+    def test_only_version_after_all_gateways_were_killed(self):
+        async def test():
+            async with run_versions(2, ("v1", "v1")) as testbed:
+                await begin_stream(testbed, "b")
+                await kill(testbed, list(testbed.gateways))
+                await testbed.add_gateway("gateway-1")
+                assert (await take_up(testbed, "b", "t"))[0] == 200
+                assert not list_stored_streams(testbed)
+
+        run(test)
+
+    def test_version_that_left_while_no_gateway_ran_is_not_forgotten(self):
+        async def test():
+            async with run_versions(1, ("v1", "v1")) as testbed:
+                await begin_stream(testbed, "b")
+                await kill(testbed, list(testbed.gateways))
+                for target_id in ("engine-1", "engine-2"):
+                    set_version(testbed, target_id, "v2")
+                await testbed.add_gateway("gateway-1")
+                status, _, targets = await take_up(testbed, "b", "t")
+                assert (status, targets) == (503, [])
+
+        run(test)
+
+    @pytest.mark.parametrize("begun_as", ["nobody", "", "x" * 5_000, "é"])
+    def test_unknown_stream_is_refused_at_once(self, begun_as):
+        async def test():
+            async with run_versions(gateways=2) as testbed:
+                status, body, targets = await take_up(testbed, begun_as, "t")
+                assert (status, targets) == (503, [])
+                assert b"origin unknown" in body
+
+        run(test)
+
+    def test_chain_of_resumptions(self):
+        async def test():
+            async with run_versions(gateways=3) as testbed:
+                begun = await begin_stream(testbed, "b")
+                for number, gateway in enumerate(testbed.gateways):
+                    status, _, targets = await take_up(
+                        testbed, "b", f"t{number}", gateway
+                    )
+                    assert (status, targets) == (200, [begun])
+
+        run(test)
+
+    def test_attempt_without_an_event_decides_nothing(self):
+        async def test():
+            async with run_versions() as testbed:
+                for target_id in ("engine-1", "engine-2"):
+                    testbed.targets[target_id].fault = "reset"
+                status, _, _ = await testbed.send_request(
+                    "/rules/a", **{"X-Request-Id": "b"}
+                )
+                assert status == 502
+                for target_id in ("engine-1", "engine-2"):
+                    testbed.targets[target_id].fault = ""
+                assert (await take_up(testbed, "b", "t"))[0] == 503
+                # Without events there is nothing to join.
+                status, _, body = await testbed.send_request(
+                    "/rules/a", **{"Resumes": "b"}
+                )
+                assert status == 200 and body.count(b"id:") == EVENTS
+
+        run(test)
+
+    def test_other_gateways_know_streams_while_the_store_is_silent(self):
+        async def test():
+            async with run_versions(gateways=2) as testbed:
+                first, second = testbed.gateways
+                testbed.store.silent = True
+                await wait_until(lambda: first.store_unavailable)
+                begun = await begin_stream(testbed, "b", first)
+                status, _, targets = await take_up(testbed, "b", "t", second)
+                assert (status, targets) == (200, [begun])
+
+        run(test)
+
+    def test_versions_are_written_again_after_a_restore(self):
+        async def test():
+            async with run_versions(gateways=2) as testbed:
+                copy = testbed.store.take_copy()
+                await wait_until(lambda: len(list_stored_versions(testbed)) == 2)
+                testbed.store.restore({**copy, VERSIONS_TOPIC: []})
+                await wait_until(lambda: len(list_stored_versions(testbed)) == 2)
+
+        run(test)
+
+    def test_other_account_is_refused(self):
+        async def test():
+            async with run_versions() as testbed:
+                accounts = [
+                    {"name": "club", "api-keys": [KEY]},
+                    {"name": "other", "api-keys": ["other-key"]},
+                ]
+                testbed.store.put_configuration(make_configuration(2, tenants=accounts))
+                gateway = testbed.gateways[0]
+                await wait_until(lambda: gateway.configuration.version == 2)
+                await begin_stream(testbed, "b")
+                status, _, _ = await testbed.send_request(
+                    "/rules/a",
+                    **{
+                        "key": "other-key",
+                        "Resumes": "b",
+                        "Last-Event-Id": "2",
+                    },
+                )
+                assert status == 503
+                assert (await take_up(testbed, "b", "t"))[0] == 200
+
+        run(test)
+
+    def test_new_version_is_not_used_before_the_store_holds_it(self):
+        async def test():
+            async with run_versions(1, ("v1", "v1")) as testbed:
+                assert (await testbed.send_request("/rules/a"))[0] == 200
+                gateway = testbed.gateways[0]
+                await wait_until(lambda: list_stored_versions(testbed))
+                testbed.store.read_only = True
+                set_version(testbed, "engine-2", "v2")
+                await wait_until(
+                    lambda: gateway.directory.find("engine-2").version == "v2"
+                )
+                for number in range(4):
+                    request_id = f"n{number}"
+                    await testbed.send_request(
+                        "/rules/a", **{"X-Request-Id": request_id}
+                    )
+                    assert find_runs(testbed, request_id) == ["engine-1"]
+
+        run(test)
+
+
+class TestOlderGateways:
+    def test_new_records_are_not_sent_to_older_gateways(self, monkeypatch):
+        # An older gateway does not tell the version of its protocol.
+        monkeypatch.setattr(peer_handshake, "PROTOCOL", 0)
+
+        async def test():
+            async with run_versions(gateways=2) as testbed:
+                first, second = testbed.gateways
+                begun = await begin_stream(testbed, "b", first)
+                # Each is its own keeper, and the store serves both.
+                await wait_until(lambda: list_stored_streams(testbed))
+                assert len(second.stream_versions._kept) == 0
+                status, _, targets = await take_up(testbed, "b", "t", second)
+                assert (status, targets) == (200, [begun])
+
+        run(test)
