--- a/firworks/gateway/stream_versions.py
+++ b/firworks/gateway/stream_versions.py
@@ -34,8 +34,8 @@
 MAX_KEPT_STREAMS = 200_000
 # Streams in one message or record.
 MAX_DIGESTS = 2_000
-# A round trip between gateways takes a few milliseconds, some tens under load.
-ANSWER_TIMEOUT_S = 0.2
+# A keeper may have to read the store first.
+ANSWER_TIMEOUT_S = 0.5
 # The keeper of a service writes a new version to the store; others do so after this.
 ADMISSION_DELAY_S = 0.15
 # A version that the store has not confirmed within this time is used if there is no
@@ -188,7 +188,8 @@
 
     def tick(self):
         """Report streams to new keepers, write records, and review the versions."""
-        self._store.tick()
+        if not self._gateway.store_unavailable:
+            self._store.tick()
         for service in self._services:
             self._report_all(service)
         now = self._clock()
@@ -266,6 +267,8 @@
         """
         if len(services) == 1 and len(self.list_versions(services[0])) > 1:
             return {}
+        if self._gateway.store_unavailable:
+            return {}
         stored = await self._store.list_versions()
         if stored is None:
             return {}
@@ -299,7 +302,7 @@
 
     async def _find_kept(self, service, digest):
         for read in (False, True):
-            if read:
+            if read and not self._gateway.store_unavailable:
                 await self._store.read_streams()
             for table in (self._own, self._kept):
                 version = table.find(service, digest, self._clock())
--- a/firworks/gateway/version_store.py
+++ b/firworks/gateway/version_store.py
@@ -18,9 +18,11 @@
 
 KEY_BYTES = 12
 # Callers that resume streams wait for these calls.
-READ_TIMEOUT_S = 0.4
-# Minimum time from one listing, or one read, to the next.
-MIN_READ_INTERVAL_S = 0.25
+READ_TIMEOUT_S = 0.3
+# Minimum times from one call to the next: any gateway lists the versions, only keepers
+# read the streams.
+LIST_INTERVAL_S = 0.25
+READ_INTERVAL_S = 0.1
 # Records of streams are collected for this time before they are written.
 FLUSH_INTERVAL_S = 0.25
 MAX_PENDING_RECORDS = 1_024
@@ -42,8 +44,8 @@
         self._store = store
         self._clock = clock
         self._on_streams = on_streams
-        self._listing = SharedCall(self._list, clock)
-        self._reading = SharedCall(self._read, clock)
+        self._listing = SharedCall(self._list, clock, LIST_INTERVAL_S, VERSIONS_TOPIC)
+        self._reading = SharedCall(self._read, clock, READ_INTERVAL_S, STREAMS_TOPIC)
         self._position = None
         self._pending = []
         self._flushed_s = float("-inf")
@@ -127,11 +129,15 @@
             try:
                 batch = await self._store.read(STREAMS_TOPIC, self._position, 0.0)
             except StoreGapError as error:
-                # Trimmed meanwhile, or the store came back without the newest ones.
+                # The oldest records were deleted meanwhile.
                 self._position = error.first
                 if error.first is None:
                     return
                 continue
+            if batch.end < self._position:
+                # The store came back without the newest records.
+                self._position = batch.first
+                continue
             for data in batch.records:
                 record = self._decode(STREAMS_TOPIC, data, StreamsBegun)
                 if record is not None:
@@ -170,11 +176,15 @@
     Args:
         call (callable): Coroutine function without arguments.
         clock (callable): Returns monotonic seconds.
+        interval_s (float): Minimum time from one call to the next.
+        topic (str): Topic of the store, for the log.
     """
 
-    def __init__(self, call, clock):
+    def __init__(self, call, clock, interval_s, topic):
         self._call = call
         self._clock = clock
+        self._interval_s = interval_s
+        self._topic = topic
         self._started_s = float("-inf")
         self._task = None
         self._is_started = False
@@ -195,13 +205,13 @@
             self._task.cancel()
 
     async def _run(self):
-        await asyncio.sleep(self._started_s + MIN_READ_INTERVAL_S - self._clock())
+        await asyncio.sleep(self._started_s + self._interval_s - self._clock())
         self._started_s, self._is_started = self._clock(), True
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 return await self._call()
         except (StoreError, CodecError, TimeoutError) as error:
-            log_event(LogEvent.STORE_LOST, topic=VERSIONS_TOPIC, error=repr(error))
+            log_event(LogEvent.STORE_LOST, topic=self._topic, error=repr(error))
             return None
 
 
