Count streams as begun at both versions while a target's newer entry is not read

A target may restart under its id with newer software. Streams that begin there before its entry is read were recorded at the version before, and went on at an engine of that version. When the entry is read, they count as begun at both, in all gateways, and are refused. The test failed before: the take-up was answered 200 by an engine of the older version.

--- a/firworks/gateway/stream_versions.py
+++ b/firworks/gateway/stream_versions.py
@@ -11,6 +11,7 @@
 from firworks.kernel.versions.keepers import KeeperSelector
 from firworks.kernel.versions.messages import OriginAsked, OriginTold, StreamsBegun
 from firworks.kernel.versions.origins import StreamOrigins, make_stream_digest
+from firworks.kernel.versions.restarts import RestartDetector
 from firworks.kernel.versions.resumption import (
     ORIGIN_UNKNOWN,
     OWN_RECORD,
@@ -75,6 +76,7 @@
         self._kept = StreamOrigins(MAX_KEPT_STREAMS, MIN_LIFE_S)
         self._served = ServedVersions()
         self._store = VersionStore(gateway.store, gateway.clock, self._keep_stored)
+        self._restarts = RestartDetector()
         self._keepers = KeeperSelector(gateway.roster, self._get_protocol)
         self._reported_to = {}
         self._services = ()
@@ -101,7 +103,10 @@
 
     def observe_targets(self):
         """Take note of the listed targets; called after each change."""
-        self._served.observe(self._gateway.directory.list_all(), self._clock())
+        targets = self._gateway.directory.list_all()
+        self._served.observe(targets, self._clock())
+        for restarted in self._restarts.observe(targets, time.time()):
+            self._mark_ambiguous(*restarted)
         self._admit_listed()
 
     def store_again(self):
@@ -319,6 +324,9 @@
     def _record(self, context, request_id):
         digest = make_stream_digest(context.account_name, request_id)
         service, version = context.service, context.stream_version
+        target = self._gateway.directory.find_known(context.target_id)
+        if target is not None and target.incarnation == context.incarnation:
+            self._restarts.record(target, digest, time.time())
         if not self._own.record(service, version, digest, self._clock()):
             return
         if self._must_report(service):
@@ -331,6 +339,22 @@
             )
             self._report(service, version, (digest,))
 
+    def _mark_ambiguous(self, target, previous_version, digests):
+        """Record streams at both versions of a target that has restarted.
+
+        They may have begun before or after the restart, so that no version is known.
+        """
+        log_event(
+            LogEvent.STREAMS_AMBIGUOUS,
+            target=target.target_id,
+            software=target.version,
+            streams=len(digests),
+        )
+        for version in (previous_version, target.version):
+            for digest in digests:
+                self._own.record(target.service, version, digest, self._clock())
+            self._report(target.service, version, digests)
+
     def _must_report(self, service):
         """Return whether streams of a service are recorded at its keeper."""
         if self._gateway.store_unavailable:
@@ -347,17 +371,17 @@
             return
         self._reported_to[service] = keeper
         for version, digests in self._own.list_streams(service).items():
-            for start in range(0, len(digests), MAX_DIGESTS):
-                part = tuple(digests[start : start + MAX_DIGESTS])
-                self._report(service, version, part)
+            self._report(service, version, digests)
 
     def _report(self, service, version, digests):
         keeper = self._keepers.choose(service, self._clock())
-        record = StreamsBegun(service, version, digests, time.time())
-        if keeper == self._gateway.roster.own.name:
-            self._keep(record)
-        else:
-            self._gateway.pools.peers.send(keeper, record)
+        for start in range(0, len(digests), MAX_DIGESTS):
+            part = tuple(digests[start : start + MAX_DIGESTS])
+            record = StreamsBegun(service, version, part, time.time())
+            if keeper == self._gateway.roster.own.name:
+                self._keep(record)
+            else:
+                self._gateway.pools.peers.send(keeper, record)
 
     def _keep(self, record):
         """Keep the streams that a gateway has reported."""
--- a/firworks/tests/test_stream_versions.py
+++ b/firworks/tests/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Tests that a stream goes on only at the software version that began it."""
 
 import asyncio
+import time
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -206,6 +207,29 @@
 
         run(test)
 
+    def test_stream_begun_at_a_restarted_target_before_its_entry_was_read(self):
+        async def test():
+            async with run_versions(2, ("v1", "v1")) as testbed:
+                first, second = testbed.gateways
+                # The process behind the entry of v1 is already of v3.
+                begun = await begin_stream(testbed, "b", first)
+                entry = testbed.targets[begun].make_entry()
+                born = int(time.time() * 1000) - 500
+                entry = {**entry, "version": "v3", "born": born}
+                testbed.store.put_target(begun, entry)
+                for number, gateway in enumerate((first, second)):
+                    await wait_until(
+                        lambda gateway=gateway: (
+                            gateway.directory.find(begun).version == "v3"
+                        )
+                    )
+                    status, _, targets = await take_up(
+                        testbed, "b", f"t{number}", gateway
+                    )
+                    assert (status, targets) == (503, [])
+
+        run(test)
+
 
 class TestResumptions:
     def test_streams_go_on_after_all_gateways_were_killed(self):
