Report a crash beside more parts than are kept

Other gateways did not hear of a crash beside more than 4,096 features: some had been evicted from the table of suspects when they were to be marked as reported, and the KeyError ended the report.

--- a/firworks/kernel/forwarding/suspects.py
+++ b/firworks/kernel/forwarding/suspects.py
@@ -315,8 +315,13 @@
         return is_new
 
     def mark_reported(self, fingerprint):
-        """Record that this daemon reported a crash of a part."""
-        self._suspects[fingerprint].reported_here = True
+        """Record that this daemon reported a crash of a part.
+
+        Does nothing for one that is no longer kept, as there were too many at once.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.reported_here = True
 
     def record_trial(self, fingerprints, now):
         """Record that a trial of a request with some features begins."""
