--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -318,8 +318,9 @@
         ]
         writer.write("\r\n".join(head).encode() + _HEAD_END)
         begin = int(headers.get("last-event-id", 0)) + 1
+        version = self.version
         for number in range(begin, EVENTS + 1):
-            event = make_event(number, self.version)
+            event = make_event(number, version)
             if self.fault == "torn" and number == 3:
                 writer.write(_chunk(event[:-4]))
                 await writer.drain()
