--- a/firworks/gateway/stream_versions.py
+++ b/firworks/gateway/stream_versions.py
@@ -6,6 +6,7 @@
 from itertools import count
 
 from firworks.events import LogEvent, log_event
+from firworks.gateway.version_admission import VersionAdmission
 from firworks.gateway.version_store import VersionStore
 from firworks.kernel.forwarding.outcomes import WRONG_VERSION, AttemptError
 from firworks.kernel.versions.keepers import KeeperSelector
@@ -25,10 +26,8 @@
 from firworks.kernel.versions.served import (
     MIN_LIFE_S,
     ServedVersion,
-    ServedVersions,
     compute_stream_life_s,
 )
-from firworks.platform.store import StoreError
 
 # Limits of the tables of this gateway's streams, and of those that it keeps for others.
 MAX_OWN_STREAMS = 20_000
@@ -37,13 +36,6 @@
 MAX_DIGESTS = 2_000
 # A keeper may have to read the store first.
 ANSWER_TIMEOUT_S = 0.5
-# The keeper of a service writes a new version to the store; others do so after this.
-ADMISSION_DELAY_S = 0.15
-# A version that the store has not confirmed within this time is used if there is no
-# target of a confirmed one.
-ADMISSION_TIMEOUT_S = 0.4
-# Minimum time from one failed write of a version to the next.
-ADMISSION_RETRY_S = 0.5
 REVIEW_INTERVAL_S = 1.0
 
 
@@ -74,48 +66,32 @@
         self._clock = gateway.clock
         self._own = StreamOrigins(MAX_OWN_STREAMS, MIN_LIFE_S)
         self._kept = StreamOrigins(MAX_KEPT_STREAMS, MIN_LIFE_S)
-        self._served = ServedVersions()
         self._store = VersionStore(gateway.store, gateway.clock, self._keep_stored)
         self._restarts = RestartDetector()
         self._keepers = KeeperSelector(gateway.roster, self._get_protocol)
+        self._admission = VersionAdmission(gateway, self._store, self._keepers)
         self._reported_to = {}
-        self._services = ()
-        self._loaded = False
-        self._load_task = None
-        self._admissions = {}
-        self._admitted = asyncio.Event()
         self._numbers = count(1)
-        self._answers = {}
-        self._removals = set()
+        self._questions = {}
+        self._answering = set()
         self._reviewed_s = float("-inf")
 
     def configure(self, configuration):
         """Apply a new configuration."""
-        life_s = compute_stream_life_s(configuration)
-        self._own.life_s = self._kept.life_s = self._served.life_s = life_s
-        self._services = {
-            service
-            for route in configuration.routes
-            if route.streaming
-            for service, _ in route.services
-        }
+        self._own.life_s = self._kept.life_s = compute_stream_life_s(configuration)
+        self._admission.configure(configuration)
         self.observe_targets()
 
     def observe_targets(self):
         """Take note of the listed targets; called after each change."""
         targets = self._gateway.directory.list_all()
-        self._served.observe(targets, self._clock())
+        self._admission.observe(targets)
         for restarted in self._restarts.observe(targets, time.time()):
             self._mark_ambiguous(*restarted)
-        self._admit_listed()
 
     def store_again(self):
         """Write versions again that the store may have lost when it was restored."""
-        self._loaded = False
-
-    def list_versions(self, service):
-        """Return the versions (set of str) that may have served a service lately."""
-        return self._served.list_versions(service, self._clock())
+        self._admission.load_again()
 
     async def find_origin(self, context):
         """Return the `Origin` of the stream that a request resumes.
@@ -155,7 +131,7 @@
         if context.stream_version is None:
             return []
         usable = self._gateway.directory.get_usable(context.service)
-        versions = self.list_versions(context.service)
+        versions = self._admission.list_versions(context.service)
         return list_incompatible(usable, context.stream_version, versions)
 
     async def check_target(self, context, target):
@@ -167,9 +143,9 @@
         if not context.admitted.route.streaming:
             return
         if context.stream_version is None:
-            await self._check_admission(target)
+            await self._admission.check(target)
             return
-        versions = self.list_versions(context.service)
+        versions = self._admission.list_versions(context.service)
         if not is_compatible(target, context.stream_version, versions):
             detail = f"{target.target_id} has version {target.version!r}"
             raise AttemptError(WRONG_VERSION, False, detail)
@@ -195,7 +171,7 @@
         """Report streams to new keepers, write records, and review the versions."""
         if not self._gateway.store_unavailable:
             self._store.tick()
-        for service in self._services:
+        for service in self._admission.services:
             self._report_all(service)
         now = self._clock()
         if now - self._reviewed_s < REVIEW_INTERVAL_S:
@@ -203,23 +179,18 @@
         self._reviewed_s = now
         self._own.expire(now)
         self._kept.expire(now)
-        if not self._loaded and (self._load_task is None or self._load_task.done()):
-            self._load_task = asyncio.ensure_future(self._load())
-        self._admit_listed()
-        for served in self._served.pop_outdated(now):
-            self._remove(served)
+        self._admission.review()
 
     def send_versions(self, peer):
         """Send a newly connected peer the versions that the store holds."""
-        for served in self._served.list_stored():
-            self._gateway.pools.peers.send(peer, served)
+        self._admission.send_versions(peer)
 
     def close(self):
         """Cancel all tasks."""
         self._store.close()
-        for task in (self._load_task, *self._admissions.values(), *self._removals):
-            if task is not None:
-                task.cancel()
+        self._admission.close()
+        for task in self._answering:
+            task.cancel()
 
     @singledispatchmethod
     def receive(self, record, peer):
@@ -228,7 +199,7 @@
 
     @receive.register
     def _(self, record: ServedVersion, peer):
-        self._store_served(record)
+        self._admission.note_stored(record)
 
     @receive.register
     def _(self, record: StreamsBegun, peer):
@@ -237,19 +208,19 @@
     @receive.register
     def _(self, record: OriginAsked, peer):
         task = asyncio.ensure_future(self._answer(record, peer))
-        self._removals.add(task)
-        task.add_done_callback(self._removals.discard)
+        self._answering.add(task)
+        task.add_done_callback(self._answering.discard)
 
     @receive.register
     def _(self, record: OriginTold, peer):
-        pending = self._answers.get(record.number)
+        pending = self._questions.get(record.number)
         if pending is not None and not pending.done():
             pending.set_result(record.version if record.known else None)
 
     async def _search_origin(self, services, context):
         request = context.admitted.request
         if not request.begun_as:
-            return infer_origin(await self._list_stored_versions(services))
+            return infer_origin(await self._admission.list_stored(services))
         account = context.account_name
         digest = make_stream_digest(account, request.begun_as)
         for service in services:
@@ -257,7 +228,7 @@
             if version is not None:
                 return Origin(service, version, OWN_RECORD)
         versions, *told = await asyncio.gather(
-            self._list_stored_versions(services),
+            self._admission.list_stored(services),
             *(self._ask_keeper(service, digest) for service in services),
         )
         for service, version in zip(services, told, strict=True):
@@ -265,21 +236,6 @@
                 return Origin(service, version, PEER_RECORD)
         return infer_origin(versions)
 
-    async def _list_stored_versions(self, services):
-        """Return the versions (dict of str to set) that may have served each service.
-
-        They are empty if the store does not answer.
-        """
-        if len(services) == 1 and len(self.list_versions(services[0])) > 1:
-            return {}
-        if self._gateway.store_unavailable:
-            return {}
-        stored = await self._store.list_versions()
-        if stored is None:
-            return {}
-        self._apply_stored(stored)
-        return {service: self.list_versions(service) for service in services}
-
     async def _ask_keeper(self, service, digest):
         """Return the version (str) of a stream that the keeper knows, or None."""
         for _ in range(2):
@@ -288,7 +244,7 @@
                 return await self._find_kept(service, digest)
             number = next(self._numbers)
             pending = asyncio.get_running_loop().create_future()
-            self._answers[number] = pending
+            self._questions[number] = pending
             question = OriginAsked(number, service, digest)
             self._gateway.pools.peers.send(keeper, question)
             try:
@@ -297,7 +253,7 @@
             except TimeoutError:
                 self._keepers.mark_unresponsive(keeper, self._clock())
             finally:
-                del self._answers[number]
+                del self._questions[number]
         return None
 
     async def _answer(self, record, peer):
@@ -359,7 +315,7 @@
         """Return whether streams of a service are recorded at its keeper."""
         if self._gateway.store_unavailable:
             return True
-        return len(self.list_versions(service)) > 1
+        return len(self._admission.list_versions(service)) > 1
 
     def _report_all(self, service):
         """Report all streams of a service if that begins, or its keeper changes."""
@@ -388,7 +344,7 @@
         now = self._clock()
         for digest in record.digests:
             self._kept.record(record.service, record.version, digest, now)
-        if len(self.list_versions(record.service)) > 1:
+        if len(self._admission.list_versions(record.service)) > 1:
             self._store.add_streams(record)
 
     def _keep_stored(self, record):
@@ -399,108 +355,6 @@
         for digest in record.digests:
             self._kept.record(record.service, record.version, digest, self._clock())
 
-    async def _load(self):
-        stored = await self._store.list_versions()
-        if stored is not None:
-            self._loaded = True
-            self._apply_stored(stored)
-            self._admit_listed()
-
-    def _apply_stored(self, stored):
-        self._served.replace_stored(stored, self._clock())
-        self._wake_admitted()
-
-    def _store_served(self, served):
-        if self._served.store(served, self._clock()):
-            log_event(
-                LogEvent.VERSION_ADMITTED,
-                service=served.service,
-                software=served.version,
-            )
-            self._wake_admitted()
-
-    def _wake_admitted(self):
-        self._admitted.set()
-        self._admitted = asyncio.Event()
-
-    def _admit_listed(self):
-        """Write new versions to the store: at once as keeper, otherwise later."""
-        if not self._loaded:
-            return
-        for served in self._served.list_unstored(self._services):
-            if served not in self._admissions:
-                task = asyncio.ensure_future(self._admit(served))
-                self._admissions[served] = task
-
-    async def _admit(self, served):
-        try:
-            keeper = self._keepers.choose(served.service, self._clock())
-            if keeper != self._gateway.roster.own.name:
-                await asyncio.sleep(ADMISSION_DELAY_S)
-            if self._served.is_stored(served):
-                return
-            await self._store.add_version(served)
-            self._store_served(served)
-            self._gateway.broadcast(served)
-        except StoreError as error:
-            log_event(LogEvent.STORE_LOST, topic=served.service, error=str(error))
-            await asyncio.sleep(ADMISSION_RETRY_S)
-        finally:
-            self._admissions.pop(served, None)
-
-    async def _check_admission(self, target):
-        """Wait until the store holds a target's version, if it does so in time.
-
-        Raises:
-            AttemptError: When a target of a version that the store holds is usable.
-        """
-        served = ServedVersion(target.service, target.version)
-        if self._served.is_stored(served):
-            return
-        until_s = self._clock() + ADMISSION_TIMEOUT_S
-        while not self._served.is_stored(served):
-            remaining_s = until_s - self._clock()
-            if remaining_s <= 0.0:
-                break
-            try:
-                async with asyncio.timeout(remaining_s):
-                    await self._admitted.wait()
-            except TimeoutError:
-                break
-        else:
-            return
-        usable = self._gateway.directory.get_usable(target.service)
-        others = [ServedVersion(one.service, one.version) for one in usable]
-        if any(map(self._served.is_stored, others)):
-            detail = f"version {target.version!r} is not in the store"
-            raise AttemptError(WRONG_VERSION, False, detail)
-        log_event(
-            LogEvent.VERSION_UNCONFIRMED,
-            target=target.target_id,
-            service=target.service,
-            software=target.version,
-        )
-
-    def _remove(self, served):
-        """Remove an outdated version from the store, as its keeper."""
-        keeper = self._keepers.choose(served.service, self._clock())
-        if keeper != self._gateway.roster.own.name:
-            self._served.remove_stored(served)
-            return
-        task = asyncio.ensure_future(self._remove_stored(served))
-        self._removals.add(task)
-        task.add_done_callback(self._removals.discard)
-
-    async def _remove_stored(self, served):
-        try:
-            await self._store.remove_version(served)
-        except StoreError as error:
-            log_event(LogEvent.STORE_LOST, topic=served.service, error=str(error))
-            # Reviewed again after another life of a stream.
-            self._served.store(served, self._clock())
-        else:
-            self._served.remove_stored(served)
-
     def _get_protocol(self, name):
         """Return the protocol version (int) of a gateway; 0 if it is unknown."""
         return self._gateway.pools.peers.get_protocol(name) or 0
