--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -7,20 +7,17 @@
 from firworks.gateway.answers import (
     ResponseAbortedError,
     make_error_response,
-    make_forwarded_response,
 )
 from firworks.gateway.exchanges import Exchange
 from firworks.gateway.pools import PoolRefusedError
+from firworks.gateway.response_forwarding import ResponseForwarder
 from firworks.gateway.stage_runs import StageRun
 from firworks.gateway.stream_versions import ResumptionRefusedError
 from firworks.gateway.suspensions import Suspensions
 from firworks.gateway.target_selection import TargetSelection
 from firworks.kernel.forwarding.admission import (
     compute_caller_timeout_s,
-    compute_stall_limit_s,
 )
-from firworks.kernel.forwarding.event_stream import EventSplitter, EventTooLongError
-from firworks.kernel.forwarding.features import StreamProof
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
     FAILED,
@@ -42,8 +39,6 @@
 # The target may have closed connections that idled longer, so that a request sent on
 # them fails after it was sent; non-repeatable requests do not use them.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
-# Larger responses are forwarded while they are read.
-MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
 INPUT_STATUSES = (400, 409)
 
 
@@ -59,6 +54,7 @@
         self._clock = gateway.clock
         self._selection = TargetSelection(gateway)
         self._suspensions = Suspensions(gateway.crashes)
+        self._forwarder = ResponseForwarder(gateway)
 
     async def serve(self, context):
         """Forward a request; return its response (aiohttp StreamResponse).
@@ -130,7 +126,7 @@
         """Forward the target's own error response, if any, or generate one."""
         if failure.answer is not None and context.response is None:
             exchange, body = failure.answer
-            return await self._send_buffered(context, exchange, body)
+            return await self._forwarder.send_buffered(context, exchange, body)
         return self._reject(context, code, failure.detail)
 
     def _decide_retry(self, context, failure):
@@ -341,10 +337,10 @@
             exchange.finish()
             self._raise_failure(exchange, body)
         if not 200 <= exchange.status < 300 or not context.admitted.route.streaming:
-            return await self._forward_buffered(context, exchange)
+            return await self._forwarder.forward_buffered(context, exchange)
         if note_begun is not None:
             note_begun()
-        return await self._forward_events(context, exchange)
+        return await self._forwarder.forward_events(context, exchange)
 
     def _is_mismatched(self, context, exchange):
         """Return whether a response belongs to another request."""
@@ -378,94 +374,6 @@
             raise AttemptError(NOT_RUN, True, detail, misdirected=exchange.misdirected)
         raise AttemptError(FAILED, True, detail, (exchange, body))
 
-    async def _forward_buffered(self, context, exchange):
-        """Forward a response after it was read completely, unless it is too large."""
-        parts, size = [], 0
-        while part := await exchange.read_chunk():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BUFFERED_RESPONSE_BYTES:
-                return await self._forward_unbuffered(context, exchange, parts)
-        exchange.finish()
-        self._record_answer(context, exchange)
-        return await self._send_buffered(context, exchange, b"".join(parts))
-
-    def _record_answer(self, context, exchange):
-        """Clear a request of suspicion, and if it was successful, its parts."""
-        context.part_trial = ()
-        answered = context.features if exchange.status < 300 else context.features[:1]
-        if exchange.is_framed:
-            self._gateway.crashes.record_answer(answered)
-        else:
-            self._gateway.crashes.checks.confirm(exchange.target, answered)
-
-    async def _send_buffered(self, context, exchange, body):
-        response = make_forwarded_response(exchange, len(body))
-        await self._start_response(context, response)
-        await response.write_eof(body)
-        return response
-
-    async def _forward_unbuffered(self, context, exchange, parts):
-        response = make_forwarded_response(exchange, None)
-        await self._start_response(context, response)
-        for part in parts:
-            await response.write(part)
-        while part := await exchange.read_chunk():
-            await response.write(part)
-        exchange.finish()
-        self._record_answer(context, exchange)
-        await response.write_eof()
-        return response
-
-    async def _start_response(self, context, response):
-        context.response = response
-        first_s = self._clock() - context.admitted.arrived_s
-        context.first_s = round(first_s, 3)
-        route = context.admitted.route.name
-        self._gateway.metrics.record_first_byte(route, first_s)
-        self._gateway.prepare_response(context.http, response)
-        await response.prepare(context.http)
-
-    async def _forward_events(self, context, exchange):
-        """Forward an event stream, by complete events."""
-        splitter = EventSplitter(context.last_event_id)
-        if context.response is None:
-            await self._start_response(context, make_forwarded_response(exchange, None))
-        limit_s, waited_s = compute_stall_limit_s(context.admitted.route), 0.0
-        proof = StreamProof()
-        while True:
-            started_s = self._clock()
-            part = await self._read_with_timeout(exchange, limit_s - waited_s)
-            waited_s += self._clock() - started_s
-            if not part:
-                break
-            try:
-                events = splitter.feed(part)
-            except EventTooLongError as error:
-                raise AttemptError(BROKEN, True, str(error)) from error
-            if events:
-                waited_s = 0.0
-                if proof.record_events(self._clock()):
-                    self._gateway.crashes.record_answer(context.parts)
-                self._gateway.stream_versions.record_event(context)
-                await context.response.write(events)
-                context.last_event_id = splitter.last_id
-        if splitter.has_partial_event:
-            raise AttemptError(BROKEN, True, "stream ended inside an event")
-        exchange.finish()
-        self._record_answer(context, exchange)
-        await context.response.write_eof()
-        return context.response
-
-    async def _read_with_timeout(self, exchange, limit_s):
-        """Return the next bytes of a stream; raise `AttemptError` on time-out."""
-        try:
-            async with asyncio.timeout(limit_s):
-                return await exchange.read_chunk()
-        except TimeoutError as error:
-            detail = "no complete event in time"
-            raise AttemptError(BROKEN, True, detail, silent=True) from error
-
     def _handle_timeout(self, context):
         detail = "deadline exceeded"
         if context.response is not None:
--- /dev/null
+++ b/firworks/gateway/response_forwarding.py
@@ -0,0 +1,113 @@
+"""Forwards the responses of targets to callers."""
+
+import asyncio
+
+from firworks.gateway.answers import make_forwarded_response
+from firworks.kernel.forwarding.admission import compute_stall_limit_s
+from firworks.kernel.forwarding.event_stream import EventSplitter, EventTooLongError
+from firworks.kernel.forwarding.features import StreamProof
+from firworks.kernel.forwarding.outcomes import BROKEN, AttemptError
+
+# Larger responses are forwarded while they are read.
+MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
+
+
+class ResponseForwarder:
+    """Forwards the response of an exchange to the caller of a request.
+
+    Args:
+        gateway (Gateway): Provides metrics, and records what responses show.
+    """
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self._clock = gateway.clock
+
+    async def forward_buffered(self, context, exchange):
+        """Forward a response after it was read completely, unless it is too large."""
+        parts, size = [], 0
+        while part := await exchange.read_chunk():
+            parts.append(part)
+            size += len(part)
+            if size > MAX_BUFFERED_RESPONSE_BYTES:
+                return await self._forward_unbuffered(context, exchange, parts)
+        exchange.finish()
+        self._record_answer(context, exchange)
+        return await self.send_buffered(context, exchange, b"".join(parts))
+
+    def _record_answer(self, context, exchange):
+        """Clear a request of suspicion, and if it was successful, its parts."""
+        context.part_trial = ()
+        answered = context.features if exchange.status < 300 else context.features[:1]
+        if exchange.is_framed:
+            self._gateway.crashes.record_answer(answered)
+        else:
+            self._gateway.crashes.checks.confirm(exchange.target, answered)
+
+    async def send_buffered(self, context, exchange, body):
+        """Send a response whose body (bytes) was read completely."""
+        response = make_forwarded_response(exchange, len(body))
+        await self._start_response(context, response)
+        await response.write_eof(body)
+        return response
+
+    async def _forward_unbuffered(self, context, exchange, parts):
+        response = make_forwarded_response(exchange, None)
+        await self._start_response(context, response)
+        for part in parts:
+            await response.write(part)
+        while part := await exchange.read_chunk():
+            await response.write(part)
+        exchange.finish()
+        self._record_answer(context, exchange)
+        await response.write_eof()
+        return response
+
+    async def _start_response(self, context, response):
+        context.response = response
+        first_s = self._clock() - context.admitted.arrived_s
+        context.first_s = round(first_s, 3)
+        route = context.admitted.route.name
+        self._gateway.metrics.record_first_byte(route, first_s)
+        self._gateway.prepare_response(context.http, response)
+        await response.prepare(context.http)
+
+    async def forward_events(self, context, exchange):
+        """Forward an event stream, by complete events."""
+        splitter = EventSplitter(context.last_event_id)
+        if context.response is None:
+            await self._start_response(context, make_forwarded_response(exchange, None))
+        limit_s, waited_s = compute_stall_limit_s(context.admitted.route), 0.0
+        proof = StreamProof()
+        while True:
+            started_s = self._clock()
+            part = await self._read_with_timeout(exchange, limit_s - waited_s)
+            waited_s += self._clock() - started_s
+            if not part:
+                break
+            try:
+                events = splitter.feed(part)
+            except EventTooLongError as error:
+                raise AttemptError(BROKEN, True, str(error)) from error
+            if events:
+                waited_s = 0.0
+                if proof.record_events(self._clock()):
+                    self._gateway.crashes.record_answer(context.parts)
+                self._gateway.stream_versions.record_event(context)
+                await context.response.write(events)
+                context.last_event_id = splitter.last_id
+        if splitter.has_partial_event:
+            raise AttemptError(BROKEN, True, "stream ended inside an event")
+        exchange.finish()
+        self._record_answer(context, exchange)
+        await context.response.write_eof()
+        return context.response
+
+    async def _read_with_timeout(self, exchange, limit_s):
+        """Return the next bytes of a stream; raise `AttemptError` on time-out."""
+        try:
+            async with asyncio.timeout(limit_s):
+                return await exchange.read_chunk()
+        except TimeoutError as error:
+            detail = "no complete event in time"
+            raise AttemptError(BROKEN, True, detail, silent=True) from error
