--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -183,7 +183,8 @@
         Returns:
             bool: Whether the current request is refused.
         """
-        if not self.repeat_refusal_after:
+        if not self.repeat_refusal_after or self.limit is not None:
+            # A response without the limit of a target ends that limit.
             return False
         number = self._counts[writer] = self._counts.get(writer, -1) + 1
         if number in (0, self.repeat_refusal_after):
