--- a/review/lab.py
+++ b/review/lab.py
@@ -76,10 +76,10 @@
     """Return a body (bytes) that has a length or chunks."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         parts = []
-        while size := int((await reader.readline()).split(b";")[0], 16):
+        while size := int((await reader.readuntil(b"\n")).split(b";")[0], 16):
             parts.append(await reader.readexactly(size))
             await reader.readexactly(2)
-        await reader.readline()
+        await reader.readuntil(b"\n")
         return b"".join(parts)
     return await reader.readexactly(int(headers.get("content-length", 0)))
 
