--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,6 @@
 """All keys are taken away, one by one, while clients go on with theirs."""
 
 import asyncio
-from pathlib import Path
 
 from lab import (
     CONFIG_APPLY_S,
@@ -112,4 +111,4 @@
     return breaks if ran else None
 
 
-run_case(Path(__file__).resolve().parent, play)
+run_case(play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-from pathlib import Path
 
 from lab import (
     GRACE_S,
@@ -158,4 +157,4 @@
     return breaks
 
 
-run_case(Path(__file__).resolve().parent, play)
+run_case(play)
--- a/review/lab.py
+++ b/review/lab.py
@@ -356,12 +356,15 @@
     """The deployment of one case.
 
     Args:
-        folder (Path): Folder of the case, where `record.txt` is written.
+        record_path (Path): The file that tells what was sent, answered and run.
+
+    Attributes:
+        trouble (bool): Whether the disruption is played; not with TROUBLE=0.
     """
 
-    def __init__(self, folder):
+    def __init__(self, record_path):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.record = Record(folder / "record.txt")
+        self.record = Record(record_path)
         self.store = PlatformStore()
         self.servers = []
         self.gateways = []
@@ -473,19 +476,20 @@
         return one.getsockname()[1]
 
 
-def run_case(folder, play):
+def run_case(play):
     """Run a case and exit with ``HELD``, ``BROKEN`` or ``NOT_RUN``.
 
+    The first argument of the command is the path of the record.
+
     Args:
-        folder (Path): Folder of the case.
         play (callable): Coroutine function; gets the `Lab`, returns the breaks (list of
             str), or None if what the case needs did not come about.
     """
-    sys.exit(asyncio.run(_run_case(folder, play)))
+    sys.exit(asyncio.run(_run_case(Path(sys.argv[1]), play)))
 
 
-async def _run_case(folder, play):
-    lab = Lab(folder)
+async def _run_case(record_path, play):
+    lab = Lab(record_path)
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
