--- a/review/lab.py
+++ b/review/lab.py
@@ -32,6 +32,9 @@
 CONFIG_APPLY_S = 2.0
 # Exit codes, which run.sh translates; an exception of Python exits with 1.
 HELD, NOT_RUN, BROKEN = 0, 2, 3
+PORTS_PER_SCRIPT, SCRIPTS = 100, 120
+_first_port = 20_000 + os.getpid() % SCRIPTS * PORTS_PER_SCRIPT
+_ports = iter(range(_first_port, _first_port + PORTS_PER_SCRIPT))
 
 
 class LabError(Exception):
@@ -470,10 +473,19 @@
 
 
 def find_free_port():
-    """Return a port that nothing listens on."""
-    with socket.socket() as one:
-        one.bind((LOOPBACK, 0))
-        return one.getsockname()[1]
+    """Return a port that nothing listens on, from a range of this script's own.
+
+    The ports lie below those that outgoing connections are given. A gateway that is
+    down would lose its port to one of them, or to a gateway of another script.
+    """
+    for port in _ports:
+        with socket.socket() as one:
+            try:
+                one.bind((LOOPBACK, port))
+            except OSError:
+                continue  # something listens there
+        return port
+    raise LabError("no port is free")
 
 
 def run_case(play):
