End the connections of a draining firworksd with their next response

Evidence: the new test of TestDaemonConnections and that of the action in test_requests.py failed before.

Why it works: the kernel's action at the start of a drain makes each response that has not begun the last one of its connection.

--- a/firworks/kernel/callers.py
+++ b/firworks/kernel/callers.py
@@ -61,6 +61,12 @@
     __slots__ = ("lookup_id", "token", "request_id")
 
 
+class EndConnections(Action):
+    """Make each response that has not begun the last one of its connection."""
+
+    __slots__ = ()
+
+
 class SendChunk(Action):
     """Send `tokens` of the response; `offset` is the position of the first one."""
 
--- a/firworks/kernel/requests.py
+++ b/firworks/kernel/requests.py
@@ -12,6 +12,7 @@
 )
 from firworks.kernel.callers import (
     CallerDisconnected,
+    EndConnections,
     RequestArrived,
     ResultLookupRequested,
 )
@@ -129,7 +130,7 @@
     @handle.register
     def _(self, event: DrainStarted, now):
         self.draining = True
-        return []
+        return [EndConnections()]
 
     @handle.register
     def _(self, event: DrainExpired, now):
--- a/firworks/plugins/http_callers.py
+++ b/firworks/plugins/http_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from functools import singledispatchmethod
 
 from aiohttp.web import Response, ServerRunner, StreamResponse, TCPSite
 
@@ -12,6 +13,7 @@
     RAN_NO,
     RAN_UNKNOWN,
     CallerDisconnected,
+    EndConnections,
     FinishResponse,
     ResultLookupRequested,
     SendChunk,
@@ -45,13 +47,14 @@
         port (int): The bound port, once started.
     """
 
-    ACTIONS = (SendChunk, FinishResponse)
+    ACTIONS = (SendChunk, FinishResponse, EndConnections)
 
     def __init__(self, context):
         super().__init__(context)
         self._exchanges = {}
         self._request_numbers = itertools.count(1)
         self._runner = None
+        self._ends_connections = False
         self._host, port = context.settings.callers.rsplit(":", 1)
         self.port = int(port)
 
@@ -80,23 +83,43 @@
             self._runner = None
 
     def carry_out(self, action):
-        """Pass a chunk or the final response to the request that waits for it."""
-        exchange = self._exchanges.get(action.request_id)
-        if exchange is None:
-            return
-        if isinstance(action, SendChunk):
-            exchange.add_chunk(action)
-        else:
-            exchange.end(action)
+        """Execute an action of the kernel."""
+        self._carry_out(action)
+
+    @singledispatchmethod
+    def _carry_out(self, action):
+        raise TypeError(f"not an action of this adapter: {action!r}")
+
+    @_carry_out.register
+    def _(self, action: SendChunk):
+        if action.request_id in self._exchanges:
+            self._exchanges[action.request_id].add_chunk(action)
+
+    @_carry_out.register
+    def _(self, action: FinishResponse):
+        if action.request_id in self._exchanges:
+            self._exchanges[action.request_id].end(action)
+
+    @_carry_out.register
+    def _(self, action: EndConnections):
+        self._ends_connections = True
+
+    def prepare_response(self, response):
+        """While the daemon drains, close the connection after a response."""
+        if self._ends_connections:
+            response.force_close()
 
     async def _serve(self, request):
         request.protocol.begin_request()
         try:
-            return await self._route(request)
+            response = await self._route(request)
         except RequestError as error:
             return _make_error_response(request, error)
         finally:
             request.protocol.end_request()
+        if not response.prepared:
+            self.prepare_response(response)
+        return response
 
     async def _route(self, request):
         if request.path.startswith(PIPELINES_PATH):
@@ -135,7 +158,7 @@
                 self.context.feed(CallerDisconnected(request_id))
 
     async def _stream(self, request, request_id, exchange):
-        writer = EventStreamWriter(request, request_id)
+        writer = EventStreamWriter(request, request_id, self.prepare_response)
         while exchange.final_response is None:
             await exchange.wait()
             if exchange.final_response is None:
@@ -202,13 +225,15 @@
     Args:
         request (aiohttp.web.BaseRequest): The caller's request.
         request_id (str): Sent in the ``Firworks-Request-Id`` header.
+        prepare (callable): ``prepare(response)``, called before a response begins.
 
     Attributes:
         response (StreamResponse): None until the first event is written.
     """
 
-    def __init__(self, request, request_id):
+    def __init__(self, request, request_id, prepare):
         self.response = None
+        self._prepare = prepare
         self._request = request
         self._request_id = request_id
         self._sent_tokens = []
@@ -255,6 +280,7 @@
                 "Firworks-Request-Id": self._request_id,
             }
         )
+        self._prepare(self.response)
         await self.response.prepare(self._request)
 
 
--- a/firworks/tests/test_drains.py
+++ b/firworks/tests/test_drains.py
@@ -9,6 +9,7 @@
 
 from firworks.codes import Code
 from firworks.gateway.response_forwarding import MAX_BUFFERED_RESPONSE_BYTES
+from firworks.kernel.fleet.events import DrainStarted
 from firworks.kernel.forwarding import drains
 from firworks.kernel.forwarding.drains import (
     DURATION_MARGIN,
@@ -16,16 +17,19 @@
     DrainPlan,
     ResponseDurations,
 )
+from firworks.publication import publish
 from firworks.standins.platform_targets import EVENTS, make_event
-from firworks.standins.site import find_free_port
+from firworks.standins.site import Site, find_free_port
 from firworks.standins.web import LOOPBACK
 from firworks.tests.gateway_testbed import (
     HOST,
     KEY,
+    TEST_TIMEOUT_S,
     make_configuration,
     play,
     wait_until,
 )
+from firworks.tests.kit import TOKEN, make_document, make_document_bytes
 
 GRACE_S = 8.0
 STREAM_S, STREAM_TIMEOUT_S = 4.7, 15.0
@@ -185,6 +189,12 @@
         await wait_until(lambda one=gateway: one.configuration.version == 2)
 
 
+async def bound_time(scenario):
+    """Run a scenario within ``TEST_TIMEOUT_S``."""
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        await scenario
+
+
 async def begin_drain(gateway):
     """Start to drain a gateway and wait until it closes idle connections."""
     drain = asyncio.ensure_future(gateway.drain())
@@ -411,6 +421,37 @@
             await self.child.wait()
 
 
+class TestDaemonConnections:
+    """The same for `firworksd`, which refuses all requests once it drains."""
+
+    def test_a_kept_connection_ends_with_the_first_refusal(self):
+        # Callers went on with it, and were refused until the process ended.
+        async def scenario():
+            site = Site(make_document(), tokens=20, interval_s=0.02)
+            await site.start()
+            try:
+                await publish(site.open_log(), "production", make_document_bytes())
+                daemon = await site.start_daemon("d1")
+                await wait_until(lambda: daemon.ready)
+                async with Caller(daemon.caller_port) as caller:
+                    headers = {"Authorization": f"Bearer {TOKEN}"}
+                    stream = {"Accept": "text/event-stream", **headers}
+                    caller.send("/v1/pipelines/ask", body=b'{"q": 1}', **stream)
+                    status, answered = await caller.read_head()
+                    assert status == 200 and "connection" not in answered
+                    daemon.feed(DrainStarted())
+                    assert await caller.read_body(answered)
+                    caller.send("/v1/pipelines/look", **headers)
+                    status, answered, body = await caller.read()
+                    assert json.loads(body)["code"] == Code.DRAINING
+                    assert (status, answered["connection"]) == (503, "close")
+                    assert await caller.read_end() == b""
+            finally:
+                await site.stop()
+
+        asyncio.run(bound_time(scenario()))
+
+
 class TestProcess:
     DRAIN_LIMIT_S = 3.0
     # Half of the limit, and the time in which late requests arrive.
--- a/firworks/tests/test_requests.py
+++ b/firworks/tests/test_requests.py
@@ -8,6 +8,7 @@
 from firworks.kernel.answers import CompleteResponse, encode_response
 from firworks.kernel.callers import (
     CallerDisconnected,
+    EndConnections,
     FinishResponse,
     ResultLookupRequested,
     SendChunk,
@@ -450,7 +451,7 @@
 class TestDrain:
     def test_streams_in_progress_complete_and_new_requests_are_refused(self, harness):
         call = start_generate(harness)
-        harness.feed(DrainStarted())
+        assert harness.feed(DrainStarted()) == [EndConnections()]
         assert not harness.requests.ready
         ending, _ = harness.arrive("r2", "look")
         assert (ending.code, ending.ran) == (Code.DRAINING, "no")
