Require API keys as soon as there are client accounts

Cause: whether keys are needed was derived from the table of valid keys, which is empty when client accounts have none.

Event 906 tells how many keys are valid, so that 401 for everybody can be explained.

--- a/firworks/gateway/state.py
+++ b/firworks/gateway/state.py
@@ -105,8 +105,13 @@
             return
         if self.holder.apply_if_newer(configuration):
             self._record = data
-            version = configuration.version
-            log_event(LogEvent.CONFIGURATION_APPLIED, version=version, source=source)
+            log_event(
+                LogEvent.CONFIGURATION_APPLIED,
+                version=configuration.version,
+                source=source,
+                needs_keys=configuration.requires_keys,
+                keys=len(configuration.accounts_by_key),
+            )
             self._on_change(configuration)
 
     def get_record_after(self, version):
--- a/firworks/kernel/forwarding/configuration.py
+++ b/firworks/kernel/forwarding/configuration.py
@@ -140,9 +140,10 @@
     Attributes:
         name (str): Unique in the configuration.
         priority (int or None): Overrides the priority of the route.
+        keys (tuple of str): Its valid API keys; none while all are revoked.
     """
 
-    __slots__ = ("name", "priority")
+    __slots__ = ("name", "priority", "keys")
 
 
 class Configuration:
@@ -153,8 +154,12 @@
         routes (iterable of Route): In any order.
         services (iterable of Service): In any order.
         limits (CallerLimits): Limits for callers' requests.
+        accounts (iterable of Account): The client accounts.
+
+    Attributes:
         accounts_by_key (dict of str to Account): Client accounts by valid API key.
-        requires_keys (bool): Requests need an API key unless their route is public.
+        requires_keys (bool): Requests need an API key unless their route is public. So
+            it is as soon as there are client accounts, even if none has a valid key.
     """
 
     __slots__ = (
@@ -167,15 +172,14 @@
         "_by_host",
     )
 
-    def __init__(
-        self, version, routes, services, limits, accounts_by_key, requires_keys
-    ):
+    def __init__(self, version, routes, services, limits, accounts):
         self.version = version
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
         self.limits = limits
-        self.accounts_by_key = accounts_by_key
-        self.requires_keys = requires_keys
+        accounts = tuple(accounts)
+        self.accounts_by_key = {key: one for one in accounts for key in one.keys}
+        self.requires_keys = bool(accounts)
         self._by_host = {}
         for route in self.routes:
             self._by_host.setdefault(route.host, []).append(route)
--- a/firworks/platform/configuration.py
+++ b/firworks/platform/configuration.py
@@ -36,8 +36,8 @@
     routes = [_decode_route(row) for row in get_objects(fields, "routes")]
     services = [_decode_service(row) for row in get_objects(fields, "services")]
     limits = _decode_limits(get_object(fields, "limits"))
-    accounts = _decode_accounts(get_objects(fields, "tenants"))
-    return Configuration(version, routes, services, limits, accounts, bool(accounts))
+    accounts = [_decode_account(row) for row in get_objects(fields, "tenants")]
+    return Configuration(version, routes, services, limits, accounts)
 
 
 def _decode_route(row):
@@ -118,13 +118,10 @@
     )
 
 
-def _decode_accounts(rows):
-    by_key = {}
-    for row in rows:
-        priority = row.get("priority")
-        account = Account(
-            get_string(row, "name"), priority if type(priority) is int else None
-        )
-        for key in get_list(row, "api-keys"):
-            by_key[check_text(key, "api-keys")] = account
-    return by_key
+def _decode_account(row):
+    priority = row.get("priority")
+    return Account(
+        name=get_string(row, "name"),
+        priority=priority if type(priority) is int else None,
+        keys=tuple(check_text(key, "api-keys") for key in get_list(row, "api-keys")),
+    )
