Decide at admission whether a request's Authorization is an API key

Callers saw: nothing. A target got the caller's key (UNASKED): a request that waited for its stages while the client accounts were removed took its Authorization header along.

Cause: the header was removed by the configuration at the time of the send, while the request had been admitted, and its account found, by an earlier one.

Why it works: the admitted request keeps what its configuration said; a newer one can only remove the header as well.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -326,7 +326,7 @@
             context.http.raw_headers,
             length,
             own,
-            configuration.requires_keys,
+            admitted.has_key or configuration.requires_keys,
         )
 
     async def _handle_response(self, context, exchange, note_begun):
--- a/firworks/kernel/forwarding/admission.py
+++ b/firworks/kernel/forwarding/admission.py
@@ -22,6 +22,7 @@
         request (CallerRequest): The request.
         route (Route): The route that it matches.
         account (Account or None): The client account that sent it.
+        has_key (bool): Its Authorization header is an API key, if there is one.
         priority (int): 0 is the most urgent.
         version (int): Version of the configuration that was applied.
         arrived_s (float): Arrival time, monotonic seconds, as the others below.
@@ -35,6 +36,7 @@
         "request",
         "route",
         "account",
+        "has_key",
         "priority",
         "version",
         "arrived_s",
@@ -74,6 +76,7 @@
         request,
         route,
         account,
+        configuration.requires_keys,
         priority,
         configuration.version,
         now,
--- a/firworks/tests/test_api_keys.py
+++ b/firworks/tests/test_api_keys.py
@@ -146,6 +146,45 @@
         play(scenario)
 
 
+class TestKeysOfWaitingRequests:
+    STAGED = {
+        **{"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"},
+        **{"X-Pieces": "1,1", "X-Piece-Key": "k"},
+    }
+
+    @pytest.mark.parametrize(
+        ("before", "account"),
+        [(None, "club"), ([], None)],
+        ids=["needed", "not needed"],
+    )
+    def test_no_key_reaches_a_target_while_accounts_come_or_go(self, before, account):
+        # A request that waited for its stages took the caller's key along.
+        accounts = make_configuration()["tenants"]
+
+        async def scenario(testbed):
+            (gateway,) = testbed.gateways
+            if before is not None:
+                await apply(testbed, [gateway], tenants=before)
+            for target in testbed.targets.values():
+                target.fault = "hang" if target.service == "repair" else ""
+            request = asyncio.ensure_future(
+                testbed.send_request("/advice/a", "POST", body=b"", **self.STAGED)
+            )
+            await wait_until(lambda: gateway.pools.busy)
+            after = [] if before is None else accounts
+            await apply(testbed, [gateway], tenants=after)
+            for target in testbed.targets.values():
+                target.fault = ""
+                for writer in list(target._writers):
+                    writer.transport.abort()
+            assert (await request)[0] == 200
+            (received,) = list_received(testbed, "/advice/a")
+            assert "authorization" not in received
+            assert received.get("x-tenant") == account
+
+        play(scenario)
+
+
 class TestDaemonTokens:
     """`firworksd` has no configuration in which requests need no token."""
 
