Limit the memory of all responses that a gateway holds together

Callers saw (reported by operators, shown here with a process): a faulty target answers many requests at once with bytes that do not end; the gateway grows to 504 MB with 200 such responses, a VM has 200 MB, so that the process would end and with it the requests of all other callers.

Cause: each response had a limit of 1 MiB, all together had none. The bytes held before a large response is passed on were kept until its end, and each connection read up to 0.4 MB ahead.

Why it works: the kernel counts the bytes held of all responses and grants 64 KiB to each and 32 MiB to all together. What exceeds that is passed on while it is read, with backpressure, or broken off if it may not be. Small responses are held as before, so that they can be retried.

--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -10,6 +10,7 @@
 
 from firworks.decoding import parse_integer
 from firworks.errors import CodecError
+from firworks.kernel.forwarding.buffers import ResponseBuffers
 from firworks.sockets import enable_dead_peer_detection
 
 CONNECT_TIMEOUT_S = 0.5
@@ -26,6 +27,9 @@
 MIN_PARSE_COST_BYTES = 64
 # Bytes after a complete response are read up to this limit; then reading pauses.
 MAX_SURPLUS_BYTES = 65_536
+# Reading pauses while twice as much of a body is unread.
+READ_BUFFER_BYTES = 32_768
+MAX_READ_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
 HEAD_END = b"\r\n\r\n"
 
@@ -74,6 +78,11 @@
         """Whether all written bytes have been handed to the kernel."""
         return self.transport is None or not self.transport.get_write_buffer_size()
 
+    def connection_made(self, transport):
+        """Limit the bytes of one read, 256 KiB by default."""
+        super().connection_made(transport)
+        transport.max_size = MAX_READ_BYTES
+
     def data_received(self, data):
         """Process bytes received from the target."""
         self.last_received_s = self._clock()
@@ -182,6 +191,7 @@
             skip_payload=self._skip_body,
             read_until_eof=True,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
         )
@@ -192,10 +202,12 @@
 
     Attributes:
         opened (int): Connection attempts since the start.
+        buffers (ResponseBuffers): Counts the bytes held of all responses.
     """
 
     def __init__(self):
         self.opened = 0
+        self.buffers = ResponseBuffers()
         self._idle = {}
         self._open = {}
 
--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -5,14 +5,14 @@
 from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
 
+from firworks.gateway.bodies import HeldBody
 from firworks.gateway.connections import ConnectError
 from firworks.kernel.forwarding.outcomes import BROKEN, NOT_RUN, AttemptError
 from firworks.platform.headers import NOT_RUN as NOT_RUN_HEADER
 from firworks.platform.headers import REQUEST_ID, read_keep_alive_s
 from firworks.platform.targets import MISDIRECTED
 
-# Limit of buffered response bodies; that of a stage call lists some hundred results.
-MAX_BUFFERED_BODY_BYTES = 1_048_576
+MAX_CHUNK_BYTES = 65_536
 # A healthy target that has started a request mostly sends data within this time.
 STALL_THRESHOLD_S = 0.5
 BROKEN_ERRORS = (ClientError, HttpProcessingError, OSError)
@@ -131,7 +131,7 @@
             AttemptError: When the body ends early.
         """
         try:
-            part = await self._payload.readany()
+            part = await self._payload.read(MAX_CHUNK_BYTES)
             self._last_progress_s = self._clock()
             return part
         except BROKEN_ERRORS as error:
@@ -147,19 +147,19 @@
         """Return the complete body (bytes).
 
         Raises:
-            AttemptError: When it is truncated or over ``MAX_BUFFERED_BODY_BYTES``.
+            AttemptError: When it is truncated or too large to be held.
         """
-        parts, size = [], 0
-        while part := await self.read_chunk():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BUFFERED_BODY_BYTES:
-                self.abort()
-                detail = (
-                    f"status {self.status}, body over {MAX_BUFFERED_BODY_BYTES} bytes"
-                )
-                raise AttemptError(BROKEN, True, detail)
-        return b"".join(parts)
+        with self.hold_body() as body:
+            while part := await self.read_chunk():
+                if not body.add(part):
+                    self.abort()
+                    detail = f"status {self.status}, body over {body.size} bytes"
+                    raise AttemptError(BROKEN, True, detail)
+            return body.join()
+
+    def hold_body(self):
+        """Return an empty `HeldBody` for the response."""
+        return HeldBody(self._connections.buffers)
 
     def finish(self):
         """Return the connection to the pool, which closes it if it is not reusable.
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -94,6 +94,9 @@
         self.connections = self._gauge(
             "target_connections_opened", "Connections opened to targets so far."
         )
+        self.bytes_held = self._gauge(
+            "response_bytes_held", "Bytes held of responses that are not complete."
+        )
         self.members = self._gauge("members", "Daemons known, this one included.")
         self.in_progress = self._gauge("answers_in_progress", "Requests in progress.")
         self.queued = self._gauge("stage_pieces_queued", "Pieces that wait for a call.")
@@ -116,6 +119,7 @@
         self.store_calls.set(gateway.store.calls)
         self.store_bytes.set(gateway.store.read_bytes)
         self.connections.set(gateway.connections.opened)
+        self.bytes_held.set(gateway.connections.buffers.shared_bytes)
         self.members.set(gateway.roster.count)
         self.in_progress.set(gateway.callers.in_progress)
         requests, parts = gateway.crashes.count_quarantined()
--- a/firworks/gateway/response_forwarding.py
+++ b/firworks/gateway/response_forwarding.py
@@ -8,9 +8,6 @@
 from firworks.kernel.forwarding.features import StreamProof
 from firworks.kernel.forwarding.outcomes import BROKEN, AttemptError
 
-# Larger responses are forwarded while they are read.
-MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
-
 
 class ResponseForwarder:
     """Forwards the response of an exchange to the caller of a request.
@@ -25,15 +22,13 @@
 
     async def forward_buffered(self, context, exchange):
         """Forward a response after it was read completely, unless it is too large."""
-        parts, size = [], 0
-        while part := await exchange.read_chunk():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BUFFERED_RESPONSE_BYTES:
-                return await self._forward_unbuffered(context, exchange, parts)
-        exchange.finish()
-        self._record_answer(context, exchange)
-        return await self.send_buffered(context, exchange, b"".join(parts))
+        with exchange.hold_body() as body:
+            while part := await exchange.read_chunk():
+                if not body.add(part):
+                    return await self._forward_unbuffered(context, exchange, body)
+            exchange.finish()
+            self._record_answer(context, exchange)
+            return await self.send_buffered(context, exchange, body.join())
 
     def _record_answer(self, context, exchange):
         """Clear a request of suspicion, and if it was successful, its parts."""
@@ -51,12 +46,11 @@
         await response.write_eof(body)
         return response
 
-    async def _forward_unbuffered(self, context, exchange, parts):
+    async def _forward_unbuffered(self, context, exchange, body):
+        """Forward a response while it is read; the beginning (HeldBody) was read."""
         response = make_forwarded_response(exchange, None)
         await self._start_response(context, response)
-        for part in parts:
-            await response.write(part)
-        while part := await exchange.read_chunk():
+        while part := body.pop() or await exchange.read_chunk():
             await response.write(part)
         exchange.finish()
         self._record_answer(context, exchange)
--- a/firworks/tests/test_drains.py
+++ b/firworks/tests/test_drains.py
@@ -3,14 +3,13 @@
 import asyncio
 import json
 import signal
-import sys
 
 import pytest
 
 from firworks.codes import Code
-from firworks.gateway.response_forwarding import MAX_BUFFERED_RESPONSE_BYTES
 from firworks.kernel.fleet.events import DrainStarted
 from firworks.kernel.forwarding import drains
+from firworks.kernel.forwarding.buffers import MAX_RESPONSE_BYTES
 from firworks.kernel.forwarding.drains import (
     DURATION_MARGIN,
     DURATIONS_PER_ROUTE,
@@ -19,11 +18,9 @@
 )
 from firworks.publication import publish
 from firworks.standins.platform_targets import EVENTS, make_event
-from firworks.standins.site import Site, find_free_port
-from firworks.standins.web import LOOPBACK
+from firworks.standins.site import Site
+from firworks.tests.gateway_process import LONG_DEADLINE_MS, Caller, GatewayProcess
 from firworks.tests.gateway_testbed import (
-    HOST,
-    KEY,
     TEST_TIMEOUT_S,
     make_configuration,
     play,
@@ -35,69 +32,6 @@
 STREAM_S, STREAM_TIMEOUT_S = 4.7, 15.0
 PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
 STREAM = b"".join(map(make_event, range(1, EVENTS + 1)))
-LONG_DEADLINE_MS = 60_000
-
-
-class Caller:
-    """Sends requests on one kept connection, as raw bytes.
-
-    Args:
-        port (int): Port of a gateway.
-    """
-
-    numbers = iter(range(1, 1_000_000))
-
-    def __init__(self, port):
-        self._port = port
-        self._reader = self._writer = None
-
-    async def __aenter__(self):
-        self._reader, self._writer = await asyncio.open_connection(LOOPBACK, self._port)
-        return self
-
-    async def __aexit__(self, *_):
-        self._writer.transport.abort()
-
-    def send(self, path, method="POST", body=b"{}", **more):
-        """Send a request without waiting for its response."""
-        headers = {
-            "Host": HOST,
-            "X-Request-Id": f"caller-{next(self.numbers)}",
-            "X-Deadline-Ms": LONG_DEADLINE_MS,
-            "Authorization": f"Bearer {KEY}",
-            "Content-Length": len(body),
-            **more,
-        }
-        rows = [f"{name}: {value}" for name, value in headers.items()]
-        head = "\r\n".join([f"{method} {path} HTTP/1.1", *rows, "", ""])
-        self._writer.write(head.encode() + body)
-
-    async def read_head(self):
-        """Return the status (int) and the headers (dict by lower-case name)."""
-        head = (await self._reader.readuntil(b"\r\n\r\n")).decode()
-        line, *rows = head.split("\r\n")[:-2]
-        headers = dict(row.lower().split(": ", 1) for row in rows)
-        return int(line.split()[1]), headers
-
-    async def read_body(self, headers):
-        """Return a complete body (bytes)."""
-        if headers.get("transfer-encoding") != "chunked":
-            return await self._reader.readexactly(int(headers["content-length"]))
-        parts = []
-        while size := int(await self._reader.readuntil(b"\r\n"), 16):
-            parts.append(await self._reader.readexactly(size))
-            await self._reader.readexactly(2)
-        await self._reader.readexactly(2)
-        return b"".join(parts)
-
-    async def read(self):
-        """Return status, headers and body of one response."""
-        status, headers = await self.read_head()
-        return status, headers, await self.read_body(headers)
-
-    async def read_end(self):
-        """Wait until the gateway closes the connection; return what came before."""
-        return await self._reader.read()
 
 
 class TestDrainPlan:
@@ -261,7 +195,7 @@
                 drain = await begin_drain(gateway)
                 gate.set()
                 body = await caller.read_body(answered)
-                assert len(body) > MAX_BUFFERED_RESPONSE_BYTES
+                assert len(body) > MAX_RESPONSE_BYTES
                 for target in testbed.targets.values():
                     target.fault = ""
                 caller.send("/book/b", **{"X-Deadline-Ms": 1_000})
@@ -380,47 +314,6 @@
         play(scenario, gateways=3)
 
 
-class GatewayProcess:
-    """A gateway as the platform starts it."""
-
-    def __init__(self, testbed, folder, drain_limit_s):
-        self.port = find_free_port()
-        names = ("readiness", "peers", "metrics")
-        table = {name: f"{LOOPBACK}:{find_free_port()}" for name in names}
-        table |= {"name": "gateway-p", "region": "r", "failure_domain": "fd-1"}
-        table |= {"drain_limit_s": drain_limit_s}
-        table |= {"callers": f"{LOOPBACK}:{self.port}", "store": testbed.store.address}
-        self._path = folder / "gateway-p.toml"
-        rows = [f"{key} = {json.dumps(value)}" for key, value in table.items()]
-        self._path.write_text("\n".join(rows))
-        self.child = None
-
-    async def start(self):
-        """Start the process and wait until it serves requests."""
-        self.child = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *("-m", "firworks.gateway", str(self._path)),
-            stdout=asyncio.subprocess.DEVNULL,
-            start_new_session=True,
-        )
-        while not await self._is_serving():
-            await asyncio.sleep(0.05)
-
-    async def _is_serving(self):
-        try:
-            async with Caller(self.port) as caller:
-                caller.send("/stock/a")
-                return (await caller.read())[0] == 200
-        except (OSError, asyncio.IncompleteReadError):
-            return False
-
-    async def stop(self):
-        """End the process."""
-        if self.child is not None and self.child.returncode is None:
-            self.child.kill()
-            await self.child.wait()
-
-
 class TestDaemonConnections:
     """The same for `firworksd`, which refuses all requests once it drains."""
 
@@ -463,7 +356,9 @@
         # review/3, with shorter times. What was sent early and is still in progress at
         # the limit may be cut off.
         async def scenario(testbed):
-            process = GatewayProcess(testbed, tmp_path, self.DRAIN_LIMIT_S)
+            process = GatewayProcess(
+                tmp_path, testbed.store.address, drain_limit_s=self.DRAIN_LIMIT_S
+            )
             for target in testbed.targets.values():
                 target.pause_s = self.EVENT_S
             await lengthen_routes(testbed)
--- a/firworks/tests/test_endless_answers.py
+++ b/firworks/tests/test_endless_answers.py
@@ -3,13 +3,21 @@
 import asyncio
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from firworks.gateway.bodies import HeldBody
 from firworks.gateway.connections import (
     MAX_OVERHEAD_BYTES,
     MAX_SURPLUS_BYTES,
     TargetConnection,
 )
-from firworks.gateway.exchanges import MAX_BUFFERED_BODY_BYTES
+from firworks.kernel.forwarding.buffers import (
+    ASSURED_BYTES,
+    MAX_RESPONSE_BYTES,
+    MAX_SHARED_BYTES,
+    ResponseBuffers,
+)
 from firworks.kernel.forwarding.event_stream import (
     MAX_EVENT_BYTES,
     EventSplitter,
@@ -138,6 +146,48 @@
         asyncio.run(scenario())
 
 
+class TestResponseBuffers:
+    def test_many_endless_responses_share_a_limit(self):
+        buffers = ResponseBuffers()
+        bodies = [HeldBody(buffers) for _ in range(200)]
+        part = bytes(ASSURED_BYTES // 4)
+        growing = list(bodies)
+        while growing:
+            growing = [body for body in growing if body.add(part)]
+        held = sum(body.size for body in bodies)
+        assert held <= MAX_SHARED_BYTES + 200 * (ASSURED_BYTES + 2 * len(part))
+        for body in bodies:
+            with body:
+                while body.pop():
+                    pass
+        assert (buffers.shared_bytes, HeldBody(buffers).add(part)) == (0, True)
+
+    def test_small_responses_are_held_while_large_ones_use_up_the_limit(self):
+        buffers = ResponseBuffers()
+        large = HeldBody(buffers)
+        while large.add(bytes(ASSURED_BYTES)):
+            pass
+        assert large.size == MAX_RESPONSE_BYTES + ASSURED_BYTES
+        others = [HeldBody(buffers) for _ in range(64)]
+        for other in others:
+            other.add(bytes(MAX_RESPONSE_BYTES))
+        assert not HeldBody(buffers).add(bytes(2 * ASSURED_BYTES))
+        assert HeldBody(buffers).add(bytes(ASSURED_BYTES))
+
+    @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 2**20))))
+    def test_nothing_stays_counted_once_all_bodies_are_let_go(self, steps):
+        buffers = ResponseBuffers()
+        bodies = [HeldBody(buffers) for _ in range(4)]
+        for number, size in steps:
+            bodies[number].add(bytes(size))
+            if size % 3 == 0:
+                bodies[number].pop()
+        for body in bodies:
+            with body:
+                pass
+        assert buffers.shared_bytes == 0 and not any(body.size for body in bodies)
+
+
 class TestStore:
     def test_store_response_is_read_up_to_a_limit(self, monkeypatch):
         async def scenario(world):
@@ -214,7 +264,7 @@
             status, _, _ = await world.send_request("/advice/a", "POST", **headers)
             assert status == 200
             assert world.targets["repair-1"].endless_bytes < (
-                SOCKET_BUFFER_BYTES + MAX_BUFFERED_BODY_BYTES
+                SOCKET_BUFFER_BYTES + MAX_RESPONSE_BYTES
             )
 
         play(scenario)
