Limit each body that firworksd reads

Callers saw (reported by operators, shown here with a process): a service, the log or the VM list answers with bytes that do not end; the daemon keeps them all until its time limit, grows to 2.2, 3.1 and 3.8 GB within seconds, and would end with all other requests.

Cause: response.json() and response.read() hold a body of any size. Only the gateway and its store client had limits.

Why it works: all bodies are read by one function, which holds them within a limit of each response and the kernel's limit of all together, and gives up the connection beyond it. The gateway's store client uses it as well.

--- a/firworks/gateway/bodies.py
+++ b/firworks/bodies.py
@@ -1,7 +1,15 @@
 """Bodies of responses that are held in memory."""
 
+import json
 from collections import deque
 
+MAX_PART_BYTES = 65_536
+JSON_TYPE = "application/json"
+
+
+class BodyTooLargeError(ValueError):
+    """A response has a body that is too large to be held."""
+
 
 class HeldBody:
     """The part of a body that was read and is held; a context manager.
@@ -47,3 +55,33 @@
     def _resize(self, size):
         held, self.size = self.size, size
         return self._buffers.resize(held, size)
+
+
+async def read_body(response, buffers):
+    """Return the complete body (bytes) of a response that a client received.
+
+    Args:
+        response (ClientResponse): Its head was received.
+        buffers (ResponseBuffers): Limits the bytes held.
+
+    Raises:
+        BodyTooLargeError: When the body exceeds the limit; the connection closes when
+            the context of the response ends.
+    """
+    with HeldBody(buffers) as body:
+        async for part in response.content.iter_chunked(MAX_PART_BYTES):
+            if not body.add(part):
+                limit = min(body.size, buffers.max_response_bytes)
+                raise BodyTooLargeError(f"response exceeds {limit} bytes")
+        return body.join()
+
+
+async def read_json(response, buffers):
+    """Return the JSON value of a response; see `read_body`.
+
+    Raises:
+        ValueError: When the body is too large, of another type, or not valid JSON.
+    """
+    if response.content_type != JSON_TYPE:
+        raise ValueError(f"body of type {response.content_type}, not {JSON_TYPE}")
+    return json.loads(await read_body(response, buffers))
--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -10,7 +10,7 @@
 
 from firworks.decoding import parse_integer
 from firworks.errors import CodecError
-from firworks.kernel.forwarding.buffers import ResponseBuffers
+from firworks.kernel.buffers import ResponseBuffers
 from firworks.sockets import enable_dead_peer_detection
 
 CONNECT_TIMEOUT_S = 0.5
--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -5,7 +5,7 @@
 from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
 
-from firworks.gateway.bodies import HeldBody
+from firworks.bodies import HeldBody
 from firworks.gateway.connections import ConnectError
 from firworks.kernel.forwarding.outcomes import BROKEN, NOT_RUN, AttemptError
 from firworks.platform.headers import NOT_RUN as NOT_RUN_HEADER
--- a/firworks/kernel/forwarding/buffers.py
+++ b/firworks/kernel/buffers.py
@@ -5,7 +5,7 @@
 small VM, which ends the requests of all callers.
 """
 
-# A response is held completely up to this size.
+# A response is held completely up to this size, unless told otherwise.
 MAX_RESPONSE_BYTES = 1_048_576
 # So much of each response may be held at any time.
 ASSURED_BYTES = 65_536
@@ -16,13 +16,18 @@
 class ResponseBuffers:
     """Counts the bytes held of all responses.
 
+    Args:
+        max_response_bytes (int): Limit of each response.
+
     Attributes:
+        max_response_bytes (int): That limit.
         shared_bytes (int): Bytes held beyond what is assured to each response.
     """
 
-    __slots__ = ("shared_bytes",)
+    __slots__ = ("max_response_bytes", "shared_bytes")
 
-    def __init__(self):
+    def __init__(self, max_response_bytes=MAX_RESPONSE_BYTES):
+        self.max_response_bytes = max_response_bytes
         self.shared_bytes = 0
 
     def resize(self, held, size):
@@ -36,9 +41,9 @@
             bool: Whether it may hold more; if not, it must be passed on or given up.
         """
         self.shared_bytes += _count_shared(size) - _count_shared(held)
-        if size <= ASSURED_BYTES:
-            return True
-        return size <= MAX_RESPONSE_BYTES and self.shared_bytes <= MAX_SHARED_BYTES
+        if size > self.max_response_bytes:
+            return False
+        return size <= ASSURED_BYTES or self.shared_bytes <= MAX_SHARED_BYTES
 
 
 def _count_shared(size):
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -4,9 +4,11 @@
 
 import aiohttp
 
+from firworks.bodies import BodyTooLargeError, read_body
 from firworks.decoding import parse_integer
 from firworks.errors import CodecError, FirworksError
 from firworks.events import LogEvent, log_event
+from firworks.kernel.buffers import ResponseBuffers
 from firworks.kernel.forwarding.positions import MAX_ERA
 from firworks.platform.records import (
     Listing,
@@ -57,6 +59,9 @@
         self.first = first
 
 
+_FAILURES = (aiohttp.ClientError, OSError, TimeoutError, BodyTooLargeError)
+
+
 class StoreClient:
     """HTTP client of the platform's store.
 
@@ -167,10 +172,12 @@
                 async with self._session.request(
                     method, self._base + path, params=query, data=body
                 ) as response:
-                    data = await self._read_body(response)
+                    data = await read_body(
+                        response, ResponseBuffers(MAX_RESPONSE_BYTES)
+                    )
                     status = response.status
                     era = self._read_era(response.headers.get(ERA))
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _FAILURES as error:
             raise StoreError(f"{path}: {error!r}") from error
         self.read_bytes += len(data)
         if status == 410:
@@ -207,13 +214,3 @@
             return self.era
         self.note_era(era)
         return era
-
-    async def _read_body(self, response):
-        parts, size = [], 0
-        async for part in response.content.iter_any():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_RESPONSE_BYTES:
-                # Leaving the context before the response ends closes its connection.
-                raise StoreError(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
-        return b"".join(parts)
--- a/firworks/plugins/http_log.py
+++ b/firworks/plugins/http_log.py
@@ -5,14 +5,17 @@
 import aiohttp
 import cbor2
 
+from firworks.bodies import read_body, read_json
 from firworks.errors import CodecError, LogUnavailableError
 from firworks.events import LogEvent, log_event
+from firworks.kernel.buffers import ResponseBuffers
 from firworks.kernel.codec import decode_record, encode_record
 from firworks.kernel.messages import LogEntry, LogRead
 
 REQUEST_TIMEOUT_S = 2.0
 READ_LIMIT_ENTRIES = 100
 DECODE_LIMIT_BYTES = 65_536
+MAX_RESPONSE_BYTES = 33_554_432
 
 
 class HttpLog:
@@ -29,6 +32,7 @@
         self._url = url.rstrip("/")
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
         self._session = None
+        self._buffers = ResponseBuffers(MAX_RESPONSE_BYTES)
 
     async def append(self, stream, records):
         """Append records as one entry and return its offset.
@@ -48,7 +52,7 @@
         try:
             async with self._open().post(self._path(stream), data=body) as response:
                 _check_status(response)
-                result = await response.json()
+                result = await read_json(response, self._buffers)
                 return int(result["offset"])
         except _FAILURES as error:
             raise LogUnavailableError(f"append to {stream}: {error!r}") from error
@@ -75,7 +79,7 @@
             request = self._open().get(self._path(stream), params=params)
             async with request as response:
                 _check_status(response)
-                body = cbor2.loads(await response.read())
+                body = cbor2.loads(await read_body(response, self._buffers))
                 items = _limit_batch(body["entries"])
                 entries = tuple(_decode_entry(stream, item) for item in items)
                 return LogRead(stream, offset, body["oldest"], body["head"], entries)
--- a/firworks/plugins/http_orders.py
+++ b/firworks/plugins/http_orders.py
@@ -5,7 +5,9 @@
 import aiohttp
 
 from firworks.adapter import Adapter
+from firworks.bodies import read_json
 from firworks.events import LogEvent, log_event
+from firworks.kernel.buffers import ResponseBuffers
 from firworks.kernel.orders.records import (
     ORDER_ACCEPTED,
     ORDER_EXPIRED,
@@ -17,6 +19,7 @@
     OrderCompleted,
     OrderEngine,
 )
+from firworks.plugins.target_calls import MAX_TARGET_RESPONSE_BYTES
 
 INSPECT_TIMEOUT_S = 2.0
 HTTP_OK = 200
@@ -33,6 +36,7 @@
     def __init__(self, context):
         super().__init__(context)
         self._tasks = set()
+        self._buffers = ResponseBuffers(MAX_TARGET_RESPONSE_BYTES)
 
     async def stop(self):
         """Cancel the inspections and orders in flight."""
@@ -58,7 +62,8 @@
             async with _open(INSPECT_TIMEOUT_S) as session:
                 async with session.get(f"http://{address}/state") as response:
                     response.raise_for_status()
-                    event = _read_state(action.target, await response.json())
+                    body = await read_json(response, self._buffers)
+            event = _read_state(action.target, body)
         except _FAILURES as error:
             log_event(
                 LogEvent.STATE_UNREADABLE, target=action.target, error=repr(error)
--- a/firworks/plugins/http_services.py
+++ b/firworks/plugins/http_services.py
@@ -1,5 +1,6 @@
 """Adapter for services and stage pools that are called over HTTP."""
 
+from firworks.bodies import read_json
 from firworks.kernel.calls import CallCompleted
 from firworks.plugins.target_calls import (
     IDENTITY_HEADER,
@@ -21,7 +22,7 @@
         )
         async with request as response:
             check_status(response)
-            body = await response.json()
+            body = await read_json(response, self.buffers)
             echoed = response.headers.get(IDENTITY_HEADER, identity)
         self.context.feed(CallCompleted(action.call_id, echoed, body))
 
--- a/firworks/plugins/http_vms.py
+++ b/firworks/plugins/http_vms.py
@@ -6,13 +6,16 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from firworks.adapter import Adapter
+from firworks.bodies import read_json
 from firworks.decoding import describe_value
 from firworks.events import LogEvent, log_event
+from firworks.kernel.buffers import ResponseBuffers
 from firworks.kernel.messages import VmEntry, VmsListed
 
 POLL_PERIOD_S = 1.0
 POLL_TIMEOUT_S = 3.0
 BUDGET_BYTES_PER_S = 2_000.0
+MAX_LIST_BYTES = 8_388_608
 
 _TEXT_FIELDS = ("name", "address", "role", "region", "failure_domain")
 _ROLES = ("entry", "target")
@@ -37,6 +40,7 @@
         self._period_s = period_s
         self._task = None
         self._failing = False
+        self._buffers = ResponseBuffers(MAX_LIST_BYTES)
         self._etag = None
         self._vms = ()
 
@@ -65,7 +69,7 @@
                 response.raise_for_status()
                 size = response.content_length or 0
                 if response.status != HTTPStatus.NOT_MODIFIED:
-                    self._vms = parse_vms(await response.json())
+                    self._vms = parse_vms(await read_json(response, self._buffers))
                     self._etag = response.headers.get("ETag")
         except (ClientError, OSError, TimeoutError, ValueError) as error:
             self._record_failure(error)
--- a/firworks/plugins/target_calls.py
+++ b/firworks/plugins/target_calls.py
@@ -5,7 +5,9 @@
 import aiohttp
 
 from firworks.adapter import Adapter
+from firworks.bodies import read_json
 from firworks.events import LogEvent, log_event
+from firworks.kernel.buffers import ResponseBuffers
 from firworks.kernel.calls import (
     RESULT_CRASHED,
     RESULT_FAILED,
@@ -21,6 +23,8 @@
 PROBE_TIMEOUT_S = 0.5
 POLL_TIMEOUT_S = 1.0
 TOO_MANY_REQUESTS = 429
+# Limit of one response; that of an engine lists the events of its cache.
+MAX_TARGET_RESPONSE_BYTES = 8_388_608
 
 
 class CallRefusedError(Exception):
@@ -101,6 +105,7 @@
     def __init__(self, context):
         super().__init__(context)
         self.sessions = TargetSessions(context.settings.idle_timeout_s)
+        self.buffers = ResponseBuffers(MAX_TARGET_RESPONSE_BYTES)
         self._tasks = {}
         self._polls = {}
         self._readers = {}
@@ -154,7 +159,7 @@
             async with asyncio.timeout(POLL_TIMEOUT_S):
                 async with session.get(url) as response:
                     check_status(response)
-                    body = await response.json()
+                    body = await read_json(response, self.buffers)
             event = reader.read(body, self.context.clock())
         except (InvalidResponseError, CallRefusedError, ValueError, OSError) as error:
             log_event(LogEvent.LOAD_UNREADABLE, target=target, error=repr(error))
--- a/firworks/tests/gateway_process.py
+++ b/firworks/tests/gateway_process.py
@@ -12,6 +12,13 @@
 LONG_DEADLINE_MS = 60_000
 
 
+def read_peak_bytes(child):
+    """Return the most memory (int) that a process (Process) has had in use."""
+    status = Path(f"/proc/{child.pid}/status").read_text()
+    (peak,) = [line for line in status.splitlines() if line.startswith("VmHWM")]
+    return int(peak.split()[1]) * 1024
+
+
 class Caller:
     """Sends requests on one kept connection, as raw bytes.
 
@@ -119,12 +126,6 @@
         except (OSError, asyncio.IncompleteReadError):
             return False
 
-    def read_peak_bytes(self):
-        """Return the most memory (int) that the process has had in use."""
-        status = Path(f"/proc/{self.child.pid}/status").read_text()
-        (peak,) = [line for line in status.splitlines() if line.startswith("VmHWM")]
-        return int(peak.split()[1]) * 1024
-
     async def stop(self):
         """End the process."""
         if self.child is not None and self.child.returncode is None:
--- a/firworks/tests/test_drains.py
+++ b/firworks/tests/test_drains.py
@@ -7,9 +7,9 @@
 import pytest
 
 from firworks.codes import Code
+from firworks.kernel.buffers import MAX_RESPONSE_BYTES
 from firworks.kernel.fleet.events import DrainStarted
 from firworks.kernel.forwarding import drains
-from firworks.kernel.forwarding.buffers import MAX_RESPONSE_BYTES
 from firworks.kernel.forwarding.drains import (
     DURATION_MARGIN,
     DURATIONS_PER_ROUTE,
--- a/firworks/tests/test_endless_answers.py
+++ b/firworks/tests/test_endless_answers.py
@@ -6,13 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from firworks.gateway.bodies import HeldBody
+from firworks.bodies import HeldBody
 from firworks.gateway.connections import (
     MAX_OVERHEAD_BYTES,
     MAX_SURPLUS_BYTES,
     TargetConnection,
 )
-from firworks.kernel.forwarding.buffers import (
+from firworks.kernel.buffers import (
     ASSURED_BYTES,
     MAX_RESPONSE_BYTES,
     MAX_SHARED_BYTES,
--- a/firworks/tools/admin_client.py
+++ b/firworks/tools/admin_client.py
@@ -2,8 +2,10 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from firworks.bodies import read_json
 from firworks.codes import Code
 from firworks.errors import AdminResponseError, UnreachableError
+from firworks.kernel.buffers import ResponseBuffers
 
 TIMEOUT_S = 5.0
 MAX_RESPONSE_BYTES = 16_777_216
@@ -50,15 +52,8 @@
         url = f"http://{address}{path}"
         try:
             async with self._session.request(method, url, **kwargs) as response:
-                if (
-                    response.content_length
-                    and response.content_length > MAX_RESPONSE_BYTES
-                ):
-                    raise UnreachableError(
-                        address, f"response over {MAX_RESPONSE_BYTES} bytes"
-                    )
                 status = response.status
-                table = await response.json()
+                table = await read_json(response, ResponseBuffers(MAX_RESPONSE_BYTES))
         except TimeoutError as error:
             problem = f"no response within {self._timeout.total} s"
             raise UnreachableError(address, problem) from error
