Keep versions that the store holds among those that may have served

Callers saw: nothing so far. A gateway that stood still could let a stream go on at a software version that had not begun it (ORDER).

A version that the store holds was not counted once this gateway had seen it go for as long as a stream lives; and a keeper removed it from the store although others listed it again.

Why it works: what the store holds counts, however long ago it was listed, and nothing is removed until the store has confirmed the view of the targets.

--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -169,7 +169,7 @@
             self._configurations,
             self._targets,
             self.rng,
-            self._is_current,
+            self.is_current,
         )
         replicator = StoreReplicator(
             self.settings,
@@ -447,6 +447,11 @@
                 return
             await asyncio.sleep(CATCH_UP_POLL_S)
 
+    def is_current(self):
+        """Return whether the store has confirmed the view of it recently enough."""
+        limit_s = self.settings.leave_limit_ms / 1000
+        return self._process_pause.is_current(self.clock(), limit_s)
+
     def _check_process_pause(self):
         paused_s = self._process_pause.record_tick(self.clock())
         if paused_s:
@@ -454,11 +459,6 @@
             self._targets_follower.refresh()
             self._replicator.configuration_follower.refresh()
 
-    def _is_current(self):
-        """Return whether the state is fresh enough to be sent to peers."""
-        limit_s = self.settings.leave_limit_ms / 1000
-        return self._process_pause.is_current(self.clock(), limit_s)
-
     def _check_suspension(self):
         """Restart all reads of the store after the VM was suspended."""
         suspended_s = self._suspension.measure(time.monotonic(), self.clock())
--- a/firworks/gateway/version_admission.py
+++ b/firworks/gateway/version_admission.py
@@ -86,10 +86,15 @@
             self._gateway.pools.peers.send(peer, served)
 
     def review(self):
-        """Load the stored versions, write new ones and remove outdated ones."""
+        """Load the stored versions, write new ones and remove outdated ones.
+
+        None is removed with an old view of the targets: others may list it again.
+        """
         if not self._loaded and (self._load_task is None or self._load_task.done()):
             self._load_task = asyncio.ensure_future(self._load())
         self._admit_listed()
+        if not self._gateway.is_current():
+            return
         for served in self._served.pop_outdated(self._clock()):
             self._remove(served)
 
--- a/firworks/kernel/versions/served.py
+++ b/firworks/kernel/versions/served.py
@@ -91,12 +91,19 @@
         )
 
     def list_versions(self, service, now):
-        """Return the versions (set of str) that may have served a service lately."""
+        """Return the versions (set of str) that may have served a service lately.
+
+        One that the store holds is among them, as other daemons may list it again.
+        """
+        lately = [
+            served
+            for served, listed_s in self._listed_s.items()
+            if served in self._listed or now - listed_s < self.life_s
+        ]
         return {
             served.version
-            for served, listed_s in self._listed_s.items()
+            for served in (*lately, *self._stored)
             if served.service == service
-            and (served in self._listed or now - listed_s < self.life_s)
         }
 
     def pop_outdated(self, now):
--- a/firworks/tests/gateway_process.py
+++ b/firworks/tests/gateway_process.py
@@ -40,10 +40,11 @@
         self._writer.transport.abort()
 
     def send(self, path, method="POST", body=b"{}", **more):
-        """Send a request without waiting for its response."""
+        """Send a request without waiting for its response; return its id (str)."""
+        request_id = f"caller-{next(self.numbers)}"
         headers = {
             "Host": HOST,
-            "X-Request-Id": f"caller-{next(self.numbers)}",
+            "X-Request-Id": request_id,
             "X-Deadline-Ms": LONG_DEADLINE_MS,
             "Authorization": f"Bearer {KEY}",
             "Content-Length": len(body),
@@ -52,6 +53,11 @@
         rows = [f"{name}: {value}" for name, value in headers.items()]
         head = "\r\n".join([f"{method} {path} HTTP/1.1", *rows, "", ""])
         self._writer.write(head.encode() + body)
+        return request_id
+
+    async def read_until(self, data):
+        """Read up to some bytes, which are included."""
+        return await self._reader.readuntil(data)
 
     async def read_head(self):
         """Return the status (int) and the headers (dict by lower-case name)."""
@@ -90,6 +96,7 @@
         **settings: Further settings.
 
     Attributes:
+        name (str): Of the gateway.
         port (int): Port for callers.
         peers (str): "ip:port" for other gateways.
         child (Process): None before the start.
@@ -101,6 +108,7 @@
         table = {name: f"{LOOPBACK}:{find_free_port()}" for name in names}
         table |= {"name": "gateway-p", "region": "r", "failure_domain": "fd-1"}
         table |= {"callers": f"{LOOPBACK}:{self.port}", "store": store, **settings}
+        self.name = table["name"]
         self.peers = table["peers"]
         self._path = folder / "gateway-p.toml"
         rows = [f"{key} = {json.dumps(value)}" for key, value in table.items()]
