Pass over orphaned jobs that were refused meanwhile

Cause: dropping one job of a gateway that is gone plans the pool anew, which may refuse another job of the same list. The TypeError for it ended the task that ticks the gateway, or the one that follows the members.

Evidence: both cases of TestOrphanedJobs failed before with that error.

--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -354,6 +354,9 @@
     def _drop_orphaned(self, job_id):
         """Drop a job whose gateway seems gone; a live one then submits it again."""
         owner = self._owners.find(job_id)
+        if owner is None:
+            # Refused when the place of another one was planned anew.
+            return
         self._drop(job_id)
         self._execute_all([SendTo(owner[0], JobUnknown(job_id))])
 
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -945,6 +945,41 @@
         play(scenario)
 
 
+class RefusingRunner:
+    """A pool whose plan, when a job is dropped, refuses all others."""
+
+    def __init__(self, pools, job_ids):
+        self._pools = pools
+        self._job_ids = job_ids
+
+    def submit(self):
+        for job_id in self._job_ids:
+            self._pools._owners.put(job_id, "gone", self)
+
+    def drop(self, job_id):
+        for other in self._job_ids:
+            self._pools._owners.pop(other)
+
+
+class TestOrphanedJobs:
+    JOBS = ("gone.1/1", "gone.1/2", "gone.1/3")
+
+    @pytest.mark.parametrize("way", ["silent", "superseded"])
+    def test_dropping_one_may_refuse_the_others(self, way):
+        # The periodic task of the gateway, or that of its members, ended (review/4).
+        async def scenario(testbed):
+            pools = testbed.gateways[0].pools
+            RefusingRunner(pools, self.JOBS).submit()
+            if way == "silent":
+                pools._owners.note_disconnected("gone", float("-inf"))
+                pools.tick()
+            else:
+                pools.note_member("gone")
+            assert pools._owners.list_jobs("gone") == []
+
+        play(scenario)
+
+
 class TestDrain:
     def test_requests_in_progress_are_answered(self):
         async def scenario(testbed):
