Let nothing but its own rest follow the first bytes of a response

Also, by a test: the 404 of the next target in the middle of a stream.

Cause: a retry was decided by the route alone, not by what had been sent to the caller, and a resumed attempt was forwarded whatever its status.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -337,7 +337,11 @@
             body = await exchange.read_all()
             exchange.finish()
             self._raise_failure(exchange, body)
-        if not 200 <= exchange.status < 300 or not context.admitted.route.streaming:
+        success = 200 <= exchange.status < 300
+        if context.progress.has_begun and not success:
+            detail = f"status {exchange.status} to a stream that has begun"
+            raise AttemptError(FAILED, True, detail)
+        if not success or not context.admitted.route.streaming:
             return await self._forwarder.forward_buffered(context, exchange)
         if note_begun is not None:
             note_begun()
--- a/firworks/gateway/request_contexts.py
+++ b/firworks/gateway/request_contexts.py
@@ -66,7 +66,11 @@
         self.service = service
         self.body = body
         route = admitted.route
-        self.progress = Progress(route.repeatable, route.max_attempts)
+        self.progress = Progress(
+            route.repeatable,
+            route.max_attempts,
+            route.streaming and route.resumable,
+        )
         self.excluded = set()
         self.stages = None
         self.inputs = ()
--- a/firworks/gateway/response_forwarding.py
+++ b/firworks/gateway/response_forwarding.py
@@ -59,6 +59,7 @@
 
     async def _start_response(self, context, response):
         context.response = response
+        context.progress.has_begun = True
         first_s = self._clock() - context.admitted.arrived_s
         context.first_s = round(first_s, 3)
         route = context.admitted.route.name
--- a/firworks/kernel/forwarding/outcomes.py
+++ b/firworks/kernel/forwarding/outcomes.py
@@ -82,15 +82,26 @@
     Attributes:
         repeatable (bool): It may run more than once.
         max_attempts (int): Maximum number of targets that it may be sent to.
+        resumable (bool): Its response may go on at another target once it has begun.
         sends (int): Number of targets that have read it, or may have.
         may_have_run (bool): A target may have begun it.
+        has_begun (bool): Bytes of a response have gone to the caller.
     """
 
-    __slots__ = ("repeatable", "max_attempts", "sends", "may_have_run")
+    __slots__ = (
+        "repeatable",
+        "max_attempts",
+        "resumable",
+        "sends",
+        "may_have_run",
+        "has_begun",
+    )
 
-    def __init__(self, repeatable, max_attempts):
+    def __init__(self, repeatable, max_attempts, resumable=False):
         self.repeatable = repeatable
         self.max_attempts = max_attempts
+        self.resumable = resumable
+        self.has_begun = False
         self.sends = 0
         self.may_have_run = False
 
@@ -105,7 +116,13 @@
 
     @property
     def may_retry(self):
-        """Whether it may be sent to another target, time and budgets aside."""
+        """Whether it may be sent to another target, time and budgets aside.
+
+        Load pattern: connections to targets are reset in the middle of large responses.
+        A second response must not follow the first bytes of another one.
+        """
+        if self.has_begun and not self.resumable:
+            return False
         may_repeat = self.repeatable or not self.may_have_run
         return may_repeat and self.sends < self.max_attempts
 
--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -79,7 +79,7 @@
             "unframed" (neither a length nor chunks), "unframed reset" (the same, reset
             on the way), "unframed torn" (the same, a stream that ends inside an
             event), "torn", "stalled", "large" (a body of ``LARGE_BODY_BYTES``, half of
-            it before the gate) and the keys of ``ENDLESS``.
+            it before the gate), "missing" (404) and the keys of ``ENDLESS``.
         leaves (bool): All responses announce that it is about to stop.
         retry_after (str or None): Retry-After of responses with status 503.
         limit (str or None): Server-Limit of all responses.
@@ -219,6 +219,8 @@
             await self._send_endlessly(writer, headers)
         elif self.fault == "fail":
             self._answer(writer, headers, 500, b"failed")
+        elif self.fault == "missing":
+            self._answer(writer, headers, 404, b"missing")
         elif self.fault == "reset":
             writer.transport.abort()
         elif self.fault == "hang":
--- a/firworks/tests/gateway_process.py
+++ b/firworks/tests/gateway_process.py
@@ -82,6 +82,18 @@
         status, headers = await self.read_head()
         return status, headers, await self.read_body(headers)
 
+    async def read_end_of_connection(self):
+        """Return all bytes up to the end of a response, or of the connection."""
+        data = b""
+        try:
+            while part := await self._reader.read(65_536):
+                data += part
+                if data.endswith(b"\r\n0\r\n\r\n"):
+                    break
+        except ConnectionError:
+            pass  # a reset ends a broken response as well
+        return data
+
     async def read_end(self):
         """Wait until the gateway closes the connection; return what came before."""
         return await self._reader.read()
