Start long-lived tasks again after an unexpected exception

Cause: the tasks were started without anything that looks at their end; the loop logged it, if at all, when the process ended.

Why it works: one function starts these tasks, logs an unexpected end with its trace and starts the task again, followers with a new listing of their topic.

--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -27,6 +27,7 @@
 from firworks.metrics import Metrics
 from firworks.plugins.admin import HttpAdmin
 from firworks.settings import load_settings
+from firworks.tasks import start_task
 from firworks.view import DaemonView
 
 TICK_INTERVAL_S = 0.1
@@ -88,7 +89,7 @@
         for adapter in self.adapters.values():
             await adapter.start()
         await self._admin.start()
-        self._tick_task = asyncio.create_task(self._tick())
+        self._tick_task = start_task("tick", self._tick)
 
     def clock(self):
         """Return the kernel's monotonic time, in seconds.
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -51,6 +51,7 @@
     TARGETS_TOPIC,
     StoreClient,
 )
+from firworks.tasks import start_task
 
 TICK_S = 0.1
 # A scheduler that saturates a core with jobs of about 1 kB, and the answers to them,
@@ -327,7 +328,7 @@
         self._replicator.members_follower = self._follow(
             MEMBERS_TOPIC, self._members, MEMBERS_LONG_POLL_S, MEMBERS_READ_INTERVAL_S
         )
-        self._tasks.append(asyncio.ensure_future(self._tick()))
+        self._tasks.append(start_task("tick", self._tick))
         await self.callers.start(self.settings.callers)
         await self._readiness.start(self.settings.readiness)
         await self._metrics_server.start(self.settings.metrics)
@@ -371,7 +372,8 @@
     def _follow(self, topic, listener, wait_s, read_interval_s):
         follower = TopicFollower(self.store, topic, listener, wait_s, read_interval_s)
         self._followers.append(follower)
-        self._tasks.append(asyncio.ensure_future(follower.run()))
+        # Records of a batch may be left out, so that the topic is listed again.
+        self._tasks.append(start_task(topic, follower.run, follower.refresh))
         return follower
 
     def _get_targets_read_interval_s(self):
--- a/firworks/plugins/http_vms.py
+++ b/firworks/plugins/http_vms.py
@@ -11,6 +11,7 @@
 from firworks.events import LogEvent, log_event
 from firworks.kernel.buffers import ResponseBuffers
 from firworks.kernel.messages import VmEntry, VmsListed
+from firworks.tasks import start_task
 
 POLL_PERIOD_S = 1.0
 POLL_TIMEOUT_S = 3.0
@@ -46,7 +47,7 @@
 
     async def start(self):
         """Start polling in a background task."""
-        self._task = asyncio.create_task(self._poll())
+        self._task = start_task("vms", self._poll)
 
     async def stop(self):
         """Stop polling and wait for the task to end."""
