Close connections that carried a response without a request id

Cause: calls of stages bear no id, so that nothing in an answer tells to which call it belongs. A faulty target repeated an answer late, when the connection was in use again, and it was taken for the answer to the next call.

Why it works: such a connection is not used again, so that a copy has no call to be taken for. It holds for stage calls, freed results, health checks and reports alike.

--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -164,11 +164,12 @@
     def finish(self):
         """Return the connection to the pool, which closes it if it is not reusable.
 
-        A connection that carried a refusal without a request id is closed: a faulty
-        target may repeat the refusal ahead of a later response, where it would say
-        that a request has not run which runs.
+        A connection that carried a response without a request id is closed: a faulty
+        target may repeat the response ahead of a later one, where nothing would tell
+        that it is not the answer: a refusal would say that a request has not run which
+        runs, results of a stage would be given to another request.
         """
-        if self.not_run and REQUEST_ID not in self.headers:
+        if not self.headers.get(REQUEST_ID):
             self._last_progress_s = None
             self.abort()
             return
