Keep the state of a drain in one object and split the gateway's module

No change of behaviour. What a drain needs stood in three attributes of the gateway, two of its methods and a function; GracefulShutdown has it now. The refusal of a request that would outlast the drain was written next to the one for all other refusals; it is raised as a RequestError like those, and the Retry-After of a code is decided where responses are made.

--- a/firworks/gateway/__main__.py
+++ b/firworks/gateway/__main__.py
@@ -13,6 +13,6 @@
 # peers use TLS, and the settings name their certificate authority.
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
 
-from firworks.gateway.process import main  # noqa: E402
+from firworks.gateway.runner import main  # noqa: E402
 
 main()
--- a/firworks/gateway/answers.py
+++ b/firworks/gateway/answers.py
@@ -4,11 +4,15 @@
 
 from aiohttp.web import Response, StreamResponse
 
+from firworks.codes import Code
+from firworks.kernel.forwarding.drains import DRAINING_RETRY_AFTER_S
 from firworks.kernel.forwarding.outcomes import DEFAULT_RETRY_AFTER_S
 from firworks.platform.headers import REQUEST_ID, list_response_headers
 
 SERVER_NAME = "firworks"
 RETRYABLE_STATUSES = (429, 503)
+# Of codes with another delay than `DEFAULT_RETRY_AFTER_S`.
+RETRY_AFTER_S = {Code.DRAINING: DRAINING_RETRY_AFTER_S}
 
 
 class ResponseAbortedError(Exception):
@@ -23,14 +27,15 @@
         code (Code): The result code.
         detail (str): Description of the error.
         retry_after_s (float or None): Value of ``Retry-After`` in seconds, sent only
-            with ``RETRYABLE_STATUSES``; None for the default.
+            with ``RETRYABLE_STATUSES``; None for that of the code.
     """
     headers = {"Server": SERVER_NAME, "Content-Type": "application/json"}
     if request_id:
         headers[REQUEST_ID] = request_id
     if code.http_status in RETRYABLE_STATUSES:
-        after_s = DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s
-        headers["Retry-After"] = f"{after_s:.2f}"
+        if retry_after_s is None:
+            retry_after_s = RETRY_AFTER_S.get(code, DEFAULT_RETRY_AFTER_S)
+        headers["Retry-After"] = f"{retry_after_s:.2f}"
     body = json.dumps({"code": int(code), "detail": detail}).encode()
     return Response(status=code.http_status, headers=headers, body=body)
 
--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -8,10 +8,13 @@
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.events import LogEvent, log_event, log_exception
-from firworks.gateway.answers import ResponseAbortedError, make_error_response
+from firworks.gateway.answers import (
+    SERVER_NAME,
+    ResponseAbortedError,
+    make_error_response,
+)
 from firworks.gateway.request_contexts import RequestContext
 from firworks.kernel.forwarding.admission import admit, choose_service
-from firworks.kernel.forwarding.drains import DRAINING_RETRY_AFTER_S
 from firworks.platform.headers import REQUEST_ID, read_request
 from firworks.sockets import reset_on_close
 
@@ -72,6 +75,16 @@
         for connection in self._server.connections:
             close_if_idle(connection)
 
+    def prepare_response(self, http, response):
+        """Set the common headers of a response to a caller.
+
+        While the gateway drains, the response is also the last one of its connection,
+        unless a further request was read there.
+        """
+        response.headers.setdefault("Server", SERVER_NAME)
+        if self._gateway.shutdown.begun and not has_further_request(http):
+            response.force_close()
+
     async def stop(self):
         """Close the listener and all connections."""
         if self._listener is not None:
@@ -104,11 +117,11 @@
 
         The response may have begun before the drain, without ``Connection: close``.
         """
-        plan = self._gateway.drain_plan
-        if plan is not None:
+        shutdown = self._gateway.shutdown
+        if shutdown.begun:
             now = self._gateway.clock()
+            delay_s = shutdown.plan.compute_close_s(now) - now
             loop = asyncio.get_running_loop()
-            delay_s = plan.compute_close_s(now) - now
             loop.call_later(delay_s, close_if_idle, connection)
 
     def _respond_internal_error(self, http, error):
@@ -128,6 +141,7 @@
             await gateway.catch_up()
             admitted = admit(request, gateway.configuration, started_s)
             body = await self._read_body(http, gateway.configuration.limits)
+            gateway.shutdown.check(admitted)
         except RequestError as error:
             log_event(
                 LogEvent.REQUEST_REFUSED,
@@ -136,19 +150,17 @@
                 detail=error.detail,
             )
             response = make_error_response(request_id, error.code, error.detail)
-            gateway.prepare_response(http, response)
+            self.prepare_response(http, response)
             return response
-        if not gateway.accepts(admitted):
-            return self._refuse_draining(http, request_id)
         service = choose_service(admitted.route, gateway.rng)
         gateway.retry_budget.record_request(service, started_s)
         context = RequestContext(http, admitted, service, body)
         response = await gateway.relay.serve(context)
         if not response.prepared:
-            gateway.prepare_response(http, response)
+            self.prepare_response(http, response)
         took_s = gateway.clock() - started_s
         if response.status < 400:
-            gateway.durations.record(admitted.route.name, took_s)
+            gateway.shutdown.durations.record(admitted.route.name, took_s)
         gateway.metrics.record_answer(admitted.route.name, response.status, took_s)
         log_event(
             LogEvent.REQUEST_ANSWERED,
@@ -170,22 +182,6 @@
         )
         return response
 
-    def _refuse_draining(self, http, request_id):
-        """Return the response to a request that would outlast the drain."""
-        detail = "the gateway stops before the request would end"
-        log_event(
-            LogEvent.REQUEST_REFUSED,
-            request=request_id,
-            code=int(Code.DRAINING),
-            detail=detail,
-        )
-        self._gateway.metrics.drain_requests.labels("refused").inc()
-        response = make_error_response(
-            request_id, Code.DRAINING, detail, DRAINING_RETRY_AFTER_S
-        )
-        self._gateway.prepare_response(http, response)
-        return response
-
     async def _read_body(self, http, limits):
         """Return the request body (bytes), or None when the caller sent none.
 
@@ -196,7 +192,7 @@
             return None
         parts, size = [], 0
         try:
-            async with self._gateway.deadlines.limit(BODY_TIMEOUT_S):
+            async with self._gateway.shutdown.deadlines.limit(BODY_TIMEOUT_S):
                 while part := await http.content.readany():
                     parts.append(part)
                     size += len(part)
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -1,22 +1,16 @@
-"""The gateway process: its event loop, listeners and store followers."""
+"""A gateway: its parts, listeners and followers of the store."""
 
 import asyncio
-import gc
-import signal
-import sys
 import time
 import uuid
 from random import Random
 
-from firworks.errors import FirworksError
-from firworks.events import LogEvent, configure_logs, log_event
-from firworks.gateway.answers import SERVER_NAME
+from firworks.events import LogEvent, log_event
 from firworks.gateway.availability import TargetAvailability
-from firworks.gateway.callers import CallersServer, has_further_request
+from firworks.gateway.callers import CallersServer
 from firworks.gateway.connections import TargetConnections
 from firworks.gateway.crashes import CrashTracker
-from firworks.gateway.deadlines import Deadlines
-from firworks.gateway.drains import drain
+from firworks.gateway.drains import GracefulShutdown
 from firworks.gateway.followers import TopicFollower
 from firworks.gateway.limits import TargetLimits
 from firworks.gateway.members import MembersListener
@@ -26,13 +20,11 @@
 from firworks.gateway.readers import StoreReplicator
 from firworks.gateway.readiness import MetricsServer, ReadinessServer
 from firworks.gateway.relays import Relay
-from firworks.gateway.settings import find_settings_path, load_gateway_settings
-from firworks.gateway.settings_file import SettingsFile, apply_reloadable, read_mtime_ns
+from firworks.gateway.settings_file import SettingsFile, apply_reloadable
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.gateway.state_exchange import StateExchange
 from firworks.gateway.stream_versions import StreamVersions
 from firworks.kernel.forwarding.balancer import Balancer
-from firworks.kernel.forwarding.drains import DrainPlan, ResponseDurations
 from firworks.kernel.forwarding.news import AskNews, News
 from firworks.kernel.forwarding.process_pause import ProcessPauseDetector
 from firworks.kernel.forwarding.readers import FollowStore, StoreFacts
@@ -43,7 +35,6 @@
 from firworks.kernel.pools.roster import Roster
 from firworks.kernel.target_limits.messages import LIMIT_RECORDS
 from firworks.kernel.versions.messages import VERSION_RECORDS
-from firworks.log_output import BoundedOutput
 from firworks.platform.stages import get_handle_address
 from firworks.platform.store import (
     CONFIGURATION_TOPIC,
@@ -94,6 +85,7 @@
         availability (TargetAvailability): Whether targets accept work now.
         limits (TargetLimits): Permits for targets that name a limit of requests.
         stream_versions (StreamVersions): Software versions at which streams began.
+        shutdown (GracefulShutdown): The planned stop, in progress or not.
     """
 
     def __init__(self, settings, output=None, path=None, mtime_ns=None):
@@ -110,38 +102,13 @@
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
-        self._configurations = ConfigurationListener(
-            self._apply_configuration,
-            self._apply_evacuated,
-            self._on_configuration_store_status,
-        )
-        self._targets = TargetsListener(
-            self.clock, self._apply_targets, self._on_targets_store_status
-        )
+        self._configurations, self._targets = self._make_listeners()
         self.roster = Roster(self._make_entry())
         self.limits = TargetLimits(self)
         self.availability = TargetAvailability(self)
         self.stream_versions = StreamVersions(self)
         self.crashes = CrashTracker(self)
-        self.pools = Pools(
-            self.directory,
-            self.connections,
-            self.clock,
-            self.roster,
-            self.metrics,
-            self.crashes,
-            self.availability,
-            self.limits,
-        )
-        self.pools.peers = PeerConnections(
-            settings,
-            self.roster,
-            self._receive,
-            self.pools.note_link_lost,
-            self.pools.sync_jobs,
-            self._send_state_to_peer,
-            self.clock,
-        )
+        self.pools = self._make_pools()
         self._members = MembersListener(
             self.roster,
             self.store,
@@ -153,14 +120,47 @@
         self.callers = CallersServer(self)
         self._readiness = ReadinessServer(self)
         self._metrics_server = MetricsServer(self)
-        self.deadlines = Deadlines()
-        self.durations = ResponseDurations()
-        self.drain_plan = None
+        self.shutdown = GracefulShutdown(self)
         self._tasks, self._followers = [], []
         self._targets_follower = None
         self._was_ready = False
         self._suspension = SuspensionDetector()
 
+    def _make_listeners(self):
+        """Return the `ConfigurationListener` and the `TargetsListener`."""
+        configurations = ConfigurationListener(
+            self._apply_configuration,
+            self._apply_evacuated,
+            self._on_configuration_store_status,
+        )
+        targets = TargetsListener(
+            self.clock, self._apply_targets, self._on_targets_store_status
+        )
+        return configurations, targets
+
+    def _make_pools(self):
+        """Return the `Pools`, with their connections to the other gateways."""
+        pools = Pools(
+            self.directory,
+            self.connections,
+            self.clock,
+            self.roster,
+            self.metrics,
+            self.crashes,
+            self.availability,
+            self.limits,
+        )
+        pools.peers = PeerConnections(
+            self.settings,
+            self.roster,
+            self._receive,
+            pools.note_link_lost,
+            pools.sync_jobs,
+            self._send_state_to_peer,
+            self.clock,
+        )
+        return pools
+
     def _make_peer_sync(self):
         """Return the `StateExchange` and the `StoreReplicator`."""
         state_exchange = StateExchange(
@@ -209,25 +209,7 @@
     def ready(self):
         """Whether the balancer may send callers to this gateway."""
         known = self.configuration is not None and self._targets.listed
-        return known and self.drain_plan is None
-
-    def prepare_response(self, request, response):
-        """Set the common headers of a response to a caller.
-
-        While the gateway drains, the response is also the last one of its connection,
-        unless a further request was read there.
-        """
-        response.headers.setdefault("Server", SERVER_NAME)
-        if self.drain_plan is not None and not has_further_request(request):
-            response.force_close()
-
-    def accepts(self, admitted):
-        """Return whether a request (AdmittedRequest) may begin, as to a drain."""
-        if self.drain_plan is None:
-            return True
-        return self.drain_plan.accepts(
-            admitted.route.name, admitted.deadline_s, self.clock()
-        )
+        return known and not self.shutdown.begun
 
     def locate_result(self, handle):
         """Return the failure domain (str) of a stage result, or None if unknown."""
@@ -333,21 +315,9 @@
         await self._readiness.start(self.settings.readiness)
         await self._metrics_server.start(self.settings.metrics)
 
-    def begin_drain(self):
-        """Stop being ready and limit the requests in progress.
-
-        Returns:
-            DrainPlan: The time limits of the drain.
-        """
-        now = self.clock()
-        plan = DrainPlan(now, self.settings.drain_limit_s, self.durations)
-        self.drain_plan = plan
-        self.deadlines.bring_forward(plan.limit_s - now)
-        return plan
-
     async def drain(self):
         """Leave the balancer's rotation, finish requests in progress, then stop."""
-        await drain(self)
+        await self.shutdown.run()
 
     async def leave(self):
         """Remove this gateway's own entry from the store."""
@@ -381,7 +351,7 @@
 
     def _apply_configuration(self, configuration):
         self.pools.configure(configuration.services)
-        self.durations.keep({route.name for route in configuration.routes})
+        self.shutdown.durations.keep({route.name for route in configuration.routes})
         self.stream_versions.configure(configuration)
         if not self._state_exchange.query_policy.store_unavailable:
             self._replicator.publish_facts()
@@ -507,40 +477,3 @@
                 log_event(LogEvent.DAEMON_READY, name=self.settings.name)
             self._was_ready = self.ready
             await asyncio.sleep(TICK_S)
-
-
-async def run_gateway(settings, output=None, path=None, mtime_ns=None):
-    """Run a gateway until SIGTERM or SIGINT, then drain it.
-
-    Args:
-        settings (GatewaySettings): Settings of the process.
-        output (BoundedOutput or None): The log output, whose dropped lines are counted.
-        path (str or None): The settings file, read again when it changes.
-        mtime_ns (int or None): The file's mtime from before it was read.
-    """
-    gateway = Gateway(settings, output, path, mtime_ns)
-    loop = asyncio.get_running_loop()
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
-    await gateway.start()
-    # Objects that exist by now live as long as the process.
-    gc.freeze()
-    gc.enable()
-    await stopping.wait()
-    await gateway.drain()
-
-
-def main():
-    """Entry point of ``python -m firworks.gateway [SETTINGS.toml]``."""
-    try:
-        path = find_settings_path(sys.argv[1:])
-        mtime_ns = read_mtime_ns(path)
-        settings = load_gateway_settings(path)
-    except FirworksError as error:
-        print(f"firworks: {error}", file=sys.stderr)
-        sys.exit(2)
-    output = BoundedOutput(sys.stdout.fileno(), time.monotonic)
-    configure_logs(settings.log_format, output)
-    asyncio.run(run_gateway(settings, output, path, mtime_ns))
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -18,7 +18,6 @@
 from firworks.kernel.forwarding.admission import (
     compute_caller_timeout_s,
 )
-from firworks.kernel.forwarding.drains import DRAINING_RETRY_AFTER_S
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
     FAILED,
@@ -65,7 +64,7 @@
         """
         remaining_s = context.remaining_s(self._clock())
         try:
-            async with self._gateway.deadlines.limit(max(0.0, remaining_s)):
+            async with self._gateway.shutdown.deadlines.limit(remaining_s):
                 return await self._serve(context)
         except TimeoutError:
             return self._handle_timeout(context)
@@ -381,8 +380,7 @@
 
     def _handle_timeout(self, context):
         detail = "deadline exceeded"
-        plan = self._gateway.drain_plan
-        if plan is not None and plan.cuts_off(context.admitted.deadline_s):
+        if self._gateway.shutdown.cuts_off(context.admitted):
             return self._handle_drain_limit(context)
         if context.response is not None:
             raise ResponseAbortedError(detail)
@@ -396,7 +394,7 @@
         detail = "the gateway stops"
         if context.progress.sends or context.excluded:
             return self._reject(context, Code.DEADLINE_EXCEEDED, detail)
-        return self._reject(context, Code.DRAINING, detail, DRAINING_RETRY_AFTER_S)
+        return self._reject(context, Code.DRAINING, detail)
 
     def _handle_pool_refusal(self, context, error):
         if context.response is not None:
--- a/firworks/gateway/response_forwarding.py
+++ b/firworks/gateway/response_forwarding.py
@@ -64,7 +64,7 @@
         context.first_s = round(first_s, 3)
         route = context.admitted.route.name
         self._gateway.metrics.record_first_byte(route, first_s)
-        self._gateway.prepare_response(context.http, response)
+        self._gateway.callers.prepare_response(context.http, response)
         await response.prepare(context.http)
 
     async def forward_events(self, context, exchange):
--- a/firworks/tests/gateway_testbed.py
+++ b/firworks/tests/gateway_testbed.py
@@ -19,6 +19,7 @@
 KEY = "club-key"
 HOST = "desk.example"
 DEADLINE_MS = 5_000
+PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
 POLL_S = 0.01
 # Ends tests that wait for something that never happens.
 TEST_TIMEOUT_S = 60.0
@@ -220,12 +221,21 @@
     asyncio.run(run_together(run, cases))
 
 
+def run(test):
+    """Run a test coroutine within ``TEST_TIMEOUT_S``."""
+
+    async def limited():
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await test()
+
+    asyncio.run(limited())
+
+
 def play(scenario, gateways=1):
     """Run ``scenario(testbed)`` on a new testbed, within ``TEST_TIMEOUT_S``."""
 
-    async def run():
-        async with asyncio.timeout(TEST_TIMEOUT_S):
-            async with run_testbed(gateways) as testbed:
-                await scenario(testbed)
+    async def run_scenario():
+        async with run_testbed(gateways) as testbed:
+            await scenario(testbed)
 
-    asyncio.run(run())
+    run(run_scenario)
--- a/firworks/tests/test_drains.py
+++ b/firworks/tests/test_drains.py
@@ -21,16 +21,16 @@
 from firworks.standins.site import Site
 from firworks.tests.gateway_process import LONG_DEADLINE_MS, Caller, GatewayProcess
 from firworks.tests.gateway_testbed import (
-    TEST_TIMEOUT_S,
+    PROMPT,
     make_configuration,
     play,
+    run,
     wait_until,
 )
 from firworks.tests.kit import TOKEN, make_document, make_document_bytes
 
 GRACE_S = 8.0
 STREAM_S, STREAM_TIMEOUT_S = 4.7, 15.0
-PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
 STREAM = b"".join(map(make_event, range(1, EVENTS + 1)))
 
 
@@ -123,20 +123,29 @@
         await wait_until(lambda one=gateway: one.configuration.version == 2)
 
 
-async def bound_time(scenario):
-    """Run a scenario within ``TEST_TIMEOUT_S``."""
-    async with asyncio.timeout(TEST_TIMEOUT_S):
-        await scenario
-
-
 async def begin_drain(gateway):
     """Start to drain a gateway and wait until it closes idle connections."""
     drain = asyncio.ensure_future(gateway.drain())
-    await wait_until(lambda: gateway.drain_plan is not None)
-    await wait_until(lambda: gateway.clock() > gateway.drain_plan.closing_s)
+    await wait_until(lambda: gateway.shutdown.begun)
+    await wait_until(lambda: gateway.clock() > gateway.shutdown.plan.closing_s)
     return drain
 
 
+def play_drain(scenario):
+    """Run ``scenario(testbed, gateway, gate)``, which returns the drain that it starts.
+
+    Requests last long, and responses of targets wait for the gate.
+    """
+
+    async def drained(testbed):
+        (gateway,) = testbed.gateways
+        await lengthen_routes(testbed)
+        await (await scenario(testbed, gateway, close_gates(testbed)))
+        testbed.gateways.clear()
+
+    play(drained)
+
+
 async def check_refused(caller):
     """Read the refusal of a draining gateway, the last response of a connection."""
     status, headers, body = await caller.read()
@@ -160,10 +169,7 @@
     )
     def test_stream_after_one_that_began_before_the_drain_is_refused(self, headers):
         # review/3: it was taken, and cut off at the limit of the drain.
-        async def scenario(testbed):
-            gateway = testbed.gateways[0]
-            await lengthen_routes(testbed)
-            gate = close_gates(testbed)
+        async def scenario(testbed, gateway, gate):
             async with Caller(gateway.callers.port) as caller:
                 caller.send("/rules/a", **PROMPT, **headers)
                 status, answered = await caller.read_head()
@@ -176,18 +182,14 @@
                 caller.send("/once/b", **PROMPT)
                 await check_refused(caller)
                 assert list_runs(testbed, "engines") == runs
-            await drain
-            testbed.gateways.clear()
+            return drain
 
-        play(scenario)
+        play_drain(scenario)
 
     def test_request_after_a_large_response_is_served_if_it_ends_in_time(self):
-        async def scenario(testbed):
-            gateway = testbed.gateways[0]
-            await lengthen_routes(testbed)
+        async def scenario(testbed, gateway, gate):
             for name in ("loans-1", "loans-2"):
                 testbed.targets[name].fault = "large"
-            gate = close_gates(testbed)
             async with Caller(gateway.callers.port) as caller:
                 caller.send("/stock/a")
                 status, answered = await caller.read_head()
@@ -202,16 +204,12 @@
                 status, headers, _ = await caller.read()
                 assert (status, headers["connection"]) == (200, "close")
                 assert await caller.read_end() == b""
-            await drain
-            testbed.gateways.clear()
+            return drain
 
-        play(scenario)
+        play_drain(scenario)
 
     def test_connection_that_is_not_used_again_is_closed(self):
-        async def scenario(testbed):
-            gateway = testbed.gateways[0]
-            await lengthen_routes(testbed)
-            gate = close_gates(testbed)
+        async def scenario(testbed, gateway, gate):
             async with Caller(gateway.callers.port) as caller:
                 async with Caller(gateway.callers.port) as idle:
                     caller.send("/rules/a", **PROMPT)
@@ -222,21 +220,17 @@
                 await caller.read_body(answered)
                 assert await caller.read_end() == b""
                 assert not gateway.callers.connected
-            await drain
-            testbed.gateways.clear()
+            return drain
 
-        play(scenario)
+        play_drain(scenario)
 
     def test_all_requests_of_a_caller_that_pipelines_are_answered(self):
-        async def scenario(testbed):
-            gateway = testbed.gateways[0]
-            await lengthen_routes(testbed)
-            gate = close_gates(testbed)
+        async def scenario(testbed, gateway, gate):
             async with Caller(gateway.callers.port) as caller:
                 caller.send("/stock/a", **{"X-Deadline-Ms": 1_000})
                 await wait_until(lambda: gateway.callers.in_progress)
                 drain = asyncio.ensure_future(gateway.drain())
-                await wait_until(lambda: gateway.drain_plan is not None)
+                await wait_until(lambda: gateway.shutdown.begun)
                 caller.send("/stock/b", **{"X-Deadline-Ms": 1_000})
                 caller.send("/once/c", **PROMPT)
                 (connection,) = gateway.callers._server.connections
@@ -246,17 +240,13 @@
                     status, headers, _ = await caller.read()
                     assert status == 200 and "connection" not in headers
                 await check_refused(caller)
-            await drain
-            testbed.gateways.clear()
+            return drain
 
-        play(scenario)
+        play_drain(scenario)
 
     def test_request_without_a_response_is_answered_at_the_limit(self):
         # Its target stays silent. It was cut off without an answer.
-        async def scenario(testbed):
-            gateway = testbed.gateways[0]
-            await lengthen_routes(testbed)
-            close_gates(testbed)
+        async def scenario(testbed, gateway, gate):
             for name in ("repair-1", "repair-2"):
                 testbed.targets[name].fault = "hang"
             async with (
@@ -274,10 +264,9 @@
                 answers = [await each.read() for each in (sent, waiting, halfway)]
                 assert [status for status, _, _ in answers] == [504, 503, 408]
                 assert all(each[1]["connection"] == "close" for each in answers)
-                await drain
-            testbed.gateways.clear()
+                return drain
 
-        play(scenario)
+        play_drain(scenario)
 
 
 @pytest.mark.usefixtures("fast_balancer")
@@ -302,7 +291,7 @@
             stops = []
             for gateway in (first, second):
                 stops.append(asyncio.ensure_future(gateway.drain()))
-                await wait_until(lambda one=gateway: one.drain_plan is not None)
+                await wait_until(lambda one=gateway: one.shutdown.begun)
                 second.reload()
                 await stream([first, second, third])
             refused, served = (503, False), (200, True)
@@ -342,7 +331,7 @@
             finally:
                 await site.stop()
 
-        asyncio.run(bound_time(scenario()))
+        run(scenario)
 
 
 class TestProcess:
