--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -29,6 +29,7 @@
 MAX_SURPLUS_BYTES = 65_536
 # Reading pauses while twice as much of a body is unread.
 READ_BUFFER_BYTES = 32_768
+# Most bytes of one read, from the socket or of a body.
 MAX_READ_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
 HEAD_END = b"\r\n\r\n"
--- a/firworks/gateway/exchanges.py
+++ b/firworks/gateway/exchanges.py
@@ -6,13 +6,12 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from firworks.bodies import HeldBody
-from firworks.gateway.connections import ConnectError
+from firworks.gateway.connections import MAX_READ_BYTES, ConnectError
 from firworks.kernel.forwarding.outcomes import BROKEN, NOT_RUN, AttemptError
 from firworks.platform.headers import NOT_RUN as NOT_RUN_HEADER
 from firworks.platform.headers import REQUEST_ID, read_keep_alive_s
 from firworks.platform.targets import MISDIRECTED
 
-MAX_CHUNK_BYTES = 65_536
 # A healthy target that has started a request mostly sends data within this time.
 STALL_THRESHOLD_S = 0.5
 BROKEN_ERRORS = (ClientError, HttpProcessingError, OSError)
@@ -131,7 +130,7 @@
             AttemptError: When the body ends early.
         """
         try:
-            part = await self._payload.read(MAX_CHUNK_BYTES)
+            part = await self._payload.read(MAX_READ_BYTES)
             self._last_progress_s = self._clock()
             return part
         except BROKEN_ERRORS as error:
--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -87,6 +87,7 @@
         self._base = f"http://{address}"
         self._name = name
         self._session = None
+        self._buffers = ResponseBuffers(MAX_RESPONSE_BYTES)
 
     async def start(self):
         """Open the HTTP session; must run on the event loop that makes the calls."""
@@ -172,9 +173,7 @@
                 async with self._session.request(
                     method, self._base + path, params=query, data=body
                 ) as response:
-                    data = await read_body(
-                        response, ResponseBuffers(MAX_RESPONSE_BYTES)
-                    )
+                    data = await read_body(response, self._buffers)
                     status = response.status
                     era = self._read_era(response.headers.get(ERA))
         except _FAILURES as error:
--- a/firworks/plugins/caller_protocol.py
+++ b/firworks/plugins/caller_protocol.py
@@ -6,8 +6,9 @@
 from aiohttp.web import Response, Server
 from aiohttp.web_protocol import RequestHandler
 
+from firworks.bodies import JSON_TYPE
 from firworks.codes import Code
-from firworks.plugins.caller_responses import JSON_TYPE, make_error_json
+from firworks.plugins.caller_responses import make_error_json
 
 # How long the rest of a rejected body is read before the connection is closed.
 LINGER_TIMEOUT_S = 1.0
--- a/firworks/plugins/caller_responses.py
+++ b/firworks/plugins/caller_responses.py
@@ -4,7 +4,6 @@
 
 from firworks.kernel.streams import digest_tokens
 
-JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
--- a/firworks/plugins/http_callers.py
+++ b/firworks/plugins/http_callers.py
@@ -7,6 +7,7 @@
 from aiohttp.web import Response, ServerRunner, StreamResponse, TCPSite
 
 from firworks.adapter import Adapter
+from firworks.bodies import JSON_TYPE
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.kernel.callers import (
@@ -28,7 +29,6 @@
 )
 from firworks.plugins.caller_responses import (
     EVENT_STREAM_TYPE,
-    JSON_TYPE,
     make_chunk_event,
     make_end_event,
     make_error_json,
--- a/firworks/standins/endless.py
+++ b/firworks/standins/endless.py
@@ -26,7 +26,7 @@
         self.address = ""
         self.sent_bytes = 0
         self._begin = begin
-        self._data = filler * (WRITE_BYTES // len(filler))
+        self._filler = filler
         self._server = None
         self._writers = set()
 
@@ -45,15 +45,28 @@
         self._writers.add(writer)
         try:
             await reader.readuntil(HEAD_END)
-            writer.write(self._begin)
-            while True:
-                writer.write(self._data)
-                await writer.drain()
-                self.sent_bytes += len(self._data)
-                # The peer may run in this loop.
-                await asyncio.sleep(0)
+            async for size in send_endlessly(writer, self._begin, self._filler):
+                self.sent_bytes += size
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # the peer has closed the connection, or the stand-in stops
         finally:
             self._writers.discard(writer)
             writer.close()
+
+
+async def send_endlessly(writer, begin, filler):
+    """Write bytes until the peer closes the connection; yield the size of each write.
+
+    Args:
+        writer (StreamWriter): The connection.
+        begin (bytes): Written once.
+        filler (bytes): Repeated after it.
+    """
+    writer.write(begin)
+    data = filler * (WRITE_BYTES // len(filler))
+    while True:
+        writer.write(data)
+        await writer.drain()
+        yield len(data)
+        # The peer may run in this loop.
+        await asyncio.sleep(0)
--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -5,6 +5,7 @@
 from itertools import count
 
 from firworks.sockets import reset_on_close
+from firworks.standins.endless import send_endlessly
 from firworks.standins.web import LOOPBACK
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -29,7 +30,6 @@
     "endless body": (_OK + b"\r\n\r\n", b"0123456789"),
     "endless surplus": (_OK + b"\r\nContent-Length: 4\r\n\r\nbody", b"0123456789"),
 }
-_ENDLESS_WRITE_BYTES = 65_536
 _STALLED_PAUSE_S = 0.02
 RESET_DELAY_S = 0.01
 LARGE_BODY_BYTES = 4_194_304
@@ -232,15 +232,10 @@
         """Send a response without an end until the peer closes the connection."""
         begin, filler = ENDLESS[self.fault]
         request_id = headers.get("x-request-id", "").encode()
-        writer.write(begin.replace(b"%b", request_id))
-        data, sent = filler * (_ENDLESS_WRITE_BYTES // len(filler)), 0
-        while True:
-            writer.write(data)
-            await writer.drain()
-            sent += len(data)
+        begin, sent = begin.replace(b"%b", request_id), 0
+        async for size in send_endlessly(writer, begin, filler):
+            sent += size
             self.endless_bytes = max(self.endless_bytes, sent)
-            # The peer may run in this loop.
-            await asyncio.sleep(0)
 
     async def serve(self, writer, line, headers, body):
         """Process a request and send its response."""
--- a/firworks/tests/crash_testbed.py
+++ b/firworks/tests/crash_testbed.py
@@ -13,6 +13,7 @@
 )
 from firworks.standins.platform_targets import PlatformEngine
 from firworks.tests.gateway_testbed import (
+    PROMPT,
     GatewayTestbed,
     make_configuration,
     wait_until,
@@ -20,7 +21,6 @@
 
 # Entries of crashed targets expire after a few missed heartbeats.
 LAPSE_S = 0.5
-PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
 # Without a part that other requests share: only the request itself is a suspect.
 OWN_PROMPT = {**PROMPT, "X-Prefix-Hash": "b2:40"}
 PIECES = {"X-Pieces": "2,1", **PROMPT}
--- a/firworks/tests/gateway_process.py
+++ b/firworks/tests/gateway_process.py
@@ -82,7 +82,7 @@
         status, headers = await self.read_head()
         return status, headers, await self.read_body(headers)
 
-    async def read_end_of_connection(self):
+    async def read_rest(self):
         """Return all bytes up to the end of a response, or of the connection."""
         data = b""
         try:
--- a/firworks/tests/test_api_keys.py
+++ b/firworks/tests/test_api_keys.py
@@ -17,6 +17,7 @@
 from firworks.tests.gateway_testbed import (
     HOST,
     KEY,
+    PROMPT,
     make_configuration,
     play,
     play_cases,
@@ -148,7 +149,7 @@
 
 class TestKeysOfWaitingRequests:
     STAGED = {
-        **{"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"},
+        **PROMPT,
         **{"X-Pieces": "1,1", "X-Piece-Key": "k"},
     }
 
--- a/firworks/tests/test_begun_responses.py
+++ b/firworks/tests/test_begun_responses.py
@@ -5,13 +5,8 @@
 import pytest
 
 from firworks.kernel.forwarding.outcomes import BROKEN, NOT_RUN, AttemptError, Progress
-from firworks.standins.platform_targets import EVENTS, LARGE_BODY_BYTES, make_event
 from firworks.tests.gateway_process import Caller
-from firworks.tests.gateway_testbed import play
-
-PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
-LARGE = bytes(LARGE_BODY_BYTES)
-STREAM = b"".join(map(make_event, range(1, EVENTS + 1)))
+from firworks.tests.gateway_testbed import PROMPT, play
 
 
 class TestProgress:
@@ -57,7 +52,7 @@
                     for writer in list(target._writers):
                         writer.transport.abort()
                 gate.set()
-                rest = await caller.read_end_of_connection()
+                rest = await caller.read_rest()
             # A further response would have a status line.
             assert b"HTTP/1.1" not in rest
             ends = rest.endswith(b"\r\n0\r\n\r\n")
--- a/firworks/tests/test_endless_answers.py
+++ b/firworks/tests/test_endless_answers.py
@@ -25,7 +25,8 @@
 )
 from firworks.platform import store
 from firworks.standins.platform_targets import ENDLESS
-from firworks.tests.test_gateway import PROMPT, list_requests, play, set_fault
+from firworks.tests.gateway_testbed import PROMPT, play
+from firworks.tests.test_gateway import list_requests, set_fault
 
 CHUNK_BYTES = 65_536
 # Upper bound of the kernel's buffers at both ends of a loopback connection and of what
@@ -192,7 +193,7 @@
     def test_store_response_is_read_up_to_a_limit(self, monkeypatch):
         async def scenario(world):
             (gateway,) = world.gateways
-            monkeypatch.setattr(store, "MAX_RESPONSE_BYTES", 100)
+            monkeypatch.setattr(gateway.store._buffers, "max_response_bytes", 100)
             with pytest.raises(store.StoreError, match="exceeds 100 bytes"):
                 await gateway.store.list_newest(store.CONFIGURATION_TOPIC)
 
--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -23,14 +23,13 @@
 from firworks.standins.platform_targets import EVENTS, STAMP
 from firworks.tests.gateway_testbed import (
     KEY,
+    PROMPT,
     make_configuration,
     make_route,
     play,
     wait_until,
 )
 
-PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
-
 
 def list_requests(testbed, service):
     """Return the requests that targets of a service received: (line, headers, body)."""
--- a/firworks/tests/test_late_copies.py
+++ b/firworks/tests/test_late_copies.py
@@ -5,10 +5,10 @@
 import pytest
 
 from firworks.standins.platform_targets import PlatformStage
-from firworks.tests.gateway_testbed import make_configuration, play, wait_until
+from firworks.tests.gateway_testbed import PROMPT, make_configuration, play, wait_until
 
 STAGED = {
-    **{"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"},
+    **PROMPT,
     "X-Pieces": "2,2",
 }
 REQUESTS = 6
--- a/firworks/tests/test_out_of_step.py
+++ b/firworks/tests/test_out_of_step.py
@@ -14,10 +14,9 @@
 from firworks.kernel.versions.served import MIN_LIFE_S, ServedVersion, ServedVersions
 from firworks.standins.platform_targets import PlatformEngine, make_event
 from firworks.tests.gateway_process import Caller, GatewayProcess
-from firworks.tests.gateway_testbed import run_testbed, run_together, wait_until
+from firworks.tests.gateway_testbed import run, run_testbed, run_together, wait_until
 from firworks.tests.test_stream_versions import (
     list_stored_versions,
-    run,
     run_versions,
     set_version,
 )
@@ -31,14 +30,14 @@
 # Long enough for a pause of the process to be noticed.
 OUT_OF_STEP_S = 2.0
 FROZEN, NO_PEERS, NO_STORE, ALONE = "frozen", "no peers", "no store", "alone"
-PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20"}
+UNCACHED = {"X-Model": "m", "X-Token-Counts": "40,20"}
 EVENT = make_event(1, "v2")
 REST = b"".join(make_event(number, "v2") for number in range(2, 6))
 
 
 def make_prompt(number):
     """Return the headers of a prompt that engines have not cached."""
-    return {**PROMPT, "X-Prefix-Hash": f"a{number}:30"}
+    return {**UNCACHED, "X-Prefix-Hash": f"a{number}:30"}
 
 
 class Release:
@@ -116,7 +115,7 @@
         async with Caller(self._process.port) as caller:
             # A caller that names no attempt leaves nothing but the store's versions.
             named = {} if begun_as is None else {"Resumes": begun_as}
-            caller.send("/rules/a", **PROMPT, **named, **{"Last-Event-Id": 1})
+            caller.send("/rules/a", **UNCACHED, **named, **{"Last-Event-Id": 1})
             status, _, body = await caller.read()
             return status, body
 
--- a/firworks/tests/test_stream_versions.py
+++ b/firworks/tests/test_stream_versions.py
@@ -1,6 +1,5 @@
 """Tests that a stream goes on only at the software version that began it."""
 
-import asyncio
 import time
 from contextlib import asynccontextmanager
 
@@ -13,8 +12,8 @@
 from firworks.standins.platform_targets import EVENTS, PlatformEngine
 from firworks.tests.gateway_testbed import (
     KEY,
-    TEST_TIMEOUT_S,
     make_configuration,
+    run,
     run_testbed,
     wait_until,
 )
@@ -24,16 +23,6 @@
 SLOW_S = 0.1
 
 
-def run(test):
-    """Run a test coroutine with a limit of time."""
-
-    async def limited():
-        async with asyncio.timeout(TEST_TIMEOUT_S):
-            await test()
-
-    asyncio.run(limited())
-
-
 def set_version(testbed, target_id, version, state="ready"):
     """Write a target's entry with another software version."""
     target = testbed.targets[target_id]
--- a/firworks/tests/test_tasks.py
+++ b/firworks/tests/test_tasks.py
@@ -9,9 +9,9 @@
 from firworks.tasks import start_task
 from firworks.tests.gateway_testbed import (
     KEY,
-    TEST_TIMEOUT_S,
     make_configuration,
     play,
+    run,
     wait_until,
 )
 from firworks.tests.kit import make_document, make_document_bytes
@@ -147,8 +147,4 @@
             finally:
                 await site.stop()
 
-        async def limited():
-            async with asyncio.timeout(TEST_TIMEOUT_S):
-                await scenario()
-
-        asyncio.run(limited())
+        run(scenario)
--- a/firworks/tests/test_unframed_answers.py
+++ b/firworks/tests/test_unframed_answers.py
@@ -13,10 +13,9 @@
 )
 from firworks.standins.platform_targets import EVENTS
 from firworks.tests.crash_testbed import OWN_PROMPT, run_crash_testbed
-from firworks.tests.gateway_testbed import play, run_together, wait_until
+from firworks.tests.gateway_testbed import PROMPT, play, run_together, wait_until
 from firworks.tests.test_gateway import list_requests, set_fault
 
-PROMPT = {"X-Model": "m", "X-Token-Counts": "40,20", "X-Prefix-Hash": "a1:30,b2:10"}
 STAGED = {**PROMPT, "X-Pieces": "2,3", "X-Piece-Key": "k"}
 EVENT_IDS = [f"id: {number}".encode() for number in range(1, EVENTS + 1)]
 LIMIT_S = 30.0
