--- a/firworks/tests/test_api_keys.py
+++ b/firworks/tests/test_api_keys.py
@@ -147,6 +147,70 @@
         play(scenario)
 
 
+class TestPathsOfConfigurations:
+    """Requests with an unknown key run on none of the ways a configuration takes."""
+
+    def test_a_gateway_without_a_configuration_forwards_nothing(self):
+        async def scenario(testbed):
+            for topic in ("keyed.op", "keyed.servers"):
+                testbed.store.trim(topic)
+            testbed.store.put("keyed.op", "config", b"")
+            gateway = await testbed.add_gateway("first", ready=False)
+            assert await send_keys(testbed, gateway) == [503] * 3
+            assert not list_received(testbed, "/stock/a")
+            testbed.store.put_configuration(make_configuration())
+            await wait_until(lambda: gateway.configuration is not None)
+            assert (await send_keys(testbed, gateway))[1:] == [401] * 2
+
+        play(scenario, gateways=0)
+
+    def test_the_last_of_several_versions_written_at_once_holds(self):
+        async def scenario(testbed):
+            (gateway,) = testbed.gateways
+            revoked = [{"name": "club", "api-keys": []}]
+            for version, tenants in ((2, revoked), (3, []), (4, revoked)):
+                table = make_configuration(version, tenants=tenants)
+                testbed.store.put_configuration(table)
+            await wait_until(lambda: gateway.configuration.version == 4)
+            assert await send_keys(testbed, gateway) == [401] * 3
+
+        play(scenario)
+
+    def test_an_older_record_does_not_bring_a_key_back(self):
+        async def scenario(testbed):
+            (gateway,) = testbed.gateways
+            revoked = [{"name": "club", "api-keys": []}]
+            await apply(testbed, [gateway], tenants=revoked)
+            older = make_configuration(1)
+            testbed.store.put("keyed.op", "config", json.dumps(older).encode())
+            late = await testbed.add_gateway("late")
+            await wait_until(lambda: late.configuration.version == 2)
+            for one in (gateway, late):
+                assert await send_keys(testbed, one) == [401] * 3
+
+        play(scenario)
+
+    def test_a_gateway_that_follows_another_applies_its_revocation(self):
+        # The peer decodes the operator's record itself, from the same bytes.
+        async def scenario(testbed):
+            def list_followers():
+                return [
+                    gateway
+                    for gateway in testbed.gateways
+                    if gateway._replicator.configuration_follower.is_delegated
+                ]
+
+            await wait_until(list_followers)
+            (follower,) = list_followers()
+            (reader,) = set(testbed.gateways) - {follower}
+            table = make_configuration(2, tenants=[{"name": "club", "api-keys": []}])
+            reader._configurations.apply_record(json.dumps(table).encode(), "store")
+            await wait_until(lambda: follower.configuration.version == 2)
+            assert await send_keys(testbed, follower) == [401] * 3
+
+        play(scenario, gateways=2)
+
+
 class TestKeysOfWaitingRequests:
     STAGED = {
         **PROMPT,
