Rate placements by the expected time where the settings ask for it

With engine_placement = "time" an engine is chosen by the time to the first event that its unread prompts, the tokens it has not cached and its learned speed let expect, plus the costs of tokens read again and of results fetched from other failure domains. The position in the hash order decides only between engines that cost about the same.

The default is as before.

--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -12,10 +12,11 @@
         clock (callable): Returns monotonic seconds.
         deliver (callable): ``deliver(result)`` receives each `Placed` and `NotPlaced`.
         limits (TargetLimits): Permits for engines that name a limit.
+        placement (str): How engines are rated; see `EngineScheduler`.
     """
 
-    def __init__(self, service, clock, deliver, limits):
-        self.scheduler = EngineScheduler(service.engine, limits.limiter)
+    def __init__(self, service, clock, deliver, limits, placement):
+        self.scheduler = EngineScheduler(service.engine, limits.limiter, placement)
         self._service = service
         self._limits = limits
         self._clock = clock
@@ -36,11 +37,11 @@
 
     def adopt(self, job, target_id, begun):
         """Register a request that another scheduler has placed."""
-        self.scheduler.adopt(job, target_id, begun)
+        self.scheduler.adopt(job, target_id, begun, self._clock())
 
     def note_begun(self, job_id):
         """Record that a request's first token has arrived."""
-        self.scheduler.note_begun(job_id)
+        self.scheduler.note_begun(job_id, self._clock())
 
     def end(self, job_id, failed):
         """Record that a request has finished on its engine, successfully or not."""
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -67,6 +67,7 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
+        engine_placement (str): How engines are rated; see `EngineScheduler`.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -82,6 +83,7 @@
         crashes,
         availability,
         limits,
+        engine_placement,
     ):
         self.peers = None
         self._directory = directory
@@ -92,6 +94,7 @@
         self._crashes = crashes
         self._availability = availability
         self._limits = limits
+        self._engine_placement = engine_placement
         self._client = PoolClient(roster)
         self._stages = {}
         self._engines = {}
@@ -381,7 +384,11 @@
         runner = self._engines.get(name)
         if runner is None:
             self._engines[name] = EnginePoolRunner(
-                service, self._clock, self._deliver, self._limits
+                service,
+                self._clock,
+                self._deliver,
+                self._limits,
+                self._engine_placement,
             )
         else:
             runner.scheduler.spec = service.engine
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -149,6 +149,7 @@
             self.crashes,
             self.availability,
             self.limits,
+            self.settings.engine_placement,
         )
         pools.peers = PeerConnections(
             self.settings,
--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -4,6 +4,7 @@
 
 from firworks.checks import check_table, parse_toml
 from firworks.errors import SettingsError
+from firworks.kernel.pools.engines import BY_TIME, BY_TOKENS
 
 PATH_VARIABLE = "FIRWORKS_NODE_FILE"
 
@@ -26,6 +27,7 @@
     "tls_authority": "",
     "seed": 0,
     "seeds": [],
+    "engine_placement": BY_TOKENS,
 }
 
 SCHEMA = {
@@ -64,6 +66,7 @@
         "tls_authority": {"type": "string"},
         "seed": {"type": "integer"},
         "seeds": {"type": "array", "items": _ADDRESS},
+        "engine_placement": {"enum": [BY_TOKENS, BY_TIME]},
     },
 }
 
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -22,6 +22,9 @@
 that began there can go on nowhere else. They go first, and the last places there are
 kept for them while other engines have room. A request that may go to none of the
 engines is refused at once.
+
+Load pattern: engines differ in speed, and some prompt parts are hot. `TimedPlacement`,
+if chosen by the settings, rates engines by expected time in place of tokens.
 """
 
 from collections import OrderedDict, deque
@@ -30,6 +33,7 @@
 
 from firworks.kernel.messages import Struct
 from firworks.kernel.pools.jobs import sum_remote_bytes
+from firworks.kernel.pools.timed_placement import TimedPlacement
 from firworks.kernel.target_limits.unlimited import UnlimitedTargets
 
 # Cost of a running request, in prompt tokens: it slows the engine's steps as much as
@@ -58,6 +62,9 @@
 MEGABYTE = 1_000_000
 # Retry-After for callers when no engine had capacity before their deadline.
 DEFAULT_RETRY_AFTER_S = 1.0
+# Ways to rate placements: by prompt tokens, or by the expected time.
+BY_TOKENS = "tokens"
+BY_TIME = "time"
 
 
 class Placed(Struct):
@@ -149,15 +156,23 @@
         return sum(job.tokens_in + job.tokens_out for job in self.jobs.values())
 
     def add(self, job, pending_prefill, capacity):
-        """Add a request and cache its prompt parts, evicting the oldest (LRU)."""
+        """Add a request and cache its prompt parts, evicting the oldest (LRU).
+
+        Returns:
+            list of str: The evicted parts.
+        """
         self.jobs[job.job_id] = job
         self.pending_prefill[job.job_id] = pending_prefill
         for part_id, tokens in zip(job.part_ids, job.part_tokens, strict=True):
             self.parts[part_id] = tokens
             self.parts.move_to_end(part_id)
         cached = sum(self.parts.values())
+        evicted = []
         while cached > capacity and self.parts:
-            cached -= self.parts.popitem(last=False)[1]
+            part_id, tokens = self.parts.popitem(last=False)
+            cached -= tokens
+            evicted.append(part_id)
+        return evicted
 
     def count_cached(self, job):
         """Return the number of cached tokens in the prompt's prefix."""
@@ -177,10 +192,12 @@
     Args:
         spec (EngineSpec): Capacity of each engine.
         limits (TargetLimiter): Permits for engines that name a limit.
+        placement (str): ``BY_TOKENS`` or ``BY_TIME``.
     """
 
-    def __init__(self, spec, limits=None):
+    def __init__(self, spec, limits=None, placement=BY_TOKENS):
         self.spec = spec
+        self._timed = TimedPlacement() if placement == BY_TIME else None
         self._limits = limits or UnlimitedTargets()
         self._engines = {}
         self._usable = ()
@@ -208,7 +225,7 @@
             if incarnation not in by_incarnation
         ]:
             if not self._engines[incarnation].jobs:
-                del self._engines[incarnation]
+                self._clear_cache(self._engines.pop(incarnation))
         for incarnation, target in by_incarnation.items():
             engine = self._engines.setdefault(incarnation, _Engine(target))
             if engine.target != target or engine.cold_until_s == 0.0:
@@ -216,6 +233,8 @@
             engine.target = target
         self._usable = tuple(by_incarnation)
         self._has_versions = len({one.version for one in by_incarnation.values()}) > 1
+        if self._timed is not None:
+            self._timed.set_engines(by_incarnation.values(), self._engines, now)
         return self.plan(now)
 
     def submit(self, job, now):
@@ -223,21 +242,26 @@
         self._waiting[job.job_id] = job
         return self.plan(now)
 
-    def adopt(self, job, target_id, begun):
+    def adopt(self, job, target_id, begun, now=0.0):
         """Take over a request that another scheduler has placed.
 
         Args:
             job (EngineJob): The request.
             target_id (str): Its engine.
             begun (bool): Its first token was received.
+            now (float): Monotonic seconds.
         """
         for engine in self._engines.values():
             if engine.target.target_id == target_id and job.job_id not in self._by_job:
                 pending_prefill = (
                     0 if begun else job.tokens_in - engine.count_cached(job)
                 )
-                engine.add(job, pending_prefill, self.spec.memory_tokens)
+                evicted = engine.add(job, pending_prefill, self.spec.memory_tokens)
                 self._by_job[job.job_id] = engine
+                if self._timed is not None:
+                    target = engine.target
+                    self._timed.note_adopted(job, target, pending_prefill, begun, now)
+                    self._timed.note_evicted(target, evicted)
 
     def resend_outcome(self, job_id):
         """Return the actions that report a job again, or None if it is unknown."""
@@ -250,12 +274,20 @@
         cached = job.tokens_in - engine.pending_prefill.get(job_id, 0)
         return [Placed(job, engine.target, cached)]
 
-    def note_begun(self, job_id):
-        """Record that the first token of a request was received."""
+    def note_begun(self, job_id, now=None):
+        """Record that the first token of a request was received.
+
+        Args:
+            job_id (str): The job.
+            now (float or None): Monotonic seconds; None if the time tells nothing about
+                the engine.
+        """
         engine = self._by_job.get(job_id)
         if engine is not None:
             engine.pending_prefill.pop(job_id, None)
             engine.failures = 0
+            if self._timed is not None and now is not None:
+                self._timed.note_begun(job_id, engine.target, now)
 
     def end(self, job_id, failed, now):
         """Remove a request that has left its engine or was cancelled.
@@ -269,13 +301,15 @@
         engine = self._by_job.pop(job_id, None)
         if engine is None:
             return []
-        engine.jobs.pop(job_id, None)
+        job = engine.jobs.pop(job_id)
         engine.pending_prefill.pop(job_id, None)
+        if self._timed is not None:
+            self._timed.note_ended(job, engine.target, now)
         if failed:
             pause_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**engine.failures)
             engine.failures += 1
             engine.paused_until_s = now + pause_s
-            engine.parts.clear()
+            self._clear_cache(engine)
         return self.plan(now)
 
     def plan(self, now):
@@ -356,10 +390,20 @@
         ]
         for job_id, engine in expired:
             del self._by_job[job_id]
-            del engine.jobs[job_id]
+            job = engine.jobs.pop(job_id)
             engine.pending_prefill.pop(job_id, None)
+            if self._timed is not None:
+                self._timed.note_ended(job, engine.target, now)
+
+    def _clear_cache(self, engine):
+        """Forget what an engine has cached."""
+        if self._timed is not None:
+            self._timed.note_evicted(engine.target, engine.parts)
+        engine.parts.clear()
 
     def _choose(self, job, now):
+        if self._timed is not None:
+            return self._choose_by_time(job, now)
         eligible = [
             self._engines[incarnation]
             for incarnation in self._usable
@@ -379,9 +423,25 @@
         }
         return min(order, key=costs.get)
 
+    def _choose_by_time(self, job, now):
+        """Return the eligible engine with the least expected time, or None."""
+        needs_shared_room = self._has_versions and not self._is_bound(job)
+        best = None
+        for incarnation in self._timed.rank(job, self.spec.slots, now):
+            engine = self._engines[incarnation]
+            if not self._is_eligible(engine, job, now):
+                continue
+            if not needs_shared_room or self._has_shared_room(engine, job):
+                return engine
+            best = best or engine
+        return best
+
     def _place(self, job, engine, now):
         cached = engine.count_cached(job)
-        engine.add(job, job.tokens_in - cached, self.spec.memory_tokens)
+        evicted = engine.add(job, job.tokens_in - cached, self.spec.memory_tokens)
+        if self._timed is not None:
+            self._timed.note_placed(job, engine.target, job.tokens_in - cached, now)
+            self._timed.note_evicted(engine.target, evicted)
         self._limits.take(engine.target.incarnation, now)
         if engine.cold_until_s > now:
             engine.cold_placements_s.append(now)
--- /dev/null
+++ b/firworks/tests/test_engine_placement.py
@@ -0,0 +1,290 @@
+"""Replays of loads on engines whose placements are rated by the expected time."""
+
+import pytest
+
+from firworks.kernel.forwarding.configuration import EngineSpec
+from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.pools.engines import (
+    BY_TIME,
+    BY_TOKENS,
+    EngineScheduler,
+    NotPlaced,
+    Placed,
+)
+from firworks.kernel.pools.jobs import EngineJob
+from firworks.tests.engine_simulation import EngineSimulation, make_kinds
+
+# Factors on the times of engines, by failure domain.
+UNEVEN = {"fd-1": 0.7, "fd-2": 0.7, "fd-3": 1.7}
+SLIGHTLY_UNEVEN = {"fd-1": 1.0, "fd-2": 1.0, "fd-3": 1.3}
+HOT_SHARE = 0.28
+LENGTH_S = 40.0
+PARTS = (("first", 2520), ("subject", 3780))
+
+
+def simulate(
+    placement, slowness=UNEVEN, hot_share=HOT_SHARE, change=None, length_s=LENGTH_S
+):
+    """Return an `EngineSimulation` after some seconds of load.
+
+    Args:
+        placement (str): How engines are rated.
+        slowness (dict of str to float): Factors of the failure domains.
+        hot_share (float): Share of requests for one subject.
+        change (callable or None): ``change(simulation)`` is called at half time of
+            ``LENGTH_S``.
+        length_s (float): Length of the load.
+    """
+    simulation = EngineSimulation(placement, make_kinds(hot_share), slowness)
+    if change is not None:
+        simulation.at(LENGTH_S / 2, change, simulation)
+    simulation.run(length_s)
+    return simulation
+
+
+def make_job(name, parts=PARTS, own=2890, **changes):
+    """Return an `EngineJob` with an own part."""
+    ids = (*(part for part, _ in parts), f"own-{name}")
+    tokens = (*(count for _, count in parts), own)
+    job = EngineJob(name, ids, tokens, sum(tokens), 90, 1, 5000.0, 9000.0, (), (), ())
+    return job.replace(**changes) if changes else job
+
+
+def make_targets(count, domains=3):
+    """Return the `Target` of some engines."""
+    return [
+        Target(
+            f"e{i}", "engine", "10.0.0.1:1", f"fd-{i % domains}", "", 16, False, 1, 0
+        )
+        for i in range(count)
+    ]
+
+
+def make_scheduler(count, slots=16, memory_tokens=282_344):
+    """Return an `EngineScheduler` that rates by time, with engines."""
+    spec = EngineSpec(slots, memory_tokens, 0)
+    scheduler = EngineScheduler(spec, placement=BY_TIME)
+    scheduler.set_targets(make_targets(count), 0.0)
+    return scheduler
+
+
+def place(scheduler, job, now):
+    """Submit a request and return its `Target`."""
+    (action,) = scheduler.submit(job, now)
+    return action.target
+
+
+def serve(scheduler, job, now, first_s=0.1):
+    """Submit a request whose first event comes after some time, and end it."""
+    target = place(scheduler, job, now)
+    scheduler.note_begun(job.job_id, now + first_s)
+    scheduler.end(job.job_id, False, now + first_s + 0.5)
+    return target
+
+
+class TestUnevenEngines:
+    """Engines of one failure domain take 2.4 times as long as the others."""
+
+    @pytest.mark.parametrize("slowness", [UNEVEN, SLIGHTLY_UNEVEN])
+    def test_first_events_come_earlier_than_by_tokens(self, slowness):
+        by_tokens = simulate(BY_TOKENS, slowness)
+        by_time = simulate(BY_TIME, slowness)
+        for kind in ("manifest", "summary", "chat"):
+            before_s = by_tokens.measure_quantile(0.9, kind)
+            assert by_time.measure_quantile(0.9, kind) <= before_s
+        before_s = by_tokens.measure_quantile(0.9, "manifest")
+        assert by_time.measure_quantile(0.9, "manifest") < before_s
+        assert by_time.measure_late() <= 0.5 * by_tokens.measure_late()
+
+    def test_slow_engines_get_few_requests_but_some(self):
+        counts = simulate(BY_TIME).count_by_domain()
+        assert 0 < counts["fd-3"] < 0.1 * sum(counts.values())
+
+    def test_all_requests_are_served(self):
+        simulation = simulate(BY_TIME)
+        assert not any(one.refused for one in simulation.sent)
+        assert max(simulation.list_first_s()) < 1.0
+
+    def test_a_change_of_speeds_is_noticed(self):
+        def swap(simulation):
+            for engine in simulation.engines.values():
+                domain = engine.target.failure_domain
+                engine.slowness = {"fd-1": 1.7, "fd-2": 0.7, "fd-3": 0.7}[domain]
+
+        simulation = simulate(BY_TIME, change=swap)
+        assert simulation.measure_late(None, LENGTH_S / 2 + 10.0) < 0.005
+
+    def test_recovered_engines_get_requests_again(self):
+        def recover(simulation):
+            for engine in simulation.engines.values():
+                engine.slowness = 0.7
+
+        slow = simulate(BY_TIME, length_s=4 * LENGTH_S).count_by_domain()
+        recovered = simulate(BY_TIME, change=recover, length_s=4 * LENGTH_S)
+        assert recovered.count_by_domain()["fd-3"] > 3 * slow["fd-3"]
+
+    def test_an_engine_that_stalls_gets_few_requests(self):
+        def stall(simulation):
+            simulation.engines["engine-0"].stalled = True
+
+        simulation = simulate(BY_TIME, change=stall)
+        lost = [one for one in simulation.sent if one.first_s is None]
+        assert len(lost) <= 5
+
+
+class TestHotParts:
+    """One subject gets 28 of 100 requests, and 1,220 subjects share 4 first parts."""
+
+    def test_hot_parts_do_not_delay_first_events(self):
+        hot, even = simulate(BY_TIME), simulate(BY_TIME, hot_share=0.0)
+        limit_s = 1.25 * even.measure_quantile(0.9, "manifest")
+        assert hot.measure_quantile(0.9, "manifest") < limit_s
+
+    def test_few_shared_tokens_are_read_again(self):
+        simulation = simulate(BY_TIME)
+        assert simulation.reread_tokens < 0.04 * simulation.read_tokens
+
+    def test_a_hot_part_is_served_by_several_engines_and_a_cooled_one_by_one(self):
+        scheduler = make_scheduler(12)
+        hot, now = set(), 0.0
+        for number in range(60):
+            hot.add(place(scheduler, make_job(f"hot{number}"), now).target_id)
+            if number % 6 == 5:
+                now += 0.4
+                for job in range(number - 5, number + 1):
+                    scheduler.note_begun(f"hot{job}", now)
+                    scheduler.end(f"hot{job}", False, now)
+        assert len(hot) > 1
+        now += 60.0
+        cooled = {
+            serve(scheduler, make_job(f"cool{i}"), now + 5.0 * i).target_id
+            for i in range(10)
+        }
+        assert len(cooled) == 1
+
+    def test_a_subject_stays_at_its_engine(self):
+        scheduler = make_scheduler(70)
+        first = serve(scheduler, make_job("a"), 0.0)
+        assert serve(scheduler, make_job("b"), 5.0) == first
+
+    def test_a_new_scheduler_places_subjects_where_the_last_one_did(self):
+        chosen = []
+        for _ in range(2):
+            scheduler = make_scheduler(70)
+            jobs = [
+                make_job(f"j{number}", (("first", 2520), (f"s{number}", 3780)))
+                for number in range(40)
+            ]
+            chosen.append(
+                [serve(scheduler, job, 30.0 * i) for i, job in enumerate(jobs)]
+            )
+        same = sum(one == other for one, other in zip(*chosen, strict=True))
+        assert same == 40
+
+    def test_a_new_scheduler_causes_few_late_first_events(self):
+        simulation = simulate(BY_TIME, change=EngineSimulation.replace_scheduler)
+        assert simulation.measure_late(None, LENGTH_S / 2) < 0.01
+
+    def test_requests_without_parts_spread_over_the_engines(self):
+        scheduler = make_scheduler(10)
+        chosen = {
+            serve(scheduler, make_job(f"j{i}", part_ids=(), part_tokens=()), i, 0.31)
+            for i in range(10)
+        }
+        assert len(chosen) == 10
+
+
+class TestLocality:
+    """Stage results of megabytes are in one failure domain."""
+
+    def choose(self, scheduler, name, domain, now, parts=PARTS):
+        job = make_job(name, parts, input_domains=(domain,), input_bytes=(3_750_000,))
+        return place(scheduler, job, now).failure_domain
+
+    @pytest.mark.parametrize("domain", ["fd-0", "fd-1", "fd-2"])
+    def test_a_new_subject_goes_to_the_domain_of_its_results(self, domain):
+        assert self.choose(make_scheduler(70), "a", domain, 0.0) == domain
+
+    def test_cached_parts_outweigh_the_results(self):
+        scheduler = make_scheduler(70)
+        home = serve(scheduler, make_job("a"), 0.0).failure_domain
+        other = next(d for d in ("fd-0", "fd-1", "fd-2") if d != home)
+        assert self.choose(scheduler, "b", other, 1.0) == home
+
+    def test_a_longer_wait_outweighs_the_results(self):
+        scheduler = make_scheduler(3)
+        assert self.choose(scheduler, "before", "fd-1", 0.0, (("x", 9000),)) == "fd-1"
+        assert self.choose(scheduler, "a", "fd-1", 0.0) != "fd-1"
+
+
+class TestSchedulerRules:
+    """What holds for placements by tokens holds for those by time."""
+
+    def test_excluded_and_failed_engines_get_nothing(self):
+        scheduler = make_scheduler(3)
+        failed = place(scheduler, make_job("a"), 0.0)
+        scheduler.end("a", True, 0.1)
+        excluded = ("e0",) if failed.target_id != "e0" else ("e1",)
+        target = place(scheduler, make_job("b", excluded=excluded), 0.2)
+        assert target.target_id not in (failed.target_id, *excluded)
+
+    def test_slots_and_memory_are_not_overcommitted(self):
+        scheduler = make_scheduler(1, slots=2)
+        assert scheduler.submit(make_job("a"), 0.0)
+        assert scheduler.submit(make_job("b"), 0.0)
+        assert scheduler.submit(make_job("c"), 0.0) == []
+        (placed,) = scheduler.end("a", False, 1.0)
+        assert isinstance(placed, Placed) and placed.job.job_id == "c"
+        scheduler = make_scheduler(1, memory_tokens=15_000)
+        assert scheduler.submit(make_job("a"), 0.0)
+        assert scheduler.submit(make_job("b"), 0.0) == []
+
+    def test_changed_slots_apply_at_once(self):
+        scheduler = make_scheduler(1, slots=1)
+        place(scheduler, make_job("a"), 0.0)
+        assert scheduler.submit(make_job("b"), 0.0) == []
+        scheduler.spec = scheduler.spec.replace(slots=2)
+        (placed,) = scheduler.plan(0.1)
+        assert isinstance(placed, Placed)
+
+    def test_requests_that_expire_or_are_cancelled_free_their_places(self):
+        scheduler = make_scheduler(1, slots=1)
+        place(scheduler, make_job("a", deadline_s=2.0), 0.0)
+        scheduler.submit(make_job("b"), 0.0)
+        (placed,) = scheduler.plan(4.0)
+        assert placed.job.job_id == "b"
+        scheduler.submit(make_job("c"), 4.0)
+        (placed,) = scheduler.end("b", False, 5.0)
+        assert placed.job.job_id == "c"
+
+    def test_a_request_is_refused_at_its_first_byte_deadline(self):
+        scheduler = make_scheduler(1, slots=1)
+        place(scheduler, make_job("a"), 0.0)
+        scheduler.submit(make_job("b", first_byte_deadline_s=2.0), 0.0)
+        assert [type(one) for one in scheduler.plan(2.0)] == [NotPlaced]
+
+    def test_requests_of_another_scheduler_are_counted(self):
+        scheduler = make_scheduler(2, slots=1)
+        scheduler.adopt(make_job("a"), "e0", False, 0.0)
+        assert place(scheduler, make_job("b"), 0.0).target_id == "e1"
+        scheduler.note_begun("a", 0.5)
+        assert scheduler.submit(make_job("c"), 0.5) == []
+        (placed,) = scheduler.end("a", False, 1.0)
+        assert placed.target.target_id == "e0"
+
+    def test_engines_that_leave_and_come_back_are_forgotten(self):
+        scheduler = make_scheduler(3)
+        first = serve(scheduler, make_job("a"), 0.0)
+        rest = [one for one in make_targets(3) if one != first]
+        scheduler.set_targets(rest, 1.0)
+        scheduler.set_targets(make_targets(3), 2.0)
+        (placed,) = scheduler.submit(make_job("b"), 3.0)
+        assert placed.cached_tokens == 0
+
+    def test_an_engine_that_leaves_finishes_its_requests(self):
+        scheduler = make_scheduler(2)
+        target = place(scheduler, make_job("a"), 0.0)
+        scheduler.set_targets([one for one in make_targets(2) if one != target], 1.0)
+        assert place(scheduler, make_job("b"), 1.0) != target
+        scheduler.note_begun("a", 1.5)
+        assert scheduler.end("a", False, 2.0) == []
