Make placements cheap in a pool of 650 engines

Each plan checked the deadlines of all running requests; now only when the first of them can have passed. The placement by time reads attributes of each engine and calls no function for engines that have nothing to read.

The bench prepares its scheduler once for all rounds, as the 5,200 placements before each round would take minutes.

--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -18,7 +18,7 @@
 from firworks.kernel.forwarding.news import TargetEntry, digest_targets
 from firworks.kernel.forwarding.positions import ORIGIN
 from firworks.kernel.forwarding.readers import StoreFacts
-from firworks.kernel.pools.engines import EngineScheduler
+from firworks.kernel.pools.engines import BY_TIME, BY_TOKENS, EngineScheduler
 from firworks.kernel.pools.jobs import EngineJob, PieceJob
 from firworks.kernel.pools.stages import StageScheduler
 from firworks.platform.records import decode_keyed, encode_keyed
@@ -109,7 +109,7 @@
     return measure_us(lambda: targets, tell)
 
 
-def measure_placement(count):
+def measure_placement(count, placement):
     """Return the time to place a request on one of some half-filled engines."""
     numbers = iter(range(1_000_000))
 
@@ -119,14 +119,19 @@
             str(number), ids, (6300, 500), 6800, 80, 1, 4.0, 9.0, (), (), ()
         )
 
+    spec = EngineSpec(ENGINE_SLOTS, ENGINE_TOKENS, 0)
+    scheduler = EngineScheduler(spec, placement=placement)
+    scheduler.set_targets(make_targets(count), 0.0)
+    for _ in range(count * ENGINE_SLOTS // 2):
+        scheduler.submit(make_job(next(numbers)), 0.0)
+
     def prepare():
-        scheduler = EngineScheduler(EngineSpec(ENGINE_SLOTS, ENGINE_TOKENS, 0))
-        scheduler.set_targets(make_targets(count), 0.0)
-        for _ in range(count * ENGINE_SLOTS // 2):
-            scheduler.submit(make_job(next(numbers)), 0.0)
-        return scheduler
+        job = make_job(next(numbers))
+        # As many requests run in each round.
+        scheduler.end(str(int(job.job_id) - 1), False, 0.1)
+        return job
 
-    return measure_us(prepare, lambda one: one.submit(make_job(next(numbers)), 0.1))
+    return measure_us(prepare, lambda job: scheduler.submit(job, 0.1))
 
 
 def measure_batch(waiting):
@@ -163,8 +168,10 @@
     for count in (27, 131, 650):
         print(f"poll of {count} targets: {measure_poll(count):.0f} us")
         print(f"word about {count} targets: {measure_word(count):.0f} us")
-    for count in (5, 36):
-        print(f"placement among {count} engines: {measure_placement(count):.0f} us")
+    for placement in (BY_TOKENS, BY_TIME):
+        for count in (5, 36, 70, 650):
+            cost_us = measure_placement(count, placement)
+            print(f"placement by {placement} among {count}: {cost_us:.0f} us")
     for waiting in (20, 100, 400):
         print(f"batch from {waiting} waiting jobs: {measure_batch(waiting):.0f} us")
 
--- a/firworks/kernel/pools/engine_loads.py
+++ b/firworks/kernel/pools/engine_loads.py
@@ -25,6 +25,8 @@
         target (Target): The engine.
 
     Attributes:
+        running (int): Number of requests, those included whose prompt is to be read.
+        reads (bool): Any prompt is to be read.
         slowness (float): Factor of its times over those of the usual speed.
         placed_s (float): When it last got a request; monotonic seconds.
     """
@@ -32,6 +34,8 @@
     __slots__ = (
         "target",
         "incarnation",
+        "running",
+        "reads",
         "slowness",
         "placed_s",
         "_jobs",
@@ -44,6 +48,8 @@
     def __init__(self, target):
         self.target = target
         self.incarnation = target.incarnation
+        self.running = 0
+        self.reads = False
         self.slowness = 1.0
         self.placed_s = float("-inf")
         self._jobs = set()
@@ -52,25 +58,20 @@
         self._head_s = 0.0
         self._head_since_s = 0.0
 
-    @property
-    def running(self):
-        """Number of requests, those included whose prompt is to be read (int)."""
-        return len(self._jobs)
-
     def estimate_wait_s(self, now):
         """Return when the engine will have read all prompts, in seconds from now.
 
         A prompt that is overdue is expected to take as long again as it is overdue, so
         that an engine that became slow, or stalls, does not look idle.
         """
-        if not self._readings:
+        if not self.reads:
             return 0.0
         head_s = self.slowness * self._head_s - (now - self._head_since_s)
         return self.slowness * self._following_s + abs(head_s)
 
     def begin(self, job_id, reading, now):
         """Add a request (str) and its prompt (Reading)."""
-        self._jobs.add(job_id)
+        self.add_running(job_id)
         self.placed_s = now
         self._readings[job_id] = reading
         if len(self._readings) == 1:
@@ -81,6 +82,7 @@
     def add_running(self, job_id):
         """Add a request (str) whose first event has come."""
         self._jobs.add(job_id)
+        self.running = len(self._jobs)
 
     def pop_reading(self, job_id, now):
         """Return the `Reading` of a request whose first event has come, or None.
@@ -101,6 +103,7 @@
     def end(self, job_id, now):
         """Remove a request (str)."""
         self._jobs.discard(job_id)
+        self.running = len(self._jobs)
         if job_id in self._readings:
             is_head = job_id == next(iter(self._readings))
             reading = self._readings.pop(job_id)
@@ -111,10 +114,12 @@
 
     def _advance(self, now):
         """Begin to read the next prompt."""
-        if self._readings:
+        self.reads = bool(self._readings)
+        if self.reads:
             self._set_head(next(iter(self._readings.values())), now)
 
     def _set_head(self, reading, now):
+        self.reads = True
         self._head_s = reading.read_s
         self._head_since_s = now
         readings = iter(self._readings.values())
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -203,6 +203,8 @@
         self._usable = ()
         self._has_versions = False
         self._by_job = {}
+        # No request expires before this time, so that not all are checked each time.
+        self._expiry_s = float("inf")
         self._waiting = {}
         self._planned_s = float("inf")
 
@@ -257,7 +259,7 @@
                     0 if begun else job.tokens_in - engine.count_cached(job)
                 )
                 evicted = engine.add(job, pending_prefill, self.spec.memory_tokens)
-                self._by_job[job.job_id] = engine
+                self._track(job, engine)
                 if self._timed is not None:
                     target = engine.target
                     self._timed.note_adopted(job, target, pending_prefill, begun, now)
@@ -383,6 +385,8 @@
 
     def _drop_expired(self, now):
         """Remove requests whose daemons have not reported their end."""
+        if now < self._expiry_s:
+            return
         expired = [
             (job_id, engine)
             for job_id, engine in self._by_job.items()
@@ -394,6 +398,15 @@
             engine.pending_prefill.pop(job_id, None)
             if self._timed is not None:
                 self._timed.note_ended(job, engine.target, now)
+        deadlines_s = [
+            engine.jobs[job_id].deadline_s for job_id, engine in self._by_job.items()
+        ]
+        self._expiry_s = min(deadlines_s, default=float("inf")) + EXPIRY_S
+
+    def _track(self, job, engine):
+        """Record which engine has a request."""
+        self._by_job[job.job_id] = engine
+        self._expiry_s = min(self._expiry_s, job.deadline_s + EXPIRY_S)
 
     def _clear_cache(self, engine):
         """Forget what an engine has cached."""
@@ -445,7 +458,7 @@
         self._limits.take(engine.target.incarnation, now)
         if engine.cold_until_s > now:
             engine.cold_placements_s.append(now)
-        self._by_job[job.job_id] = engine
+        self._track(job, engine)
         return Placed(job, engine.target, cached)
 
     def _is_eligible(self, engine, job, now):
@@ -481,6 +494,8 @@
 
     def _is_excluded(self, job):
         """Return whether no engine may serve a request."""
+        if not job.excluded:
+            return False
         excluded = [target_id in job.excluded for target_id, _ in self._usable]
         return bool(excluded) and all(excluded)
 
--- a/firworks/kernel/pools/timed_placement.py
+++ b/firworks/kernel/pools/timed_placement.py
@@ -48,6 +48,7 @@
         self._orders = EngineOrders()
         self._loads = {}
         self._usable = ()
+        self._domains = ()
         self._usual = 1.0
         self._speeds_due_s = float("-inf")
 
@@ -66,6 +67,7 @@
             load = self._loads.setdefault(target.incarnation, EngineLoad(target))
             load.target = target
         self._usable = tuple(self._loads[target.incarnation] for target in targets)
+        self._domains = {target.failure_domain for target in targets}
         self._orders.set_engines(targets)
         self._speeds.keep(known)
         self._speeds_due_s = now
@@ -155,12 +157,13 @@
             incarnation = load.incarnation
             depth = cached.depths.get(incarnation, 0)
             cost_s = (
-                load.estimate_wait_s(now)
-                + load.slowness * (read_s[depth] + RUNNING_S * load.running)
+                load.slowness * (read_s[depth] + RUNNING_S * load.running)
                 + wasted_s[depth]
                 + ranks_s.get(incarnation, UNRANKED_S)
                 + remote_s[load.target.failure_domain]
             )
+            if load.reads:
+                cost_s += load.estimate_wait_s(now)
             costs.append((cost_s, load.placed_s, incarnation))
         return costs
 
@@ -173,9 +176,10 @@
 
     def _rate_domains(self, job):
         """Return the costs in seconds of fetching results to each failure domain."""
-        domains = {load.target.failure_domain for load in self._usable}
         byte_s = self._usual * REMOTE_BYTE_S
-        return {domain: byte_s * sum_remote_bytes(job, domain) for domain in domains}
+        return {
+            domain: byte_s * sum_remote_bytes(job, domain) for domain in self._domains
+        }
 
     def _compute_speeds(self, now):
         self._speeds_due_s = now + SPEED_INTERVAL_S
