Count what engines hold for all gateways, and limit it

With placement by time, tokens that are generated leave less memory for cached parts, so that parts are not taken for cached that the engine has evicted for them.

--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -1,7 +1,7 @@
 """Runs the scheduler of an engine pool."""
 
 from firworks.gateway.timers import RestartableTimer
-from firworks.kernel.pools.engines import EngineScheduler
+from firworks.kernel.pools.engines import MEGABYTE, EngineScheduler
 
 
 class EnginePoolRunner:
@@ -12,11 +12,16 @@
         clock (callable): Returns monotonic seconds.
         deliver (callable): ``deliver(result)`` receives each `Placed` and `NotPlaced`.
         limits (TargetLimits): Permits for engines that name a limit.
-        placement (str): How engines are rated; see `EngineScheduler`.
+        settings (GatewaySettings): How engines are chosen.
     """
 
-    def __init__(self, service, clock, deliver, limits, placement):
-        self.scheduler = EngineScheduler(service.engine, limits.limiter, placement)
+    def __init__(self, service, clock, deliver, limits, settings):
+        self.scheduler = EngineScheduler(
+            service.engine,
+            limits.limiter,
+            settings.engine_placement,
+            int(settings.engine_memory_mb * MEGABYTE),
+        )
         self._service = service
         self._limits = limits
         self._clock = clock
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -67,7 +67,7 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
-        engine_placement (str): How engines are rated; see `EngineScheduler`.
+        settings (GatewaySettings): How engines are chosen.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -83,7 +83,7 @@
         crashes,
         availability,
         limits,
-        engine_placement,
+        settings,
     ):
         self.peers = None
         self._directory = directory
@@ -94,7 +94,7 @@
         self._crashes = crashes
         self._availability = availability
         self._limits = limits
-        self._engine_placement = engine_placement
+        self._settings = settings
         self._client = PoolClient(roster)
         self._stages = {}
         self._engines = {}
@@ -388,7 +388,7 @@
                 self._clock,
                 self._deliver,
                 self._limits,
-                self._engine_placement,
+                self._settings,
             )
         else:
             runner.scheduler.spec = service.engine
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -149,7 +149,7 @@
             self.crashes,
             self.availability,
             self.limits,
-            self.settings.engine_placement,
+            self.settings,
         )
         pools.peers = PeerConnections(
             self.settings,
--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -28,6 +28,7 @@
     "seed": 0,
     "seeds": [],
     "engine_placement": BY_TOKENS,
+    "engine_memory_mb": 0,
 }
 
 SCHEMA = {
@@ -67,6 +68,7 @@
         "seed": {"type": "integer"},
         "seeds": {"type": "array", "items": _ADDRESS},
         "engine_placement": {"enum": [BY_TOKENS, BY_TIME]},
+        "engine_memory_mb": {"type": "number", "minimum": 0},
     },
 }
 
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -151,6 +151,11 @@
     def pending_prefill_tokens(self):
         return sum(self.pending_prefill.values())
 
+    @property
+    def held_bytes(self):
+        """Bytes of the stage results of its requests (int)."""
+        return sum(sum(job.input_bytes) for job in self.jobs.values())
+
     @property
     def used_tokens(self):
         return sum(job.tokens_in + job.tokens_out for job in self.jobs.values())
@@ -193,10 +198,13 @@
         spec (EngineSpec): Capacity of each engine.
         limits (TargetLimiter): Permits for engines that name a limit.
         placement (str): ``BY_TOKENS`` or ``BY_TIME``.
+        memory_bytes (int): Memory of an engine for the stage results of its requests;
+            0 if it is not limited.
     """
 
-    def __init__(self, spec, limits=None, placement=BY_TOKENS):
+    def __init__(self, spec, limits=None, placement=BY_TOKENS, memory_bytes=0):
         self.spec = spec
+        self._memory_bytes = memory_bytes
         self._timed = TimedPlacement() if placement == BY_TIME else None
         self._limits = limits or UnlimitedTargets()
         self._engines = {}
@@ -258,7 +266,8 @@
                 pending_prefill = (
                     0 if begun else job.tokens_in - engine.count_cached(job)
                 )
-                evicted = engine.add(job, pending_prefill, self.spec.memory_tokens)
+                capacity = self._compute_cache_tokens(engine, job)
+                evicted = engine.add(job, pending_prefill, capacity)
                 self._track(job, engine)
                 if self._timed is not None:
                     target = engine.target
@@ -451,7 +460,8 @@
 
     def _place(self, job, engine, now):
         cached = engine.count_cached(job)
-        evicted = engine.add(job, job.tokens_in - cached, self.spec.memory_tokens)
+        capacity = self._compute_cache_tokens(engine, job)
+        evicted = engine.add(job, job.tokens_in - cached, capacity)
         if self._timed is not None:
             self._timed.note_placed(job, engine.target, job.tokens_in - cached, now)
             self._timed.note_evicted(engine.target, evicted)
@@ -470,9 +480,20 @@
             return False
         if self._limits.get_wait_s(engine.target.incarnation, now) > 0.0:
             return False
+        if self._memory_bytes and engine.jobs:
+            held_bytes = engine.held_bytes + sum(job.input_bytes)
+            if held_bytes > MEMORY_SHARE * self._memory_bytes:
+                return False
         used = engine.used_tokens + job.tokens_in + job.tokens_out
         return not engine.jobs or used <= MEMORY_SHARE * self.spec.memory_tokens
 
+    def _compute_cache_tokens(self, engine, job):
+        """Return the tokens of prompts that an engine with one more job can keep."""
+        if self._timed is None:
+            return self.spec.memory_tokens
+        generated = job.tokens_out + sum(one.tokens_out for one in engine.jobs.values())
+        return self.spec.memory_tokens - generated
+
     def _has_shared_room(self, engine, job):
         """Return whether places would be left for requests that can't go elsewhere."""
         used = engine.used_tokens + job.tokens_in + job.tokens_out
--- a/firworks/tests/test_engine_placement.py
+++ b/firworks/tests/test_engine_placement.py
@@ -217,6 +217,53 @@
         assert self.choose(scheduler, "a", "fd-1", 0.0) != "fd-1"
 
 
+class TestMemory:
+    """What an engine holds for the requests of all gateways stays under its memory."""
+
+    def make_scheduler(self, placement, memory_bytes):
+        spec = EngineSpec(16, 282_344, 0)
+        scheduler = EngineScheduler(spec, None, placement, memory_bytes)
+        scheduler.set_targets(make_targets(2), 0.0)
+        return scheduler
+
+    @pytest.mark.parametrize("placement", [BY_TOKENS, BY_TIME])
+    def test_the_bytes_of_stage_results_are_limited(self, placement):
+        scheduler = self.make_scheduler(placement, 8_000_000)
+        jobs = [
+            make_job(f"j{i}", input_domains=("fd-0",), input_bytes=(3_500_000,))
+            for i in range(5)
+        ]
+        chosen = [place(scheduler, job, 0.0).target_id for job in jobs[:4]]
+        assert sorted(chosen) == ["e0", "e0", "e1", "e1"]
+        assert scheduler.submit(jobs[4], 0.0) == []
+        (placed,) = scheduler.end("j0", False, 1.0)
+        assert placed.target.target_id == chosen[0]
+
+    @pytest.mark.parametrize("placement", [BY_TOKENS, BY_TIME])
+    def test_an_engine_without_requests_takes_any(self, placement):
+        scheduler = self.make_scheduler(placement, 1_000_000)
+        job = make_job("a", input_domains=("fd-0",), input_bytes=(3_500_000,))
+        assert scheduler.submit(job, 0.0)
+
+    @pytest.mark.parametrize("placement", [BY_TOKENS, BY_TIME])
+    def test_bytes_are_not_limited_without_the_setting(self, placement):
+        scheduler = self.make_scheduler(placement, 0)
+        for number in range(20):
+            job = make_job(
+                f"j{number}", input_domains=("fd-0",), input_bytes=(90_000_000,)
+            )
+            assert scheduler.submit(job, 0.0)
+
+    def test_generated_tokens_leave_less_memory_for_cached_parts(self):
+        # Parts would be counted as cached that the engine has evicted for them.
+        scheduler = make_scheduler(1, memory_tokens=20_000)
+        serve(scheduler, make_job("a", (("old", 6000),), 100), 0.0)
+        place(scheduler, make_job("b", (("new", 6000),), 100, tokens_out=8000), 1.0)
+        scheduler.end("b", False, 2.0)
+        (placed,) = scheduler.submit(make_job("d", (("old", 6000),), 100), 3.0)
+        assert placed.cached_tokens == 0
+
+
 class TestSchedulerRules:
     """What holds for placements by tokens holds for those by time."""
 
