--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -1,7 +1,13 @@
 """Metrics of a gateway process; docs/METRICS.md lists them."""
 
+from firworks.kernel.pools.engine_speeds import list_slowest
 from firworks.metrics import LabelValues, MetricSet
 
+# Engines of a service whose learned speeds are shown, the slowest of those that had a
+# sample within the time.
+SHOWN_ENGINES = 16
+SHOWN_AGE_S = 60.0
+
 
 class GatewayMetrics(MetricSet):
     """The metrics of a gateway process.
@@ -80,6 +86,14 @@
         self.permits_waiting = self._gauge(
             "permits_waiting", "Requests of all gateways that wait here for a permit."
         )
+        self.engine_slowness = self._gauge(
+            "engine_slowness",
+            "Learned factor of the times of the slowest engines.",
+            ("service", "target"),
+        )
+        self.engines_rated = self._gauge(
+            "engines_rated", "Engines whose speed was seen of late.", ("service",)
+        )
 
     def _make_state_metrics(self):
         """Make the gauges, which `update` sets."""
@@ -131,6 +145,21 @@
         self.ready.set(int(gateway.ready))
         self.version.set(version)
         self.log_lines_dropped.set(dropped)
+        self._show_speeds(gateway.pools.describe_speeds())
+
+    def _show_speeds(self, speeds):
+        """Show the learned speeds (dict of str to list of EngineSpeed) of engines."""
+        self.engine_slowness.clear()
+        self.engines_rated.clear()
+        for name, known in speeds.items():
+            recent = list_slowest(known, len(known), SHOWN_AGE_S)
+            if not recent:
+                continue
+            service = self.services.bound(name)
+            self.engines_rated.labels(service).set(len(recent))
+            for speed in recent[:SHOWN_ENGINES]:
+                slowness = self.engine_slowness.labels(service, speed.target_id)
+                slowness.set(speed.slowness)
 
     def record_answer(self, route, status, duration_s):
         """Count a response to a caller and its latency.
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -114,6 +114,14 @@
         runners = self._stages.values()
         return sum(runner.scheduler.queued_pieces for runner in runners)
 
+    def describe_speeds(self):
+        """Return the learned speeds of engines (dict of str to list of EngineSpeed)."""
+        now = self._clock()
+        return {
+            name: runner.scheduler.describe_speeds(now)
+            for name, runner in self._engines.items()
+        }
+
     def make_job_id(self):
         """Return a new job id (str) that is unique across gateways and restarts."""
         return f"{self._roster.own.incarnation}/{next(self._job_counter)}"
--- a/firworks/kernel/pools/engine_speeds.py
+++ b/firworks/kernel/pools/engine_speeds.py
@@ -13,6 +13,7 @@
 some half-lives, gets requests, and shows whether it has recovered.
 """
 
+from heapq import nlargest
 from math import log
 
 from firworks.kernel.messages import Struct
@@ -55,6 +56,18 @@
     __slots__ = ("target_id", "slowness", "samples", "age_s")
 
 
+def list_slowest(speeds, count, max_age_s):
+    """Return the slowest engines, the slowest first.
+
+    Args:
+        speeds (iterable of EngineSpeed): All engines.
+        count (int): Maximum number to return.
+        max_age_s (float): Only engines whose last sample is at most this old.
+    """
+    recent = [speed for speed in speeds if speed.age_s <= max_age_s]
+    return nlargest(count, recent, key=lambda speed: speed.slowness)
+
+
 class _Sums:
     """Decaying sums of observed and expected times of placements."""
 
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -226,6 +226,10 @@
         """The usable targets (list of Target)."""
         return [self._engines[incarnation].target for incarnation in self._usable]
 
+    def describe_speeds(self, now):
+        """Return the `EngineSpeed` of each usable engine (list); none by tokens."""
+        return [] if self._timed is None else self._timed.describe_speeds(now)
+
     def set_targets(self, targets, now):
         """Set the usable targets of the pool (iterable of Target)."""
         by_incarnation = {target.incarnation: target for target in targets}
--- a/firworks/tests/test_engine_speeds.py
+++ b/firworks/tests/test_engine_speeds.py
@@ -2,9 +2,10 @@
 
 import pytest
 
+from firworks.gateway.metrics import SHOWN_AGE_S, SHOWN_ENGINES, GatewayMetrics
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.pools.engine_loads import EngineLoad, Reading
-from firworks.kernel.pools.engine_speeds import HALF_LIFE_S, EngineSpeeds
+from firworks.kernel.pools.engine_speeds import HALF_LIFE_S, EngineSpeed, EngineSpeeds
 
 
 def make_engine(number=0, domain="fd-1"):
@@ -123,3 +124,28 @@
         assert load.estimate_wait_s(0.0) == pytest.approx(0.2)
         load.end("a", 0.05)
         assert load.estimate_wait_s(0.05) == pytest.approx(0.1)
+
+
+class TestSpeedMetrics:
+    """The learned speeds are shown by engine; the number of series is bounded."""
+
+    def show(self, metrics, count, age_s=1.0):
+        speeds = [EngineSpeed(f"e{i}", 1.0 + i, 3, age_s) for i in range(count)]
+        metrics._show_speeds({"engines": speeds, "empty": []})
+        return {
+            sample.labels["target"]: sample.value
+            for family in metrics.engine_slowness.collect()
+            for sample in family.samples
+        }
+
+    def test_the_slowest_engines_are_shown(self):
+        metrics = GatewayMetrics()
+        shown = self.show(metrics, 70)
+        assert len(shown) == SHOWN_ENGINES
+        assert shown["e69"] == 70.0 and "e0" not in shown
+        assert metrics.engines_rated.labels("engines")._value.get() == 70
+
+    def test_engines_without_recent_samples_are_not_shown(self):
+        metrics = GatewayMetrics()
+        self.show(metrics, 70)
+        assert self.show(metrics, 70, 2 * SHOWN_AGE_S) == {}
