Keep the places of a scarce version in placements by time, too

When no engine had places beyond those kept for streams of the older version, the fastest engine was taken, which could be one of that version. First events whose time is not known end the wait at their engine, but tell no speed.

--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -27,7 +27,7 @@
 if chosen by the settings, rates engines by expected time in place of tokens.
 """
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 
 from xxhash import xxh64_intdigest
 
@@ -210,6 +210,7 @@
         self._engines = {}
         self._usable = ()
         self._has_versions = False
+        self._versions = Counter()
         self._by_job = {}
         # No request expires before this time, so that not all are checked each time.
         self._expiry_s = float("inf")
@@ -246,7 +247,8 @@
                 engine.cold_until_s = now + target.cold_s
             engine.target = target
         self._usable = tuple(by_incarnation)
-        self._has_versions = len({one.version for one in by_incarnation.values()}) > 1
+        self._versions = Counter(one.version for one in by_incarnation.values())
+        self._has_versions = len(self._versions) > 1
         if self._timed is not None:
             self._timed.set_engines(by_incarnation.values(), self._engines, now)
         return self.plan(now)
@@ -301,7 +303,9 @@
         if engine is not None:
             engine.pending_prefill.pop(job_id, None)
             engine.failures = 0
-            if self._timed is not None and now is not None:
+            if self._timed is not None and now is None:
+                self._timed.note_read(job_id, engine.target, self._planned_s)
+            elif self._timed is not None:
                 self._timed.note_begun(job_id, engine.target, now)
 
     def end(self, job_id, failed, now):
@@ -450,7 +454,11 @@
         return min(order, key=costs.get)
 
     def _choose_by_time(self, job, now):
-        """Return the eligible engine with the least expected time, or None."""
+        """Return the eligible engine with the least expected time, or None.
+
+        When no engine has places beyond those kept for requests that can't go
+        elsewhere, those of the version with the most engines are taken first.
+        """
         needs_shared_room = self._has_versions and not self._is_bound(job)
         best = None
         for incarnation in self._timed.rank(job, self.spec.slots, now):
@@ -459,9 +467,14 @@
                 continue
             if not needs_shared_room or self._has_shared_room(engine, job):
                 return engine
-            best = best or engine
+            if best is None or self._count_version(engine) > self._count_version(best):
+                best = engine
         return best
 
+    def _count_version(self, engine):
+        """Return the number (int) of usable engines of an engine's version."""
+        return self._versions[engine.target.version]
+
     def _place(self, job, engine, now):
         cached = engine.count_cached(job)
         capacity = self._compute_cache_tokens(engine, job)
--- a/firworks/kernel/pools/timed_placement.py
+++ b/firworks/kernel/pools/timed_placement.py
@@ -125,6 +125,10 @@
             self._speeds.record(target, observed_s, reading.expected_s, now)
             load.slowness = round_slowness(self._speeds.get_slowness(target, now))
 
+    def note_read(self, job_id, target, now):
+        """Record that a prompt was read before some time, which tells no speed."""
+        self._loads[target.incarnation].pop_reading(job_id, now)
+
     def note_ended(self, job, target, now):
         """Record that a request (EngineJob) has left its engine."""
         self._loads[target.incarnation].end(job.job_id, now)
--- a/firworks/tests/test_engine_placement.py
+++ b/firworks/tests/test_engine_placement.py
@@ -328,6 +328,24 @@
         (placed,) = scheduler.submit(make_job("b"), 3.0)
         assert placed.cached_tokens == 0
 
+    def test_places_are_left_for_requests_that_fit_one_version_only(self):
+        # Streams of the older version could go on nowhere, as others had filled it.
+        scheduler = EngineScheduler(EngineSpec(10, 10**9, 0), placement=BY_TIME)
+        targets = make_targets(4)
+        versions = ("old", "new", "new", "new")
+        scheduler.set_targets(
+            [
+                target.replace(version=version)
+                for target, version in zip(targets, versions, strict=True)
+            ],
+            0.0,
+        )
+        chosen = [place(scheduler, make_job(f"j{i}"), 0.0).version for i in range(38)]
+        assert chosen.count("old") == 8
+        excluded = ("e1", "e2", "e3")
+        bound = make_job("bound", excluded=excluded)
+        assert place(scheduler, bound, 0.0).version == "old"
+
     def test_an_engine_that_leaves_finishes_its_requests(self):
         scheduler = make_scheduler(2)
         target = place(scheduler, make_job("a"), 0.0)
