--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -1,7 +1,7 @@
 """Runs the scheduler of an engine pool."""
 
 from firworks.gateway.timers import RestartableTimer
-from firworks.kernel.pools.engines import EngineScheduler
+from firworks.kernel.pools.engines import MEGABYTE, EngineScheduler
 
 
 class EnginePoolRunner:
@@ -12,10 +12,16 @@
         clock (callable): Returns monotonic seconds.
         deliver (callable): ``deliver(result)`` receives each `Placed` and `NotPlaced`.
         limits (TargetLimits): Permits for engines that name a limit.
+        settings (GatewaySettings): How engines are chosen.
     """
 
-    def __init__(self, service, clock, deliver, limits):
-        self.scheduler = EngineScheduler(service.engine, limits.limiter)
+    def __init__(self, service, clock, deliver, limits, settings):
+        self.scheduler = EngineScheduler(
+            service.engine,
+            limits.limiter,
+            settings.engine_placement,
+            int(settings.engine_memory_mb * MEGABYTE),
+        )
         self._service = service
         self._limits = limits
         self._clock = clock
@@ -36,11 +42,11 @@
 
     def adopt(self, job, target_id, begun):
         """Register a request that another scheduler has placed."""
-        self.scheduler.adopt(job, target_id, begun)
+        self.scheduler.adopt(job, target_id, begun, self._clock())
 
     def note_begun(self, job_id):
         """Record that a request's first token has arrived."""
-        self.scheduler.note_begun(job_id)
+        self.scheduler.note_begun(job_id, self._clock())
 
     def end(self, job_id, failed):
         """Record that a request has finished on its engine, successfully or not."""
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -67,6 +67,7 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
+        settings (GatewaySettings): How engines are chosen.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -82,6 +83,7 @@
         crashes,
         availability,
         limits,
+        settings,
     ):
         self.peers = None
         self._directory = directory
@@ -92,6 +94,7 @@
         self._crashes = crashes
         self._availability = availability
         self._limits = limits
+        self._settings = settings
         self._client = PoolClient(roster)
         self._stages = {}
         self._engines = {}
@@ -111,6 +114,14 @@
         runners = self._stages.values()
         return sum(runner.scheduler.queued_pieces for runner in runners)
 
+    def describe_speeds(self):
+        """Return the learned speeds of engines (dict of str to list of EngineSpeed)."""
+        now = self._clock()
+        return {
+            name: runner.scheduler.describe_speeds(now)
+            for name, runner in self._engines.items()
+        }
+
     def make_job_id(self):
         """Return a new job id (str) that is unique across gateways and restarts."""
         return f"{self._roster.own.incarnation}/{next(self._job_counter)}"
@@ -381,7 +392,11 @@
         runner = self._engines.get(name)
         if runner is None:
             self._engines[name] = EnginePoolRunner(
-                service, self._clock, self._deliver, self._limits
+                service,
+                self._clock,
+                self._deliver,
+                self._limits,
+                self._settings,
             )
         else:
             runner.scheduler.spec = service.engine
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -22,14 +22,18 @@
 that began there can go on nowhere else. They go first, and the last places there are
 kept for them while other engines have room. A request that may go to none of the
 engines is refused at once.
+
+Load pattern: engines differ in speed, and some prompt parts are hot. `TimedPlacement`,
+if chosen by the settings, rates engines by expected time in place of tokens.
 """
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 
 from xxhash import xxh64_intdigest
 
 from firworks.kernel.messages import Struct
 from firworks.kernel.pools.jobs import sum_remote_bytes
+from firworks.kernel.pools.timed_placement import TimedPlacement
 from firworks.kernel.target_limits.unlimited import UnlimitedTargets
 
 # Cost of a running request, in prompt tokens: it slows the engine's steps as much as
@@ -58,6 +62,9 @@
 MEGABYTE = 1_000_000
 # Retry-After for callers when no engine had capacity before their deadline.
 DEFAULT_RETRY_AFTER_S = 1.0
+# Ways to rate placements: by prompt tokens, or by the expected time.
+BY_TOKENS = "tokens"
+BY_TIME = "time"
 
 
 class Placed(Struct):
@@ -144,20 +151,33 @@
     def pending_prefill_tokens(self):
         return sum(self.pending_prefill.values())
 
+    @property
+    def held_bytes(self):
+        """Bytes of the stage results of its requests (int)."""
+        return sum(sum(job.input_bytes) for job in self.jobs.values())
+
     @property
     def used_tokens(self):
         return sum(job.tokens_in + job.tokens_out for job in self.jobs.values())
 
     def add(self, job, pending_prefill, capacity):
-        """Add a request and cache its prompt parts, evicting the oldest (LRU)."""
+        """Add a request and cache its prompt parts, evicting the oldest (LRU).
+
+        Returns:
+            list of str: The evicted parts.
+        """
         self.jobs[job.job_id] = job
         self.pending_prefill[job.job_id] = pending_prefill
         for part_id, tokens in zip(job.part_ids, job.part_tokens, strict=True):
             self.parts[part_id] = tokens
             self.parts.move_to_end(part_id)
         cached = sum(self.parts.values())
+        evicted = []
         while cached > capacity and self.parts:
-            cached -= self.parts.popitem(last=False)[1]
+            part_id, tokens = self.parts.popitem(last=False)
+            cached -= tokens
+            evicted.append(part_id)
+        return evicted
 
     def count_cached(self, job):
         """Return the number of cached tokens in the prompt's prefix."""
@@ -177,15 +197,23 @@
     Args:
         spec (EngineSpec): Capacity of each engine.
         limits (TargetLimiter): Permits for engines that name a limit.
+        placement (str): ``BY_TOKENS`` or ``BY_TIME``.
+        memory_bytes (int): Memory of an engine for the stage results of its requests;
+            0 if it is not limited.
     """
 
-    def __init__(self, spec, limits=None):
+    def __init__(self, spec, limits=None, placement=BY_TOKENS, memory_bytes=0):
         self.spec = spec
+        self._memory_bytes = memory_bytes
+        self._timed = TimedPlacement() if placement == BY_TIME else None
         self._limits = limits or UnlimitedTargets()
         self._engines = {}
         self._usable = ()
         self._has_versions = False
+        self._versions = Counter()
         self._by_job = {}
+        # No request expires before this time, so that not all are checked each time.
+        self._expiry_s = float("inf")
         self._waiting = {}
         self._planned_s = float("inf")
 
@@ -199,6 +227,10 @@
         """The usable targets (list of Target)."""
         return [self._engines[incarnation].target for incarnation in self._usable]
 
+    def describe_speeds(self, now):
+        """Return the `EngineSpeed` of each usable engine (list); none by tokens."""
+        return [] if self._timed is None else self._timed.describe_speeds(now)
+
     def set_targets(self, targets, now):
         """Set the usable targets of the pool (iterable of Target)."""
         by_incarnation = {target.incarnation: target for target in targets}
@@ -208,14 +240,17 @@
             if incarnation not in by_incarnation
         ]:
             if not self._engines[incarnation].jobs:
-                del self._engines[incarnation]
+                self._clear_cache(self._engines.pop(incarnation))
         for incarnation, target in by_incarnation.items():
             engine = self._engines.setdefault(incarnation, _Engine(target))
             if engine.target != target or engine.cold_until_s == 0.0:
                 engine.cold_until_s = now + target.cold_s
             engine.target = target
         self._usable = tuple(by_incarnation)
-        self._has_versions = len({one.version for one in by_incarnation.values()}) > 1
+        self._versions = Counter(one.version for one in by_incarnation.values())
+        self._has_versions = len(self._versions) > 1
+        if self._timed is not None:
+            self._timed.set_engines(by_incarnation.values(), self._engines, now)
         return self.plan(now)
 
     def submit(self, job, now):
@@ -223,21 +258,27 @@
         self._waiting[job.job_id] = job
         return self.plan(now)
 
-    def adopt(self, job, target_id, begun):
+    def adopt(self, job, target_id, begun, now=0.0):
         """Take over a request that another scheduler has placed.
 
         Args:
             job (EngineJob): The request.
             target_id (str): Its engine.
             begun (bool): Its first token was received.
+            now (float): Monotonic seconds.
         """
         for engine in self._engines.values():
             if engine.target.target_id == target_id and job.job_id not in self._by_job:
                 pending_prefill = (
                     0 if begun else job.tokens_in - engine.count_cached(job)
                 )
-                engine.add(job, pending_prefill, self.spec.memory_tokens)
-                self._by_job[job.job_id] = engine
+                capacity = self._compute_cache_tokens(engine, job)
+                evicted = engine.add(job, pending_prefill, capacity)
+                self._track(job, engine)
+                if self._timed is not None:
+                    target = engine.target
+                    self._timed.note_adopted(job, target, pending_prefill, begun, now)
+                    self._timed.note_evicted(target, evicted)
 
     def resend_outcome(self, job_id):
         """Return the actions that report a job again, or None if it is unknown."""
@@ -250,12 +291,22 @@
         cached = job.tokens_in - engine.pending_prefill.get(job_id, 0)
         return [Placed(job, engine.target, cached)]
 
-    def note_begun(self, job_id):
-        """Record that the first token of a request was received."""
+    def note_begun(self, job_id, now=None):
+        """Record that the first token of a request was received.
+
+        Args:
+            job_id (str): The job.
+            now (float or None): Monotonic seconds; None if the time tells nothing about
+                the engine.
+        """
         engine = self._by_job.get(job_id)
         if engine is not None:
             engine.pending_prefill.pop(job_id, None)
             engine.failures = 0
+            if self._timed is not None and now is None:
+                self._timed.note_read(job_id, engine.target, self._planned_s)
+            elif self._timed is not None:
+                self._timed.note_begun(job_id, engine.target, now)
 
     def end(self, job_id, failed, now):
         """Remove a request that has left its engine or was cancelled.
@@ -269,13 +320,15 @@
         engine = self._by_job.pop(job_id, None)
         if engine is None:
             return []
-        engine.jobs.pop(job_id, None)
+        job = engine.jobs.pop(job_id)
         engine.pending_prefill.pop(job_id, None)
+        if self._timed is not None:
+            self._timed.note_ended(job, engine.target, now)
         if failed:
             pause_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**engine.failures)
             engine.failures += 1
             engine.paused_until_s = now + pause_s
-            engine.parts.clear()
+            self._clear_cache(engine)
         return self.plan(now)
 
     def plan(self, now):
@@ -349,6 +402,8 @@
 
     def _drop_expired(self, now):
         """Remove requests whose daemons have not reported their end."""
+        if now < self._expiry_s:
+            return
         expired = [
             (job_id, engine)
             for job_id, engine in self._by_job.items()
@@ -356,10 +411,29 @@
         ]
         for job_id, engine in expired:
             del self._by_job[job_id]
-            del engine.jobs[job_id]
+            job = engine.jobs.pop(job_id)
             engine.pending_prefill.pop(job_id, None)
+            if self._timed is not None:
+                self._timed.note_ended(job, engine.target, now)
+        deadlines_s = [
+            engine.jobs[job_id].deadline_s for job_id, engine in self._by_job.items()
+        ]
+        self._expiry_s = min(deadlines_s, default=float("inf")) + EXPIRY_S
+
+    def _track(self, job, engine):
+        """Record which engine has a request."""
+        self._by_job[job.job_id] = engine
+        self._expiry_s = min(self._expiry_s, job.deadline_s + EXPIRY_S)
+
+    def _clear_cache(self, engine):
+        """Forget what an engine has cached."""
+        if self._timed is not None:
+            self._timed.note_evicted(engine.target, engine.parts)
+        engine.parts.clear()
 
     def _choose(self, job, now):
+        if self._timed is not None:
+            return self._choose_by_time(job, now)
         eligible = [
             self._engines[incarnation]
             for incarnation in self._usable
@@ -379,13 +453,39 @@
         }
         return min(order, key=costs.get)
 
+    def _choose_by_time(self, job, now):
+        """Return the eligible engine with the least expected time, or None.
+
+        When no engine has places beyond those kept for requests that can't go
+        elsewhere, those of the version with the most engines are taken first.
+        """
+        needs_shared_room = self._has_versions and not self._is_bound(job)
+        best = None
+        for incarnation in self._timed.rank(job, self.spec.slots, now):
+            engine = self._engines[incarnation]
+            if not self._is_eligible(engine, job, now):
+                continue
+            if not needs_shared_room or self._has_shared_room(engine, job):
+                return engine
+            if best is None or self._count_version(engine) > self._count_version(best):
+                best = engine
+        return best
+
+    def _count_version(self, engine):
+        """Return the number (int) of usable engines of an engine's version."""
+        return self._versions[engine.target.version]
+
     def _place(self, job, engine, now):
         cached = engine.count_cached(job)
-        engine.add(job, job.tokens_in - cached, self.spec.memory_tokens)
+        capacity = self._compute_cache_tokens(engine, job)
+        evicted = engine.add(job, job.tokens_in - cached, capacity)
+        if self._timed is not None:
+            self._timed.note_placed(job, engine.target, job.tokens_in - cached, now)
+            self._timed.note_evicted(engine.target, evicted)
         self._limits.take(engine.target.incarnation, now)
         if engine.cold_until_s > now:
             engine.cold_placements_s.append(now)
-        self._by_job[job.job_id] = engine
+        self._track(job, engine)
         return Placed(job, engine.target, cached)
 
     def _is_eligible(self, engine, job, now):
@@ -397,9 +497,20 @@
             return False
         if self._limits.get_wait_s(engine.target.incarnation, now) > 0.0:
             return False
+        if self._memory_bytes and engine.jobs:
+            held_bytes = engine.held_bytes + sum(job.input_bytes)
+            if held_bytes > MEMORY_SHARE * self._memory_bytes:
+                return False
         used = engine.used_tokens + job.tokens_in + job.tokens_out
         return not engine.jobs or used <= MEMORY_SHARE * self.spec.memory_tokens
 
+    def _compute_cache_tokens(self, engine, job):
+        """Return the tokens of prompts that an engine with one more job can keep."""
+        if self._timed is None:
+            return self.spec.memory_tokens
+        generated = job.tokens_out + sum(one.tokens_out for one in engine.jobs.values())
+        return self.spec.memory_tokens - generated
+
     def _has_shared_room(self, engine, job):
         """Return whether places would be left for requests that can't go elsewhere."""
         used = engine.used_tokens + job.tokens_in + job.tokens_out
@@ -421,6 +532,8 @@
 
     def _is_excluded(self, job):
         """Return whether no engine may serve a request."""
+        if not job.excluded:
+            return False
         excluded = [target_id in job.excluded for target_id, _ in self._usable]
         return bool(excluded) and all(excluded)
 
