Order the work of pools by fair shares of client accounts

A burst of one account filled the queue of a stage pool or of the engines, and the work of all others waited behind it. AccountShares ranks waiting work by what its account got in the last seconds; work below its account's share goes first, then the order that applied before. Jobs carry the account and its weight, which the operator's record may state.

Schedulers without shares order work as before.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -237,6 +237,8 @@
             self._list_excluded(context),
             domains,
             sizes,
+            context.admitted.account_name,
+            context.admitted.account_weight,
         )
 
     def _list_excluded(self, context):
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -142,6 +142,8 @@
             # Each piece fetches all inputs.
             *self.sum_bytes_by_domain(inputs, pieces),
             self._fingerprint,
+            self._admitted.account_name,
+            self._admitted.account_weight,
         )
         self._jobs[number] = job.job_id
         handles = await self._pools.make_pieces(
--- a/firworks/kernel/forwarding/admission.py
+++ b/firworks/kernel/forwarding/admission.py
@@ -3,6 +3,7 @@
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.kernel.messages import Struct
+from firworks.kernel.pools.accounts import DEFAULT_WEIGHT
 
 # A caller abandons a stream when its first or next event takes longer than the largest
 # of these: a fixed time, a multiple of the route's latency goal, and a multiple of its
@@ -45,6 +46,16 @@
         "deadline_s",
     )
 
+    @property
+    def account_name(self):
+        """Name of the client account (str), or an empty one."""
+        return "" if self.account is None else self.account.name
+
+    @property
+    def account_weight(self):
+        """Weight of the account's share of pools (float)."""
+        return DEFAULT_WEIGHT if self.account is None else self.account.weight
+
 
 def admit(request, configuration, now):
     """Return the `AdmittedRequest` for a request.
--- a/firworks/kernel/forwarding/configuration.py
+++ b/firworks/kernel/forwarding/configuration.py
@@ -141,9 +141,11 @@
         name (str): Unique in the configuration.
         priority (int or None): Overrides the priority of the route.
         keys (tuple of str): Its valid API keys; none while all are revoked.
+        weight (float): Weight of its share of pools, where accounts have shares.
     """
 
-    __slots__ = ("name", "priority", "keys")
+    __slots__ = ("name", "priority", "keys", "weight")
+    DEFAULTS = {"weight": 1.0}
 
 
 class Configuration:
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -29,6 +29,7 @@
 from xxhash import xxh64_intdigest
 
 from firworks.kernel.messages import Struct
+from firworks.kernel.pools.accounts import UnsharedCapacity
 from firworks.kernel.pools.jobs import sum_remote_bytes
 from firworks.kernel.target_limits.unlimited import UnlimitedTargets
 
@@ -177,10 +178,16 @@
     Args:
         spec (EngineSpec): Capacity of each engine.
         limits (TargetLimiter): Permits for engines that name a limit.
+        shares (AccountShares): Shares of client accounts in the tokens of engines.
+
+    Attributes:
+        spec (EngineSpec): Capacity of each engine.
+        shares (AccountShares or UnsharedCapacity): Shares of client accounts.
     """
 
-    def __init__(self, spec, limits=None):
+    def __init__(self, spec, limits=None, shares=None):
         self.spec = spec
+        self.shares = shares or UnsharedCapacity()
         self._limits = limits or UnlimitedTargets()
         self._engines = {}
         self._usable = ()
@@ -291,6 +298,7 @@
                 job.first_byte_deadline_s,
             ),
         )
+        order = self.shares.order(order, _describe_demand, now)
         for job in order:
             if job.first_byte_deadline_s <= now or self._is_excluded(job):
                 del self._waiting[job.job_id]
@@ -381,6 +389,8 @@
 
     def _place(self, job, engine, now):
         cached = engine.count_cached(job)
+        cost = job.tokens_in - cached + job.tokens_out
+        self.shares.charge(job.account, job.weight, cost, now)
         engine.add(job, job.tokens_in - cached, self.spec.memory_tokens)
         self._limits.take(engine.target.incarnation, now)
         if engine.cold_until_s > now:
@@ -442,6 +452,11 @@
         return engine.pending_prefill_tokens + pending_prefill + running + fetching
 
 
+def _describe_demand(job):
+    """Return account, weight and tokens (tuple) of a request."""
+    return job.account, job.weight, job.tokens_in + job.tokens_out
+
+
 def _hash_engine(engine, job):
     """Return the rendezvous hash of an engine for the first part of a prompt."""
     first = job.part_ids[0] if job.part_ids else ""
--- a/firworks/kernel/pools/jobs.py
+++ b/firworks/kernel/pools/jobs.py
@@ -25,6 +25,8 @@
         input_domains (tuple of str): Failure domains that hold its inputs.
         input_bytes (tuple of int): Size of the inputs in each of them.
         fingerprint (bytes): The same for each attempt of the caller's request.
+        account (str): Name of the client account; empty if there is none.
+        weight (float): Weight of the account's share of the pool.
     """
 
     __slots__ = (
@@ -42,7 +44,10 @@
         "input_domains",
         "input_bytes",
         "fingerprint",
+        "account",
+        "weight",
     )
+    DEFAULTS = {"account": "", "weight": 1.0}
     TYPES = (
         str,
         str,
@@ -58,6 +63,8 @@
         (str,),
         (int,),
         bytes,
+        str,
+        float,
     )
 
     def shift(self, seconds):
@@ -85,6 +92,8 @@
         excluded (tuple of str): Targets on which this request has failed.
         input_domains (tuple of str): Failure domains that hold its stage results.
         input_bytes (tuple of int): Size of the results in each of them.
+        account (str): Name of the client account; empty if there is none.
+        weight (float): Weight of the account's share of the pool.
     """
 
     __slots__ = (
@@ -99,7 +108,10 @@
         "excluded",
         "input_domains",
         "input_bytes",
+        "account",
+        "weight",
     )
+    DEFAULTS = {"account": "", "weight": 1.0}
     TYPES = (
         str,
         (str,),
@@ -112,6 +124,8 @@
         (str,),
         (str,),
         (int,),
+        str,
+        float,
     )
 
     def shift(self, seconds):
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -11,6 +11,7 @@
 is part of the estimates.
 """
 
+from firworks.kernel.pools.accounts import UnsharedCapacity
 from firworks.kernel.pools.batches import MAX_ATTEMPTS, choose_pieces
 from firworks.kernel.pools.fetches import list_fetch_times, report_fetched
 from firworks.kernel.pools.ordering import rank_job
@@ -55,9 +56,14 @@
     Args:
         spec (StagePoolSpec): Capacity of each target.
         limits (TargetLimiter): Permits for targets that name a limit.
+        shares (AccountShares): Shares of client accounts in the time of calls.
+
+    Attributes:
+        shares (AccountShares or UnsharedCapacity): Shares of client accounts.
     """
 
-    def __init__(self, spec, limits=None):
+    def __init__(self, spec, limits=None, shares=None):
+        self.shares = shares or UnsharedCapacity()
         self._limits = WorkerLimits(limits or UnlimitedTargets())
         self._results = RetainedResults(spec)
         self._workers = {}
@@ -205,6 +211,8 @@
         if call is None:
             return []
         worker.pause_until(max(now + FULL_TARGET_BACKOFF_S, worker.idle_from_s))
+        call_s = self.get_nominal_s(len(call.pieces))
+        self.shares.charge_call(call.pieces, -call_s, now)
         self._requeue(call.pieces, count_attempt=False)
         return self.plan(now)
 
@@ -239,12 +247,7 @@
         workers = self._list_usable(now)
         if not workers:
             return self._compute_min_pause_s(now) + self.get_nominal_s(job.count)
-        own = self._rank(job, now)
-        ahead = job.count + sum(
-            len(state.waiting)
-            for state in self._jobs.values()
-            if self._rank(state.job, now) <= own
-        )
+        ahead = job.count + self._count_ahead(job, now)
         return self._limits.estimate_completion_s(self.spec, workers, ahead, now)
 
     def plan(self, now):
@@ -314,10 +317,30 @@
     def _rank(self, job, now):
         return rank_job(job, self.get_nominal_s(job.count), now)
 
-    def _list_waiting(self, now):
+    def _count_ahead(self, job, now):
+        """Return how many queued pieces go before those of a job that arrives now."""
+        if self.shares.active:
+            own = JobState(job)
+            order = self._list_waiting(now, own)
+            return sum(len(one.waiting) for one in order[: order.index(own)])
+        own = self._rank(job, now)
+        return sum(
+            len(state.waiting)
+            for state in self._jobs.values()
+            if self._rank(state.job, now) <= own
+        )
+
+    def _list_waiting(self, now, *arriving):
         """Return the jobs (list of JobState) with queued pieces, the next first."""
-        waiting = [state for state in self._jobs.values() if state.waiting]
-        return sorted(waiting, key=lambda state: self._rank(state.job, now))
+        states = (*self._jobs.values(), *arriving)
+        waiting = [state for state in states if state.waiting]
+        waiting.sort(key=lambda state: self._rank(state.job, now))
+        return self.shares.order(waiting, self._describe_demand, now)
+
+    def _describe_demand(self, state):
+        """Return account, weight and seconds of calls (tuple) of a job's pieces."""
+        piece_s = self.get_nominal_s(self.spec.batch) / self.spec.batch
+        return state.job.account, state.job.weight, piece_s * len(state.waiting)
 
     def _plan_call(self, now):
         """Return one `StageCall` to send now, or None."""
@@ -369,6 +392,7 @@
         self._next_call += 1
         self._last_call_s = now
         nominal_s = self.get_nominal_s(len(pieces))
+        self.shares.charge_call(pieces, nominal_s, now)
         due_s = worker.predict(nominal_s, now)
         begun_s = max(now, worker.idle_from_s)
         allowed_s = nominal_s * max(1.0, worker.slowdown) * OVERDUE_FACTOR
--- a/firworks/platform/configuration.py
+++ b/firworks/platform/configuration.py
@@ -1,6 +1,6 @@
 """Decoder of the operator's configuration record."""
 
-from firworks.decoding import check_integer, check_text
+from firworks.decoding import check_integer, check_number, check_text
 from firworks.kernel.forwarding.configuration import (
     Account,
     CallerLimits,
@@ -11,6 +11,7 @@
     StagePoolSpec,
     StageSpec,
 )
+from firworks.kernel.pools.accounts import DEFAULT_WEIGHT, MAX_WEIGHT, MIN_WEIGHT
 from firworks.platform.fields import (
     get_integer,
     get_list,
@@ -124,4 +125,11 @@
         name=get_string(row, "name"),
         priority=priority if type(priority) is int else None,
         keys=tuple(check_text(key, "api-keys") for key in get_list(row, "api-keys")),
+        weight=_decode_weight(row),
     )
+
+
+def _decode_weight(row):
+    # Zero is no weight: an account that is to get nothing has no valid key.
+    weight = row.get("weight", DEFAULT_WEIGHT)
+    return float(check_number(weight, "weight", MIN_WEIGHT, MAX_WEIGHT))
--- a/firworks/tests/pool_simulation.py
+++ b/firworks/tests/pool_simulation.py
@@ -42,6 +42,8 @@
             each stage.
         work_factors (tuple of float): Time of a piece of each stage, relative to the
             usual time of its pool.
+        account (str): The client account that sends the requests.
+        weight (float): Weight of the account's shares.
     """
 
     def __init__(
@@ -56,7 +58,11 @@
         stages,
         draw_counts,
         work_factors,
+        account="",
+        weight=1.0,
     ):
+        self.account = account
+        self.weight = weight
         self.name = name
         self.per_s = per_s
         self.soft_deadline_s = soft_deadline_s
@@ -335,6 +341,8 @@
             request.downstream_s[number],
             *self._sum_input_bytes(inputs, request.counts[number]),
             b"",
+            kind.account,
+            kind.weight,
         )
         self._jobs[job.job_id] = (request, number)
         self._submitted[job.job_id] = job
