Switch fair shares of accounts by the setting account_shares

Reports name the accounts that exceed their share while others wait (events 950 and 951), and the time for which accounts were short of theirs, for 16 accounts at most.

--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -12,10 +12,11 @@
         clock (callable): Returns monotonic seconds.
         deliver (callable): ``deliver(result)`` receives each `Placed` and `NotPlaced`.
         limits (TargetLimits): Permits for engines that name a limit.
+        shares (AccountShares or UnsharedCapacity): Shares of client accounts.
     """
 
-    def __init__(self, service, clock, deliver, limits):
-        self.scheduler = EngineScheduler(service.engine, limits.limiter)
+    def __init__(self, service, clock, deliver, limits, shares):
+        self.scheduler = EngineScheduler(service.engine, limits.limiter, shares)
         self._service = service
         self._limits = limits
         self._clock = clock
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -2,6 +2,10 @@
 
 from firworks.metrics import LabelValues, MetricSet
 
+# Accounts that were short of their share of a pool and are named in metrics; each one
+# is a time series for each pool. The log names all of them.
+MAX_ACCOUNTS = 16
+
 
 class GatewayMetrics(MetricSet):
     """The metrics of a gateway process.
@@ -9,12 +13,14 @@
     Attributes:
         routes (LabelValues): Limits the number of values of the label ``route``.
         services (LabelValues): Limits the number of values of the label ``service``.
+        accounts (LabelValues): Limits the number of values of the label ``account``.
     """
 
     def __init__(self):
         super().__init__()
         self.routes = LabelValues()
         self.services = LabelValues()
+        self.accounts = LabelValues(MAX_ACCOUNTS)
         self.answers = self._counter(
             "answers", "Answers to callers, by status.", ("route", "status")
         )
@@ -41,6 +47,11 @@
         self.stage_seconds = self._histogram(
             "stage_call_seconds", "Time of a call of a stage pool.", ("service",)
         )
+        self.accounts_short = self._counter(
+            "account_short_seconds",
+            "Seconds for which work of accounts below half of their share waited.",
+            ("service", "account"),
+        )
         self._make_target_metrics()
         self._make_state_metrics()
 
@@ -152,6 +163,18 @@
         """Count a failed attempt at a service (str), by kind of failure (str)."""
         self.attempts_failed.labels(self.services.bound(service), kind).inc()
 
+    def record_short_account(self, service, account, seconds):
+        """Count seconds for which an account's work waited below half of its share.
+
+        Args:
+            service (str): Name of the pool's service.
+            account (str): Name of the account.
+            seconds (float): The time.
+        """
+        service = self.services.bound(service)
+        account = self.accounts.bound(account)
+        self.accounts_short.labels(service, account).inc(seconds)
+
     def record_stage_call(self, service, result, pieces, duration_s):
         """Count a call to a stage pool and its duration.
 
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -5,6 +5,7 @@
 from itertools import count
 
 from firworks.events import LogEvent, log_event
+from firworks.gateway.account_shares import make_shares, report_shares
 from firworks.gateway.engine_pools import EnginePoolRunner
 from firworks.gateway.stage_pools import StagePoolRunner
 from firworks.kernel.pools.clients import (
@@ -67,6 +68,7 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
+        account_shares (str): The setting ``account_shares``.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -82,6 +84,7 @@
         crashes,
         availability,
         limits,
+        account_shares,
     ):
         self.peers = None
         self._directory = directory
@@ -92,6 +95,7 @@
         self._crashes = crashes
         self._availability = availability
         self._limits = limits
+        self._account_shares = account_shares
         self._client = PoolClient(roster)
         self._stages = {}
         self._engines = {}
@@ -146,6 +150,9 @@
         self._execute_all(self._client.tick(now))
         for job_id in self._owners.pop_orphaned_jobs(now):
             self._drop_orphaned(job_id)
+        for name, runner in [*self._stages.items(), *self._engines.items()]:
+            report = runner.scheduler.shares.take_report(now)
+            report_shares(name, report, self._metrics)
 
     def get_stage_spec(self, service):
         """Return the `StagePoolSpec` of a service, or None."""
@@ -381,7 +388,11 @@
         runner = self._engines.get(name)
         if runner is None:
             self._engines[name] = EnginePoolRunner(
-                service, self._clock, self._deliver, self._limits
+                service,
+                self._clock,
+                self._deliver,
+                self._limits,
+                make_shares(self._account_shares),
             )
         else:
             runner.scheduler.spec = service.engine
@@ -398,6 +409,7 @@
                 self._crashes,
                 self._availability,
                 self._limits,
+                make_shares(self._account_shares),
             )
         else:
             runner.scheduler.spec = service.stage_pool
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -149,6 +149,7 @@
             self.crashes,
             self.availability,
             self.limits,
+            self.settings.account_shares,
         )
         pools.peers = PeerConnections(
             self.settings,
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -41,6 +41,7 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
+        shares (AccountShares or UnsharedCapacity): Shares of client accounts.
     """
 
     def __init__(
@@ -53,9 +54,10 @@
         crashes,
         availability,
         limits,
+        shares,
     ):
         self.service = service
-        self.scheduler = StageScheduler(service.stage_pool, limits.limiter)
+        self.scheduler = StageScheduler(service.stage_pool, limits.limiter, shares)
         self._limits = limits
         self._connections = connections
         self._clock = clock
--- a/firworks/metrics.py
+++ b/firworks/metrics.py
@@ -1,8 +1,8 @@
 """Metrics of one daemon; docs/METRICS.md lists them.
 
 Each daemon has its own collector registry, so that several daemons can run in one
-process. The cardinality of labels is bounded: no metric is labelled by client
-account, request or target.
+process. The cardinality of labels is bounded: no metric is labelled by request or
+target, and only the gateway's one of accounts short of their share by client account.
 """
 
 from functools import singledispatch
