Order shares in one pass and measure what they cost

Work is sorted into ranks instead of by rank, and a weight is checked once an account. bench.gateway_costs measures a batch and an arrival with shares.

--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -18,6 +18,7 @@
 from firworks.kernel.forwarding.news import TargetEntry, digest_targets
 from firworks.kernel.forwarding.positions import ORIGIN
 from firworks.kernel.forwarding.readers import StoreFacts
+from firworks.kernel.pools.accounts import AccountShares
 from firworks.kernel.pools.engines import EngineScheduler
 from firworks.kernel.pools.jobs import EngineJob, PieceJob
 from firworks.kernel.pools.stages import StageScheduler
@@ -129,11 +130,16 @@
     return measure_us(prepare, lambda one: one.submit(make_job(next(numbers)), 0.1))
 
 
-def measure_batch(waiting):
-    """Return the time to form one full call from some waiting jobs of two pieces."""
+def measure_batch(waiting, accounts=0):
+    """Return the time to form one full call from some waiting jobs of two pieces.
+
+    Args:
+        waiting (int): Number of jobs.
+        accounts (int): Number of client accounts with fair shares; 0 for no shares.
+    """
 
     def prepare():
-        scheduler = StageScheduler(STAGE)
+        scheduler = StageScheduler(STAGE, shares=AccountShares() if accounts else None)
         for number in range(waiting):
             job = PieceJob(
                 str(number),
@@ -150,6 +156,7 @@
                 (),
                 (),
                 b"",
+                f"account-{number % accounts}" if accounts else "",
             )
             scheduler.submit(job, 0.0)
         return scheduler
@@ -158,6 +165,29 @@
     return measure_us(prepare, lambda one: one.set_targets(targets, 0.0))
 
 
+def measure_arrival(waiting, accounts):
+    """Return the time to estimate the wait of a job that arrives at some others.
+
+    Args:
+        waiting (int): Number of jobs that wait.
+        accounts (int): Number of client accounts with fair shares; 0 for no shares.
+    """
+    job = PieceJob(
+        "x", "x", 0, 2, "k", (), 60_000, 1, 5.0, 9.0, 0.2, (), (), b"", "account-0"
+    )
+
+    def prepare():
+        scheduler = StageScheduler(STAGE, shares=AccountShares() if accounts else None)
+        for number in range(waiting):
+            account = f"account-{number % accounts}" if accounts else ""
+            one = job.replace(job_id=str(number), account=account)
+            scheduler.submit(one, 0.0)
+        scheduler.set_targets(make_targets(1), 0.0)
+        return scheduler
+
+    return measure_us(prepare, lambda one: one.estimate_wait(job, 0.1))
+
+
 def main():
     """Print one line for each cost."""
     for count in (27, 131, 650):
@@ -167,6 +197,16 @@
         print(f"placement among {count} engines: {measure_placement(count):.0f} us")
     for waiting in (20, 100, 400):
         print(f"batch from {waiting} waiting jobs: {measure_batch(waiting):.0f} us")
+        for accounts in (1, 16, 1300):
+            print(
+                f"the same in fair shares of {accounts} accounts: "
+                f"{measure_batch(waiting, accounts):.0f} us"
+            )
+    for accounts in (0, 16, 1300):
+        print(
+            f"arrival at 400 waiting jobs, fair shares of {accounts} accounts: "
+            f"{measure_arrival(400, accounts):.0f} us"
+        )
 
 
 if __name__ == "__main__":
--- a/firworks/kernel/pools/accounts.py
+++ b/firworks/kernel/pools/accounts.py
@@ -123,22 +123,22 @@
             now (float): Monotonic seconds.
         """
         demands = [describe(entry) for entry in entries]
-        self._waiting = {
-            account: limit_weight(weight) for account, weight, _ in demands
-        }
-        if len(self._waiting) < 2:
+        weights = self._waiting = {}
+        for account, weight, _ in demands:
+            if account not in weights:
+                weights[account] = limit_weight(weight)
+        if len(weights) < 2:
             self._reporter.observe({}, 0.0, now)
             return entries
-        levels = {account: self._get_level(account, now) for account in self._waiting}
-        mean = compute_mean(levels, self._waiting)
+        levels = {account: self._get_level(account, now) for account in weights}
+        mean = compute_mean(levels, weights)
         self._reporter.observe(levels, mean, now)
-        ranked = []
-        for position, (account, _, cost) in enumerate(demands):
+        by_rank = {}
+        for entry, (account, _, cost) in zip(entries, demands, strict=True):
             level = levels[account]
-            ranked.append((rank_level(level, mean), position))
-            levels[account] = level + cost / self._waiting[account]
-        ranked.sort()
-        return [entries[position] for _, position in ranked]
+            by_rank.setdefault(rank_level(level, mean), []).append(entry)
+            levels[account] = level + cost / weights[account]
+        return [entry for rank in sorted(by_rank) for entry in by_rank[rank]]
 
     def take_report(self, now):
         """Return the `ShareReport` of the time since the last call."""
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -11,6 +11,8 @@
 is part of the estimates.
 """
 
+from functools import partial
+
 from firworks.kernel.pools.accounts import UnsharedCapacity
 from firworks.kernel.pools.batches import MAX_ATTEMPTS, choose_pieces
 from firworks.kernel.pools.fetches import list_fetch_times, report_fetched
@@ -335,12 +337,8 @@
         states = (*self._jobs.values(), *arriving)
         waiting = [state for state in states if state.waiting]
         waiting.sort(key=lambda state: self._rank(state.job, now))
-        return self.shares.order(waiting, self._describe_demand, now)
-
-    def _describe_demand(self, state):
-        """Return account, weight and seconds of calls (tuple) of a job's pieces."""
         piece_s = self.get_nominal_s(self.spec.batch) / self.spec.batch
-        return state.job.account, state.job.weight, piece_s * len(state.waiting)
+        return self.shares.order(waiting, partial(_describe_demand, piece_s), now)
 
     def _plan_call(self, now):
         """Return one `StageCall` to send now, or None."""
@@ -518,3 +516,9 @@
             *self._free_results(state),
             JobRefused(state.job, reason, retry_after_s),
         ]
+
+
+def _describe_demand(piece_s, state):
+    """Return account, weight and seconds of calls (tuple) of a job's queued pieces."""
+    job = state.job
+    return job.account, job.weight, piece_s * len(state.waiting)
