--- a/firworks/kernel/pools/accounts.py
+++ b/firworks/kernel/pools/accounts.py
@@ -19,9 +19,9 @@
 from firworks.kernel.pools.share_reports import ShareReporter
 
 # Time in which the level of an account halves; latency goals are 0.9 to 3 s. With 1 s,
-# chance moved accounts above their share more often, and at the capacity of a pool 1 in
-# 100 requests more was late (replay of the load of Rimac). An account that used free
-# capacity waits for another one that comes then for about this time.
+# chance moved accounts above their share more often, and credit was lower by 0.007 at
+# the capacity of a pool (load of Rimac, docs/design/account-shares.md). An account that
+# used free capacity waits for another one that comes then for about this time.
 HALF_LIFE_S = 2.0
 # Levels are forgotten after this time: 2**-60 of them is left. It is the longest round
 # in which each of many waiting accounts gets its turn.
