--- a/firworks/tests/test_account_bounds.py
+++ b/firworks/tests/test_account_bounds.py
@@ -10,6 +10,7 @@
     OTHERS,
     WITHIN_SHARE,
     play_burst,
+    play_hot_prompt,
     share_on_time,
 )
 from firworks.tests.account_loads import (
@@ -117,6 +118,18 @@
         assert others[False, True] < others[False, False] - 0.15
         assert others[True, False] > others[False, False] - 0.01
 
+    def test_a_hot_prompt_of_one_account_leaves_engines_to_others(self):
+        refused = {}
+        for shared in (True, False):
+            for burst in (True, False):
+                runs = [play_hot_prompt(seed, shared, burst) for seed in self.SEEDS]
+                asked = sum(one[0][number] for one in runs for number in WITHIN_SHARE)
+                late = sum(one[1][number] for one in runs for number in WITHIN_SHARE)
+                refused[shared, burst] = late / asked
+        assert refused[True, False] == refused[False, False] == 0.0
+        assert refused[True, True] < 0.01
+        assert refused[False, True] > 0.1
+
     def test_without_accounts_fair_shares_change_nothing(self):
         bursts = (Burst("arbiter", 3.5, 9.8, 2.8),)
         outcomes = []
