--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -13,14 +13,16 @@
         deliver (callable): ``deliver(result)`` receives each `Placed` and `NotPlaced`.
         limits (TargetLimits): Permits for engines that name a limit.
         settings (GatewaySettings): How engines are chosen.
+        shares (AccountShares or UnsharedCapacity): Shares of client accounts.
     """
 
-    def __init__(self, service, clock, deliver, limits, settings):
+    def __init__(self, service, clock, deliver, limits, settings, shares):
         self.scheduler = EngineScheduler(
             service.engine,
             limits.limiter,
             settings.engine_placement,
             int(settings.engine_memory_mb * MEGABYTE),
+            shares,
         )
         self._service = service
         self._limits = limits
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -5,6 +5,7 @@
 from itertools import count
 
 from firworks.events import LogEvent, log_event
+from firworks.gateway.account_shares import make_shares, report_shares
 from firworks.gateway.engine_pools import EnginePoolRunner
 from firworks.gateway.stage_pools import StagePoolRunner
 from firworks.kernel.pools.clients import (
@@ -67,7 +68,7 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
-        settings (GatewaySettings): How engines are chosen.
+        settings (GatewaySettings): How engines are chosen, and shares of accounts.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -157,6 +158,9 @@
         self._execute_all(self._client.tick(now))
         for job_id in self._owners.pop_orphaned_jobs(now):
             self._drop_orphaned(job_id)
+        for name, runner in [*self._stages.items(), *self._engines.items()]:
+            report = runner.scheduler.shares.take_report(now)
+            report_shares(name, report, self._metrics)
 
     def get_stage_spec(self, service):
         """Return the `StagePoolSpec` of a service, or None."""
@@ -397,6 +401,7 @@
                 self._deliver,
                 self._limits,
                 self._settings,
+                make_shares(self._settings.account_shares),
             )
         else:
             runner.scheduler.spec = service.engine
@@ -413,6 +418,7 @@
                 self._crashes,
                 self._availability,
                 self._limits,
+                make_shares(self._settings.account_shares),
             )
         else:
             runner.scheduler.spec = service.stage_pool
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -32,6 +32,7 @@
 from xxhash import xxh64_intdigest
 
 from firworks.kernel.messages import Struct
+from firworks.kernel.pools.accounts import UnsharedCapacity
 from firworks.kernel.pools.jobs import sum_remote_bytes
 from firworks.kernel.pools.timed_placement import TimedPlacement
 from firworks.kernel.target_limits.unlimited import UnlimitedTargets
@@ -200,10 +201,18 @@
         placement (str): ``BY_TOKENS`` or ``BY_TIME``.
         memory_bytes (int): Memory of an engine for the stage results of its requests;
             0 if it is not limited.
+        shares (AccountShares): Shares of client accounts in the tokens of engines.
+
+    Attributes:
+        spec (EngineSpec): Capacity of each engine.
+        shares (AccountShares or UnsharedCapacity): Shares of client accounts.
     """
 
-    def __init__(self, spec, limits=None, placement=BY_TOKENS, memory_bytes=0):
+    def __init__(
+        self, spec, limits=None, placement=BY_TOKENS, memory_bytes=0, shares=None
+    ):
         self.spec = spec
+        self.shares = shares or UnsharedCapacity()
         self._memory_bytes = memory_bytes
         self._timed = TimedPlacement() if placement == BY_TIME else None
         self._limits = limits or UnlimitedTargets()
@@ -344,6 +353,7 @@
                 job.first_byte_deadline_s,
             ),
         )
+        order = self.shares.order(order, _describe_demand, now)
         for job in order:
             if job.first_byte_deadline_s <= now or self._is_excluded(job):
                 del self._waiting[job.job_id]
@@ -477,6 +487,8 @@
 
     def _place(self, job, engine, now):
         cached = engine.count_cached(job)
+        cost = job.tokens_in - cached + job.tokens_out
+        self.shares.charge(job.account, job.weight, cost, now)
         capacity = self._compute_cache_tokens(engine, job)
         evicted = engine.add(job, job.tokens_in - cached, capacity)
         if self._timed is not None:
@@ -555,6 +567,11 @@
         return engine.pending_prefill_tokens + pending_prefill + running + fetching
 
 
+def _describe_demand(job):
+    """Return account, weight and tokens (tuple) of a request."""
+    return job.account, job.weight, job.tokens_in + job.tokens_out
+
+
 def _hash_engine(engine, job):
     """Return the rendezvous hash of an engine for the first part of a prompt."""
     first = job.part_ids[0] if job.part_ids else ""
