Decide on extra attempts for slow requests in the kernel

An extra attempt is due when the first one takes longer than a quantile of the recent latencies of its kind. The operator's share is kept of each gateway's own requests, so that it holds over all of them whichever fail. No attempt begins while the service is busy, for requests that may not be repeated, that have begun, or that are suspected of crashing targets.

firworksd's hedges use the same conditions. They no longer hedge a call that runs alone because it is suspected of crashing targets.

--- a/firworks/kernel/forwarding/retry_budget.py
+++ b/firworks/kernel/forwarding/retry_budget.py
@@ -40,12 +40,18 @@
         """Count a request that is forwarded to a service."""
         self._requests.setdefault(service, deque()).append(now)
 
-    def try_acquire(self, service, now):
-        """Return whether a retry is allowed, and count it if so."""
+    def try_acquire(self, service, now, reserve=0.0):
+        """Return whether a retry is allowed, and count it if so.
+
+        Args:
+            service (str): Service that the request is sent to again.
+            now (float): Monotonic seconds.
+            reserve (float): Share of the budget that must be left.
+        """
         requests = self._trim(self._requests.setdefault(service, deque()), now)
         retries = self._trim(self._retries.setdefault(service, deque()), now)
         allowed = self._ratio * len(requests) + self._slack / self._members
-        if len(retries) + 1 > SAFETY_FACTOR * allowed:
+        if len(retries) + 1 > (1.0 - reserve) * SAFETY_FACTOR * allowed:
             return False
         retries.append(now)
         return True
--- a/firworks/kernel/retries.py
+++ b/firworks/kernel/retries.py
@@ -7,18 +7,23 @@
 class ShareBudget:
     """A token bucket that first attempts fill.
 
+    Args:
+        initial (float): Extra attempts allowed before any first one.
+        maximum (float): Most extra attempts that are saved up.
+
     Attributes:
         tokens (float): Extra attempts allowed now.
     """
 
-    __slots__ = ("tokens",)
+    __slots__ = ("tokens", "_maximum")
 
-    def __init__(self):
-        self.tokens = INITIAL_TOKENS
+    def __init__(self, initial=INITIAL_TOKENS, maximum=MAX_TOKENS):
+        self.tokens = initial
+        self._maximum = maximum
 
     def deposit(self, share):
         """Record a first attempt, which adds `share` (float) tokens."""
-        self.tokens = min(self.tokens + share, MAX_TOKENS)
+        self.tokens = min(self.tokens + share, self._maximum)
 
     def try_withdraw(self):
         """Withdraw a token for an extra attempt; return whether there was one."""
--- a/firworks/kernel/scheduling/hedges.py
+++ b/firworks/kernel/scheduling/hedges.py
@@ -1,5 +1,10 @@
 """Checks calls in flight: advises hedges and detects stalled targets."""
 
+from firworks.kernel.attempts.conditions import (
+    can_end_in_time,
+    find_exclusion,
+    is_slow,
+)
 from firworks.kernel.calls import HedgeAdvised
 
 HEDGE_QUANTILE = 0.95
@@ -54,11 +59,13 @@
         call = placed.call
         if not pool.pool.hedge_share:
             return False
-        if placed.hedged or not call.repeatable or call.hedge_of or call.deferred:
+        if placed.hedged or call.hedge_of or call.deferred:
             return False
-        if now + pool.estimate_latency(call) > call.deadline_s or not pool.has_samples(
-            call
-        ):
+        if find_exclusion(call.repeatable, begun=False, suspected=call.alone):
+            return False
+        usual_s = pool.estimate_latency(call)
+        in_time = can_end_in_time(now, usual_s, call.deadline_s)
+        if not in_time or not pool.has_samples(call):
             return False
         if placed.target.health.ejected and placed.target.health.probe != call.call_id:
             return self._budgets.try_withdraw_hedge()
@@ -75,10 +82,10 @@
 
     def _is_slow(self, placed, pool, idle_s, expected_s, weight, now):
         tolerance = 2.0 - weight
-        if idle_s > expected_s * tolerance:
+        if is_slow(idle_s, expected_s, tolerance):
             return True
         typical_s = pool.estimate_latency(placed.call, HEDGE_QUANTILE)
-        return now - placed.started_s > typical_s * tolerance
+        return is_slow(now - placed.started_s, typical_s, tolerance)
 
     def _estimate_progress_time(self, placed, pool):
         """Return the seconds within which a call usually makes progress."""
--- a/firworks/kernel/scheduling/state.py
+++ b/firworks/kernel/scheduling/state.py
@@ -3,6 +3,7 @@
 from xxhash import xxh64_intdigest
 
 from firworks.kernel.admission import PoolQueue
+from firworks.kernel.attempts.conditions import has_spare_capacity
 from firworks.kernel.budgets import LatencyHistogram
 from firworks.kernel.health import (
     REPORT_TIMEOUT_INTERVALS,
@@ -133,7 +134,8 @@
         """Return whether the subset's load is below `share` of its capacity."""
         usable = [t for t in self.subset if not t.leaving and not t.health.ejected]
         load = sum(self.load(target, now) for target in usable)
-        return load < share * sum(target.capacity for target in usable)
+        capacity = sum(target.capacity for target in usable)
+        return has_spare_capacity(load, capacity, share)
 
     def _choose_subset(self, key):
         if len(self.targets) <= SUBSETTING_THRESHOLD:
