Send slow idempotent requests to a second target

A gateway sends a request once more, to a target in another failure domain where there is one, when its first attempt takes longer than a quantile of the recent latencies. The attempt that answers first claims the answer and ends the other one. Streams are taken over before their first event: while two attempts may answer, nothing is forwarded earlier. A failed attempt leaves the other one running. extra_attempts_share is 0 by default, and then each request has a single attempt in the caller's own task as before.

Progress records failures where they happen, as two attempts may fail. The scopes that abandon attempts are kept by attempt instead of by request. The checks of responses move to a module of their own.

--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -70,6 +70,11 @@
         """Return whether a feature must not be sent to a target, but in a trial."""
         return self._suspects.is_quarantined(fingerprint, self._clock())
 
+    def is_suspected(self, fingerprints):
+        """Return whether any of some features may have caused a crash."""
+        now = self._clock()
+        return any(self._suspects.is_suspect(one, now) for one in fingerprints)
+
     def select_quarantined(self, fingerprints):
         """Return those (tuple of bytes) of some features that are in quarantine."""
         return tuple(one for one in fingerprints if self.is_quarantined(one))
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -27,6 +27,21 @@
         self.attempts_failed = self._counter(
             "attempts_failed", "Attempts without a usable answer.", ("service", "kind")
         )
+        self.extra_attempts = self._counter(
+            "extra_attempts",
+            "Extra attempts of slow requests, by what became of them.",
+            ("service", "outcome"),
+        )
+        self.extra_refused = self._counter(
+            "extra_attempts_refused",
+            "Times that a slow request got no extra attempt.",
+            ("service", "reason"),
+        )
+        self.extra_wasted = self._counter(
+            "extra_attempts_wasted_seconds",
+            "Time of attempts that were cancelled for another one.",
+            ("service",),
+        )
         self.drain_requests = self._counter(
             "drain_requests",
             "Requests that would outlast a drain, by what was done.",
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -24,6 +24,7 @@
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.gateway.state_exchange import StateExchange
 from firworks.gateway.stream_versions import StreamVersions
+from firworks.kernel.attempts.policy import ExtraAttemptPolicy
 from firworks.kernel.forwarding.balancer import Balancer
 from firworks.kernel.forwarding.news import AskNews, News
 from firworks.kernel.forwarding.process_pause import ProcessPauseDetector
@@ -81,6 +82,7 @@
         pools (Pools): Schedulers of engine pools and stage pools.
         balancer (Balancer): Selects targets of services without a pool.
         retry_budget (RetryBudget): Limits retries.
+        extra_attempts (ExtraAttemptPolicy): Decides on extra attempts.
         crashes (CrashTracker): Quarantines requests that crash targets.
         availability (TargetAvailability): Whether targets accept work now.
         limits (TargetLimits): Permits for targets that name a limit of requests.
@@ -102,6 +104,11 @@
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
+        self.extra_attempts = ExtraAttemptPolicy(
+            settings.extra_attempts_share,
+            settings.extra_attempts_quantile,
+            self.retry_budget,
+        )
         self._configurations, self._targets = self._make_listeners()
         self.roster = Roster(self._make_entry())
         self.limits = TargetLimits(self)
@@ -225,6 +232,9 @@
         self.retry_budget.configure(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
+        self.extra_attempts.configure(
+            settings.extra_attempts_share, settings.extra_attempts_quantile
+        )
         self._state_exchange.apply_settings(settings)
         self._replicator.apply_settings(settings)
         if self._targets_follower is not None:
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -9,12 +9,19 @@
     make_error_response,
 )
 from firworks.gateway.exchanges import Exchange
+from firworks.gateway.extra_attempts import ExtraAttempts
 from firworks.gateway.pools import PoolRefusedError
 from firworks.gateway.response_forwarding import ResponseForwarder
 from firworks.gateway.stage_runs import StageRun
 from firworks.gateway.stream_versions import ResumptionRefusedError
 from firworks.gateway.suspensions import Suspensions
 from firworks.gateway.target_selection import TargetSelection
+from firworks.gateway.verification import (
+    is_mismatched,
+    log_mismatch,
+    raise_failure,
+    verify_response,
+)
 from firworks.kernel.forwarding.admission import (
     compute_caller_timeout_s,
 )
@@ -28,8 +35,6 @@
 from firworks.kernel.pools.jobs import EngineJob
 from firworks.kernel.pools.results import REASON_GONE, REASON_SUSPENDED
 from firworks.platform.headers import (
-    REQUEST_ID,
-    STAMP,
     TargetHeaders,
     build_head,
 )
@@ -39,7 +44,6 @@
 # The target may have closed connections that idled longer, so that a request sent on
 # them fails after it was sent; non-repeatable requests do not use them.
 NON_REPEATABLE_MAX_IDLE_S = 1.0
-INPUT_STATUSES = (400, 409)
 
 
 class Relay:
@@ -55,6 +59,13 @@
         self._selection = TargetSelection(gateway)
         self._suspensions = Suspensions(gateway.crashes)
         self._forwarder = ResponseForwarder(gateway)
+        self._attempts = ExtraAttempts(
+            gateway,
+            self._attempt,
+            self._selection,
+            self._suspensions,
+            self._log_parallel_failure,
+        )
 
     async def serve(self, context):
         """Forward a request; return its response (aiohttp StreamResponse).
@@ -76,6 +87,7 @@
     async def _serve(self, context):
         if not await self._suspensions.admit(context):
             return self._reject_quarantined(context)
+        self._attempts.record_request(context)
         try:
             await self._find_origin(context)
             return await self._attempt_repeatedly(context)
@@ -99,13 +111,12 @@
             try:
                 versions.check_usable(context)
                 await self._run_stages(context)
-                return await self._attempt(context)
+                return await self._attempts.run(context)
             except PoolRefusedError as error:
                 if error.reason != REASON_GONE or context.restarted:
                     return self._handle_pool_refusal(context, error)
                 self._restart_stages(context)
             except AttemptError as failure:
-                context.progress.record(failure)
                 await self._suspensions.settle(context, failure)
                 verdict = self._decide_retry(context, failure)
                 if not verdict.retry:
@@ -138,23 +149,41 @@
         verdict = context.progress.judge(
             failure, context.remaining_s(now), within_budget
         )
+        self._log_failure(
+            context,
+            failure,
+            target=context.target_id,
+            software=context.software,
+            budget=within_budget,
+            again=verdict.retry,
+        )
+        return verdict
+
+    def _log_parallel_failure(self, context, failure, target):
+        """Log a failed attempt (AttemptError) beside another one that went on."""
+        self._log_failure(
+            context,
+            failure,
+            target="" if target is None else target.target_id,
+            software="" if target is None else target.version,
+            budget=True,
+            again=False,
+        )
+
+    def _log_failure(self, context, failure, **fields):
         metrics = self._gateway.metrics
         metrics.record_failed_attempt(context.service, failure.kind)
         log_event(
             LogEvent.ATTEMPT_FAILED,
             request=context.request_id,
-            target=context.target_id,
-            software=context.software,
             kind=failure.kind,
             sends=context.progress.sends,
-            left_s=round(context.remaining_s(now), 3),
-            budget=within_budget,
-            again=verdict.retry,
+            left_s=round(context.remaining_s(self._clock()), 3),
             begun=context.response is not None,
             parts=context.list_part_ids(),
             detail=failure.detail,
+            **fields,
         )
-        return verdict
 
     async def _run_stages(self, context):
         if not context.admitted.route.stages or context.stages is not None:
@@ -172,30 +201,44 @@
         context.inputs = await context.stages.run()
         context.stages_s = round(self._clock() - started_s, 3)
 
-    async def _attempt(self, context):
-        if self._gateway.pools.has_engines(context.service):
-            return await self._attempt_engine(context)
-        return await self._attempt_service(context)
+    async def _attempt(self, context, attempt):
+        """Run one attempt; return the response."""
+        try:
+            if self._gateway.pools.has_engines(context.service):
+                return await self._attempt_engine(context, attempt)
+            return await self._attempt_service(context, attempt)
+        except AttemptError as failure:
+            context.progress.record(failure)
+            raise
+        finally:
+            attempt.finish()
 
-    async def _attempt_service(self, context):
+    async def _attempt_service(self, context, attempt):
         balancer = self._gateway.balancer
-        target = await self._selection.choose(context)
+        if attempt.is_extra:
+            target = self._selection.choose_extra(context, attempt.avoided)
+        else:
+            target = await self._selection.choose(context)
         context.excluded.add(target.incarnation)
         balancer.begin(target)
         started_s, failed = self._clock(), False
         try:
-            return await self._send(context, target, None)
+            return await self._send(context, attempt, target, None)
         except AttemptError:
             failed = True
             raise
         finally:
             now = self._clock()
-            balancer.end(target, failed, now - started_s, now)
+            latency_s = now - started_s
+            if attempt.is_lost:
+                # Shows only that the latency is no less.
+                latency_s = max(latency_s, balancer.get_latency_s([target]))
+            balancer.end(target, failed or attempt.is_held(), latency_s, now)
 
-    async def _attempt_engine(self, context):
+    async def _attempt_engine(self, context, attempt):
         self._selection.check_backoffs(context)
         pools = self._gateway.pools
-        job = self._make_engine_job(context)
+        job = self._make_engine_job(context, attempt)
         failed = False
 
         def note_begun():
@@ -206,20 +249,23 @@
                 context.stages = None
 
         try:
-            target_id = await self._selection.place(context, job)
+            if attempt.is_extra:
+                target_id = await self._selection.place_extra(context, job)
+            else:
+                target_id = await self._selection.place(context, job)
             target = self._gateway.directory.find(target_id)
             if target is None:
                 context.excluded.add((target_id, 0))
                 raise AttemptError(NOT_RUN, False, f"{target_id} is not usable")
             context.excluded.add(target.incarnation)
-            return await self._send(context, target, note_begun)
+            return await self._send(context, attempt, target, note_begun)
         except AttemptError as error:
             failed = error.blames_target
             raise
         finally:
             pools.end_request(job.job_id, failed)
 
-    def _make_engine_job(self, context):
+    def _make_engine_job(self, context, attempt):
         prompt = context.admitted.request.prompt
         parts = () if prompt is None else prompt.parts
         domains, sizes = (), ()
@@ -234,19 +280,22 @@
             context.admitted.priority,
             self._compute_event_deadline_s(context),
             context.admitted.deadline_s,
-            self._list_excluded(context),
+            self._list_excluded(context, attempt),
             domains,
             sizes,
         )
 
-    def _list_excluded(self, context):
-        """Return the ids (tuple of str) of engines that must not get a request."""
+    def _list_excluded(self, context, attempt):
+        """Return the ids (tuple of str) of engines that must not get an attempt."""
         backed_off = self._gateway.availability.list_backed_off(context.service)
         incompatible = self._gateway.stream_versions.list_incompatible(context)
         incarnations = {
             *context.excluded,
             *(target.incarnation for target in (*backed_off, *incompatible)),
         }
+        if attempt.is_extra:
+            near = self._selection.list_avoidable(context, attempt.avoided)
+            incarnations.update(target.incarnation for target in near)
         return tuple(target_id for target_id, _ in incarnations)
 
     def _compute_event_deadline_s(self, context):
@@ -257,17 +306,18 @@
         caller_timeout_s = compute_caller_timeout_s(admitted.route)
         return min(admitted.deadline_s, self._clock() + caller_timeout_s)
 
-    async def _send(self, context, target, note_begun):
+    async def _send(self, context, attempt, target, note_begun):
         """Send the request to a target and forward its response."""
         availability = self._gateway.availability
         if not availability.may_send(target):
             detail = f"{target.target_id} backs off or leaves"
             raise AttemptError(NOT_RUN, False, detail)
         await self._gateway.stream_versions.check_target(context, target)
+        if attempt.is_extra and self._attempts.is_suspected(context):
+            raise AttemptError(NOT_RUN, False, "suspected of crashing targets")
         await self._suspensions.acquire_trial(context)
         availability.record_request(target)
-        context.target_id, context.incarnation = target.target_id, target.incarnation
-        context.software = target.version
+        attempt.note_sent(target)
         head = self._build_head(context, target)
         exchange = Exchange(self._gateway.connections, target, self._clock)
         max_idle_s = None if context.progress.repeatable else NON_REPEATABLE_MAX_IDLE_S
@@ -275,14 +325,11 @@
         try:
             async with self._suspensions.watch(context):
                 await exchange.send(head, context.body or b"", method, max_idle_s)
-            if (
-                self._is_mismatched(context, exchange)
-                and not context.progress.repeatable
-            ):
+            if is_mismatched(context, exchange) and not context.progress.repeatable:
                 # The request must not run elsewhere, and its own response is to follow.
-                self._log_mismatch(context, exchange)
+                log_mismatch(context, exchange)
                 await exchange.skip_response()
-            return await self._handle_response(context, exchange, note_begun)
+            return await self._handle_response(context, attempt, exchange, note_begun)
         except AttemptError as error:
             exchange.abort()
             if error.target_absent:
@@ -295,6 +342,7 @@
             exchange.abort()
             if exchange.pending:
                 context.progress.may_have_run = True
+                context.progress.sends += attempt.is_lost
                 context.part_trial = ()
             if exchange.is_stalled():
                 self._check_liveness(context, target, True)
@@ -328,56 +376,25 @@
             admitted.has_key or configuration.requires_keys,
         )
 
-    async def _handle_response(self, context, exchange, note_begun):
-        self._verify_response(context, exchange)
+    async def _handle_response(self, context, attempt, exchange, note_begun):
+        verify_response(context, exchange)
         availability = self._gateway.availability
         availability.record_response(exchange.target, exchange, context.request_id)
         if exchange.not_run or exchange.status >= 500:
             body = await exchange.read_all()
             exchange.finish()
-            self._raise_failure(exchange, body)
+            self._attempts.record_refusal(context.service, exchange)
+            raise_failure(exchange, body)
         success = 200 <= exchange.status < 300
         if context.progress.has_begun and not success:
             detail = f"status {exchange.status} to a stream that has begun"
             raise AttemptError(FAILED, True, detail)
         if not success or not context.admitted.route.streaming:
-            return await self._forwarder.forward_buffered(context, exchange)
-        if note_begun is not None:
-            note_begun()
-        return await self._forwarder.forward_events(context, exchange)
-
-    def _is_mismatched(self, context, exchange):
-        """Return whether a response belongs to another request."""
-        echoed = exchange.headers.get(REQUEST_ID)
-        return echoed is not None and echoed != context.request_id
-
-    def _verify_response(self, context, exchange):
-        """Raise `AttemptError` for a response that may belong to another request."""
-        echoed = exchange.headers.get(REQUEST_ID)
-        success = 200 <= exchange.status < 300
-        unverified = success and (echoed is None or STAMP not in exchange.headers)
-        if unverified or self._is_mismatched(context, exchange):
-            self._log_mismatch(context, exchange)
-            raise AttemptError(BROKEN, True, f"response to {echoed!r}")
-
-    def _log_mismatch(self, context, exchange):
-        log_event(
-            LogEvent.ANSWER_MISMATCHED,
-            target=exchange.target.target_id,
-            request=context.request_id,
-            echoed=exchange.headers.get(REQUEST_ID),
-            status=exchange.status,
+            return await self._forwarder.forward_buffered(context, exchange, attempt)
+        return await self._forwarder.forward_events(
+            context, exchange, attempt, note_begun
         )
 
-    def _raise_failure(self, exchange, body):
-        """Raise the `AttemptError` for an error response."""
-        detail = f"{exchange.target.target_id}: status {exchange.status}"
-        if exchange.not_run and exchange.status in INPUT_STATUSES:
-            raise AttemptError(INPUTS_GONE, True, detail)
-        if exchange.not_run:
-            raise AttemptError(NOT_RUN, True, detail, misdirected=exchange.misdirected)
-        raise AttemptError(FAILED, True, detail, (exchange, body))
-
     def _handle_timeout(self, context):
         detail = "deadline exceeded"
         if self._gateway.shutdown.cuts_off(context.admitted):
--- a/firworks/gateway/request_contexts.py
+++ b/firworks/gateway/request_contexts.py
@@ -24,8 +24,6 @@
         parts (tuple of bytes): Fingerprints of the parts of its prompt that other
             requests may share.
         part_trial (tuple of bytes): Those that it has a trial for on one target.
-        attempt_scope (asyncio.Timeout or None): Ends the attempt in progress when it is
-            rescheduled; None while the response has begun or nothing is sent.
         target_id (str): Last target that it was sent to; empty before.
         incarnation (tuple or None): Its incarnation; None before.
         software (str): Software version of that target; empty if unknown.
@@ -51,7 +49,6 @@
         "fingerprint",
         "parts",
         "part_trial",
-        "attempt_scope",
         "target_id",
         "incarnation",
         "software",
@@ -89,7 +86,6 @@
         self.fingerprint = make_fingerprint(path, account, body)
         self.parts = list_shared_parts(admitted.request.prompt)
         self.part_trial = ()
-        self.attempt_scope = None
 
     @property
     def account_name(self):
@@ -113,6 +109,11 @@
         """Fingerprints (tuple of bytes) of what may make it crash targets."""
         return (self.fingerprint, *self.parts)
 
+    def set_target(self, target):
+        """Set the target (Target) that it was last sent to, or that answers it."""
+        self.target_id, self.incarnation = target.target_id, target.incarnation
+        self.software = target.version
+
     def list_part_ids(self):
         """Return the ids (list of str) of the parts of its prompt, in order."""
         prompt = self.admitted.request.prompt
--- a/firworks/gateway/response_forwarding.py
+++ b/firworks/gateway/response_forwarding.py
@@ -20,12 +20,20 @@
         self._gateway = gateway
         self._clock = gateway.clock
 
-    async def forward_buffered(self, context, exchange):
-        """Forward a response after it was read completely, unless it is too large."""
+    async def forward_buffered(self, context, exchange, attempt):
+        """Forward a response after it was read completely, unless it is too large.
+
+        Args:
+            context (RequestContext): The request.
+            exchange (Exchange): Its response head has been received.
+            attempt (Attempt): Claims the answer before anything is forwarded.
+        """
         with exchange.hold_body() as body:
             while part := await exchange.read_chunk():
                 if not body.add(part):
+                    attempt.claim()
                     return await self._forward_unbuffered(context, exchange, body)
+            attempt.claim()
             exchange.finish()
             self._record_answer(context, exchange)
             return await self.send_buffered(context, exchange, body.join())
@@ -67,11 +75,21 @@
         self._gateway.callers.prepare_response(context.http, response)
         await response.prepare(context.http)
 
-    async def forward_events(self, context, exchange):
-        """Forward an event stream, by complete events."""
+    async def forward_events(self, context, exchange, attempt, note_begun):
+        """Forward an event stream, by complete events.
+
+        While another attempt may answer, nothing is forwarded before the first event.
+
+        Args:
+            context (RequestContext): The request.
+            exchange (Exchange): Its response head has been received.
+            attempt (Attempt): Claims the answer with the first event.
+            note_begun (callable or None): Called when it is certain that this stream
+                is the one that is forwarded.
+        """
         splitter = EventSplitter(context.last_event_id)
-        if context.response is None:
-            await self._start_response(context, make_forwarded_response(exchange, None))
+        if not attempt.competes:
+            await self._begin_stream(context, exchange, note_begun)
         limit_s, waited_s = compute_stall_limit_s(context.admitted.route), 0.0
         proof = StreamProof()
         while True:
@@ -86,6 +104,7 @@
                 raise AttemptError(BROKEN, True, str(error)) from error
             if events:
                 waited_s = 0.0
+                await self._claim_stream(context, exchange, attempt, note_begun)
                 if proof.record_events(self._clock()):
                     self._gateway.crashes.record_answer(context.parts)
                 self._gateway.stream_versions.record_event(context)
@@ -93,11 +112,26 @@
                 context.last_event_id = splitter.last_id
         if splitter.has_partial_event:
             raise AttemptError(BROKEN, True, "stream ended inside an event")
+        await self._claim_stream(context, exchange, attempt, note_begun)
         exchange.finish()
         self._record_answer(context, exchange)
         await context.response.write_eof()
         return context.response
 
+    async def _claim_stream(self, context, exchange, attempt, note_begun):
+        """Claim the answer, once; a competing attempt begins to forward it then."""
+        if attempt.has_answered:
+            return
+        attempt.claim()
+        if attempt.competes:
+            await self._begin_stream(context, exchange, note_begun)
+
+    async def _begin_stream(self, context, exchange, note_begun):
+        if note_begun is not None:
+            note_begun()
+        if context.response is None:
+            await self._start_response(context, make_forwarded_response(exchange, None))
+
     async def _read_with_timeout(self, exchange, limit_s):
         """Return the next bytes of a stream; raise `AttemptError` on time-out."""
         try:
--- a/firworks/gateway/settings_file.py
+++ b/firworks/gateway/settings_file.py
@@ -9,6 +9,8 @@
 # Settings that apply without a restart; changes of the others are ignored until then.
 RELOADABLE_KEYS = (
     "drain_limit_s",
+    "extra_attempts_quantile",
+    "extra_attempts_share",
     "leave_limit_ms",
     "retry_ratio",
     "retry_slack",
--- a/firworks/gateway/suspensions.py
+++ b/firworks/gateway/suspensions.py
@@ -25,7 +25,8 @@
 
     def __init__(self, crashes):
         self._crashes = crashes
-        self._unanswered = set()
+        # Requests by the scope (asyncio.Timeout) of each attempt without a response.
+        self._unanswered = {}
         crashes.on_crash = self._suspend
 
     async def admit(self, context):
@@ -61,8 +62,7 @@
         """
         try:
             async with asyncio.timeout(None) as scope:
-                context.attempt_scope = scope
-                self._unanswered.add(context)
+                self._unanswered[scope] = context
                 yield
         except TimeoutError as error:
             if not scope.expired():
@@ -70,7 +70,7 @@
             detail = "suspended: its parts crashed other targets"
             raise AttemptError(SUSPENDED, True, detail) from error
         finally:
-            self._unanswered.discard(context)
+            self._unanswered.pop(scope, None)
 
     async def settle(self, context, failure):
         """After a failed attempt, wait until a crash of its target is known.
@@ -118,6 +118,6 @@
 
     def _suspend(self, fingerprint):
         """Abandon the attempts with a feature that have no response yet."""
-        for context in self._unanswered:
+        for scope, context in self._unanswered.items():
             if fingerprint in context.parts and not context.part_trial:
-                context.attempt_scope.reschedule(0.0)
+                scope.reschedule(0.0)
--- a/firworks/gateway/target_selection.py
+++ b/firworks/gateway/target_selection.py
@@ -1,5 +1,7 @@
 """Selects the targets of requests, with permits for those that name a limit."""
 
+import asyncio
+
 from firworks.gateway.limits import DELAYED, MOVED, REFUSED, PermitDeniedError
 from firworks.gateway.pools import PoolRefusedError
 from firworks.kernel.forwarding.outcomes import (
@@ -8,6 +10,9 @@
 )
 from firworks.kernel.pools.results import REASON_LIMITED
 
+# A scheduler answers within a few milliseconds, some tens under load, unless the
+# request has to wait for an engine.
+EXTRA_PLACEMENT_TIMEOUT_S = 0.1
 # Random addition to Retry-After, so that rejected callers do not retry all at once.
 RETRY_AFTER_JITTER_S = 0.5
 # Shorter delays of requests by limits of targets are not logged.
@@ -35,13 +40,7 @@
             PoolRefusedError: When there is no target, or none accepts it in time.
         """
         limits, balancer = self._gateway.limits, self._gateway.balancer
-        available = self._gateway.availability.list_available(context.service)
-        incompatible = self._gateway.stream_versions.list_incompatible(context)
-        targets = [
-            one
-            for one in available
-            if one.incarnation not in context.excluded and one not in incompatible
-        ]
+        targets = self.list_others(context)
         preferred = balancer.choose(targets, (), self._clock())
         if preferred is None:
             self.check_backoffs(context)
@@ -62,6 +61,67 @@
         limits.take(target)
         return target
 
+    def choose_extra(self, context, first):
+        """Return a target for an extra attempt at a plain service; it does not wait.
+
+        Args:
+            context (RequestContext): The request.
+            first (Target): Target of the attempt in progress; one in another failure
+                domain is preferred.
+
+        Raises:
+            PoolRefusedError: When no other target accepts the request now.
+        """
+        limits = self._gateway.limits
+        accepting = [
+            one
+            for one in self.list_others(context)
+            if self._is_free(one) or (limits.is_limited(one) and limits.may_send(one))
+        ]
+        apart = [one for one in accepting if one.failure_domain != first.failure_domain]
+        now = self._clock()
+        target = self._gateway.balancer.choose(apart or accepting, (), now)
+        if target is None:
+            raise PoolRefusedError("no target", DEFAULT_RETRY_AFTER_S)
+        if limits.is_limited(target):
+            limits.take(target)
+        return target
+
+    def list_others(self, context):
+        """Return the targets (list) that accept work and have not had a request."""
+        available = self._gateway.availability.list_available(context.service)
+        incompatible = self._gateway.stream_versions.list_incompatible(context)
+        return [
+            one
+            for one in available
+            if one.incarnation not in context.excluded and one not in incompatible
+        ]
+
+    def list_avoidable(self, context, first):
+        """Return the targets (list) in the failure domain of the first attempt.
+
+        None of them if no other target accepts work.
+
+        Args:
+            context (RequestContext): The request.
+            first (Target): Target of the attempt in progress.
+        """
+        others = self.list_others(context)
+        near = [one for one in others if one.failure_domain == first.failure_domain]
+        return near if len(near) < len(others) else []
+
+    async def place_extra(self, context, job):
+        """Have an extra attempt placed on an engine that is free now; see `place`.
+
+        Raises:
+            PoolRefusedError: When no engine has capacity now.
+        """
+        try:
+            async with asyncio.timeout(EXTRA_PLACEMENT_TIMEOUT_S):
+                return await self._gateway.pools.place_request(context.service, job)
+        except TimeoutError as error:
+            raise PoolRefusedError("no engine free", DEFAULT_RETRY_AFTER_S) from error
+
     async def place(self, context, job):
         """Have a request placed on an engine; return the id (str) of the engine.
 
--- /dev/null
+++ b/firworks/gateway/verification.py
@@ -0,0 +1,50 @@
+"""Checks whether a response belongs to its request, and what a failure states."""
+
+from firworks.events import LogEvent, log_event
+from firworks.kernel.forwarding.outcomes import (
+    BROKEN,
+    FAILED,
+    INPUTS_GONE,
+    NOT_RUN,
+    AttemptError,
+)
+from firworks.platform.headers import REQUEST_ID, STAMP
+
+INPUT_STATUSES = (400, 409)
+
+
+def is_mismatched(context, exchange):
+    """Return whether a response belongs to another request."""
+    echoed = exchange.headers.get(REQUEST_ID)
+    return echoed is not None and echoed != context.request_id
+
+
+def verify_response(context, exchange):
+    """Raise `AttemptError` for a response that may belong to another request."""
+    echoed = exchange.headers.get(REQUEST_ID)
+    success = 200 <= exchange.status < 300
+    unverified = success and (echoed is None or STAMP not in exchange.headers)
+    if unverified or is_mismatched(context, exchange):
+        log_mismatch(context, exchange)
+        raise AttemptError(BROKEN, True, f"response to {echoed!r}")
+
+
+def log_mismatch(context, exchange):
+    """Log that a target sent a response to another request."""
+    log_event(
+        LogEvent.ANSWER_MISMATCHED,
+        target=exchange.target.target_id,
+        request=context.request_id,
+        echoed=exchange.headers.get(REQUEST_ID),
+        status=exchange.status,
+    )
+
+
+def raise_failure(exchange, body):
+    """Raise the `AttemptError` for an error response with a body (bytes)."""
+    detail = f"{exchange.target.target_id}: status {exchange.status}"
+    if exchange.not_run and exchange.status in INPUT_STATUSES:
+        raise AttemptError(INPUTS_GONE, True, detail)
+    if exchange.not_run:
+        raise AttemptError(NOT_RUN, True, detail, misdirected=exchange.misdirected)
+    raise AttemptError(FAILED, True, detail, (exchange, body))
--- a/firworks/kernel/attempts/policy.py
+++ b/firworks/kernel/attempts/policy.py
@@ -73,9 +73,10 @@
         begun_s (float): When it was sent, in monotonic seconds.
         usual_s (float or None): Time after which it counts as slow; None if unknown.
         is_slow (bool): That time has passed.
+        has_ended (bool): Its end is recorded.
     """
 
-    __slots__ = ("service", "kind", "begun_s", "usual_s", "is_slow")
+    __slots__ = ("service", "kind", "begun_s", "usual_s", "is_slow", "has_ended")
 
     def __init__(self, service, kind, begun_s, usual_s):
         self.service = service
@@ -83,6 +84,7 @@
         self.begun_s = begun_s
         self.usual_s = usual_s
         self.is_slow = False
+        self.has_ended = False
 
     def is_held(self, now):
         """Return whether it takes so long that its target seems to hold it.
@@ -160,7 +162,7 @@
             load.record_slow(now)
 
     def end(self, attempt, answered, now):
-        """Record the end of an attempt.
+        """Record the end of an attempt, once.
 
         Only attempts that gave the answer count as latencies. An abandoned attempt
         shows just that it takes longer; with these, a single slow target would raise
@@ -171,8 +173,13 @@
             answered (bool): It gave the answer of its request.
             now (float): Monotonic seconds.
         """
+        attempt.has_ended = True
+        load = self._get_load(attempt.service, now)
         if not attempt.is_slow:
-            self._get_load(attempt.service, now).end(now)
+            load.end(now)
+            usual_s = attempt.usual_s
+            if usual_s is not None and is_slow(now - attempt.begun_s, usual_s):
+                load.record_slow(now)
         if answered:
             self._latencies.record(attempt.kind, now - attempt.begun_s, now)
 
--- a/firworks/kernel/forwarding/suspects.py
+++ b/firworks/kernel/forwarding/suspects.py
@@ -389,6 +389,10 @@
         self._convicted.discard(fingerprint)
         return self._suspects.pop(fingerprint, None) is not None
 
+    def is_suspect(self, fingerprint, now):
+        """Return whether a feature was at a crash and has not been cleared since."""
+        return self._find(fingerprint, now) is not None
+
     def is_quarantined(self, fingerprint, now):
         """Return whether a feature is in quarantine.
 
--- a/firworks/tests/attempt_simulation.py
+++ b/firworks/tests/attempt_simulation.py
@@ -51,7 +51,8 @@
 class SimulatedRequest:
     """A request with its attempts."""
 
-    def __init__(self, gateway, arrived_s):
+    def __init__(self, rng, gateway, arrived_s):
+        self.rng = rng
         self.gateway = gateway
         self.arrived_s = arrived_s
         self.answered_s = None
@@ -79,6 +80,9 @@
         slots (int): Slots of each target.
         rate_per_s (float): Requests of all gateways per second.
         seed (int): Seed.
+        limited (bool): The limits and the load are considered.
+        at_once (bool): All requests are sent twice, without waiting.
+        drops (bool): Targets stop work on a request when its connection is closed.
 
     Attributes:
         latencies (list of (float, float)): Arrival and latency of answered requests.
@@ -87,8 +91,19 @@
         refusals (dict of str to int): Extra attempts refused, by reason.
     """
 
-    def __init__(self, share, gateways, targets, slots, rate_per_s, seed=1):
-        self.rng = Random(seed)
+    def __init__(
+        self,
+        share,
+        gateways,
+        targets,
+        slots,
+        rate_per_s,
+        seed=1,
+        limited=True,
+        at_once=False,
+        drops=True,
+    ):
+        self._seed, self._arrival_rng = seed, Random(seed)
         self.targets = [SimulatedTarget(n, slots) for n in range(targets)]
         self.gateways = [
             SimulatedGateway(n, share, gateways, seed) for n in range(gateways)
@@ -97,6 +112,7 @@
         self.rate_per_s = rate_per_s
         self.latencies, self.extras, self.arrivals, self.refusals = [], [], [], {}
         self.unanswered = 0
+        self._limited, self._at_once, self._drops = limited, at_once, drops
         self._events, self._order = [], count()
 
     def run(self, until_s, changes=()):
@@ -118,14 +134,22 @@
         heappush(self._events, (at_s, next(self._order), function))
 
     def _arrive(self, now):
-        self._schedule(now + self.rng.expovariate(self.rate_per_s), self._arrive)
-        gateway = self.rng.choice([one for one in self.gateways if one.alive])
-        request = SimulatedRequest(gateway, now)
+        pause_s = self._arrival_rng.expovariate(self.rate_per_s)
+        self._schedule(now + pause_s, self._arrive)
+        gateway = self._arrival_rng.choice([one for one in self.gateways if one.alive])
+        # Each request has its own numbers, so that runs with and without extra attempts
+        # differ by these only.
+        rng = Random(f"{self._seed}/{len(self.arrivals)}")
+        request = SimulatedRequest(rng, gateway, now)
         self.arrivals.append(now)
         gateway.budget.record_request(SERVICE, now)
         gateway.policy.record_request(SERVICE)
         self._schedule(now + DEADLINE_S, lambda at: self._expire(request, at))
         attempt = self._send(request, now)
+        if self._at_once:
+            self.extras.append(now)
+            self._send(request, now)
+            return
         usual_s = attempt.tracked.usual_s
         if usual_s is not None:
             checks = list_checks(usual_s, DEADLINE_S)
@@ -139,7 +163,7 @@
         )
         gateway.balancer.begin(chosen)
         target = self.by_id[chosen.target_id]
-        work_s = 0.02 + self.rng.expovariate(1 / 0.03)
+        work_s = 0.02 + request.rng.expovariate(1 / 0.03)
         tracked = gateway.policy.begin(SERVICE, "get", now)
         attempt = SimulatedAttempt(request, target, work_s * target.slowdown, tracked)
         request.attempts.append(attempt)
@@ -184,8 +208,10 @@
             sum(one.target.slots for one in self.targets),
             len(self.targets) - 1,
         )
-        reason = gateway.policy.find_obstacle(slow, now)
-        reason = reason or gateway.policy.try_withdraw(SERVICE, is_first, now)
+        reason = None
+        if self._limited:
+            reason = gateway.policy.find_obstacle(slow, now)
+            reason = reason or gateway.policy.try_withdraw(SERVICE, is_first, now)
         if reason is None:
             self.extras.append(now)
             self._send(request, now)
@@ -194,6 +220,7 @@
         return reason is None
 
     def _finish(self, attempt, now):
+        self._free(attempt, now)
         if attempt.over:
             return
         request = attempt.request
@@ -219,8 +246,13 @@
         held = not answered and len(attempt.request.attempts) > 1
         failed = held and attempt.tracked.is_held(now)
         gateway.balancer.end(target.target, failed, elapsed_s, now)
-        if attempt in target.running:
-            target.running.discard(attempt)
-            self._start_next(target, now)
-        else:
+        if attempt in target.queue:
             target.queue.remove(attempt)
+        elif self._drops or target.paused:
+            self._free(attempt, now)
+
+    def _free(self, attempt, now):
+        """Free the slot of an attempt."""
+        if attempt in attempt.target.running:
+            attempt.target.running.discard(attempt)
+            self._start_next(attempt.target, now)
--- a/firworks/tests/part_simulation.py
+++ b/firworks/tests/part_simulation.py
@@ -92,7 +92,7 @@
         self.features = (self.fingerprint, *self.parts)
         self.progress = Progress(True, MAX_ATTEMPTS)
         self.trial, self.part_trial = False, ()
-        self.attempt_scope = self.incarnation = self.response = None
+        self.incarnation = self.response = None
         self.may_have_run = False
         self.deadly = DEADLY_PART in part_ids
         self.served = None
--- a/firworks/tests/test_attempts.py
+++ b/firworks/tests/test_attempts.py
@@ -260,6 +260,19 @@
             took_s = with_extras.get_quantile(share, 10)
             assert took_s <= 1.02 * without.get_quantile(share, 10)
 
+    def test_without_limits_they_would_make_busy_targets_slower(self):
+        """Shows that the test above replays a load at which extra attempts harm."""
+        rate_per_s = 10 * 4 / 0.05
+        without, unlimited = [
+            AttemptSimulation(
+                0.0, 10, 10, 4, rate_per_s, limited=limited, drops=False
+            ).run(30.0)
+            for limited in (True, False)
+        ]
+        for share in (0.5, 0.95, 0.99):
+            took_s = unlimited.get_quantile(share, 10)
+            assert took_s > 1.1 * without.get_quantile(share, 10)
+
     def test_a_healthy_service_gets_few(self):
         _, with_extras = self.compare()
         assert len(with_extras.extras) <= 0.05 * len(with_extras.arrivals)
