--- a/firworks/kernel/attempts/latencies.py
+++ b/firworks/kernel/attempts/latencies.py
@@ -75,7 +75,7 @@
     """Recent latencies of attempts by kind; the least recently used are dropped.
 
     Args:
-        max_kinds (int): Most kinds that are kept; each takes up to 30 KB.
+        max_kinds (int): Most kinds that are kept; each takes up to 31 KB.
     """
 
     def __init__(self, max_kinds=256):
