--- a/firworks/codes.py
+++ b/firworks/codes.py
@@ -57,6 +57,7 @@
     PEER_REFUSED = 5005
     USAGE = 5006
     DAEMON_UNREACHABLE = 5007
+    CHECK_FAILED = 5008
 
     @property
     def http_status(self):
@@ -111,4 +112,5 @@
     Code.PEER_REFUSED: 403,
     Code.USAGE: 400,
     Code.DAEMON_UNREACHABLE: 502,
+    Code.CHECK_FAILED: 422,
 }
--- a/firworks/kernel/forwarding/configuration.py
+++ b/firworks/kernel/forwarding/configuration.py
@@ -157,6 +157,9 @@
         accounts (iterable of Account): The client accounts.
 
     Attributes:
+        services (dict of str to Service): By name; the last one of several.
+        all_services (tuple of Service): As given.
+        accounts (tuple of Account): As given.
         accounts_by_key (dict of str to Account): Client accounts by valid API key.
         requires_keys (bool): Requests need an API key unless their route is public. So
             it is as soon as there are client accounts, even if none has a valid key.
@@ -166,7 +169,9 @@
         "version",
         "routes",
         "services",
+        "all_services",
         "limits",
+        "accounts",
         "accounts_by_key",
         "requires_keys",
         "_by_host",
@@ -175,11 +180,12 @@
     def __init__(self, version, routes, services, limits, accounts):
         self.version = version
         self.routes = tuple(routes)
-        self.services = {service.name: service for service in services}
+        self.all_services = tuple(services)
+        self.services = {service.name: service for service in self.all_services}
         self.limits = limits
-        accounts = tuple(accounts)
-        self.accounts_by_key = {key: one for one in accounts for key in one.keys}
-        self.requires_keys = bool(accounts)
+        self.accounts = tuple(accounts)
+        self.accounts_by_key = {key: one for one in self.accounts for key in one.keys}
+        self.requires_keys = bool(self.accounts)
         self._by_host = {}
         for route in self.routes:
             self._by_host.setdefault(route.host, []).append(route)
--- a/firworks/platform/configuration.py
+++ b/firworks/platform/configuration.py
@@ -1,6 +1,7 @@
 """Decoder of the operator's configuration record."""
 
 from firworks.decoding import check_integer, check_text
+from firworks.errors import CodecError
 from firworks.kernel.forwarding.configuration import (
     Account,
     CallerLimits,
@@ -29,17 +30,29 @@
     """Return the `Configuration` encoded in a record.
 
     Raises:
-        CodecError: When a required field is missing or a field has the wrong type.
+        CodecError: When a required field is missing or a field has the wrong type; it
+            names the entry by its list and number from 0.
     """
     fields = parse_object(data)
     version = get_integer(fields, "version")
-    routes = [_decode_route(row) for row in get_objects(fields, "routes")]
-    services = [_decode_service(row) for row in get_objects(fields, "services")]
+    routes = _decode_all(fields, "routes", _decode_route)
+    services = _decode_all(fields, "services", _decode_service)
     limits = _decode_limits(get_object(fields, "limits"))
-    accounts = [_decode_account(row) for row in get_objects(fields, "tenants")]
+    accounts = _decode_all(fields, "tenants", _decode_account)
     return Configuration(version, routes, services, limits, accounts)
 
 
+def _decode_all(fields, name, decode):
+    """Return the decoded entries of a list field."""
+    entries = []
+    for number, row in enumerate(get_objects(fields, name)):
+        try:
+            entries.append(decode(row))
+        except CodecError as error:
+            raise CodecError(f"{name}[{number}]: {error}") from error
+    return entries
+
+
 def _decode_route(row):
     # Routes shared by several services have "traffic-split" instead of "service".
     split = [
--- a/firworks/tools/commands.py
+++ b/firworks/tools/commands.py
@@ -60,13 +60,17 @@
     an invalid file, 3 the log service or a daemon did not respond.
     """
 
-    def check(self, file):
-        """Check an environment document or a settings file.
+    def check(self, file, *, against=""):
+        """Check a document, a settings file or a gateway's configuration record.
+
+        A record that gateways refuse is an invalid file. One that they accept fails
+        if entries can never match or contradict each other.
 
         Args:
-            file: Path of the TOML file.
+            file: Path of the TOML file, or of the record in JSON.
+            against: Path of another record, to list what differs by its meaning.
         """
-        return _defer(check_file, file)
+        return _defer(check_file, file, against)
 
     def publish(self, file, base="", resume="", log=""):
         """Publish an environment document in trial.
--- a/firworks/tools/operations.py
+++ b/firworks/tools/operations.py
@@ -17,6 +17,13 @@
 from firworks.settings import load_settings
 from firworks.tools.admin_client import AdminClient
 from firworks.tools.burn import collect_report, format_report
+from firworks.tools.configuration_records import (
+    decode_record,
+    format_review,
+    is_record,
+    pack_review,
+    review_configuration,
+)
 from firworks.tools.demo import run_demo
 
 LOG_VARIABLE = "FIRWORKS_LOG_URL"
@@ -38,9 +45,13 @@
     DEFAULTS = {"code": Code.OK}
 
 
-async def check_file(file):
-    """Check a document or settings file."""
+async def check_file(file, against):
+    """Check a document, a settings file or a gateway's configuration record."""
     data = _read_file(file)
+    if is_record(data):
+        return _check_record(file, data, against)
+    if against:
+        raise UsageError(f"--against needs a configuration record, not {file}")
     if "log_url" in parse_toml(data, file):
         settings = load_settings(file)
         line = f"{file}: settings of daemon {settings.name} are valid"
@@ -54,6 +65,16 @@
     return Report((line, f"digest {document.digest}"), value)
 
 
+def _check_record(file, data, against):
+    configuration = decode_record(file, data)
+    other = decode_record(against, _read_file(against)) if against else None
+    result = review_configuration(configuration, other)
+    lines = [f"{file}: {line}" for line in format_review(result)]
+    value = {"kind": "configuration", **pack_review(result)}
+    code = Code.CHECK_FAILED if result.findings else Code.OK
+    return Report(tuple(lines), value, code)
+
+
 async def publish_document(file, base, resume, log):
     """Publish a document in trial."""
     if resume and not base:
