--- a/firworks/tests/test_configuration_check.py
+++ b/firworks/tests/test_configuration_check.py
@@ -1,5 +1,6 @@
 """Tests of the check of a gateway's configuration record before it is sent."""
 
+import asyncio
 import copy
 import json
 
@@ -8,10 +9,16 @@
 from hypothesis import strategies as st
 
 from firworks.errors import SettingsError
-from firworks.gateway.state import ConfigurationListener
+from firworks.gateway.process import Gateway
+from firworks.gateway.settings import make_gateway_settings
 from firworks.kernel.forwarding.configuration_changes import ADDED, CHANGED, REMOVED
 from firworks.kernel.forwarding.configuration_check import CONTRADICTORY, UNMATCHED
-from firworks.tests.gateway_testbed import KEY, make_configuration, make_route
+from firworks.tests.gateway_testbed import (
+    EPHEMERAL_ADDRESS,
+    KEY,
+    make_configuration,
+    make_route,
+)
 from firworks.tests.test_ctl import run_ctl
 from firworks.tools.configuration_records import (
     decode_record,
@@ -19,6 +26,13 @@
     review_configuration,
 )
 
+ADDRESSES = ("callers", "readiness", "peers", "metrics", "store")
+SETTINGS = {
+    "name": "gateway-1",
+    "region": "r",
+    "failure_domain": "fd-1",
+    **dict.fromkeys(ADDRESSES, EPHEMERAL_ADDRESS),
+}
 ODD_VALUES = [None, -1, 0, 1e999, 10**400, "", "x", "\ud800", [], {}, [None], True]
 
 
@@ -46,11 +60,15 @@
 
 
 def is_applied(data):
-    """Return whether a gateway applies a record (bytes)."""
-    applied = []
-    listener = ConfigurationListener(applied.append, applied.append, applied.append)
-    listener.apply_record(data, "store")
-    return bool(applied)
+    """Return whether a gateway, with its pools, applies a record (bytes)."""
+
+    async def apply():
+        gateway = Gateway(make_gateway_settings(SETTINGS))
+        gateway._configurations.apply_record(data, "store")
+        gateway.pools.close()
+        return gateway.configuration is not None
+
+    return asyncio.run(apply())
 
 
 def list_paths(value, path=()):
