--- a/firworks/tests/gateway_process.py
+++ b/firworks/tests/gateway_process.py
@@ -122,11 +122,16 @@
         table |= {"callers": f"{LOOPBACK}:{self.port}", "store": store, **settings}
         self.name = table["name"]
         self.peers = table["peers"]
+        self._table = table
         self._path = folder / "gateway-p.toml"
         rows = [f"{key} = {json.dumps(value)}" for key, value in table.items()]
         self._path.write_text("\n".join(rows))
         self.child = None
 
+    def find_port(self, listener):
+        """Return the port (int) of a listener, named as its setting."""
+        return int(self._table[listener].rsplit(":", 1)[1])
+
     async def start(self):
         """Start the process and wait until it serves requests."""
         self.child = await asyncio.create_subprocess_exec(
