--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -4,6 +4,7 @@
 
 from firworks.checks import check_table, parse_toml
 from firworks.errors import SettingsError
+from firworks.ingress_settings import INGRESS_DEFAULTS, INGRESS_SCHEMA
 
 PATH_VARIABLE = "FIRWORKS_NODE_FILE"
 
@@ -20,6 +21,7 @@
     "retry_window_s": 10.0,
     "cpu_share": 1.0,
     "link_mbps": 100.0,
+    **INGRESS_DEFAULTS,
     "peer_secret": "",
     "tls_certificate": "",
     "tls_key": "",
@@ -58,6 +60,7 @@
         "retry_window_s": _SECONDS,
         "cpu_share": _SECONDS,
         "link_mbps": _SECONDS,
+        **INGRESS_SCHEMA,
         "peer_secret": {"type": "string"},
         "tls_certificate": {"type": "string"},
         "tls_key": {"type": "string"},
--- /dev/null
+++ b/firworks/kernel/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the bytes and connections that callers may occupy."""
--- a/firworks/settings.py
+++ b/firworks/settings.py
@@ -6,6 +6,7 @@
 
 from firworks.checks import check_table, parse_toml
 from firworks.errors import SettingsError
+from firworks.ingress_settings import INGRESS_DEFAULTS, INGRESS_SCHEMA
 
 _TEXT = {"type": "string", "pattern": r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z"}
 _ADDRESS = {"type": "string", "pattern": r"^([0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}\Z"}
@@ -41,6 +42,7 @@
     "ledger_memory_limit_bytes": 67_108_864,
     "append_budget_per_s": 200.0,
     "log_retention_s": 604_800.0,
+    **INGRESS_DEFAULTS,
     "seed": 0,
     "addresses": {},
 }
@@ -78,6 +80,7 @@
         "ledger_memory_limit_bytes": _BYTES,
         "append_budget_per_s": _SECONDS,
         "log_retention_s": _SECONDS,
+        **INGRESS_SCHEMA,
         "seed": {"type": "integer"},
         "addresses": {"type": "object", "additionalProperties": _ADDRESS},
     },
