Limit what callers of a gateway occupy, at all of its listeners

Connections are counted, read with back-pressure and at most 32 KiB at a time, and answered before they are closed: refusals reach callers that still send. Heads are kept unparsed while there is no room. The operator's limits of heads, their time and the idle time hold now; a body is limited by its rate instead of 10 s in total, so that large bodies on slow links pass. A caller that reads nothing for 30 s is closed. At the limit of connections, one that has sent no admitted request goes first, then one that its caller does not reuse any more. Peers' connections are limited in number, and to small messages until they are authenticated.

--- a/firworks/adapter.py
+++ b/firworks/adapter.py
@@ -10,16 +10,19 @@
         feed (callable): ``feed(event)`` passes an event to the kernel.
         clock (callable): Returns the kernel's monotonic time, in seconds.
         addresses (AddressBook): Addresses of targets and daemons.
+        ingress (Ingress or None): Limits what callers occupy; None if the adapter
+            limits it by itself.
     """
 
-    __slots__ = ("settings", "incarnation", "feed", "clock", "addresses")
+    __slots__ = ("settings", "incarnation", "feed", "clock", "addresses", "ingress")
 
-    def __init__(self, settings, incarnation, feed, clock, addresses):
+    def __init__(self, settings, incarnation, feed, clock, addresses, ingress=None):
         self.settings = settings
         self.incarnation = incarnation
         self.feed = feed
         self.clock = clock
         self.addresses = addresses
+        self.ingress = ingress
 
 
 class Adapter:
--- a/firworks/bodies.py
+++ b/firworks/bodies.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 MAX_PART_BYTES = 65_536
+MIN_PART_BYTES = 16_384
 JSON_TYPE = "application/json"
 
 
@@ -57,6 +58,45 @@
         return self._buffers.resize(held, size)
 
 
+class BodyParts:
+    """The parts of a body that arrives in pieces of any size.
+
+    Small pieces are joined, as each would take many times its size. The parts are of
+    similar sizes, so that the memory of one body serves for others afterwards; that of
+    a buffer that grows is left in fragments.
+
+    Attributes:
+        size (int): Bytes of all parts.
+    """
+
+    __slots__ = ("size", "_parts", "_tail")
+
+    def __init__(self):
+        self.size = 0
+        self._parts = []
+        self._tail = bytearray()
+
+    def add(self, piece):
+        """Add a piece (bytes)."""
+        self.size += len(piece)
+        if not self._tail and len(piece) >= MIN_PART_BYTES:
+            self._parts.append(piece)
+            return
+        self._tail += piece
+        if len(self._tail) >= MIN_PART_BYTES:
+            self._parts.append(bytes(self._tail))
+            self._tail.clear()
+
+    def join(self):
+        """Return all bytes."""
+        return b"".join((*self._parts, self._tail))
+
+    def clear(self):
+        """Forget all parts."""
+        self._parts.clear()
+        self._tail.clear()
+
+
 async def read_body(response, buffers):
     """Return the complete body (bytes) of a response that a client received.
 
--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -1,10 +1,11 @@
 """HTTP server that accepts requests from callers."""
 
 import asyncio
+from math import inf
 
 from aiohttp import HttpVersion11
-from aiohttp.web import Server
 
+from firworks.bodies import BodyParts
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.events import LogEvent, log_event, log_exception
@@ -15,14 +16,14 @@
 )
 from firworks.gateway.request_contexts import RequestContext
 from firworks.kernel.forwarding.admission import admit, choose_service
+from firworks.kernel.ingress.limits import ASSURED_BYTES
+from firworks.platform.configuration import DEFAULT_LIMITS
 from firworks.platform.headers import REQUEST_ID, read_request
 from firworks.sockets import reset_on_close
 
 # Far above the idle time granted to callers, so that callers close first.
 IDLE_TIMEOUT_S = 90.0
 MAX_HEADER_LINE_BYTES = 32_768
-BODY_TIMEOUT_S = 10.0
-BACKLOG = 1024
 
 
 class CallersServer:
@@ -41,20 +42,24 @@
     async def start(self, address):
         """Listen on an "ip:port"."""
         host, port = address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        self._server = Server(
+        ingress = self._gateway.ingress
+        self._server = ingress.make_server(
+            "callers",
             self._handle,
-            handler_cancellation=True,
-            access_log=None,
+            make_refusal,
+            self._get_limits,
+            max_connections=ingress.limits.max_connections,
+            max_unused=ingress.limits.max_unused_connections,
             keepalive_timeout=IDLE_TIMEOUT_S,
-            lingering_time=0,
             auto_decompress=False,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
-        self._listener = await loop.create_server(
-            self._server, host, int(port), backlog=BACKLOG
-        )
+        self._listener = await self._server.listen(host, int(port))
+
+    def _get_limits(self):
+        configuration = self._gateway.configuration
+        return DEFAULT_LIMITS if configuration is None else configuration.limits
 
     @property
     def port(self):
@@ -140,6 +145,7 @@
             request = read_request(http.method, http.raw_path, http.headers)
             await gateway.catch_up()
             admitted = admit(request, gateway.configuration, started_s)
+            http.protocol.mark_admitted()
             body = await self._read_body(http, gateway.configuration.limits)
             gateway.shutdown.check(admitted)
         except RequestError as error:
@@ -152,6 +158,8 @@
             response = make_error_response(request_id, error.code, error.detail)
             self.prepare_response(http, response)
             return response
+        held_again = len(body) if body and len(body) > ASSURED_BYTES else 0
+        http.protocol.mark_running(held_again)
         service = choose_service(admitted.route, gateway.rng)
         gateway.retry_budget.record_request(service, started_s)
         context = RequestContext(http, admitted, service, body)
@@ -190,21 +198,48 @@
         """
         if not http.body_exists and "Content-Length" not in http.headers:
             return None
-        parts, size = [], 0
         try:
-            async with self._gateway.shutdown.deadlines.limit(BODY_TIMEOUT_S):
-                while part := await http.content.readany():
-                    parts.append(part)
-                    size += len(part)
-                    if size > limits.body_bytes:
-                        raise RequestError(
-                            Code.BODY_TOO_LARGE, f"over {size} body bytes"
-                        )
+            # Its connection ends a body that is too slow; this is for drains.
+            async with self._gateway.shutdown.deadlines.limit(inf):
+                return await read_limited(http, limits.body_bytes)
         except TimeoutError as error:
             raise RequestError(
                 Code.REQUEST_TIMEOUT, "body not received in time"
             ) from error
-        return b"".join(parts)
+
+
+async def read_limited(http, limit):
+    """Return a complete body (bytes).
+
+    Args:
+        http (BaseRequest): The request.
+        limit (int): Most bytes that are accepted.
+
+    Raises:
+        RequestError: When it is too large, or its connection refuses it.
+    """
+    content, too_large = http.content, f"over {limit} body bytes"
+    if (http.content_length or 0) > limit:
+        raise RequestError(Code.BODY_TOO_LARGE, too_large)
+    part = await content.readany()
+    if content.at_eof() and len(part) <= limit:
+        return part
+    parts = BodyParts()
+    try:
+        while part:
+            parts.add(part)
+            if parts.size > limit:
+                raise RequestError(Code.BODY_TOO_LARGE, too_large)
+            part = await content.readany()
+        return parts.join()
+    finally:
+        # The traceback of an error refers to them as long as the connection lives.
+        parts.clear()
+
+
+def make_refusal(code, detail):
+    """Return the response to what is refused before it is known as a request."""
+    return make_error_response("", code, detail)
 
 
 def close_if_idle(connection):
--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -182,7 +182,12 @@
         self.busy = True
         self._skip_body = skip_body
         self._expect_response()
-        self.transport.write(head + body if body else head)
+        if len(body) > MAX_READ_BYTES:
+            # Joined, a large body would be held once more.
+            self.transport.write(head)
+            self.transport.write(body)
+        else:
+            self.transport.write(head + body if body else head)
 
     def _expect_response(self):
         self._payload = None
@@ -201,14 +206,17 @@
 class TargetConnections:
     """Pool of connections to targets, by address.
 
+    Args:
+        budget (IngressBudget or None): Counts what is held of responses as well.
+
     Attributes:
         opened (int): Connection attempts since the start.
         buffers (ResponseBuffers): Counts the bytes held of all responses.
     """
 
-    def __init__(self):
+    def __init__(self, budget=None):
         self.opened = 0
-        self.buffers = ResponseBuffers()
+        self.buffers = ResponseBuffers(budget=budget)
         self._idle = {}
         self._open = {}
 
--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -24,6 +24,11 @@
         self.first_byte = self._histogram(
             "answer_first_byte_seconds", "From arrival to the head.", ("route",)
         )
+        self.limited_callers = self._counter(
+            "callers_limited",
+            "Connections and requests that a limit on callers ended.",
+            ("listener", "reason"),
+        )
         self.attempts_failed = self._counter(
             "attempts_failed", "Attempts without a usable answer.", ("service", "kind")
         )
@@ -97,6 +102,12 @@
         self.bytes_held = self._gauge(
             "response_bytes_held", "Bytes held of responses that are not complete."
         )
+        self.ingress_bytes = self._gauge(
+            "ingress_bytes_held", "Bytes held for callers, with their connections."
+        )
+        self.caller_connections = self._gauge(
+            "caller_connections", "Open connections of callers and probes."
+        )
         self.members = self._gauge("members", "Daemons known, this one included.")
         self.in_progress = self._gauge("answers_in_progress", "Requests in progress.")
         self.queued = self._gauge("stage_pieces_queued", "Pieces that wait for a call.")
@@ -120,6 +131,8 @@
         self.store_bytes.set(gateway.store.read_bytes)
         self.connections.set(gateway.connections.opened)
         self.bytes_held.set(gateway.connections.buffers.shared_bytes)
+        self.ingress_bytes.set(gateway.ingress.budget.held_bytes)
+        self.caller_connections.set(gateway.ingress.connections)
         self.members.set(gateway.roster.count)
         self.in_progress.set(gateway.callers.in_progress)
         requests, parts = gateway.crashes.count_quarantined()
@@ -144,6 +157,10 @@
         self.answers.labels(route, str(status)).inc()
         self.latency.labels(route).observe(duration_s)
 
+    def record_limited_caller(self, listener, reason):
+        """Count a connection or request that a limit (str) of a listener ended."""
+        self.limited_callers.labels(listener, reason).inc()
+
     def record_first_byte(self, route, duration_s):
         """Record the seconds from a request's arrival to the response head."""
         self.first_byte.labels(self.routes.bound(route)).observe(duration_s)
--- a/firworks/gateway/peers.py
+++ b/firworks/gateway/peers.py
@@ -49,6 +49,7 @@
         on_connected (callable): ``on_connected(peer)``, called after any outbound
             connection was opened.
         clock (callable): Returns monotonic seconds.
+        ingress (Ingress): Limits the connections that others open.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         on_reconnected,
         on_connected,
         clock,
+        ingress,
     ):
         self._roster = roster
         self._receive = receive
@@ -69,7 +71,12 @@
         self._disconnected = set()
         addresses = RosterAddresses(roster)
         context = AdapterContext(
-            settings, roster.own.incarnation, self._handle_event, clock, addresses
+            settings,
+            roster.own.incarnation,
+            self._handle_event,
+            clock,
+            addresses,
+            ingress,
         )
         self._adapter = WebsocketPeers(context)
 
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -24,6 +24,7 @@
 from firworks.gateway.state import ConfigurationListener, TargetsListener
 from firworks.gateway.state_exchange import StateExchange
 from firworks.gateway.stream_versions import StreamVersions
+from firworks.ingress import Ingress
 from firworks.kernel.forwarding.balancer import Balancer
 from firworks.kernel.forwarding.news import AskNews, News
 from firworks.kernel.forwarding.process_pause import ProcessPauseDetector
@@ -77,6 +78,7 @@
 
     Attributes:
         incarnation (str): Unique name of this run of the process.
+        ingress (Ingress): Limits what callers occupy.
         relay (Relay): Forwards requests to targets and returns their responses.
         pools (Pools): Schedulers of engine pools and stage pools.
         balancer (Balancer): Selects targets of services without a pool.
@@ -96,7 +98,8 @@
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:8]}"
         self.rng = Random(f"{settings.seed}/{self.incarnation}")
         self.store = StoreClient(settings.store, settings.name)
-        self.connections = TargetConnections()
+        self.ingress = Ingress(settings, self.metrics.record_limited_caller)
+        self.connections = TargetConnections(self.ingress.budget)
         self._process_pause = ProcessPauseDetector()
         self.balancer = Balancer(settings.failure_domain, self.rng)
         self.retry_budget = RetryBudget(
@@ -158,6 +161,7 @@
             pools.sync_jobs,
             self._send_state_to_peer,
             self.clock,
+            self.ingress,
         )
         return pools
 
@@ -311,6 +315,7 @@
             MEMBERS_TOPIC, self._members, MEMBERS_LONG_POLL_S, MEMBERS_READ_INTERVAL_S
         )
         self._tasks.append(start_task("tick", self._tick))
+        self.ingress.start()
         await self.callers.start(self.settings.callers)
         await self._readiness.start(self.settings.readiness)
         await self._metrics_server.start(self.settings.metrics)
@@ -326,6 +331,7 @@
     async def stop(self):
         """Close all listeners and connections and cancel all tasks."""
         await self.callers.stop()
+        self.ingress.stop()
         for task in self._tasks:
             task.cancel()
         self.pools.close()
--- a/firworks/gateway/readiness.py
+++ b/firworks/gateway/readiness.py
@@ -1,10 +1,11 @@
 """HTTP listeners for the platform's readiness probes and for metrics scrapes."""
 
-import asyncio
-
-from aiohttp.web import Response, Server
+from aiohttp.web import Response
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from firworks.gateway.callers import make_refusal
+from firworks.platform.configuration import DEFAULT_LIMITS
+
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
 
@@ -26,9 +27,10 @@
     async def start(self, address):
         """Listen on an "ip:port"."""
         host, port = address.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        self._server = Server(self._handle, access_log=None)
-        self._listener = await loop.create_server(self._server, host, int(port))
+        self._server = self._gateway.ingress.make_server(
+            self.PATH[1:], self._handle, make_refusal, lambda: DEFAULT_LIMITS
+        )
+        self._listener = await self._server.listen(host, int(port))
 
     @property
     def port(self):
@@ -46,9 +48,10 @@
         raise NotImplementedError
 
     async def _handle(self, request):
-        return (
-            self.make_response() if request.path == self.PATH else Response(status=404)
-        )
+        if request.path != self.PATH:
+            return Response(status=404)
+        request.protocol.mark_admitted()
+        return self.make_response()
 
 
 class ReadinessServer(SinglePathServer):
--- /dev/null
+++ b/firworks/plugins/peer_connections.py
@@ -0,0 +1,81 @@
+"""Limits on the connections that peers open, before and after they are known."""
+
+from functools import partial
+
+from websockets.asyncio.server import ServerConnection
+
+from firworks.plugins.peer_links import MESSAGE_LIMIT_BYTES
+
+# Messages of the handshake have some 100 bytes.
+HANDSHAKE_MESSAGE_BYTES = 4_096
+# Peers connect within a second; the library waits for 10 s by default.
+OPEN_TIMEOUT_S = 3.0
+MAX_READ_BYTES = 65_536
+
+
+class PeerListener:
+    """Counts the connections that others have opened, and limits their number.
+
+    Args:
+        ingress (Ingress): Holds the limit, counts and logs what it ends.
+    """
+
+    def __init__(self, ingress):
+        self._ingress = ingress
+        self._open = {}
+        self._unknown = {}
+
+    def make_factory(self):
+        """Return what creates connections for the WebSocket server."""
+        return partial(PeerServerConnection, self)
+
+    def admit(self, connection):
+        """Count a new connection; close the oldest unknown one if there are too many.
+
+        Args:
+            connection (PeerServerConnection): It has not been authenticated.
+        """
+        self._open[connection] = self._unknown[connection] = None
+        if len(self._open) > self._ingress.limits.max_peer_connections:
+            closed = next(iter(self._unknown))
+            caller = closed.transport.get_extra_info("peername")
+            self._ingress.record("peers", "connections", caller)
+            self.forget(closed)
+            closed.transport.abort()
+
+    def mark_known(self, connection):
+        """Note that a connection is that of a peer."""
+        self._unknown.pop(connection, None)
+        connection.protocol.max_message_size = MESSAGE_LIMIT_BYTES
+
+    def forget(self, connection):
+        """Count a connection no longer."""
+        self._open.pop(connection, None)
+        self._unknown.pop(connection, None)
+
+
+class PeerServerConnection(ServerConnection):
+    """A connection that another process has opened.
+
+    Args:
+        listener (PeerListener): Limits their number.
+        protocol (ServerProtocol): The protocol's state.
+        *args: Of `ServerConnection`.
+        **options: Likewise.
+    """
+
+    def __init__(self, listener, protocol, *args, **options):
+        protocol.max_message_size = HANDSHAKE_MESSAGE_BYTES
+        super().__init__(protocol, *args, **options)
+        self._listener = listener
+
+    def connection_made(self, transport):
+        """Limit the bytes of one read and count the connection."""
+        super().connection_made(transport)
+        transport.max_size = MAX_READ_BYTES
+        self._listener.admit(self)
+
+    def connection_lost(self, exc):
+        """Count the connection no longer."""
+        self._listener.forget(self)
+        super().connection_lost(exc)
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -15,6 +15,7 @@
 from firworks.adapter import Adapter
 from firworks.errors import CodecError
 from firworks.events import LogEvent, log_event
+from firworks.ingress import Ingress
 from firworks.kernel.codec import decode_record, encode_record
 from firworks.kernel.messages import (
     ConnectPeer,
@@ -23,6 +24,7 @@
     PeerReceived,
     SendPeer,
 )
+from firworks.plugins.peer_connections import OPEN_TIMEOUT_S, PeerListener
 from firworks.plugins.peer_handshake import PeerRefusedError, accept_handshake
 from firworks.plugins.peer_links import MESSAGE_LIMIT_BYTES, PeerLink
 
@@ -55,6 +57,7 @@
         # Number of open inbound connections by peer.
         self._inbound_counts = Counter()
         self._server = None
+        self._listener = PeerListener(context.ingress or Ingress(context.settings))
         self._client_tls = make_client_tls(context.settings)
 
     async def start(self):
@@ -69,7 +72,9 @@
             ssl=_make_server_tls(self._settings),
             compression=None,
             ping_interval=None,
+            open_timeout=OPEN_TIMEOUT_S,
             close_timeout=CLOSE_TIMEOUT_S,
+            create_connection=self._listener.make_factory(),
             max_size=MESSAGE_LIMIT_BYTES,
             max_queue=RECEIVE_QUEUE_FRAMES,
             server_header=None,
@@ -154,6 +159,7 @@
             return
         except ConnectionClosed:
             return
+        self._listener.mark_known(connection)
         await self._receive_all(connection, peer)
 
     async def _receive_all(self, connection, peer):
--- a/firworks/tests/test_misbehaving_callers.py
+++ b/firworks/tests/test_misbehaving_callers.py
@@ -25,7 +25,7 @@
 MAX_DESCRIPTORS = 200
 IDLE_CALLERS = 250
 LARGE_ANSWER_BYTES = 1_000_000
-SETTINGS = {}
+SETTINGS = {"memory_mb": VM_MEMORY_MB, "max_descriptors": 400}
 
 BODIES = [
     behaviors.send_body_in_one_piece,
