Test that misbehaving callers leave a daemon's process alive and small

As for gateways: 40 callers of each kind at a pipeline and at the operators' port, 250 silent connections at each listener; the same bounds of 152 MB and 200 descriptors.

--- a/firworks/tests/test_misbehaving_callers.py
+++ b/firworks/tests/test_misbehaving_callers.py
@@ -17,6 +17,7 @@
     count_descriptors,
     misbehave,
 )
+from firworks.tests.test_process import run as run_site
 
 # Memory of the smallest VM of the deployments.
 VM_MEMORY_MB = 152
@@ -83,6 +84,11 @@
 async def check_process(process):
     """Check that a process serves a request and holds little."""
     await send_until_answered(process)
+    check_size(process)
+
+
+def check_size(process):
+    """Check that a process lives, and that its memory and descriptors are few."""
     assert process.child.returncode is None
     assert count_descriptors(process.child) < MAX_DESCRIPTORS
     peak_mb = read_peak_bytes(process.child) / 1e6
@@ -157,3 +163,70 @@
         play_misbehavior(
             tmp_path, behaviors.send_nothing, callers=IDLE_CALLERS, ports=(port,)
         )
+
+
+class TestDaemon:
+    """The same for `firworksd`."""
+
+    def play_misbehavior(self, folder, behavior, listener, path, callers=CALLERS):
+        """Let callers misbehave at a daemon's process; check that it goes on.
+
+        Args:
+            folder (Path): For the settings of the process.
+            behavior (callable): What each caller sends.
+            listener (str): "callers", "admin" or "peers".
+            path (str): Path of their requests.
+            callers (int): Their number.
+        """
+
+        async def body(site):
+            (process,) = site.processes
+            port = self.find_port(site, process, listener)
+            async with misbehave([port], path, behavior, callers):
+                await self.check_process(process)
+            await self.check_process(process)
+
+        run_site(folder, body, body_limit_bytes=BODY_LIMIT_BYTES, **SETTINGS)
+
+    def find_port(self, site, process, listener):
+        """Return the port (int) of a listener of a process."""
+        address = {"callers": process.callers, "admin": process.admin}.get(listener)
+        if address is None:
+            text = (site.folder / f"{process.name}.toml").read_text()
+            row = next(row for row in text.splitlines() if row.startswith("peers = "))
+            address = row.split('"')[1]
+        return int(address.rsplit(":", 1)[1])
+
+    async def check_process(self, process):
+        """Check that a process serves a request and holds little."""
+        async with process.open_caller() as caller:
+            while (answer := await caller.send("look", {"q": 1})).status >= 500:
+                pass
+            assert answer.status == 200
+        check_size(process)
+
+    @pytest.mark.parametrize("behavior", [*BODIES, *HEADS], ids=name_behavior)
+    def test_misbehavior_at_a_pipeline_leaves_others_served(self, tmp_path, behavior):
+        path = "/v1/pipelines/look"
+        self.play_misbehavior(tmp_path, behavior, "callers", path)
+
+    @pytest.mark.parametrize(
+        "behavior",
+        [
+            behaviors.send_body_in_one_piece,
+            behaviors.send_small_chunks,
+            behaviors.send_trailers,
+            behaviors.send_request_line,
+            behaviors.send_pipelined,
+        ],
+        ids=name_behavior,
+    )
+    def test_misbehavior_at_the_operators_port_leaves_callers_served(
+        self, tmp_path, behavior
+    ):
+        self.play_misbehavior(tmp_path, behavior, "admin", "/ledger/resolve")
+
+    @pytest.mark.parametrize("listener", ["callers", "admin", "peers"])
+    def test_many_silent_connections_leave_others_served(self, tmp_path, listener):
+        behavior = behaviors.send_nothing
+        self.play_misbehavior(tmp_path, behavior, listener, "", IDLE_CALLERS)
