--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -4,6 +4,7 @@
 
 from firworks.checks import check_table, parse_toml
 from firworks.errors import SettingsError
+from firworks.ingress_settings import INGRESS_DEFAULTS, INGRESS_SCHEMA
 from firworks.kernel.pools.engines import BY_TIME, BY_TOKENS
 
 PATH_VARIABLE = "FIRWORKS_NODE_FILE"
@@ -24,6 +25,7 @@
     "cpu_share": 1.0,
     "link_mbps": 100.0,
     "account_shares": "off",
+    **INGRESS_DEFAULTS,
     "peer_secret": "",
     "tls_certificate": "",
     "tls_key": "",
@@ -71,6 +73,7 @@
         "cpu_share": _SECONDS,
         "link_mbps": _SECONDS,
         "account_shares": {"enum": ["off", "fair"]},
+        **INGRESS_SCHEMA,
         "peer_secret": {"type": "string"},
         "tls_certificate": {"type": "string"},
         "tls_key": {"type": "string"},
