--- a/firworks/kernel/ingress/limits.py
+++ b/firworks/kernel/ingress/limits.py
@@ -22,10 +22,11 @@
 CONNECTION_BYTES = 20_000
 # Descriptors for files, which `max_descriptors` includes.
 FILE_DESCRIPTORS = 200
-# Shares of the other descriptors. The rest is for targets, of which each connection of
-# a caller may need one more, for the store, and for connections to peers.
-CALLERS_SHARE = 0.35
-PEERS_SHARE = 0.2
+# Shares of the other descriptors. The rest is for targets, the store, and connections
+# to peers. Each gateway has one connection from each other one, of up to 330, also on
+# VMs with 1,535 descriptors.
+CALLERS_SHARE = 0.32
+PEERS_SHARE = 0.28
 MIN_CONNECTIONS = 32
 # Connections of the listeners for probes and scrapes, of which a few are in use.
 PROBE_CONNECTIONS = 32
