Want first parts of prompts in each failure domain

Subjects have their homes in all domains, and their stage results are made there, but a first part that one engine had was rated as waste everywhere else, so that subjects followed it to another domain.

--- a/firworks/kernel/pools/prompt_parts.py
+++ b/firworks/kernel/pools/prompt_parts.py
@@ -15,6 +15,8 @@
   reading for its requests takes, and for each `SLOTS_SHARE` of an engine's slots that
   they occupy. The demand decays within seconds. This holds for the first part, which a
   whole kind of request shares, as for the last.
+- A part that is not the last shared one is wanted in each failure domain, by its share
+  of these engines, as the subjects that share it have their homes in all of them.
 - While fewer engines than wanted have a part, reading it once more is no waste. When
   enough have it, and it was used within `REUSE_S`, another read is waste, which
   placements avoid like a longer wait.
@@ -23,9 +25,9 @@
   engine again; the others evict it when they need the memory.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from heapq import nlargest
-from math import log
+from math import ceil, log
 
 from xxhash import xxh64_intdigest
 
@@ -57,14 +59,28 @@
 class _Part:
     """Engines that have a part, and the demand for it."""
 
-    __slots__ = ("holders", "jobs", "reading_s", "used_s")
+    __slots__ = ("holders", "domains", "jobs", "reading_s", "used_s")
 
     def __init__(self):
-        self.holders = set()
+        # Failure domains by incarnation, and the number of engines in each.
+        self.holders = {}
+        self.domains = Counter()
         self.jobs = set()
         self.reading_s = 0.0
         self.used_s = float("-inf")
 
+    def add(self, target):
+        """Add an engine (Target)."""
+        if target.incarnation not in self.holders:
+            self.holders[target.incarnation] = target.failure_domain
+            self.domains[target.failure_domain] += 1
+
+    def discard(self, incarnation):
+        """Remove an engine (tuple)."""
+        domain = self.holders.pop(incarnation, None)
+        if domain is not None:
+            self.domains[domain] -= 1
+
     def get_reading_s(self, now):
         """Return the decayed sum (float) of seconds read for its requests."""
         elapsed_s = max(0.0, now - self.used_s)
@@ -78,17 +94,32 @@
         depths (dict of tuple to int): Number of leading shared parts that an engine has
             cached, by its incarnation; others have none.
         read_tokens (list of int): Tokens to be read, by that number.
-        wasted_tokens (list of int): Tokens of these that would be waste, likewise.
+        wasted_tokens (dict of str to list of int): Tokens of these that would be waste,
+            likewise, by failure domain.
         wanted (int): Number of engines that should have all shared parts.
     """
 
     __slots__ = ("depths", "read_tokens", "wasted_tokens", "wanted")
 
-    def __init__(self, depths, read_tokens, wasted_tokens, wanted):
-        self.depths = depths
-        self.read_tokens = read_tokens
-        self.wasted_tokens = wasted_tokens
-        self.wanted = wanted
+    def __init__(self, tokens_in, domains):
+        self.depths = {}
+        self.read_tokens = [tokens_in]
+        self.wasted_tokens = {domain: [0] for domain in domains}
+        self.wanted = 1
+
+    def extend(self, tokens, wasted):
+        """Add a shared part.
+
+        Engines that lack it read it, and so do those that lack earlier ones.
+
+        Args:
+            tokens (int): Its tokens.
+            wasted (container of str): Failure domains where reading it is waste.
+        """
+        self.read_tokens.append(max(0, self.read_tokens[-1] - tokens))
+        for domain, counts in self.wasted_tokens.items():
+            added = tokens if domain in wasted else 0
+            self.wasted_tokens[domain] = [count + added for count in counts] + [0]
 
 
 class PromptParts:
@@ -97,12 +128,12 @@
     def __init__(self):
         self._parts = {}
 
-    def begin(self, job, incarnation, reading_s, now):
+    def begin(self, job, target, reading_s, now):
         """Record a placed request, which its engine caches.
 
         Args:
             job (EngineJob): The request.
-            incarnation (tuple): Its engine.
+            target (Target): Its engine.
             reading_s (float): Seconds that reading it takes at the usual speed.
             now (float): Monotonic seconds.
         """
@@ -111,7 +142,7 @@
             part.reading_s = part.get_reading_s(now) + reading_s
             part.used_s = max(now, part.used_s)
             part.jobs.add(job.job_id)
-            part.holders.add(incarnation)
+            part.add(target)
 
     def end(self, job):
         """Record that a request (EngineJob) has left its engine."""
@@ -126,7 +157,7 @@
         for part_id in part_ids:
             part = self._parts.get(part_id)
             if part is not None:
-                part.holders.discard(incarnation)
+                part.discard(incarnation)
                 self._drop_unused(part_id, part)
 
     def count_wanted(self, part_id, slots, now):
@@ -138,32 +169,32 @@
         occupied = len(part.jobs) / slots
         return 1 + int(max(busy / READING_SHARE, occupied / SLOTS_SHARE))
 
-    def find_cached(self, job, slots, now):
+    def find_cached(self, job, slots, domains, now):
         """Return the `CachedParts` of a request's prompt.
 
         Args:
             job (EngineJob): The request.
             slots (int): Slots of an engine.
+            domains (collection of str): Failure domains of the engines.
             now (float): Monotonic seconds.
         """
         shared = list_shared_parts(job.part_ids)
-        depths, wanted, cached = {}, 1, 0
-        read_tokens, wasted_tokens = [job.tokens_in], [0]
+        cached = CachedParts(job.tokens_in, domains)
         holders = None
         for depth, part_id in enumerate(shared):
-            tokens = job.part_tokens[depth]
             part = self._parts.get(part_id)
-            wanted = self.count_wanted(part_id, slots, now)
-            cached = min(job.tokens_in, cached + tokens)
+            cached.wanted = self.count_wanted(part_id, slots, now)
             holders = _intersect(holders, part)
             for incarnation in holders:
-                depths[incarnation] = depth + 1
-            is_waste = len(holders) >= wanted and now - part.used_s < REUSE_S
-            # Engines that lack this part read it; so do those that lack earlier ones.
-            wasted = tokens if is_waste else 0
-            wasted_tokens = [one + wasted for one in wasted_tokens] + [0]
-            read_tokens.append(job.tokens_in - cached)
-        return CachedParts(depths, read_tokens, wasted_tokens, wanted)
+                cached.depths[incarnation] = depth + 1
+            if part is None or now - part.used_s >= REUSE_S:
+                wasted = ()
+            elif depth + 1 < len(shared):
+                wasted = _list_supplied(part, cached.wanted, domains)
+            else:
+                wasted = domains if len(holders) >= cached.wanted else ()
+            cached.extend(job.part_tokens[depth], wasted)
+        return cached
 
     def _drop_unused(self, part_id, part):
         if not part.holders and not part.jobs:
@@ -234,4 +265,11 @@
     """Return those of some engines (set, or None for all) that have a part."""
     if part is None:
         return set()
-    return part.holders if holders is None else holders & part.holders
+    found = part.holders.keys()
+    return found if holders is None else holders & found
+
+
+def _list_supplied(part, wanted, domains):
+    """Return the failure domains (set) that have their share of the wanted engines."""
+    share = ceil(wanted / len(domains))
+    return {domain for domain in domains if part.domains[domain] >= share}
--- a/firworks/kernel/pools/timed_placement.py
+++ b/firworks/kernel/pools/timed_placement.py
@@ -104,7 +104,7 @@
         waiting_s = load.estimate_wait_s(now) / load.slowness
         expected_s = USUAL_DELAY_S + waiting_s + read_s + fetching_s
         load.begin(job.job_id, Reading(read_s, now, expected_s), now)
-        self._parts.begin(job, target.incarnation, read_s, now)
+        self._parts.begin(job, target, read_s, now)
 
     def note_adopted(self, job, target, read_tokens, begun, now):
         """Record a request that another scheduler has placed."""
@@ -114,7 +114,7 @@
             load.add_running(job.job_id)
         else:
             load.begin(job.job_id, Reading(read_s, now, None), now)
-        self._parts.begin(job, target.incarnation, read_s, now)
+        self._parts.begin(job, target, read_s, now)
 
     def note_begun(self, job_id, target, now):
         """Record the first event of a request, and learn the speed of its engine."""
@@ -146,14 +146,10 @@
         """Return (seconds, last placement, incarnation) of engines with free slots."""
         if self._speeds_due_s <= now:
             self._compute_speeds(now)
-        cached = self._parts.find_cached(job, slots, now)
+        cached = self._parts.find_cached(job, slots, self._domains, now)
         read_s = [tokens / USUAL_TOKENS_PER_S for tokens in cached.read_tokens]
-        wasted_s = [
-            self._usual * REREAD_WEIGHT * tokens / USUAL_TOKENS_PER_S
-            for tokens in cached.wasted_tokens
-        ]
+        added_s = self._rate_domains(job, cached)
         ranks_s = self._rate_order(job, cached.wanted)
-        remote_s = self._rate_domains(job)
         costs = []
         for load in self._usable:
             if load.running >= slots:
@@ -162,9 +158,8 @@
             depth = cached.depths.get(incarnation, 0)
             cost_s = (
                 load.slowness * (read_s[depth] + RUNNING_S * load.running)
-                + wasted_s[depth]
+                + added_s[load.target.failure_domain][depth]
                 + ranks_s.get(incarnation, UNRANKED_S)
-                + remote_s[load.target.failure_domain]
             )
             if load.reads:
                 cost_s += load.estimate_wait_s(now)
@@ -178,12 +173,21 @@
         ranks_s.update(dict.fromkeys(near[:wanted], 0.0))
         return ranks_s
 
-    def _rate_domains(self, job):
-        """Return the costs in seconds of fetching results to each failure domain."""
-        byte_s = self._usual * REMOTE_BYTE_S
-        return {
-            domain: byte_s * sum_remote_bytes(job, domain) for domain in self._domains
-        }
+    def _rate_domains(self, job, cached):
+        """Return the costs of a prompt to others, in seconds.
+
+        Returns:
+            dict of str to list of float: By the failure domain of an engine, and by the
+                number of shared parts that it has cached.
+        """
+        rates = {}
+        for domain in self._domains:
+            remote = REMOTE_BYTE_S * sum_remote_bytes(job, domain)
+            rates[domain] = [
+                self._usual * (remote + REREAD_WEIGHT * wasted / USUAL_TOKENS_PER_S)
+                for wasted in cached.wasted_tokens[domain]
+            ]
+        return rates
 
     def _compute_speeds(self, now):
         self._speeds_due_s = now + SPEED_INTERVAL_S
--- a/firworks/tests/engine_simulation.py
+++ b/firworks/tests/engine_simulation.py
@@ -13,6 +13,7 @@
 from firworks.kernel.forwarding.configuration import EngineSpec
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.pools.engines import EngineScheduler, NotPlaced
+from firworks.kernel.pools.home_domains import choose_home_domain
 from firworks.kernel.pools.jobs import EngineJob, sum_remote_bytes
 from firworks.kernel.pools.prompt_parts import list_shared_parts
 
@@ -149,6 +150,8 @@
         kinds (iterable of PromptKind): The load.
         slowness (dict of str to float): Factor of each failure domain.
         engine_count (int): Number of engines.
+        at_home (bool): Stage results are made in the home domain of the last shared
+            part, not in any.
         seed (int): Seed of all random numbers.
 
     Attributes:
@@ -159,7 +162,9 @@
             within ``REUSE_S``.
     """
 
-    def __init__(self, placement, kinds, slowness, engine_count=70, seed=1):
+    def __init__(
+        self, placement, kinds, slowness, engine_count=70, at_home=False, seed=1
+    ):
         self.now = 0.0
         self.sent = []
         self.remote_bytes = 0
@@ -167,6 +172,7 @@
         self.reread_tokens = 0
         self.placement = placement
         self._kinds = kinds
+        self._at_home = at_home
         self._rng = Random(seed)
         self._events = []
         self._order = count()
@@ -237,12 +243,16 @@
 
     def _arrive(self, kind):
         number = len(self.sent)
+        parts = kind.draw_parts(self._rng, number)
         domains, sizes = (), ()
         if kind.result_bytes:
-            domains, sizes = (self._rng.choice(self.domains),), (kind.result_bytes,)
+            domain = self._rng.choice(self.domains)
+            if self._at_home:
+                domain = choose_home_domain(parts[-2], self.domains)
+            domains, sizes = (domain,), (kind.result_bytes,)
         job = EngineJob(
             f"j{number}",
-            kind.draw_parts(self._rng, number),
+            parts,
             kind.tokens,
             sum(kind.tokens),
             kind.tokens_out,
--- a/firworks/tests/test_engine_placement.py
+++ b/firworks/tests/test_engine_placement.py
@@ -23,7 +23,12 @@
 
 
 def simulate(
-    placement, slowness=UNEVEN, hot_share=HOT_SHARE, change=None, length_s=LENGTH_S
+    placement,
+    slowness=UNEVEN,
+    hot_share=HOT_SHARE,
+    change=None,
+    length_s=LENGTH_S,
+    at_home=False,
 ):
     """Return an `EngineSimulation` after some seconds of load.
 
@@ -34,8 +39,11 @@
         change (callable or None): ``change(simulation)`` is called at half time of
             ``LENGTH_S``.
         length_s (float): Length of the load.
+        at_home (bool): Stage results are made in the home domains.
     """
-    simulation = EngineSimulation(placement, make_kinds(hot_share), slowness)
+    simulation = EngineSimulation(
+        placement, make_kinds(hot_share), slowness, at_home=at_home
+    )
     if change is not None:
         simulation.at(LENGTH_S / 2, change, simulation)
     simulation.run(length_s)
@@ -205,6 +213,12 @@
     def test_a_new_subject_goes_to_the_domain_of_its_results(self, domain):
         assert self.choose(make_scheduler(70), "a", domain, 0.0) == domain
 
+    @pytest.mark.parametrize("at_home", [False, True])
+    def test_fewer_results_cross_domains_than_by_tokens(self, at_home):
+        even = dict.fromkeys(UNEVEN, 1.0)
+        by_time = simulate(BY_TIME, even, at_home=at_home).remote_bytes
+        assert by_time < simulate(BY_TOKENS, even, at_home=at_home).remote_bytes
+
     def test_cached_parts_outweigh_the_results(self):
         scheduler = make_scheduler(70)
         home = serve(scheduler, make_job("a"), 0.0).failure_domain
--- a/firworks/tests/test_prompt_parts.py
+++ b/firworks/tests/test_prompt_parts.py
@@ -109,14 +109,22 @@
 class TestPromptParts:
     """One subject gets 28 of 100 requests of a kind, and then none."""
 
-    def begin(self, parts, count, per_s, engine="e", begin_s=0.0, runs=False):
+    DOMAINS = ("fd-0", "fd-1")
+
+    def make_engine(self, name, domain="fd-0"):
+        return Target(name, "engine", "10.0.0.1:1", domain, "", 16, False, 1, 0)
+
+    def begin(self, parts, count, per_s, runs=False):
+        """Place requests on one engine, and return when the last was placed."""
         for number in range(count):
-            now = begin_s + number / per_s
-            job = make_job(f"{begin_s}/{number}")
-            parts.begin(job, (engine, 1), 0.1, now)
+            job = make_job(f"r{number}")
+            parts.begin(job, self.make_engine("e"), 0.1, number / per_s)
             if not runs:
                 parts.end(job)
-        return begin_s + count / per_s
+        return count / per_s
+
+    def find(self, parts, now):
+        return parts.find_cached(make_job("d"), SLOTS, self.DOMAINS, now)
 
     def test_a_part_of_few_requests_is_wanted_by_one_engine(self):
         parts = PromptParts()
@@ -143,37 +151,51 @@
 
     def test_tokens_are_counted_up_to_the_first_part_that_is_not_cached(self):
         parts = PromptParts()
-        parts.begin(make_job("a"), ("both", 1), 0.1, 0.0)
+        parts.begin(make_job("a"), self.make_engine("both"), 0.1, 0.0)
         other = make_job("b", ("first", "other", "own-b"))
-        parts.begin(other, ("first only", 1), 0.1, 0.0)
+        parts.begin(other, self.make_engine("first only"), 0.1, 0.0)
         apart = make_job("c", ("x", "subject", "own-c"))
-        parts.begin(apart, ("subject only", 1), 0.1, 0.0)
-        cached = parts.find_cached(make_job("d"), SLOTS, 0.1)
+        parts.begin(apart, self.make_engine("subject only"), 0.1, 0.0)
+        cached = self.find(parts, 0.1)
         assert cached.depths == {("both", 1): 2, ("first only", 1): 1}
         assert cached.read_tokens == [9190, 6670, 2890]
-        assert cached.wasted_tokens == [6300, 3780, 0]
 
     def test_reading_a_part_again_is_waste_only_if_enough_engines_have_it(self):
         parts = PromptParts()
         now = self.begin(parts, 120, 3.0)
-        cached = parts.find_cached(make_job("d"), SLOTS, now)
-        assert cached.wanted > 1 and cached.wasted_tokens == [0, 0, 0]
+        cached = self.find(parts, now)
+        assert cached.wanted > 1
+        assert cached.wasted_tokens["fd-0"] == [0, 0, 0]
         for number in range(cached.wanted):
-            parts.begin(make_job(f"r{number}"), (f"e{number}", 1), 0.0, now)
-        cached = parts.find_cached(make_job("d"), SLOTS, now)
-        assert cached.wasted_tokens == [6300, 3780, 0]
+            target = self.make_engine(f"e{number}")
+            parts.begin(make_job(f"x{number}"), target, 0.0, now)
+        assert self.find(parts, now).wasted_tokens["fd-0"] == [6300, 3780, 0]
+
+    def test_a_first_part_is_wanted_in_each_failure_domain(self):
+        # Subjects have their homes in all domains; their stage results are made there.
+        parts = PromptParts()
+        parts.begin(make_job("a"), self.make_engine("e"), 0.1, 0.0)
+        cached = self.find(parts, 0.1)
+        assert cached.wasted_tokens == {
+            "fd-0": [6300, 3780, 0],
+            "fd-1": [3780, 3780, 0],
+        }
+        parts.begin(make_job("b"), self.make_engine("f", "fd-1"), 0.1, 0.0)
+        assert self.find(parts, 0.1).wasted_tokens["fd-1"] == [6300, 3780, 0]
+        parts.evict(("f", 1), ["first"])
+        assert self.find(parts, 0.1).wasted_tokens["fd-1"] == [3780, 3780, 0]
 
     def test_reading_a_part_that_is_seldom_used_is_no_waste(self):
         parts = PromptParts()
         now = self.begin(parts, 1, 1.0) + REUSE_S
-        assert parts.find_cached(make_job("d"), SLOTS, now).wasted_tokens == [0, 0, 0]
+        assert self.find(parts, now).wasted_tokens["fd-0"] == [0, 0, 0]
 
     def test_evicted_parts_are_no_longer_cached(self):
         parts = PromptParts()
         job = make_job("a")
-        parts.begin(job, ("e", 1), 0.1, 0.0)
+        parts.begin(job, self.make_engine("e"), 0.1, 0.0)
         parts.evict(("e", 1), ["subject", "unknown"])
-        assert parts.find_cached(make_job("d"), SLOTS, 0.1).depths == {("e", 1): 1}
+        assert self.find(parts, 0.1).depths == {("e", 1): 1}
         parts.evict(("e", 1), ["first"])
         parts.end(job)
         assert not parts._parts
