Keep one attempt of a resumable stream for its resumption

In a trial with extra attempts on, streams that broke off after an extra attempt had no attempt left on routes with two of them, and were aborted.

--- a/firworks/gateway/extra_attempts.py
+++ b/firworks/gateway/extra_attempts.py
@@ -92,7 +92,8 @@
             progress.has_begun,
             self.is_suspected(context),
             progress.sends + 1,
-            progress.max_attempts,
+            # One attempt is kept to resume a stream that breaks after its first event.
+            progress.max_attempts - progress.resumable,
             first.tracked.usual_s,
             get_answer_deadline_s(context),
             gateway.roster.count,
