Limit what callers of a daemon occupy, with the gateways' limits

The callers' and the operators' listener use the connections that gateways use (firworks/ingress.py), peers the same limit on connections; responses of targets count in the same budget. caller_protocol.py, which limited heads only, is gone.

A connection that sends nothing is closed without an answer as before.

--- a/firworks/bodies.py
+++ b/firworks/bodies.py
@@ -1,8 +1,11 @@
-"""Bodies of responses that are held in memory."""
+"""Bodies of requests and responses that are held in memory."""
 
 import json
 from collections import deque
 
+from firworks.codes import Code
+from firworks.errors import RequestError
+
 MAX_PART_BYTES = 65_536
 MIN_PART_BYTES = 16_384
 JSON_TYPE = "application/json"
@@ -97,6 +100,35 @@
         self._tail.clear()
 
 
+async def read_request_body(http, limit):
+    """Return the complete body (bytes) of a caller's request.
+
+    Args:
+        http (BaseRequest): The request.
+        limit (int): Most bytes that are accepted.
+
+    Raises:
+        RequestError: When it is too large, or its connection refuses it.
+    """
+    content, too_large = http.content, f"over {limit} body bytes"
+    if (http.content_length or 0) > limit:
+        raise RequestError(Code.BODY_TOO_LARGE, too_large)
+    part = await content.readany()
+    if content.at_eof() and len(part) <= limit:
+        return part
+    parts = BodyParts()
+    try:
+        while part:
+            parts.add(part)
+            if parts.size > limit:
+                raise RequestError(Code.BODY_TOO_LARGE, too_large)
+            part = await content.readany()
+        return parts.join()
+    finally:
+        # The traceback of an error refers to them as long as the connection lives.
+        parts.clear()
+
+
 async def read_body(response, buffers):
     """Return the complete body (bytes) of a response that a client received.
 
--- a/firworks/daemon.py
+++ b/firworks/daemon.py
@@ -12,6 +12,7 @@
 from firworks.burn import BurnRecorder
 from firworks.errors import FirworksError
 from firworks.events import LogEvent, configure_logs, log_event, log_exception
+from firworks.ingress import Ingress
 from firworks.kernel.calls import CancelCall, StartCall
 from firworks.kernel.fleet.events import DrainExpired, DrainFinished, DrainStarted
 from firworks.kernel.messages import (
@@ -47,6 +48,7 @@
         parts (KernelParts): The kernel and its parts.
         burn (BurnRecorder): Error-budget counts for the service-level report.
         metrics (Metrics): Counters for the metrics endpoint.
+        ingress (Ingress): Limits what callers occupy.
         connected_peers (set of str): Peers with an open connection.
         draining (asyncio.Event): Set when a graceful shutdown is requested.
     """
@@ -56,6 +58,7 @@
         self.incarnation = f"{settings.name}.{uuid.uuid4().hex[:12]}"
         self.burn = BurnRecorder(settings.name, self.incarnation, time.time())
         self.metrics = Metrics()
+        self.ingress = Ingress(settings, self.metrics.record_limited_caller)
         self.draining = asyncio.Event()
         self.adapters = {}
         self.connected_peers = set()
@@ -63,7 +66,7 @@
         load_plugins(self._registry, BUILTIN_PLUGINS)
         self.parts = build_kernel(settings, self.incarnation, self._registry)
         self.view = DaemonView(self)
-        self._admin = HttpAdmin(settings, self.view)
+        self._admin = HttpAdmin(settings, self.view, self.ingress)
         self._addresses = AddressBook(settings.addresses)
         self._action_handlers = {
             WriteLogEvent: self._write_log,
@@ -174,11 +177,17 @@
         for adapter in reversed(self.adapters.values()):
             await adapter.stop()
         await self._admin.stop()
+        self.ingress.stop()
         log_event(LogEvent.DAEMON_STOPPED, name=self.settings.name)
 
     def _build_adapters(self):
         context = AdapterContext(
-            self.settings, self.incarnation, self.feed, self.clock, self._addresses
+            self.settings,
+            self.incarnation,
+            self.feed,
+            self.clock,
+            self._addresses,
+            self.ingress,
         )
         for kind in ADAPTER_KINDS:
             for name in self._registry.names(kind):
--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -5,7 +5,7 @@
 
 from aiohttp import HttpVersion11
 
-from firworks.bodies import BodyParts
+from firworks.bodies import read_request_body
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.events import LogEvent, log_event, log_exception
@@ -201,42 +201,13 @@
         try:
             # Its connection ends a body that is too slow; this is for drains.
             async with self._gateway.shutdown.deadlines.limit(inf):
-                return await read_limited(http, limits.body_bytes)
+                return await read_request_body(http, limits.body_bytes)
         except TimeoutError as error:
             raise RequestError(
                 Code.REQUEST_TIMEOUT, "body not received in time"
             ) from error
 
 
-async def read_limited(http, limit):
-    """Return a complete body (bytes).
-
-    Args:
-        http (BaseRequest): The request.
-        limit (int): Most bytes that are accepted.
-
-    Raises:
-        RequestError: When it is too large, or its connection refuses it.
-    """
-    content, too_large = http.content, f"over {limit} body bytes"
-    if (http.content_length or 0) > limit:
-        raise RequestError(Code.BODY_TOO_LARGE, too_large)
-    part = await content.readany()
-    if content.at_eof() and len(part) <= limit:
-        return part
-    parts = BodyParts()
-    try:
-        while part:
-            parts.add(part)
-            if parts.size > limit:
-                raise RequestError(Code.BODY_TOO_LARGE, too_large)
-            part = await content.readany()
-        return parts.join()
-    finally:
-        # The traceback of an error refers to them as long as the connection lives.
-        parts.clear()
-
-
 def make_refusal(code, detail):
     """Return the response to what is refused before it is known as a request."""
     return make_error_response("", code, detail)
--- a/firworks/ingress.py
+++ b/firworks/ingress.py
@@ -4,7 +4,7 @@
 import resource
 import socket
 
-from aiohttp.web import Server
+from aiohttp.web import Server, SockSite
 
 from firworks.events import LogEvent, log_event
 from firworks.ingress_connections import IngressConnection
@@ -57,13 +57,15 @@
         return sum(len(server.open) for server in self._servers)
 
     def start(self):
-        """Start to look for connections without progress."""
-        self._task = start_task("ingress", self._check)
+        """Start to look for connections without progress, unless this was done."""
+        if self._task is None:
+            self._task = start_task("ingress", self._check)
 
     def stop(self):
         """Stop looking for them."""
         if self._task is not None:
             self._task.cancel()
+            self._task = None
 
     def make_server(self, name, handler, make_refusal, limits, **options):
         """Return an `IngressServer`; see there."""
@@ -118,6 +120,20 @@
             self.release()
 
 
+async def start_site(runner, host, port):
+    """Listen on an address; return the bound port (int).
+
+    Args:
+        runner (BaseRunner): It was set up, with an `IngressServer`.
+        host (str): IP address.
+        port (int): 0 for any.
+    """
+    sock = socket.create_server((host, port))
+    await SockSite(runner, sock, backlog=ACCEPTED_AT_ONCE).start()
+    sock.listen(BACKLOG)
+    return sock.getsockname()[1]
+
+
 class IngressServer(Server):
     """One HTTP listener whose connections are limited.
 
@@ -129,6 +145,8 @@
         limits (callable): Returns the `CallerLimits` that hold now.
         max_connections (int): Limit of its connections.
         max_unused (int): Limit of those that have sent no admitted request.
+        first_byte_s (float or None): How long a connection may send nothing at first.
+        request_factory (callable or None): Of aiohttp's `Server`.
         **options: Of aiohttp's `RequestHandler`.
 
     Attributes:
@@ -145,12 +163,17 @@
         limits,
         max_connections=None,
         max_unused=None,
+        first_byte_s=None,
+        request_factory=None,
         **options,
     ):
-        super().__init__(self._run, handler_cancellation=True)
+        super().__init__(
+            self._run, handler_cancellation=True, request_factory=request_factory
+        )
         self.ingress = ingress
         self.make_refusal = make_refusal
         self.open, self.unused = {}, {}
+        self.first_byte_s = first_byte_s
         self._name = name
         self._handler = handler
         self._get_limits = limits
--- a/firworks/ingress_connections.py
+++ b/firworks/ingress_connections.py
@@ -54,7 +54,7 @@
         # Bytes of the heads of requests that were parsed and have not ended.
         self._costs = deque()
         self._payload = EMPTY_PAYLOAD
-        self._body_bytes = 0
+        self._body_bytes = self._decompressed = 0
         # Bytes of the body of the current request that are held once more.
         self._copied = 0
         self._progress = None
@@ -113,6 +113,7 @@
         if self._in_body:
             self._held += size
             self._body_bytes += size
+            self._count_decompressed()
         else:
             cost = size + FIELD_BYTES * data.count(b"\n")
             self._held += cost
@@ -130,6 +131,13 @@
             else:
                 self._unparsed += data
 
+    def _count_decompressed(self):
+        """Count what a body has over its bytes as received, if it is compressed."""
+        extra = self._payload.total_bytes - self._decompressed - self._body_bytes
+        if extra > 0:
+            self._held += extra
+            self._decompressed += extra
+
     def _parse(self, data):
         count = len(self._messages)
         super().data_received(data)
@@ -145,7 +153,10 @@
         """Count the requests that the parser has added to the queue from an index."""
         messages, limit = self._messages, self._listener.limits.header_bytes
         if isinstance(messages[-1][0], _ErrInfo):
-            self.refuse(*explain_error(messages.pop()[0].exc))
+            code, detail, reason = explain_error(messages.pop()[0].exc)
+            if self._in_body:
+                detail = "the body does not match its headers"
+            self.refuse(code, detail, reason)
             return
         checked = self._head_bytes > limit
         text_bytes, held = self._head_bytes, 0
@@ -165,6 +176,7 @@
         if self._head_cost > ASSURED_BYTES:
             self._ingress.budget.resize(self, self._held, self._loop.time())
         self._head_cost = self._head_bytes = self._body_bytes = 0
+        self._decompressed = self._payload.total_bytes
         self._head_since_s = None
         if not self._in_body:
             self._socket.max_size = HEAD_READ_BYTES
@@ -270,6 +282,7 @@
             return
         self._progress = None
         if self._head_since_s is None:
+            self._check_first_byte(now)
             return
         if paused:
             self._head_since_s = now
@@ -277,6 +290,14 @@
             detail = "head not received in time"
             self.refuse(Code.REQUEST_TIMEOUT, detail, "head time")
 
+    def _check_first_byte(self, now):
+        allowed_s = self._listener.first_byte_s
+        if allowed_s is None or self._request_count:
+            return
+        if now - self.idle_since_s > allowed_s:
+            self._listener.record(self, "head time")
+            self.abort()
+
     def _check_body(self, now, paused):
         received, limits = self._payload.total_bytes, self._ingress.limits
         if self._progress is None or self._progress[0] is not self._payload:
--- a/firworks/ingress_refusals.py
+++ b/firworks/ingress_refusals.py
@@ -27,15 +27,15 @@
         **options: Of aiohttp's `RequestHandler`.
     """
 
-    def __init__(self, server, **options):
+    def __init__(self, server, *, auto_decompress=True, **options):
         super().__init__(server, read_bufsize=READ_BUFFER_BYTES, **options)
         self._listener = server
         # Nothing more is parsed; reading is paused by us.
         self._refused = self._held_back = False
         self._discarded, self._lingering = 0, None
-        self._limit_messages(server.ingress.limits.max_pipelined)
+        self._limit_messages(server.ingress.limits.max_pipelined, auto_decompress)
 
-    def _limit_messages(self, count):
+    def _limit_messages(self, count, auto_decompress):
         """Read only this many requests ahead; aiohttp's own limit is no argument."""
         self._max_msg_queue_size = count
         self._msg_queue_resume_size = count // 2
@@ -47,7 +47,7 @@
             max_field_size=self.max_field_size,
             max_headers=self.max_headers,
             payload_exception=RequestPayloadError,
-            auto_decompress=False,
+            auto_decompress=auto_decompress,
             max_msg_queue_size=count,
         )
 
--- a/firworks/metrics.py
+++ b/firworks/metrics.py
@@ -121,6 +121,16 @@
             "stage_cost", "Cost at the document's prices.", ("pipeline", "stage")
         )
 
+        self.limited_callers = self._counter(
+            "callers_limited",
+            "Connections and requests that a limit on callers ended.",
+            ("listener", "reason"),
+        )
+
+    def record_limited_caller(self, listener, reason):
+        """Count a connection or request that a limit (str) of a listener ended."""
+        self.limited_callers.labels(listener, reason).inc()
+
     def _add_call_metrics(self):
         self.calls = self._counter("calls", "Stage calls started.", ("kind",))
         self.calls_answered = self._counter("calls_answered", "Calls answered whole.")
--- a/firworks/plugins/admin.py
+++ b/firworks/plugins/admin.py
@@ -12,10 +12,14 @@
 from firworks.codes import Code
 from firworks.errors import FirworksError, RequestError
 from firworks.events import LogEvent, log_event
+from firworks.ingress import Ingress, start_site
 from firworks.kernel.ledger.claims import WorkKey
+from firworks.platform.configuration import DEFAULT_LIMITS
 
 MAX_BODY_BYTES = 1_048_576
 SHUTDOWN_TIMEOUT_S = 1.0
+UNAVAILABLE = 503
+RETRY_AFTER_S = 1
 
 # Served without the admin secret, for load balancers and metric collectors.
 UNAUTHENTICATED_PATHS = frozenset({"/live", "/ready", "/metrics"})
@@ -27,16 +31,18 @@
     Args:
         settings (Settings): ``admin`` and ``admin_secret`` are used.
         view (AdminView): Gives access to the daemon.
+        ingress (Ingress or None): Limits what connections occupy; None for its own.
 
     Attributes:
         port (int): The bound port, once started.
     """
 
-    def __init__(self, settings, view):
+    def __init__(self, settings, view, ingress=None):
         self._host, port = settings.admin.rsplit(":", 1)
         self.port = int(port)
         self._secret = settings.admin_secret
         self._view = view
+        self._ingress = ingress or Ingress(settings)
         self._runner = None
 
     async def start(self):
@@ -50,18 +56,26 @@
             client_max_size=MAX_BODY_BYTES,
         )
         app.add_routes(self._routes())
-        self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        server = self._ingress.make_server(
+            "admin",
+            app._handle,
+            _make_error_response,
+            lambda: DEFAULT_LIMITS,
+            request_factory=app._make_request,
+        )
+        self._ingress.start()
+        self._runner = AdminRunner(
+            app, server, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, self._host, self.port).start()
-        self.port = self._runner.addresses[0][1]
+        self.port = await start_site(self._runner, self._host, self.port)
 
     async def stop(self):
         """Close the listener and its connections."""
         if self._runner is not None:
             await self._runner.cleanup()
             self._runner = None
+            self._ingress.stop()
 
     def _routes(self):
         return [
@@ -92,6 +106,7 @@
     async def _authorize(self, request, handler):
         if request.path not in UNAUTHENTICATED_PATHS:
             self._check_secret(request)
+        request.protocol.mark_admitted()
         return await handler(request)
 
     def _check_secret(self, request):
@@ -156,12 +171,34 @@
         return web.json_response({"draining": True}, status=202)
 
 
+class AdminRunner(web.AppRunner):
+    """Runs an application with an `IngressServer`.
+
+    Args:
+        app (Application): The application.
+        server (IngressServer): Handles requests with the application.
+        **options: Of `AppRunner`.
+    """
+
+    __slots__ = ("_ingress_server",)
+
+    def __init__(self, app, server, **options):
+        super().__init__(app, **options)
+        self._ingress_server = server
+
+    async def _make_server(self):
+        await super()._make_server()
+        return self._ingress_server
+
+
 _CODES_BY_STATUS = {413: Code.BODY_TOO_LARGE}
 
 
 def _make_error_response(code, detail, status=None):
     body = {"code": int(code), "name": code.name, "detail": detail}
-    return web.json_response(body, status=status or code.http_status)
+    status = status or code.http_status
+    headers = {"Retry-After": str(RETRY_AFTER_S)} if status == UNAVAILABLE else None
+    return web.json_response(body, status=status, headers=headers)
 
 
 async def _read_json(request):
--- a/firworks/plugins/caller_requests.py
+++ b/firworks/plugins/caller_requests.py
@@ -7,6 +7,7 @@
 
 from aiohttp.web import RequestPayloadError
 
+from firworks.bodies import read_request_body
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.kernel.callers import RequestArrived
@@ -101,25 +102,15 @@
 
 
 async def _read_body(request, settings):
-    limit = settings.body_limit_bytes
-    declared = request.content_length
-    if declared is not None and declared > limit:
-        raise RequestError(Code.BODY_TOO_LARGE, f"the body limit is {limit} bytes")
-    data = bytearray()
     try:
         async with asyncio.timeout(settings.body_timeout_s):
-            async for chunk in request.content.iter_any():
-                data += chunk
-                if len(data) > limit:
-                    detail = f"the body limit is {limit} bytes"
-                    raise RequestError(Code.BODY_TOO_LARGE, detail)
+            return await read_request_body(request, settings.body_limit_bytes)
     except TimeoutError as error:
         detail = f"the body did not arrive within {settings.body_timeout_s} s"
         raise RequestError(Code.REQUEST_TIMEOUT, detail) from error
     except RequestPayloadError as error:
         detail = f"the body does not match its headers: {error}"
         raise RequestError(Code.MALFORMED_REQUEST, detail) from error
-    return bytes(data)
 
 
 def _parse_body(data):
--- a/firworks/plugins/http_callers.py
+++ b/firworks/plugins/http_callers.py
@@ -4,12 +4,13 @@
 import itertools
 from functools import singledispatchmethod
 
-from aiohttp.web import Response, ServerRunner, StreamResponse, TCPSite
+from aiohttp.web import Response, ServerRunner, StreamResponse
 
 from firworks.adapter import Adapter
 from firworks.bodies import JSON_TYPE
 from firworks.codes import Code
 from firworks.errors import RequestError
+from firworks.ingress import Ingress, start_site
 from firworks.kernel.callers import (
     RAN_NO,
     RAN_UNKNOWN,
@@ -19,7 +20,7 @@
     ResultLookupRequested,
     SendChunk,
 )
-from firworks.plugins.caller_protocol import BoundedServer
+from firworks.kernel.forwarding.configuration import CallerLimits
 from firworks.plugins.caller_requests import (
     PIPELINES_PATH,
     RESULTS_PATH,
@@ -38,6 +39,13 @@
 WRITE_TIMEOUT_S = 10.0
 FLUSH_INTERVAL_S = 0.01
 SHUTDOWN_TIMEOUT_S = 5.0
+# A whole head may be as long as this many lines of the longest length.
+MAX_HEAD_LINES = 8
+# Callers may reuse a connection that has been idle for 0.8 of this.
+IDLE_TIMEOUT_S = 60.0
+# Of a request for which there is no memory.
+RETRY_AFTER_S = 1
+SERVICE_UNAVAILABLE = 503
 
 
 class HttpCallers(Adapter):
@@ -53,7 +61,7 @@
         super().__init__(context)
         self._exchanges = {}
         self._request_numbers = itertools.count(1)
-        self._runner = None
+        self._runner = self._ingress = None
         self._ends_connections = False
         self._host, port = context.settings.callers.rsplit(":", 1)
         self.port = int(port)
@@ -65,22 +73,31 @@
             OSError: When the address cannot be bound.
         """
         settings = self.context.settings
-        server = BoundedServer(
+        ingress = self._ingress = self.context.ingress or Ingress(settings)
+        limits = make_caller_limits(settings)
+        server = ingress.make_server(
+            "callers",
             self._serve,
-            head_timeout_s=settings.body_timeout_s,
+            _make_refusal,
+            lambda: limits,
+            max_connections=ingress.limits.max_connections,
+            max_unused=ingress.limits.max_unused_connections,
+            first_byte_s=settings.body_timeout_s,
             max_line_size=settings.header_limit_bytes,
             max_field_size=settings.header_limit_bytes,
         )
+        ingress.start()
         self._runner = ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
-        await TCPSite(self._runner, self._host, self.port).start()
-        self.port = self._runner.addresses[0][1]
+        self.port = await start_site(self._runner, self._host, self.port)
 
     async def stop(self):
         """Close the listener; wait up to ``SHUTDOWN_TIMEOUT_S`` for open responses."""
         if self._runner is not None:
             await self._runner.cleanup()
             self._runner = None
+            if self.context.ingress is None:
+                self._ingress.stop()
 
     def carry_out(self, action):
         """Execute an action of the kernel."""
@@ -110,13 +127,10 @@
             response.force_close()
 
     async def _serve(self, request):
-        request.protocol.begin_request()
         try:
             response = await self._route(request)
         except RequestError as error:
             return _make_error_response(request, error)
-        finally:
-            request.protocol.end_request()
         if not response.prepared:
             self.prepare_response(response)
         return response
@@ -133,12 +147,15 @@
     async def _serve_pipeline(self, request):
         request_id = f"{self.context.incarnation}-{next(self._request_numbers)}"
         event = await read_request(request, request_id, self.context.settings)
+        # The kernel keeps the parsed body.
+        request.protocol.mark_running(request.content.total_bytes)
         return await self._exchange(request, request_id, event)
 
     async def _serve_lookup(self, request):
         lookup_id = f"{self.context.incarnation}-{next(self._request_numbers)}"
         result_id = request.path.removeprefix(RESULTS_PATH)
         event = ResultLookupRequested(lookup_id, read_token(request), result_id)
+        request.protocol.mark_running(0)
         return await self._exchange(request, lookup_id, event)
 
     async def _exchange(self, request, request_id, event):
@@ -284,6 +301,26 @@
         await self.response.prepare(self._request)
 
 
+def make_caller_limits(settings):
+    """Return the `CallerLimits` of a daemon's settings (Settings)."""
+    return CallerLimits(
+        MAX_HEAD_LINES * settings.header_limit_bytes,
+        settings.body_limit_bytes,
+        settings.body_timeout_s,
+        IDLE_TIMEOUT_S,
+    )
+
+
+def _make_refusal(code, detail, ran=RAN_NO):
+    text = make_error_json(code, detail, ran)
+    headers = {}
+    if code.http_status == SERVICE_UNAVAILABLE:
+        headers["Retry-After"] = str(RETRY_AFTER_S)
+    return Response(
+        status=code.http_status, text=text, content_type=JSON_TYPE, headers=headers
+    )
+
+
 def _require_method(request, method):
     if request.method != method:
         raise RequestError(Code.MALFORMED_REQUEST, f"the method must be {method}")
@@ -305,11 +342,7 @@
     """Return the error response to a request rejected before it reaches the kernel."""
     # An earlier send of the key may have run; the kernel reports the same.
     ran = RAN_UNKNOWN if is_resend(request) else RAN_NO
-    response = Response(
-        status=error.code.http_status,
-        text=make_error_json(error.code, error.detail, ran),
-        content_type=JSON_TYPE,
-    )
+    response = _make_refusal(error.code, error.detail, ran)
     # The rest of the body may be unread, so the connection cannot be reused.
     response.force_close()
     return response
--- a/firworks/plugins/target_calls.py
+++ b/firworks/plugins/target_calls.py
@@ -105,7 +105,10 @@
     def __init__(self, context):
         super().__init__(context)
         self.sessions = TargetSessions(context.settings.idle_timeout_s)
-        self.buffers = ResponseBuffers(MAX_TARGET_RESPONSE_BYTES)
+        self.buffers = ResponseBuffers(
+            MAX_TARGET_RESPONSE_BYTES,
+            None if context.ingress is None else context.ingress.budget,
+        )
         self._tasks = {}
         self._polls = {}
         self._readers = {}
