Let stages leave the time that engines were measured to take

Replays of two sites with pools near their capacity are added, with the bound that no policy can exceed. Engines take longer than the 0.06 s that stages left for them, so that stages ended in time and answers were late.

--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -41,6 +41,11 @@
         self.stage_seconds = self._histogram(
             "stage_call_seconds", "Time of a call of a stage pool.", ("service",)
         )
+        self.staged_answers = self._histogram(
+            "staged_answer_seconds",
+            "From the end of the stages to the first event.",
+            ("service",),
+        )
         self._make_target_metrics()
         self._make_state_metrics()
 
@@ -152,6 +157,11 @@
         """Count a failed attempt at a service (str), by kind of failure (str)."""
         self.attempts_failed.labels(self.services.bound(service), kind).inc()
 
+    def record_staged_answer(self, service, duration_s):
+        """Record the seconds from the end of a request's stages to its first event."""
+        service = self.services.bound(service)
+        self.staged_answers.labels(service).observe(duration_s)
+
     def record_stage_call(self, service, result, pieces, duration_s):
         """Count a call to a stage pool and its duration.
 
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -4,6 +4,7 @@
 
 from firworks.codes import Code
 from firworks.events import LogEvent, log_event
+from firworks.gateway.answer_times import AnswerTimeRecorder
 from firworks.gateway.answers import (
     ResponseAbortedError,
     make_error_response,
@@ -55,6 +56,7 @@
         self._selection = TargetSelection(gateway)
         self._suspensions = Suspensions(gateway.crashes)
         self._forwarder = ResponseForwarder(gateway)
+        self._answer_times = AnswerTimeRecorder(gateway, MIN_FIRST_TOKEN_S)
 
     async def serve(self, context):
         """Forward a request; return its response (aiohttp StreamResponse).
@@ -164,13 +166,14 @@
             gateway.pools,
             context.admitted,
             gateway.locate_result,
-            MIN_FIRST_TOKEN_S,
+            self._answer_times.estimate_s(context),
             context.fingerprint,
             self._compute_event_deadline_s(context),
         )
         started_s = self._clock()
         context.inputs = await context.stages.run()
-        context.stages_s = round(self._clock() - started_s, 3)
+        context.staged_s = self._clock()
+        context.stages_s = round(context.staged_s - started_s, 3)
 
     async def _attempt(self, context):
         if self._gateway.pools.has_engines(context.service):
@@ -200,6 +203,7 @@
 
         def note_begun():
             pools.note_begun(job.job_id)
+            self._answer_times.record(context)
             # A stream that breaks off later needs new results.
             if context.stages is not None:
                 context.stages.free()
--- a/firworks/gateway/request_contexts.py
+++ b/firworks/gateway/request_contexts.py
@@ -32,6 +32,8 @@
         stream_version (str or None): Software version at which its stream began, and
             at which alone it goes on; None before its first event.
         stages_s (float or None): Duration of its stages in seconds.
+        staged_s (float or None): When its stages were done, in monotonic seconds; None
+            before, and once its first event has been received.
         first_s (float or None): Seconds from arrival to the response head.
     """
 
@@ -57,6 +59,7 @@
         "software",
         "stream_version",
         "stages_s",
+        "staged_s",
         "first_s",
     )
 
@@ -83,6 +86,7 @@
         self.software = ""
         self.stream_version = None
         self.stages_s = None
+        self.staged_s = None
         self.first_s = None
         account = self.account_name
         path = admitted.request.target_path
--- a/firworks/gateway/settings_file.py
+++ b/firworks/gateway/settings_file.py
@@ -13,6 +13,7 @@
     "retry_ratio",
     "retry_slack",
     "retry_window_s",
+    "stage_wait_reports",
     "seeds",
 )
 # Interval between checks of the file's mtime.
--- a/firworks/kernel/pools/critical_path.py
+++ b/firworks/kernel/pools/critical_path.py
@@ -15,7 +15,9 @@
 EXPECTED_WAIT_CALLS = 2.0
 
 
-def compute_downstream_s(stages, counts, get_spec, last_s):
+def compute_downstream_s(
+    stages, counts, get_spec, last_s, get_wait_s=lambda service: None
+):
     """Return the expected time from the end of each stage to the answer.
 
     Args:
@@ -24,6 +26,8 @@
         get_spec (callable): ``get_spec(service)`` returns the `StagePoolSpec` of a
             pool, or None.
         last_s (float): Time that the target of the request itself needs.
+        get_wait_s (callable): ``get_wait_s(service)`` returns the seconds that a job is
+            expected to queue at a pool, or None if that is not known.
 
     Returns:
         list of float: Seconds by stage.
@@ -31,7 +35,8 @@
     downstream_s = [last_s] * len(stages)
     for number in range(len(stages) - 1, -1, -1):
         pieces = counts[number] if number < len(counts) else 0
-        own_s = _estimate_stage_s(get_spec(stages[number].service), pieces)
+        service = stages[number].service
+        own_s = _estimate_stage_s(get_spec(service), pieces, get_wait_s(service))
         for dependency in stages[number].after:
             downstream_s[dependency] = max(
                 downstream_s[dependency], own_s + downstream_s[number]
@@ -73,7 +78,9 @@
     )
 
 
-def _estimate_stage_s(spec, pieces):
+def _estimate_stage_s(spec, pieces, wait_s):
     if spec is None or pieces <= 0:
         return 0.0
-    return spec.call_s * (1.0 + EXPECTED_WAIT_CALLS) + pieces * spec.piece_s
+    if wait_s is None:
+        wait_s = EXPECTED_WAIT_CALLS * spec.call_s
+    return wait_s + spec.call_s + pieces * spec.piece_s
--- a/firworks/tests/pool_simulation.py
+++ b/firworks/tests/pool_simulation.py
@@ -8,6 +8,7 @@
 
 import heapq
 from itertools import count
+from math import pi, sin
 from random import Random
 
 from firworks.kernel.forwarding.admission import (
@@ -75,6 +76,26 @@
         return min(self.deadline_s, max(STREAM_TIMEOUT_S, goals_s))
 
 
+class Wave:
+    """A periodic change of the arrival rate of all kinds.
+
+    Args:
+        period_s (float): Its period in seconds.
+        swing (float): Greatest change, as a share of the mean rate.
+        begin_s (float): A time at which the rate rises above its mean.
+    """
+
+    def __init__(self, period_s, swing, begin_s=0.0):
+        self.period_s = period_s
+        self.swing = swing
+        self.begin_s = begin_s
+
+    def get_factor(self, time_s):
+        """Return the factor on the arrival rate at a time in seconds."""
+        phase = (time_s - self.begin_s) / self.period_s
+        return 1.0 + self.swing * sin(2 * pi * phase)
+
+
 class Burst:
     """A temporary change of the arrival rate.
 
@@ -145,22 +166,32 @@
 
     Args:
         pools (dict of str to StagePoolSpec): The pools.
-        target_count (int): Number of targets of each pool.
+        target_count (int or dict of str to int): Number of targets of each pool.
         kinds (iterable of RequestKind): The load.
         seed (int): Seed of all random numbers.
         make_scheduler (callable): ``make_scheduler(spec)`` builds a scheduler.
         mean_arrival_group (float): Mean number of requests that arrive together.
+        wave (Wave): Change of the arrival rate.
+        engine_s (float): Median time from the end of the stages to the first event.
+        engine_spread (float): Standard deviation of its logarithm.
 
     Attributes:
         outcomes (list of (str, float, str)): Kind, arrival time and outcome: "on time",
             "late", "refused" or "lost".
+        arrivals (list of tuple): Kind (RequestKind), arrival time and number of pieces
+            of each stage of all requests.
+        refused_s (list of float): Time from arrival to refusal.
         calls (int): Calls sent.
         wasted_pieces (int): Pieces processed for requests that failed.
         held_s (float): Total time that requests waited that were not served.
+        free_delay_s (float): Time for which results to free are collected.
         expires (bool): Results expire at the targets.
+        answer_times (list of AnswerTimes): What each gateway has measured; empty if
+            gateways reckon with the shortest time of an engine.
         callers_time_out (bool): Callers leave before the deadline, as those of streams.
         uses_caller_timeout (bool): Jobs have the time-out of such callers as deadline.
         no_room (int): Pieces that failed because the memory of their target was full.
+        gone (int): Pieces that failed because an input had expired.
         remote_bytes (float): Bytes of results fetched from other failure domains.
     """
 
@@ -172,14 +203,27 @@
         seed,
         make_scheduler=StageScheduler,
         mean_arrival_group=1.5,
+        wave=None,
+        engine_s=ENGINE_S,
+        engine_spread=0.0,
     ):
         self.now = 0.0
+        self._engine_s = engine_s
+        self._engine_spread = engine_spread
+        self._engine_rng = Random(f"engines/{seed}")
+        self.answer_times = []
+        self.get_wait_s = lambda name: None
+        self.arrivals = []
+        self.refused_s = []
+        self.gone = 0
+        self._wave = wave or Wave(1.0, 0.0)
         self.outcomes = []
         self.calls = 0
         self.pieces = 0
         self.wasted_pieces = 0
         self.no_room = 0
         self.held_s = 0.0
+        self.free_delay_s = 0.0
         self.expires = False
         self.callers_time_out = False
         self.uses_caller_timeout = True
@@ -200,12 +244,7 @@
         self._timers = {}
         self._missing_inputs = set()
         for name, spec in pools.items():
-            entries = [
-                Target(
-                    f"{name}-{i}", name, f"{name}-{i}", f"fd-{i}", "", 1, False, 0, 0.0
-                )
-                for i in range(target_count)
-            ]
+            entries = make_targets(name, target_count)
             for entry in entries:
                 self.targets[entry.target_id] = FakeTarget(entry, spec)
             self._execute(name, self.schedulers[name].set_targets(entries, 0.0))
@@ -270,7 +309,7 @@
     def _schedule_arrivals(self, kind, length_s, bursts):
         time_s = 0.0
         while True:
-            factor = 1.0
+            factor = self._wave.get_factor(time_s)
             for burst in bursts:
                 inside = burst.begin_s <= time_s < burst.end_s
                 if inside and burst.kind in (None, kind.name):
@@ -285,16 +324,19 @@
     def _arrive(self, kind):
         counts = kind.draw_counts(self.rng)
         request = _Request(kind, next(self._requests), self.now, counts)
+        self.arrivals.append((kind, self.now, counts))
         wait_s = kind.caller_timeout_s if self.callers_time_out else kind.deadline_s
         self.at(self.now + wait_s, self._end, request, "lost")
-        downstream_s = critical_path.compute_downstream_s(
-            kind.stages,
-            counts,
+        self._advance(request)
+
+    def _compute_downstream_s(self, request):
+        return critical_path.compute_downstream_s(
+            request.kind.stages,
+            request.counts,
             lambda name: self.schedulers[name].spec,
-            ENGINE_S,
+            self._estimate_engine_s(request),
+            self.get_wait_s,
         )
-        request.downstream_s = downstream_s
-        self._advance(request)
 
     def _advance(self, request):
         stages = request.kind.stages
@@ -313,7 +355,22 @@
             request.done.setdefault(number, None)
             self._submit(request, number)
         if all(request.done.get(i) is not None for i in range(len(stages))):
-            self.at(self.now + ENGINE_S, self._finish, request)
+            self.at(self.now + self._draw_engine_s(), self._finish, request, self.now)
+
+    def _estimate_engine_s(self, request):
+        """Return the time of the engine that the gateway of a request reckons with."""
+        if not self.answer_times:
+            return ENGINE_S
+        times = self.answer_times[request.number % len(self.answer_times)]
+        goal_s = request.kind.soft_deadline_s
+        return times.estimate_s("engines", goal_s, ENGINE_S, self.now)
+
+    def _draw_engine_s(self):
+        """Return the seconds from the end of the stages to the first event."""
+        if not self._engine_spread:
+            return self._engine_s
+        factor = self._engine_rng.lognormvariate(0, self._engine_spread)
+        return self._engine_s * factor
 
     def _submit(self, request, number):
         stage = request.kind.stages[number]
@@ -332,7 +389,7 @@
             kind.priority,
             request.begun_s + kind.soft_deadline_s,
             request.begun_s + limit_s,
-            request.downstream_s[number],
+            self._compute_downstream_s(request)[number],
             *self._sum_input_bytes(inputs, request.counts[number]),
             b"",
         )
@@ -386,7 +443,10 @@
             sizes[domain] = sizes.get(domain, 0) + size
         return tuple(sizes), tuple(sizes.values())
 
-    def _finish(self, request):
+    def _finish(self, request, staged_s):
+        if self.answer_times and not request.ended:
+            times = self.answer_times[request.number % len(self.answer_times)]
+            times.record("engines", self.now - staged_s, self.now)
         on_time = self.now - request.begun_s <= request.kind.soft_deadline_s
         self._end(request, "on time" if on_time else "late")
 
@@ -397,6 +457,8 @@
         self.outcomes.append((request.kind.name, request.begun_s, outcome))
         if outcome in ("lost", "refused"):
             self.held_s += self.now - request.begun_s
+        if outcome == "refused":
+            self.refused_s.append(self.now - request.begun_s)
         if outcome in ("lost", "refused"):
             self.wasted_pieces += sum(len(done or ()) for done in request.done.values())
         for service, job_id in request.jobs:
@@ -430,16 +492,22 @@
                 request, _ = self._jobs[action.job.job_id]
                 self._end(request, "refused")
             elif isinstance(action, FreeResults):
-                fake = self.targets[action.target.target_id]
-                for handle in action.handles:
-                    if handle in fake.results:
-                        fake.held_bytes -= fake.results.pop(handle)
-                self.at(self.now + NETWORK_DELAY_S, self._note_freed, name, action)
+                if self.free_delay_s:
+                    time_s = self.now + self.free_delay_s
+                    self.at(time_s, self._free, name, action)
+                else:
+                    self._free(name, action)
         due_s = self.schedulers[name].next_due_s(self.now)
         if due_s is not None and due_s != self._timers.get(name):
             self._timers[name] = due_s
             self.at(max(due_s, self.now + 1e-6), self._wake, name, due_s)
 
+    def _free(self, name, action):
+        fake = self.targets[action.target.target_id]
+        for handle in action.handles:
+            self._expire(fake, handle)
+        self.at(self.now + NETWORK_DELAY_S, self._note_freed, name, action)
+
     def _expire(self, fake, handle):
         if handle in fake.results:
             fake.held_bytes -= fake.results.pop(handle)
@@ -495,6 +563,7 @@
         for piece in call.pieces:
             size = piece.job.result_bytes
             if self._had_missing_inputs(piece.job):
+                self.gone += 1
                 results.append((None, "gone"))
                 continue
             if fake.error_share and self.rng.random() < fake.error_share:
@@ -529,6 +598,20 @@
             self._execute(name, scheduler.fail_call(call.call_id, self.now))
 
 
+def make_targets(name, count):
+    """Return the targets (list of Target) of a pool, in three failure domains.
+
+    Args:
+        name (str): The pool.
+        count (int or dict of str to int): Number of targets, or that of each pool.
+    """
+    number = count if isinstance(count, int) else count[name]
+    return [
+        Target(f"{name}-{i}", name, f"{name}-{i}", f"fd-{i % 3}", "", 1, False, 0, 0.0)
+        for i in range(number)
+    ]
+
+
 def evict_all(results, waiting_bytes):
     """Evict all results that were read, whatever memory is free.
 
--- /dev/null
+++ b/firworks/tests/test_stage_load.py
@@ -0,0 +1,97 @@
+"""Tests of stage pools near their capacity, with replays of two sites."""
+
+from firworks.kernel.pools.answer_times import (
+    MAX_AGE_S,
+    MAX_GOAL_SHARE,
+    MIN_SAMPLES,
+    AnswerTimes,
+)
+from firworks.kernel.pools.critical_path import compute_downstream_s
+from firworks.tests.fluid_bound import compute_credit_bound, compute_served_bound
+from firworks.tests.pool_simulation import ENGINE_S
+from firworks.tests.pool_workloads import HARBOUR, TOURS, make_harbour
+
+LENGTH_S = 34.0
+MINIMUM_S = 0.06
+
+
+def play(site, seed=1, **changes):
+    """Return the simulation of the bursts of a site.
+
+    Args:
+        site (Site): The site.
+        seed (int): Seed of the load.
+        changes (dict): Attributes of the site to set for this run.
+    """
+    before = {name: getattr(site, name) for name in changes}
+    for name, value in changes.items():
+        setattr(site, name, value)
+    world = site.simulate(seed)
+    for name, value in before.items():
+        setattr(site, name, value)
+    world.run(LENGTH_S, site.bursts)
+    return world
+
+
+class TestBounds:
+    def test_nothing_served_exceeds_the_fluid_bound(self):
+        """An error in the bound would show policies as better than they are."""
+        for site in (HARBOUR, TOURS):
+            world = play(site)
+            served = world.count("on time") + world.count("late")
+            assert world.credit() <= compute_credit_bound(world)
+            assert served <= compute_served_bound(world)
+
+    def test_work_beyond_the_capacity_is_not_counted(self):
+        """A bound of all requests under any load would state nothing."""
+        world = HARBOUR.simulate(1)
+        manifest = world.kinds[0]
+        world.arrivals = [(manifest, 0.0, (10,))] * 1000
+        request_s = 10 * (0.2 / 14 + 0.012)
+        served = 9 * (manifest.deadline_s - ENGINE_S) / request_s
+        assert abs(compute_served_bound(world) - served) < 0.15 * served
+        on_time = 9 * (manifest.soft_deadline_s - ENGINE_S) / request_s
+        credit = on_time * (4.2 - 0.63) + served * 0.63
+        assert abs(compute_credit_bound(world) - credit / 4200) < 0.25 * credit / 4200
+
+
+class TestAnswerTimes:
+    def test_more_answers_are_on_time_when_the_engines_time_is_measured(self):
+        """Stages ended in time, and the answers after them were just late."""
+        for site, factor in ((HARBOUR, 1.2), (TOURS, 1.05)):
+            before = play(site)
+            after = play(site, measures_answers=True)
+            assert after.count("on time") > factor * before.count("on time")
+            assert after.credit() > before.credit() + 0.05
+
+    def test_few_or_old_samples_give_the_minimum(self):
+        """A new gateway, or one without requests, must not act on chance."""
+        times = AnswerTimes()
+        for _ in range(MIN_SAMPLES - 1):
+            times.record("llm", 0.5, 10.0)
+        assert times.estimate_s("llm", 2.0, MINIMUM_S, 10.0) == MINIMUM_S
+        times.record("llm", 0.5, 10.0)
+        assert times.estimate_s("llm", 2.0, MINIMUM_S, 10.0) == 0.5
+        assert times.estimate_s("other", 2.0, MINIMUM_S, 10.0) == MINIMUM_S
+        late_s = 10.0 + MAX_AGE_S + 0.1
+        assert times.estimate_s("llm", 2.0, MINIMUM_S, late_s) == MINIMUM_S
+
+    def test_an_estimate_leaves_part_of_the_goal_to_the_stages(self):
+        """With overloaded engines all jobs counted as late and lost their order."""
+        times = AnswerTimes()
+        for _ in range(MIN_SAMPLES):
+            times.record("llm", 9.0, 10.0)
+        assert times.estimate_s("llm", 2.0, MINIMUM_S, 10.0) == 2.0 * MAX_GOAL_SHARE
+
+
+class TestCriticalPath:
+    def test_known_waits_replace_the_usual_ones(self):
+        """With a full later pool, jobs left the first one too late to be on time."""
+        pools, kinds = make_harbour()
+        stages = kinds[1].stages
+        usual_s = compute_downstream_s(stages, (1, 6, 10), pools.get, 0.1)
+        waits_s = {"lookup": 1.0, "ledger": None}
+        known_s = compute_downstream_s(stages, (1, 6, 10), pools.get, 0.1, waits_s.get)
+        assert known_s[1:] == usual_s[1:]
+        usual_wait_s = 2 * pools["lookup"].call_s
+        assert abs(known_s[0] - usual_s[0] - (1.0 - usual_wait_s)) < 1e-9
