Let stage calls use memory that is being freed when they are sent

Results are freed 50 ms after they are no longer needed, and near the capacity of a pool its calls were half full meanwhile. With the setting stage_memory_reuse the results are freed when a call is sent, and their memory counts as free.

--- a/bench/pool_replay.py
+++ b/bench/pool_replay.py
@@ -80,6 +80,7 @@
     ("inputs given up when read", (RetainedResults, "take_surplus", evict_all)),
     ("hopeless jobs held", (stages, "REVIEW_PERIOD_S", NEVER_S)),
     ("answers of engines measured", (Site, "measures_answers", True)),
+    ("memory used while it is freed", (Site, "reuses_memory", True)),
 )
 
 
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -67,6 +67,7 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
+        reuses_memory (bool): Stage calls may use memory that is being freed.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -82,8 +83,10 @@
         crashes,
         availability,
         limits,
+        reuses_memory=False,
     ):
         self.peers = None
+        self._reuses_memory = reuses_memory
         self._directory = directory
         self._connections = connections
         self._clock = clock
@@ -398,6 +401,7 @@
                 self._crashes,
                 self._availability,
                 self._limits,
+                self._reuses_memory,
             )
         else:
             runner.scheduler.spec = service.stage_pool
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -149,6 +149,7 @@
             self.crashes,
             self.availability,
             self.limits,
+            self.settings.stage_memory_reuse,
         )
         pools.peers = PeerConnections(
             self.settings,
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -41,6 +41,7 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
+        reuses_memory (bool): Calls may use memory that is being freed.
     """
 
     def __init__(
@@ -53,9 +54,11 @@
         crashes,
         availability,
         limits,
+        reuses_memory=False,
     ):
         self.service = service
         self.scheduler = StageScheduler(service.stage_pool, limits.limiter)
+        self.scheduler.freeing.enabled = reuses_memory
         self._limits = limits
         self._connections = connections
         self._clock = clock
@@ -115,6 +118,10 @@
 
     @_execute.register
     def _(self, action: StageCall):
+        key = action.target.incarnation
+        if self.scheduler.freeing.enabled and key in self._pending_frees:
+            # The call may rely on the memory of these results.
+            self._start_free(key, self._clock())
         self._spawn(self._call(action))
 
     @_execute.register(InputsRead)
@@ -138,7 +145,10 @@
 
     def _start_free(self, key, expired_s):
         """Free results, once a limited target accepts a request, until they expire."""
-        pending = self._pending_frees[key]
+        pending = self._pending_frees.get(key)
+        if pending is None:
+            # They were freed when a call was sent.
+            return
         permitted = self._limits.take(pending[0].target)
         if not permitted and self._clock() < expired_s:
             self._schedule_free(LIMITED_FREE_RETRY_S, key, expired_s)
--- a/firworks/kernel/pools/batches.py
+++ b/firworks/kernel/pools/batches.py
@@ -16,7 +16,7 @@
 ISOLATED_ATTEMPT = MAX_ATTEMPTS
 
 
-def choose_pieces(spec, waiting, worker, usable, now):
+def choose_pieces(spec, waiting, worker, usable, now, extra_bytes=0):
     """Return the pieces (list of Piece) of the next call.
 
     A job is split only if it exceeds the batch size of a call.
@@ -27,8 +27,9 @@
         worker (StageWorker): The target of the call.
         usable (list of StageWorker): All targets that accept calls now.
         now (float): Monotonic seconds.
+        extra_bytes (int): Memory of the target that is being freed.
     """
-    free_bytes = worker.estimate_free_bytes(spec, now)
+    free_bytes = worker.estimate_free_bytes(spec, now) + extra_bytes
     pieces = []
     for state in waiting:
         isolated = any(
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -13,6 +13,7 @@
 
 from firworks.kernel.pools.batches import MAX_ATTEMPTS, choose_pieces
 from firworks.kernel.pools.fetches import list_fetch_times, report_fetched
+from firworks.kernel.pools.freeing_memory import FreeingMemory
 from firworks.kernel.pools.ordering import rank_job
 from firworks.kernel.pools.results import (
     REASON_ERROR,
@@ -55,9 +56,13 @@
     Args:
         spec (StagePoolSpec): Capacity of each target.
         limits (TargetLimiter): Permits for targets that name a limit.
+
+    Attributes:
+        freeing (FreeingMemory): Whether memory that is being freed counts as free.
     """
 
     def __init__(self, spec, limits=None):
+        self.freeing = FreeingMemory()
         self._limits = WorkerLimits(limits or UnlimitedTargets())
         self._results = RetainedResults(spec)
         self._workers = {}
@@ -191,6 +196,7 @@
             actions += self._apply_piece_result(worker, piece, handle, reason, now)
         if memory_full:
             worker.note_memory_full(self.spec, now)
+            self.freeing.note_memory_full(self.spec, now)
         return actions + self.plan(now)
 
     def pause_target(self, incarnation, until_s):
@@ -359,7 +365,8 @@
 
     def _choose_pieces(self, worker, now):
         waiting, usable = self._list_waiting(now), self._list_usable(now)
-        return choose_pieces(self.spec, waiting, worker, usable, now)
+        extra_bytes = self.freeing.get_bytes(worker, now)
+        return choose_pieces(self.spec, waiting, worker, usable, now, extra_bytes)
 
     def _make_call(self, worker, pieces, now):
         for piece in pieces:
--- a/firworks/tests/pool_workloads.py
+++ b/firworks/tests/pool_workloads.py
@@ -295,6 +295,8 @@
 
     # Whether gateways measure how long engines take.
     measures_answers = False
+    # Whether calls use memory that is being freed.
+    reuses_memory = False
 
     def __init__(
         self,
@@ -336,6 +338,9 @@
         world.expires = world.callers_time_out = self.strict
         if self.measures_answers:
             world.answer_times = [AnswerTimes() for _ in range(self.gateways)]
+        world.reuses_memory = self.reuses_memory
+        for scheduler in world.schedulers.values():
+            scheduler.freeing.enabled = self.reuses_memory
         world.free_delay_s = SLOW_FREE_S if self.strict else 0.0
         return world
 
