--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -77,6 +77,11 @@
             "Seconds for which work of accounts below half of their share waited.",
             ("service", "account"),
         )
+        self.staged_answers = self._histogram(
+            "staged_answer_seconds",
+            "From the end of the stages to the first event.",
+            ("service",),
+        )
         self._make_target_metrics()
         self._make_state_metrics()
 
@@ -235,6 +240,11 @@
         account = self.accounts.bound(account)
         self.accounts_short.labels(service, account).inc(seconds)
 
+    def record_staged_answer(self, service, duration_s):
+        """Record the seconds from the end of a request's stages to its first event."""
+        service = self.services.bound(service)
+        self.staged_answers.labels(service).observe(duration_s)
+
     def record_stage_call(self, service, result, pieces, duration_s):
         """Count a call to a stage pool and its duration.
 
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -68,7 +68,8 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
-        settings (GatewaySettings): How engines are chosen, and shares of accounts.
+        settings (GatewaySettings): How engines are chosen, shares of accounts, and use
+            of memory that is being freed.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -419,6 +420,7 @@
                 self._availability,
                 self._limits,
                 make_shares(self._settings.account_shares),
+                self._settings.stage_memory_reuse,
             )
         else:
             runner.scheduler.spec = service.stage_pool
