--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -21,6 +21,7 @@
             limits.limiter,
             settings.engine_placement,
             int(settings.engine_memory_mb * MEGABYTE),
+            settings.engine_waste_weight,
         )
         self._service = service
         self._limits = limits
--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -29,6 +29,7 @@
     "seeds": [],
     "engine_placement": BY_TOKENS,
     "engine_memory_mb": 0,
+    "engine_waste_weight": 1.0,
 }
 
 SCHEMA = {
@@ -69,6 +70,7 @@
         "seeds": {"type": "array", "items": _ADDRESS},
         "engine_placement": {"enum": [BY_TOKENS, BY_TIME]},
         "engine_memory_mb": {"type": "number", "minimum": 0},
+        "engine_waste_weight": {"type": "number", "minimum": 0},
     },
 }
 
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -200,12 +200,20 @@
         placement (str): ``BY_TOKENS`` or ``BY_TIME``.
         memory_bytes (int): Memory of an engine for the stage results of its requests;
             0 if it is not limited.
+        waste_weight (float): As of `TimedPlacement`.
     """
 
-    def __init__(self, spec, limits=None, placement=BY_TOKENS, memory_bytes=0):
+    def __init__(
+        self,
+        spec,
+        limits=None,
+        placement=BY_TOKENS,
+        memory_bytes=0,
+        waste_weight=1.0,
+    ):
         self.spec = spec
         self._memory_bytes = memory_bytes
-        self._timed = TimedPlacement() if placement == BY_TIME else None
+        self._timed = TimedPlacement(waste_weight) if placement == BY_TIME else None
         self._limits = limits or UnlimitedTargets()
         self._engines = {}
         self._usable = ()
--- a/firworks/kernel/pools/timed_placement.py
+++ b/firworks/kernel/pools/timed_placement.py
@@ -40,9 +40,15 @@
 
 
 class TimedPlacement:
-    """Rates the engines of one pool for each request."""
+    """Rates the engines of one pool for each request.
 
-    def __init__(self):
+    Args:
+        waste_weight (float): Weight of the costs to others, which are tokens read again
+            and bytes fetched from other failure domains, against the expected time.
+    """
+
+    def __init__(self, waste_weight=1.0):
+        self._waste_weight = waste_weight
         self._speeds = EngineSpeeds()
         self._parts = PromptParts()
         self._orders = EngineOrders()
@@ -180,11 +186,12 @@
             dict of str to list of float: By the failure domain of an engine, and by the
                 number of shared parts that it has cached.
         """
+        waste_weight = self._waste_weight * self._usual
         rates = {}
         for domain in self._domains:
             remote = REMOTE_BYTE_S * sum_remote_bytes(job, domain)
             rates[domain] = [
-                self._usual * (remote + REREAD_WEIGHT * wasted / USUAL_TOKENS_PER_S)
+                waste_weight * (remote + REREAD_WEIGHT * wasted / USUAL_TOKENS_PER_S)
                 for wasted in cached.wasted_tokens[domain]
             ]
         return rates
--- a/firworks/tests/engine_simulation.py
+++ b/firworks/tests/engine_simulation.py
@@ -152,6 +152,7 @@
         engine_count (int): Number of engines.
         at_home (bool): Stage results are made in the home domain of the last shared
             part, not in any.
+        waste_weight (float): As of `EngineScheduler`.
         seed (int): Seed of all random numbers.
 
     Attributes:
@@ -163,7 +164,14 @@
     """
 
     def __init__(
-        self, placement, kinds, slowness, engine_count=70, at_home=False, seed=1
+        self,
+        placement,
+        kinds,
+        slowness,
+        engine_count=70,
+        at_home=False,
+        waste_weight=1.0,
+        seed=1,
     ):
         self.now = 0.0
         self.sent = []
@@ -171,6 +179,7 @@
         self.read_tokens = 0
         self.reread_tokens = 0
         self.placement = placement
+        self._waste_weight = waste_weight
         self._kinds = kinds
         self._at_home = at_home
         self._rng = Random(seed)
@@ -191,7 +200,9 @@
 
     def replace_scheduler(self):
         """Replace the scheduler by one that knows nothing of engines and caches."""
-        self.scheduler = EngineScheduler(SPEC, placement=self.placement)
+        self.scheduler = EngineScheduler(
+            SPEC, placement=self.placement, waste_weight=self._waste_weight
+        )
         targets = [engine.target for engine in self.engines.values()]
         self._execute(self.scheduler.set_targets(targets, self.now))
 
--- a/firworks/tests/test_engine_placement.py
+++ b/firworks/tests/test_engine_placement.py
@@ -28,7 +28,7 @@
     hot_share=HOT_SHARE,
     change=None,
     length_s=LENGTH_S,
-    at_home=False,
+    **settings,
 ):
     """Return an `EngineSimulation` after some seconds of load.
 
@@ -39,10 +39,10 @@
         change (callable or None): ``change(simulation)`` is called at half time of
             ``LENGTH_S``.
         length_s (float): Length of the load.
-        at_home (bool): Stage results are made in the home domains.
+        **settings: As of `EngineSimulation`.
     """
     simulation = EngineSimulation(
-        placement, make_kinds(hot_share), slowness, at_home=at_home
+        placement, make_kinds(hot_share), slowness, **settings
     )
     if change is not None:
         simulation.at(LENGTH_S / 2, change, simulation)
@@ -219,6 +219,12 @@
         by_time = simulate(BY_TIME, even, at_home=at_home).remote_bytes
         assert by_time < simulate(BY_TOKENS, even, at_home=at_home).remote_bytes
 
+    def test_the_weight_of_waste_trades_time_for_bytes(self):
+        light = simulate(BY_TIME, waste_weight=1.0, at_home=True)
+        heavy = simulate(BY_TIME, waste_weight=5.0, at_home=True)
+        assert heavy.remote_bytes < 0.8 * light.remote_bytes
+        assert heavy.measure_quantile(0.9) >= light.measure_quantile(0.9)
+
     def test_cached_parts_outweigh_the_results(self):
         scheduler = make_scheduler(70)
         home = serve(scheduler, make_job("a"), 0.0).failure_domain
