--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -23,6 +23,7 @@
             settings.engine_placement,
             int(settings.engine_memory_mb * MEGABYTE),
             shares,
+            settings.engine_waste_weight,
         )
         self._service = service
         self._limits = limits
--- a/firworks/gateway/settings.py
+++ b/firworks/gateway/settings.py
@@ -36,6 +36,7 @@
     "seeds": [],
     "engine_placement": BY_TOKENS,
     "engine_memory_mb": 0,
+    "engine_waste_weight": 1.0,
 }
 
 SCHEMA = {
@@ -86,6 +87,7 @@
         "seeds": {"type": "array", "items": _ADDRESS},
         "engine_placement": {"enum": [BY_TOKENS, BY_TIME]},
         "engine_memory_mb": {"type": "number", "minimum": 0},
+        "engine_waste_weight": {"type": "number", "minimum": 0},
     },
 }
 
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -202,6 +202,7 @@
         memory_bytes (int): Memory of an engine for the stage results of its requests;
             0 if it is not limited.
         shares (AccountShares): Shares of client accounts in the tokens of engines.
+        waste_weight (float): As of `TimedPlacement`.
 
     Attributes:
         spec (EngineSpec): Capacity of each engine.
@@ -209,12 +210,18 @@
     """
 
     def __init__(
-        self, spec, limits=None, placement=BY_TOKENS, memory_bytes=0, shares=None
+        self,
+        spec,
+        limits=None,
+        placement=BY_TOKENS,
+        memory_bytes=0,
+        shares=None,
+        waste_weight=1.0,
     ):
         self.spec = spec
         self.shares = shares or UnsharedCapacity()
         self._memory_bytes = memory_bytes
-        self._timed = TimedPlacement() if placement == BY_TIME else None
+        self._timed = TimedPlacement(waste_weight) if placement == BY_TIME else None
         self._limits = limits or UnlimitedTargets()
         self._engines = {}
         self._usable = ()
