--- a/firworks/tests/test_gateway.py
+++ b/firworks/tests/test_gateway.py
@@ -619,8 +619,10 @@
 class TestStateExchange:
     def test_a_gateway_rejected_by_the_store_learns_from_peers(self):
         async def scenario(testbed):
-            rejected = testbed.gateways[0]
-            testbed.store.turned_away.add("gateway-1")
+            # It reads the store for both. The other one, if it follows by then, makes
+            # no calls, and the test waited for its failed calls in vain.
+            rejected = testbed.gateways[1]
+            testbed.store.turned_away.add(rejected.settings.name)
             await wait_until(
                 lambda: rejected._state_exchange.query_policy.store_unavailable
             )
