Let callers misbehave in the soak, beside its other faults

Up to 12 callers of a drawn kind at a drawn listener of a gateway, again and again; their requests reach no target. Gateways get the settings of the smallest VM, and one that has used more than its 152 MB breaks the run.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -15,6 +15,7 @@
 from bench.soak.callers import KINDS, Caller, DeadlyCaller, make_deadly_prompt
 from bench.soak.faults import FaultPlan
 from bench.soak.limits import LimitPlan, check_limits
+from bench.soak.misbehaving import MisbehavingCallers
 from bench.soak.notices import PART_ENDS, check_ends, check_notices
 from bench.soak.promises import check_promises
 from bench.soak.site import run_site
@@ -54,7 +55,8 @@
         plan = FaultPlan(site, Random(rng.random()))
         limits = asyncio.ensure_future(LimitPlan(site, Random(rng.random())).run())
         tainted = DeadlyCaller(site, Random(rng.random()), "part", make_deadly_prompt)
-        ending = asyncio.gather(deadly.run(), tainted.run())
+        misbehaving = MisbehavingCallers(site, Random(rng.random()))
+        ending = asyncio.gather(deadly.run(), tainted.run(), misbehaving.run())
         await plan.run(length_s)
         limits.cancel()
         ending.cancel()
@@ -72,6 +74,7 @@
         known = {attempt.request_id for attempt in attempts}
         # Attempts that were cancelled with their callers ended unseen.
         runs = [run for run in runs if run.request_id in known or not run.request_id]
+        violations += misbehaving.violations
         by_name = {gateway.name: gateway for gateway in site.gateways}
         violations += check_promises(attempts, runs, plan, by_name, site)
         violations += check_ends(deadly.sent, site, plan, by_name)
--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -49,6 +49,11 @@
         """Return the "ip:port" of one of its listeners (str)."""
         return self._settings[listener]
 
+    @property
+    def process(self):
+        """The running process (Popen), or None before the first start."""
+        return self._process
+
     def start(self):
         """Run it until `stop`, again after each end."""
         self._write_settings()
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -10,6 +10,7 @@
 
 from bench.soak.callers import VERSIONS
 from bench.soak.gateways import DRAIN_LIMIT_S, GatewayProcess
+from bench.soak.misbehaving import VM_SETTINGS
 from bench.soak.proxies import LoopbackProxy
 from firworks.platform.store import TARGETS_TOPIC
 from firworks.standins.crashing_targets import (
@@ -234,6 +235,7 @@
             "seeds": seeds,
             "drain_limit_s": DRAIN_LIMIT_S,
             "leave_limit_ms": int(LEAVE_LIMIT_S * 1000),
+            **VM_SETTINGS,
             **ports,
         }
         gateway = GatewayProcess(settings, self._folder, self.clock)
