Bound the log of the peers' listener, and test its limits and a largest request

The WebSocket library writes a traceback for each failed handshake. Connections that have sent nothing yet may be 0.75 of the callers' instead of half, as callers may open some hundred in advance.

--- a/firworks/kernel/ingress/limits.py
+++ b/firworks/kernel/ingress/limits.py
@@ -30,7 +30,8 @@
 # Connections of the listeners for probes and scrapes, of which a few are in use.
 PROBE_CONNECTIONS = 32
 # Connections that have not sent an admitted request yet, of all callers' connections.
-UNUSED_SHARE = 0.5
+# Callers may open some hundred in advance.
+UNUSED_SHARE = 0.75
 
 
 class IngressLimits(Struct):
--- a/firworks/plugins/peer_connections.py
+++ b/firworks/plugins/peer_connections.py
@@ -1,5 +1,7 @@
 """Limits on the connections that peers open, before and after they are known."""
 
+import logging
+import time
 from functools import partial
 
 from websockets.asyncio.server import ServerConnection
@@ -11,6 +13,37 @@
 # Peers connect within a second; the library waits for 10 s by default.
 OPEN_TIMEOUT_S = 3.0
 MAX_READ_BYTES = 65_536
+# At most one line of the library's log in this time, as it writes one with a traceback
+# for each failed handshake.
+LOG_PERIOD_S = 5.0
+
+
+class BoundedLog(logging.Filter):
+    """Leaves out lines of a log that follow too soon, and counts them."""
+
+    def __init__(self):
+        super().__init__()
+        self._due_s = 0.0
+        self._left_out = 0
+
+    def filter(self, record):
+        """Return whether a line (LogRecord) is written."""
+        now = time.monotonic()
+        if now < self._due_s:
+            self._left_out += 1
+            return False
+        if self._left_out:
+            record.msg = f"{record.msg} ({self._left_out} lines left out)"
+        self._due_s, self._left_out = now + LOG_PERIOD_S, 0
+        return True
+
+
+def make_library_log():
+    """Return the logger of the WebSocket server, whose volume is bounded."""
+    logger = logging.getLogger("firworks.peers")
+    if not logger.filters:
+        logger.addFilter(BoundedLog())
+    return logger
 
 
 class PeerListener:
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -24,7 +24,11 @@
     PeerReceived,
     SendPeer,
 )
-from firworks.plugins.peer_connections import OPEN_TIMEOUT_S, PeerListener
+from firworks.plugins.peer_connections import (
+    OPEN_TIMEOUT_S,
+    PeerListener,
+    make_library_log,
+)
 from firworks.plugins.peer_handshake import PeerRefusedError, accept_handshake
 from firworks.plugins.peer_links import MESSAGE_LIMIT_BYTES, PeerLink
 
@@ -75,6 +79,7 @@
             open_timeout=OPEN_TIMEOUT_S,
             close_timeout=CLOSE_TIMEOUT_S,
             create_connection=self._listener.make_factory(),
+            logger=make_library_log(),
             max_size=MESSAGE_LIMIT_BYTES,
             max_queue=RECEIVE_QUEUE_FRAMES,
             server_header=None,
--- a/firworks/tests/test_misbehaving_callers.py
+++ b/firworks/tests/test_misbehaving_callers.py
@@ -125,6 +125,26 @@
     def test_many_silent_connections_leave_others_served(self, tmp_path):
         play_misbehavior(tmp_path, behaviors.send_nothing, callers=IDLE_CALLERS)
 
+    def test_a_largest_legal_request_is_served_on_the_smallest_vm(self, tmp_path):
+        async def scenario(testbed):
+            limits = make_configuration()["limits"]
+            limits = {**limits, "max-body-bytes": BODY_LIMIT_BYTES}
+            testbed.store.put_configuration(make_configuration(2, limits=limits))
+            process = GatewayProcess(tmp_path, testbed.store.address, **SETTINGS)
+            try:
+                await process.start()
+                async with Caller(process.port) as caller:
+                    for _ in range(3):
+                        caller.send("/book/a", body=bytes(BODY_LIMIT_BYTES))
+                        assert (await caller.read())[0] == 200
+                await check_process(process)
+            finally:
+                await process.stop()
+            bodies = [run.body for one in testbed.targets.values() for run in one.runs]
+            assert bodies.count(bytes(BODY_LIMIT_BYTES)) == 3
+
+        play(scenario, gateways=0)
+
     def test_many_large_answers_that_are_not_read_leave_others_served(
         self, tmp_path, monkeypatch
     ):
--- a/firworks/tests/test_peers.py
+++ b/firworks/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of the WebSocket peers, the VM list adapter and their stand-in."""
 
 import asyncio
+import logging
 from pathlib import Path
 
 import pytest
@@ -24,6 +25,7 @@
     VmsListed,
 )
 from firworks.plugins.http_vms import HttpVms, parse_vms
+from firworks.plugins.peer_connections import HANDSHAKE_MESSAGE_BYTES, BoundedLog
 from firworks.plugins.peer_handshake import PROTOCOL, accept_handshake, dial_handshake
 from firworks.plugins.peer_links import PeerLink
 from firworks.plugins.websocket_peers import WebsocketPeers, make_client_tls
@@ -83,6 +85,47 @@
     return f"127.0.0.1:{peers.port}"
 
 
+class TestBoundedConnections:
+    def test_unknown_connections_make_room_and_known_ones_stay(self):
+        async def body(one, one_inbox, two, two_inbox):
+            one.carry_out(ConnectPeer("two", f"127.0.0.1:{two.port}"))
+            one.carry_out(SendPeer("two", MESSAGE))
+            while not isinstance(await two_inbox.get(), PeerReceived):
+                pass
+            two._listener._ingress.limits.max_peer_connections = 5
+            silent = [
+                await asyncio.open_connection("127.0.0.1", two.port) for _ in range(12)
+            ]
+            assert await silent[0][0].read() == b""
+            assert len(two._listener._open) <= 5
+            one.carry_out(SendPeer("two", MESSAGE))
+            while not isinstance(await two_inbox.get(), PeerReceived):
+                pass
+            for _, writer in silent:
+                writer.transport.abort()
+            while len(two._listener._open) > 1:
+                await asyncio.sleep(0.01)
+
+        asyncio.run(run_pair(body))
+
+    def test_a_large_message_before_authentication_ends_the_connection(self):
+        async def body(one, one_inbox, two, two_inbox):
+            async with connect(f"ws://127.0.0.1:{two.port}") as connection:
+                await connection.send(bytes(HANDSHAKE_MESSAGE_BYTES + 1))
+                with pytest.raises(ConnectionClosed):
+                    await connection.recv()
+
+        asyncio.run(run_pair(body))
+
+    def test_lines_of_the_librarys_log_are_bounded(self):
+        log = BoundedLog()
+        record = logging.LogRecord("x", logging.ERROR, "", 0, "failed", (), None)
+        assert [log.filter(record) for _ in range(5)] == [True] + [False] * 4
+        log._due_s = 0.0
+        assert log.filter(record)
+        assert record.msg == "failed (4 lines left out)"
+
+
 class TestWebsocketPeers:
     def test_messages_arrive_in_order(self):
         async def body(one, one_inbox, two, two_inbox):
