--- a/firworks/tests/test_misbehaving_callers.py
+++ b/firworks/tests/test_misbehaving_callers.py
@@ -5,9 +5,13 @@
 """
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import pytest
+from websockets.asyncio.client import connect
 
+from firworks.plugins.peer_handshake import dial_handshake
+from firworks.plugins.peer_links import MESSAGE_LIMIT_BYTES
 from firworks.standins import platform_targets
 from firworks.tests import misbehaving_callers as behaviors
 from firworks.tests.gateway_process import Caller, GatewayProcess, read_peak_bytes
@@ -250,3 +254,29 @@
     def test_many_silent_connections_leave_others_served(self, tmp_path, listener):
         behavior = behaviors.send_nothing
         self.play_misbehavior(tmp_path, behavior, listener, "", IDLE_CALLERS)
+
+
+class TestPeers:
+    def test_open_messages_of_many_peers_leave_callers_served(self, tmp_path):
+        # Without a secret, anyone may connect as a peer: 40 messages of 4 MiB that
+        # lack their last byte.
+        async def scenario(testbed):
+            process = GatewayProcess(tmp_path, testbed.store.address, **SETTINGS)
+            frame = b"\x82\xff" + MESSAGE_LIMIT_BYTES.to_bytes(8, "big") + bytes(4)
+            try:
+                await process.start()
+                async with AsyncExitStack() as stack:
+                    for number in range(CALLERS):
+                        client = connect(f"ws://{process.peers}", compression=None)
+                        peer = await stack.enter_async_context(client)
+                        await dial_handshake(peer, f"p{number}", process.name, "")
+                        stack.callback(peer.transport.abort)
+                        body = bytes(MESSAGE_LIMIT_BYTES - 1)
+                        peer.transport.write(frame + body)
+                    await asyncio.sleep(1.0)
+                    await check_process(process)
+                await check_process(process)
+            finally:
+                await process.stop()
+
+        play(scenario, gateways=0)
