--- a/firworks/plugins/peer_connections.py
+++ b/firworks/plugins/peer_connections.py
@@ -6,6 +6,7 @@
 
 from websockets.asyncio.server import ServerConnection
 
+from firworks.kernel.ingress.limits import ASSURED_BYTES
 from firworks.plugins.peer_links import MESSAGE_LIMIT_BYTES
 
 # Messages of the handshake have some 100 bytes.
@@ -58,6 +59,20 @@
         self._open = {}
         self._unknown = {}
 
+    @property
+    def budget(self):
+        """Counts the bytes held (IngressBudget)."""
+        return self._ingress.budget
+
+    def record(self, connection, reason):
+        """Count and log a connection that a limit ends."""
+        caller = connection.transport.get_extra_info("peername")
+        self._ingress.record("peers", reason, caller)
+
+    def release(self):
+        """Let connections go on that wait for memory, as far as there is room."""
+        self._ingress.release()
+
     def make_factory(self):
         """Return what creates connections for the WebSocket server."""
         return partial(PeerServerConnection, self)
@@ -71,8 +86,7 @@
         self._open[connection] = self._unknown[connection] = None
         if len(self._open) > self._ingress.limits.max_peer_connections:
             closed = next(iter(self._unknown))
-            caller = closed.transport.get_extra_info("peername")
-            self._ingress.record("peers", "connections", caller)
+            self.record(closed, "connections")
             self.forget(closed)
             closed.transport.abort()
 
@@ -101,14 +115,41 @@
         protocol.max_message_size = HANDSHAKE_MESSAGE_BYTES
         super().__init__(protocol, *args, **options)
         self._listener = listener
+        self._held = 0
 
     def connection_made(self, transport):
         """Limit the bytes of one read and count the connection."""
         super().connection_made(transport)
         transport.max_size = MAX_READ_BYTES
+        self._listener.budget.add(self, self.loop.time())
         self._listener.admit(self)
 
+    def data_received(self, data):
+        """Count what is held of a message that is not complete."""
+        super().data_received(data)
+        held = len(self.protocol.reader.buffer) + (self.protocol.current_size or 0)
+        # Messages mostly come whole, and these cost nothing.
+        if held > ASSURED_BYTES or self._held:
+            self._held = held
+            budget = self._listener.budget
+            if not budget.resize(self, held, self.loop.time()):
+                self.transport.pause_reading()
+            elif not held:
+                self._listener.release()
+
+    def resume(self):
+        """Go on reading, as the budget has room again."""
+        if not self.recv_messages.paused and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def end_for_memory(self):
+        """Give up what the connection holds, as memory is short."""
+        self._listener.record(self, "memory")
+        self.transport.abort()
+
     def connection_lost(self, exc):
         """Count the connection no longer."""
         self._listener.forget(self)
+        self._listener.budget.remove(self)
         super().connection_lost(exc)
+        self._listener.release()
--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -61,7 +61,8 @@
         # Number of open inbound connections by peer.
         self._inbound_counts = Counter()
         self._server = None
-        self._listener = PeerListener(context.ingress or Ingress(context.settings))
+        self._ingress = context.ingress or Ingress(context.settings)
+        self._listener = PeerListener(self._ingress)
         self._client_tls = make_client_tls(context.settings)
 
     async def start(self):
@@ -85,6 +86,7 @@
             server_header=None,
         )
         self.port = next(iter(self._server.sockets)).getsockname()[1]
+        self._ingress.start()
 
     async def stop(self):
         """Flush and close all connections, and stop listening."""
@@ -93,6 +95,8 @@
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
+        if self.context.ingress is None:
+            self._ingress.stop()
 
     @singledispatchmethod
     def carry_out(self, action):
