End large connections also while small stalled ones come again and again

Each stalled connection that a caller opens hid the large ones, which wait for room and so never count as stalled: the shortage would have lasted. Found by reading; the test shows it on the code before.

--- a/firworks/kernel/ingress/budget.py
+++ b/firworks/kernel/ingress/budget.py
@@ -132,7 +132,8 @@
 
         None while there is room. Stalled connections come first, those longest without
         progress before others, then the largest; the latter only after a shortage of
-        ``STALL_S``, when it is known which connections are stalled.
+        ``STALL_S``, when it is known which connections are stalled, and if ending all
+        stalled ones does not suffice.
         """
         if self.has_room:
             self._short_s = None
@@ -144,12 +145,9 @@
             for connection, holding in self._holdings.items()
             if holding.held and not holding.protected
         ]
-        stalled = [each for each in holders if _is_stalled(each[1], now)]
-        if not stalled and now - self._short_s < STALL_S:
-            return []
-        return self._take(
-            sorted(stalled or holders, key=lambda each: _rank(each[1], now))
-        )
+        if now - self._short_s < STALL_S:
+            holders = [each for each in holders if _is_stalled(each[1], now)]
+        return self._take(sorted(holders, key=lambda each: _rank(each[1], now)))
 
     def choose_victim(self, connections, now):
         """Return the connection to end in place of a new one, or None.
@@ -159,11 +157,11 @@
             now (float): Monotonic seconds.
         """
         order = [
-            (not _is_stalled(holding, now), _rank(holding, now), number, connection)
+            (_rank(holding, now), number, connection)
             for number, (connection, holding) in enumerate(self._holdings.items())
             if connection in connections and holding.held and not holding.protected
         ]
-        return min(order)[3] if order else None
+        return min(order)[2] if order else None
 
     def _take(self, ordered):
         """Return the first connections that together free enough."""
@@ -179,10 +177,10 @@
 
 
 def _rank(holding, now):
-    """Return the place of a connection among those that are stalled, or are not."""
+    """Return what orders connections by when they are to be ended."""
     if _is_stalled(holding, now):
-        return (holding.progress_s, -holding.held)
-    return (-holding.held, holding.progress_s)
+        return (0, holding.progress_s, -holding.held)
+    return (1, -holding.held, holding.progress_s)
 
 
 def _is_stalled(holding, now):
