--- a/firworks/plugins/websocket_peers.py
+++ b/firworks/plugins/websocket_peers.py
@@ -24,7 +24,11 @@
     PeerReceived,
     SendPeer,
 )
-from firworks.plugins.peer_connections import OPEN_TIMEOUT_S, PeerListener
+from firworks.plugins.peer_connections import (
+    OPEN_TIMEOUT_S,
+    PeerListener,
+    make_library_log,
+)
 from firworks.plugins.peer_handshake import PeerRefusedError, accept_handshake
 from firworks.plugins.peer_links import MESSAGE_LIMIT_BYTES, PeerLink
 
@@ -57,7 +61,8 @@
         # Number of open inbound connections by peer.
         self._inbound_counts = Counter()
         self._server = None
-        self._listener = PeerListener(context.ingress or Ingress(context.settings))
+        self._ingress = context.ingress or Ingress(context.settings)
+        self._listener = PeerListener(self._ingress)
         self._client_tls = make_client_tls(context.settings)
 
     async def start(self):
@@ -75,11 +80,13 @@
             open_timeout=OPEN_TIMEOUT_S,
             close_timeout=CLOSE_TIMEOUT_S,
             create_connection=self._listener.make_factory(),
+            logger=make_library_log(),
             max_size=MESSAGE_LIMIT_BYTES,
             max_queue=RECEIVE_QUEUE_FRAMES,
             server_header=None,
         )
         self.port = next(iter(self._server.sockets)).getsockname()[1]
+        self._ingress.start()
 
     async def stop(self):
         """Flush and close all connections, and stop listening."""
@@ -88,6 +95,8 @@
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
+        if self.context.ingress is None:
+            self._ingress.stop()
 
     @singledispatchmethod
     def carry_out(self, action):
--- a/firworks/tests/test_misbehaving_callers.py
+++ b/firworks/tests/test_misbehaving_callers.py
@@ -5,9 +5,13 @@
 """
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import pytest
+from websockets.asyncio.client import connect
 
+from firworks.plugins.peer_handshake import dial_handshake
+from firworks.plugins.peer_links import MESSAGE_LIMIT_BYTES
 from firworks.standins import platform_targets
 from firworks.tests import misbehaving_callers as behaviors
 from firworks.tests.gateway_process import Caller, GatewayProcess, read_peak_bytes
@@ -125,6 +129,26 @@
     def test_many_silent_connections_leave_others_served(self, tmp_path):
         play_misbehavior(tmp_path, behaviors.send_nothing, callers=IDLE_CALLERS)
 
+    def test_a_largest_legal_request_is_served_on_the_smallest_vm(self, tmp_path):
+        async def scenario(testbed):
+            limits = make_configuration()["limits"]
+            limits = {**limits, "max-body-bytes": BODY_LIMIT_BYTES}
+            testbed.store.put_configuration(make_configuration(2, limits=limits))
+            process = GatewayProcess(tmp_path, testbed.store.address, **SETTINGS)
+            try:
+                await process.start()
+                async with Caller(process.port) as caller:
+                    for _ in range(3):
+                        caller.send("/book/a", body=bytes(BODY_LIMIT_BYTES))
+                        assert (await caller.read())[0] == 200
+                await check_process(process)
+            finally:
+                await process.stop()
+            bodies = [run.body for one in testbed.targets.values() for run in one.runs]
+            assert bodies.count(bytes(BODY_LIMIT_BYTES)) == 3
+
+        play(scenario, gateways=0)
+
     def test_many_large_answers_that_are_not_read_leave_others_served(
         self, tmp_path, monkeypatch
     ):
@@ -230,3 +254,29 @@
     def test_many_silent_connections_leave_others_served(self, tmp_path, listener):
         behavior = behaviors.send_nothing
         self.play_misbehavior(tmp_path, behavior, listener, "", IDLE_CALLERS)
+
+
+class TestPeers:
+    def test_open_messages_of_many_peers_leave_callers_served(self, tmp_path):
+        # Without a secret, anyone may connect as a peer: 40 messages of 4 MiB that
+        # lack their last byte.
+        async def scenario(testbed):
+            process = GatewayProcess(tmp_path, testbed.store.address, **SETTINGS)
+            frame = b"\x82\xff" + MESSAGE_LIMIT_BYTES.to_bytes(8, "big") + bytes(4)
+            try:
+                await process.start()
+                async with AsyncExitStack() as stack:
+                    for number in range(CALLERS):
+                        client = connect(f"ws://{process.peers}", compression=None)
+                        peer = await stack.enter_async_context(client)
+                        await dial_handshake(peer, f"p{number}", process.name, "")
+                        stack.callback(peer.transport.abort)
+                        body = bytes(MESSAGE_LIMIT_BYTES - 1)
+                        peer.transport.write(frame + body)
+                    await asyncio.sleep(1.0)
+                    await check_process(process)
+                await check_process(process)
+            finally:
+                await process.stop()
+
+        play(scenario, gateways=0)
