Make large stage results near the engines that read them

Jobs carry the failure domain in which their request is likely to reach an engine, and among targets that answer at about the same time a call goes to one there.

--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -150,6 +150,7 @@
                 (),
                 (),
                 b"",
+                "",
             )
             scheduler.submit(job, 0.0)
         return scheduler
--- a/bench/pool_replay.py
+++ b/bench/pool_replay.py
@@ -81,6 +81,7 @@
     ("hopeless jobs held", (stages, "REVIEW_PERIOD_S", NEVER_S)),
     ("answers of engines measured", (Site, "measures_answers", True)),
     ("memory used while it is freed", (Site, "reuses_memory", True)),
+    ("large results made near engines", (Site, "prefers_home", True)),
 )
 
 
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -68,6 +68,7 @@
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
         reuses_memory (bool): Stage calls may use memory that is being freed.
+        prefers_home (bool): Large results are made near the engines that read them.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -84,8 +85,10 @@
         availability,
         limits,
         reuses_memory=False,
+        prefers_home=False,
     ):
         self.peers = None
+        self._prefers_home = prefers_home
         self._reuses_memory = reuses_memory
         self._directory = directory
         self._connections = connections
@@ -402,6 +405,7 @@
                 self._availability,
                 self._limits,
                 self._reuses_memory,
+                self._prefers_home,
             )
         else:
             runner.scheduler.spec = service.stage_pool
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -150,6 +150,7 @@
             self.availability,
             self.limits,
             self.settings.stage_memory_reuse,
+            self.settings.result_locality == "home",
         )
         pools.peers = PeerConnections(
             self.settings,
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -26,6 +26,10 @@
     NOT_RUN,
     AttemptError,
 )
+from firworks.kernel.pools.home_domains import (
+    choose_home_domain,
+    get_last_shared_part,
+)
 from firworks.kernel.pools.jobs import EngineJob
 from firworks.kernel.pools.results import REASON_GONE, REASON_SUSPENDED
 from firworks.platform.headers import (
@@ -169,12 +173,24 @@
             self._answer_times.estimate_s(context),
             context.fingerprint,
             self._compute_event_deadline_s(context),
+            self._choose_home_domain(context),
         )
         started_s = self._clock()
         context.inputs = await context.stages.run()
         context.staged_s = self._clock()
         context.stages_s = round(context.staged_s - started_s, 3)
 
+    def _choose_home_domain(self, context):
+        """Return the failure domain (str) in which it is likely to reach an engine."""
+        gateway = self._gateway
+        if gateway.settings.result_locality == "off":
+            return ""
+        engines = gateway.directory.get_usable(context.service)
+        return choose_home_domain(
+            get_last_shared_part(context.admitted.request.prompt),
+            (engine.failure_domain for engine in engines),
+        )
+
     async def _attempt(self, context):
         if self._gateway.pools.has_engines(context.service):
             return await self._attempt_engine(context)
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -42,6 +42,7 @@
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
         reuses_memory (bool): Calls may use memory that is being freed.
+        prefers_home (bool): Large results are made near the engines that read them.
     """
 
     def __init__(
@@ -55,10 +56,12 @@
         availability,
         limits,
         reuses_memory=False,
+        prefers_home=False,
     ):
         self.service = service
         self.scheduler = StageScheduler(service.stage_pool, limits.limiter)
         self.scheduler.freeing.enabled = reuses_memory
+        self.scheduler.prefers_home = prefers_home
         self._limits = limits
         self._connections = connections
         self._clock = clock
--- a/firworks/gateway/stage_runs.py
+++ b/firworks/gateway/stage_runs.py
@@ -18,14 +18,26 @@
         fingerprint (bytes): Fingerprint of the request.
         deadline_s (float): When the next event of the request's answer must arrive, in
             monotonic seconds.
+        home_domain (str): Failure domain in which it is likely to reach an engine;
+            empty if unknown.
     """
 
-    def __init__(self, pools, admitted, locate, last_s, fingerprint, deadline_s):
+    def __init__(
+        self,
+        pools,
+        admitted,
+        locate,
+        last_s,
+        fingerprint,
+        deadline_s,
+        home_domain="",
+    ):
         self._pools = pools
         self._admitted = admitted
         self._locate = locate
         self._fingerprint = fingerprint
         self._deadline_s = deadline_s
+        self._home_domain = home_domain
         self._downstream_s = compute_downstream_s(
             admitted.route.stages,
             admitted.request.piece_counts,
@@ -142,6 +154,7 @@
             # Each piece fetches all inputs.
             *self.sum_bytes_by_domain(inputs, pieces),
             self._fingerprint,
+            self._home_domain,
         )
         self._jobs[number] = job.job_id
         handles = await self._pools.make_pieces(
--- a/firworks/kernel/pools/jobs.py
+++ b/firworks/kernel/pools/jobs.py
@@ -25,6 +25,8 @@
         input_domains (tuple of str): Failure domains that hold its inputs.
         input_bytes (tuple of int): Size of the inputs in each of them.
         fingerprint (bytes): The same for each attempt of the caller's request.
+        home_domain (str): Failure domain in which the request is likely to reach an
+            engine; empty if unknown.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "input_domains",
         "input_bytes",
         "fingerprint",
+        "home_domain",
     )
     TYPES = (
         str,
@@ -58,6 +61,7 @@
         (str,),
         (int,),
         bytes,
+        str,
     )
 
     def shift(self, seconds):
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -15,6 +15,7 @@
 from firworks.kernel.pools.fetches import list_fetch_times, report_fetched
 from firworks.kernel.pools.freeing_memory import FreeingMemory
 from firworks.kernel.pools.ordering import rank_job
+from firworks.kernel.pools.result_locality import sort_by_home
 from firworks.kernel.pools.results import (
     REASON_ERROR,
     REASON_GONE,
@@ -59,10 +60,12 @@
 
     Attributes:
         freeing (FreeingMemory): Whether memory that is being freed counts as free.
+        prefers_home (bool): Large results are made near the engines that read them.
     """
 
     def __init__(self, spec, limits=None):
         self.freeing = FreeingMemory()
+        self.prefers_home = False
         self._limits = WorkerLimits(limits or UnlimitedTargets())
         self._results = RetainedResults(spec)
         self._workers = {}
@@ -361,7 +364,10 @@
             if worker.is_ready(self.spec.slots, DISPATCH_LEAD_S, now)
             and ends[worker] <= latest_s
         ]
-        return sorted(ready, key=lambda worker: (ends[worker], worker.target.target_id))
+        ready.sort(key=lambda worker: (ends[worker], worker.target.target_id))
+        if self.prefers_home:
+            return sort_by_home(ready, ends, self._jobs.values())
+        return ready
 
     def _choose_pieces(self, worker, now):
         waiting, usable = self._list_waiting(now), self._list_usable(now)
--- a/firworks/tests/pool_simulation.py
+++ b/firworks/tests/pool_simulation.py
@@ -185,6 +185,8 @@
         wasted_pieces (int): Pieces processed for requests that failed.
         held_s (float): Total time that requests waited that were not served.
         free_delay_s (float): Time for which results to free are collected.
+        has_homes (bool): Jobs name the failure domain of their engine.
+        engine_bytes (float): Bytes of results in other failure domains than that.
         reuses_memory (bool): Results to free are freed when a call is sent.
         reserves_early (bool): Targets reserve memory when a call begins.
         expires (bool): Results expire at the targets.
@@ -238,6 +240,8 @@
         self._submitted = {}
         self.schedulers = {name: make_scheduler(spec) for name, spec in pools.items()}
         self.reuses_memory = False
+        self.has_homes = False
+        self.engine_bytes = 0.0
         self.reserves_early = False
         self._pending_frees = {}
         self.targets = {}
@@ -276,6 +280,7 @@
         """
         scheduler = self.schedulers[name] = self._make_scheduler(self.specs[name])
         scheduler.freeing.enabled = self.reuses_memory
+        scheduler.prefers_home = self.has_homes
         targets = [
             fake.target for fake in self.targets.values() if fake.target.service == name
         ]
@@ -362,6 +367,7 @@
             request.done.setdefault(number, None)
             self._submit(request, number)
         if all(request.done.get(i) is not None for i in range(len(stages))):
+            self._count_engine_bytes(request)
             self.at(self.now + self._draw_engine_s(), self._finish, request, self.now)
 
     def _estimate_engine_s(self, request):
@@ -372,6 +378,15 @@
         goal_s = request.kind.soft_deadline_s
         return times.estimate_s("engines", goal_s, ENGINE_S, self.now)
 
+    def _count_engine_bytes(self, request):
+        stages = request.kind.stages
+        followed = {before for stage in stages for before in stage.after}
+        home = f"fd-{request.number % 3}"
+        for number in set(range(len(stages))) - followed:
+            domains, sizes = self._sum_input_bytes(request.done[number], 1)
+            held = dict(zip(domains, sizes, strict=True))
+            self.engine_bytes += sum(held.values()) - held.get(home, 0)
+
     def _draw_engine_s(self):
         """Return the seconds from the end of the stages to the first event."""
         if not self._engine_spread:
@@ -399,6 +414,7 @@
             self._compute_downstream_s(request)[number],
             *self._sum_input_bytes(inputs, request.counts[number]),
             b"",
+            self._get_home_domain(request),
         )
         self._jobs[job.job_id] = (request, number)
         self._submitted[job.job_id] = job
@@ -406,6 +422,9 @@
         scheduler = self.schedulers[stage.service]
         self._execute(stage.service, scheduler.submit(job, self.now))
 
+    def _get_home_domain(self, request):
+        return f"fd-{request.number % 3}" if self.has_homes else ""
+
     def _mark_inputs_read(self, request, number):
         """Mark the results as read that no other stage still has to read."""
         request.read.add(number)
--- a/firworks/tests/pool_workloads.py
+++ b/firworks/tests/pool_workloads.py
@@ -297,6 +297,8 @@
     measures_answers = False
     # Whether calls use memory that is being freed.
     reuses_memory = False
+    # Whether large results are made near the engines that read them.
+    prefers_home = False
 
     def __init__(
         self,
@@ -341,6 +343,8 @@
         world.reuses_memory = self.reuses_memory
         for scheduler in world.schedulers.values():
             scheduler.freeing.enabled = self.reuses_memory
+            scheduler.prefers_home = self.prefers_home
+        world.has_homes = self.prefers_home
         world.free_delay_s = SLOW_FREE_S if self.strict else 0.0
         return world
 
--- a/firworks/tests/test_pools.py
+++ b/firworks/tests/test_pools.py
@@ -84,6 +84,7 @@
         (),
         (),
         b"",
+        "",
     )
     return job.replace(**changes) if changes else job
 
--- a/firworks/tests/test_stage_load.py
+++ b/firworks/tests/test_stage_load.py
@@ -3,6 +3,7 @@
 import pytest
 
 from firworks.kernel.forwarding.configuration import StagePoolSpec
+from firworks.kernel.forwarding.requests import Prompt
 from firworks.kernel.pools.answer_times import (
     MAX_AGE_S,
     MAX_GOAL_SHARE,
@@ -11,6 +12,10 @@
 )
 from firworks.kernel.pools.critical_path import compute_downstream_s
 from firworks.kernel.pools.freeing_memory import FreeingMemory
+from firworks.kernel.pools.home_domains import (
+    choose_home_domain,
+    get_last_shared_part,
+)
 from firworks.kernel.pools.jobs import PieceJob
 from firworks.kernel.pools.stages import StageScheduler
 from firworks.kernel.pools.workers import StageCall, StageWorker
@@ -22,9 +27,25 @@
 MINIMUM_S = 0.06
 
 
-def make_job(name, count):
-    """Return a `PieceJob` with results of 1,000 bytes."""
-    return PieceJob(name, name, 0, count, "k", (), 1_000, 1, 2.0, 6.0, 0.1, (), (), b"")
+def make_job(name, count, result_bytes=1_000, home_domain=""):
+    """Return a `PieceJob`."""
+    return PieceJob(
+        name,
+        name,
+        0,
+        count,
+        "k",
+        (),
+        result_bytes,
+        1,
+        2.0,
+        6.0,
+        0.1,
+        (),
+        (),
+        b"",
+        home_domain,
+    )
 
 
 def play(site, seed=1, **changes):
@@ -39,9 +60,9 @@
     for name, value in changes.items():
         setattr(site, name, value)
     world = site.simulate(seed)
+    world.run(LENGTH_S, site.bursts)
     for name, value in before.items():
         setattr(site, name, value)
-    world.run(LENGTH_S, site.bursts)
     return world
 
 
@@ -155,3 +176,60 @@
         actions = scheduler.release("a", 0.3)
         calls = [action for action in actions if isinstance(action, StageCall)]
         assert len(calls) == enabled
+
+
+class TestHomeDomains:
+    def test_requests_with_the_same_shared_part_have_the_same_home(self):
+        """Stages and engines that choose differently would move each result."""
+        domains = ("fd-2", "fd-0", "fd-1")
+        homes = {
+            f"part-{i}": choose_home_domain(f"part-{i}", domains) for i in range(60)
+        }
+        assert set(homes.values()) == set(domains)
+        for part_id, home in homes.items():
+            assert choose_home_domain(part_id, reversed(domains)) == home
+            others = [domain for domain in domains if domain != home]
+            assert choose_home_domain(part_id, [*others, home]) == home
+
+    def test_a_request_without_shared_part_or_engines_has_none(self):
+        """A request alone has nothing cached, so no engine is nearer than others."""
+        own = Prompt("m", 10, 10, (("own", 10),))
+        shared = Prompt("m", 10, 10, (("all", 5), ("site", 4), ("own", 1)))
+        assert get_last_shared_part(None) == get_last_shared_part(own) == ""
+        assert get_last_shared_part(shared) == "site"
+        assert choose_home_domain("", ("fd-1",)) == ""
+        assert choose_home_domain("site", ()) == ""
+
+
+class TestLocality:
+    @pytest.mark.parametrize("home", ["fd-0", "fd-1", "fd-2"])
+    def test_an_idle_pool_makes_large_results_near_their_engine(self, home):
+        """Two of three results of 1.5 MB crossed failure domains, as by chance."""
+        spec = StagePoolSpec(1, 2, 4, 0.2, 0.02, 20_000_000, 4.0)
+        scheduler = StageScheduler(spec)
+        scheduler.prefers_home = True
+        scheduler.set_targets(make_targets("scans", 3), 0.0)
+        (call,) = scheduler.submit(make_job("a", 2, 1_500_000, home), 0.0)
+        assert call.target.failure_domain == home
+
+    def test_a_busy_target_near_the_engine_is_not_waited_for(self):
+        """Waiting for it would give capacity away."""
+        spec = StagePoolSpec(1, 2, 4, 0.2, 0.02, 20_000_000, 4.0)
+        scheduler = StageScheduler(spec)
+        scheduler.prefers_home = True
+        scheduler.set_targets(make_targets("scans", 3), 0.0)
+        scheduler.submit(make_job("a", 4, 1_500_000, "fd-1"), 0.0)
+        (call,) = scheduler.submit(make_job("b", 4, 1_500_000, "fd-1"), 0.0)
+        assert call.target.failure_domain != "fd-1"
+
+    def test_fewer_bytes_cross_failure_domains_and_no_fewer_requests_are_served(self):
+        """Links of gateways and engines were busy with results from elsewhere."""
+        for site in (HARBOUR, TOURS):
+            before = play(site, bursts=())
+            after = play(site, bursts=(), prefers_home=True)
+            assert after.engine_bytes < 0.95 * before.engine_bytes
+            served = [
+                world.count("on time") + world.count("late")
+                for world in (before, after)
+            ]
+            assert served[1] > 0.99 * served[0]
