--- a/firworks/tests/test_stage_load.py
+++ b/firworks/tests/test_stage_load.py
@@ -1,6 +1,9 @@
 """Tests of stage pools near their capacity, with replays of two sites."""
 
+import asyncio
+
 import pytest
+from prometheus_client import generate_latest
 
 from firworks.kernel.forwarding.configuration import StagePoolSpec
 from firworks.kernel.forwarding.requests import Prompt
@@ -19,7 +22,10 @@
 from firworks.kernel.pools.jobs import PieceJob
 from firworks.kernel.pools.stages import StageScheduler
 from firworks.kernel.pools.workers import StageCall, StageWorker
+from firworks.standins.platform_targets import PlatformEngine
 from firworks.tests.fluid_bound import compute_credit_bound, compute_served_bound
+from firworks.tests.gateway_testbed import PROMPT, run_testbed, wait_until
+from firworks.tests.gateway_testbed import play as play_testbed
 from firworks.tests.pool_simulation import ENGINE_S, make_targets
 from firworks.tests.pool_workloads import HARBOUR, TOURS, make_harbour
 
@@ -233,3 +239,67 @@
                 for world in (before, after)
             ]
             assert served[1] > 0.99 * served[0]
+
+
+class TestGateways:
+    SETTINGS = {
+        "stage_wait_reports": True,
+        "stage_memory_reuse": True,
+        "result_locality": "home",
+    }
+
+    def test_staged_requests_are_served_with_all_settings_on(self):
+        """Each result is freed once, although a call may free those that wait."""
+
+        async def scenario(testbed):
+            gateway = await testbed.add_gateway("gateway-1", **self.SETTINGS)
+            headers = {
+                **PROMPT,
+                "X-Prefix-Hash": "all:30,own:10",
+                "X-Pieces": "2,3",
+                "X-Piece-Key": "k",
+            }
+            for _ in range(3):
+                answers = await asyncio.gather(
+                    *(
+                        testbed.send_request("/advice/a", "POST", **headers)
+                        for _ in range(4)
+                    )
+                )
+                assert [status for status, _, _ in answers] == [200] * 4
+            stages = [t for t in testbed.targets.values() if t.service == "repair"]
+            made = sum(sum(target.batches) for target in stages)
+            await wait_until(
+                lambda: sum(len(target.freed) for target in stages) >= made
+            )
+            freed = [handle for target in stages for handle in target.freed]
+            assert made == 12 * 5 and len(freed) == len(set(freed)) == made
+            text = generate_latest(gateway.metrics.registry).decode()
+            name = "firworks_staged_answer_seconds_count"
+            assert f'{name}{{service="engines"}} 12.0' in text
+
+        play_testbed(scenario, gateways=0)
+
+    def test_jobs_name_the_home_domain_only_when_asked(self):
+        """A deployment in service is scheduled as before."""
+
+        async def serve(locality):
+            async with run_testbed(0) as testbed:
+                await testbed.add_target(PlatformEngine, "far", "engines", "fd-2")
+                gateway = await testbed.add_gateway("g", result_locality=locality)
+                jobs = []
+                submit = gateway.pools._client.submit
+
+                def record(service, job, now):
+                    if service == "repair":
+                        jobs.append(job)
+                    return submit(service, job, now)
+
+                gateway.pools._client.submit = record
+                headers = {**PROMPT, "X-Pieces": "2,3", "X-Piece-Key": "k"}
+                await testbed.send_request("/advice/a", "POST", **headers)
+                return {job.home_domain for job in jobs}
+
+        assert asyncio.run(serve("off")) == {""}
+        home = choose_home_domain("a1", ("fd-1", "fd-2"))
+        assert asyncio.run(serve("home")) == {home}
