--- a/bench/gateway_costs.py
+++ b/bench/gateway_costs.py
@@ -161,7 +161,7 @@
                 (),
                 (),
                 b"",
-                f"account-{number % accounts}" if accounts else "",
+                account=f"account-{number % accounts}" if accounts else "",
             )
             scheduler.submit(job, 0.0)
         return scheduler
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -68,8 +68,8 @@
         crashes (CrashTracker): Tracks requests that crash targets.
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
-        settings (GatewaySettings): How engines are chosen, shares of accounts, and use
-            of memory that is being freed.
+        settings (GatewaySettings): How engines are chosen, shares of accounts, use of
+            memory that is being freed, and where large results are made.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -421,6 +421,7 @@
                 self._limits,
                 make_shares(self._settings.account_shares),
                 self._settings.stage_memory_reuse,
+                self._settings.result_locality == "home",
             )
         else:
             runner.scheduler.spec = service.stage_pool
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -43,6 +43,7 @@
         limits (TargetLimits): Permits for targets that name a limit.
         shares (AccountShares or UnsharedCapacity): Shares of client accounts.
         reuses_memory (bool): Calls may use memory that is being freed.
+        prefers_home (bool): Large results are made near the engines that read them.
     """
 
     def __init__(
@@ -57,10 +58,12 @@
         limits,
         shares,
         reuses_memory=False,
+        prefers_home=False,
     ):
         self.service = service
         self.scheduler = StageScheduler(service.stage_pool, limits.limiter, shares)
         self.scheduler.freeing.enabled = reuses_memory
+        self.scheduler.prefers_home = prefers_home
         self._limits = limits
         self._connections = connections
         self._clock = clock
--- a/firworks/kernel/pools/jobs.py
+++ b/firworks/kernel/pools/jobs.py
@@ -25,6 +25,8 @@
         input_domains (tuple of str): Failure domains that hold its inputs.
         input_bytes (tuple of int): Size of the inputs in each of them.
         fingerprint (bytes): The same for each attempt of the caller's request.
+        home_domain (str): Failure domain in which the request is likely to reach an
+            engine; empty if unknown.
         account (str): Name of the client account; empty if there is none.
         weight (float): Weight of the account's share of the pool.
     """
@@ -44,10 +46,11 @@
         "input_domains",
         "input_bytes",
         "fingerprint",
+        "home_domain",
         "account",
         "weight",
     )
-    DEFAULTS = {"account": "", "weight": 1.0}
+    DEFAULTS = {"home_domain": "", "account": "", "weight": 1.0}
     TYPES = (
         str,
         str,
@@ -64,6 +67,7 @@
         (int,),
         bytes,
         str,
+        str,
         float,
     )
 
--- a/firworks/tests/test_stage_load.py
+++ b/firworks/tests/test_stage_load.py
@@ -1,8 +1,12 @@
 """Tests of stage pools near their capacity, with replays of two sites."""
 
+import asyncio
+
 import pytest
+from prometheus_client import generate_latest
 
 from firworks.kernel.forwarding.configuration import StagePoolSpec
+from firworks.kernel.forwarding.requests import Prompt
 from firworks.kernel.pools.answer_times import (
     MAX_AGE_S,
     MAX_GOAL_SHARE,
@@ -11,10 +15,17 @@
 )
 from firworks.kernel.pools.critical_path import compute_downstream_s
 from firworks.kernel.pools.freeing_memory import FreeingMemory
+from firworks.kernel.pools.home_domains import (
+    choose_home_domain,
+    get_last_shared_part,
+)
 from firworks.kernel.pools.jobs import PieceJob
 from firworks.kernel.pools.stages import StageScheduler
 from firworks.kernel.pools.workers import StageCall, StageWorker
+from firworks.standins.platform_targets import PlatformEngine
 from firworks.tests.fluid_bound import compute_credit_bound, compute_served_bound
+from firworks.tests.gateway_testbed import PROMPT, run_testbed, wait_until
+from firworks.tests.gateway_testbed import play as play_testbed
 from firworks.tests.pool_simulation import ENGINE_S, make_targets
 from firworks.tests.pool_workloads import HARBOUR, TOURS, make_harbour
 
@@ -22,9 +33,25 @@
 MINIMUM_S = 0.06
 
 
-def make_job(name, count):
-    """Return a `PieceJob` with results of 1,000 bytes."""
-    return PieceJob(name, name, 0, count, "k", (), 1_000, 1, 2.0, 6.0, 0.1, (), (), b"")
+def make_job(name, count, result_bytes=1_000, home_domain=""):
+    """Return a `PieceJob`."""
+    return PieceJob(
+        name,
+        name,
+        0,
+        count,
+        "k",
+        (),
+        result_bytes,
+        1,
+        2.0,
+        6.0,
+        0.1,
+        (),
+        (),
+        b"",
+        home_domain=home_domain,
+    )
 
 
 def play(site, seed=1, **changes):
@@ -39,9 +66,9 @@
     for name, value in changes.items():
         setattr(site, name, value)
     world = site.simulate(seed)
+    world.run(LENGTH_S, site.bursts)
     for name, value in before.items():
         setattr(site, name, value)
-    world.run(LENGTH_S, site.bursts)
     return world
 
 
@@ -155,3 +182,124 @@
         actions = scheduler.release("a", 0.3)
         calls = [action for action in actions if isinstance(action, StageCall)]
         assert len(calls) == enabled
+
+
+class TestHomeDomains:
+    def test_requests_with_the_same_shared_part_have_the_same_home(self):
+        """Stages and engines that choose differently would move each result."""
+        domains = ("fd-2", "fd-0", "fd-1")
+        homes = {
+            f"part-{i}": choose_home_domain(f"part-{i}", domains) for i in range(60)
+        }
+        assert set(homes.values()) == set(domains)
+        for part_id, home in homes.items():
+            assert choose_home_domain(part_id, reversed(domains)) == home
+            others = [domain for domain in domains if domain != home]
+            assert choose_home_domain(part_id, [*others, home]) == home
+
+    def test_a_request_without_shared_part_or_engines_has_none(self):
+        """A request alone has nothing cached, so no engine is nearer than others."""
+        own = Prompt("m", 10, 10, (("own", 10),))
+        shared = Prompt("m", 10, 10, (("all", 5), ("site", 4), ("own", 1)))
+        assert get_last_shared_part(None) == get_last_shared_part(own) == ""
+        assert get_last_shared_part(shared) == "site"
+        assert choose_home_domain("", ("fd-1",)) == ""
+        assert choose_home_domain("site", ()) == ""
+
+
+class TestLocality:
+    @pytest.mark.parametrize("home", ["fd-0", "fd-1", "fd-2"])
+    def test_an_idle_pool_makes_large_results_near_their_engine(self, home):
+        """Two of three results of 1.5 MB crossed failure domains, as by chance."""
+        spec = StagePoolSpec(1, 2, 4, 0.2, 0.02, 20_000_000, 4.0)
+        scheduler = StageScheduler(spec)
+        scheduler.prefers_home = True
+        scheduler.set_targets(make_targets("scans", 3), 0.0)
+        (call,) = scheduler.submit(make_job("a", 2, 1_500_000, home), 0.0)
+        assert call.target.failure_domain == home
+
+    def test_a_busy_target_near_the_engine_is_not_waited_for(self):
+        """Waiting for it would give capacity away."""
+        spec = StagePoolSpec(1, 2, 4, 0.2, 0.02, 20_000_000, 4.0)
+        scheduler = StageScheduler(spec)
+        scheduler.prefers_home = True
+        scheduler.set_targets(make_targets("scans", 3), 0.0)
+        scheduler.submit(make_job("a", 4, 1_500_000, "fd-1"), 0.0)
+        (call,) = scheduler.submit(make_job("b", 4, 1_500_000, "fd-1"), 0.0)
+        assert call.target.failure_domain != "fd-1"
+
+    def test_fewer_bytes_cross_failure_domains_and_no_fewer_requests_are_served(self):
+        """Links of gateways and engines were busy with results from elsewhere."""
+        for site in (HARBOUR, TOURS):
+            before = play(site, bursts=())
+            after = play(site, bursts=(), prefers_home=True)
+            assert after.engine_bytes < 0.95 * before.engine_bytes
+            served = [
+                world.count("on time") + world.count("late")
+                for world in (before, after)
+            ]
+            assert served[1] > 0.99 * served[0]
+
+
+class TestGateways:
+    SETTINGS = {
+        "stage_wait_reports": True,
+        "stage_memory_reuse": True,
+        "result_locality": "home",
+    }
+
+    def test_staged_requests_are_served_with_all_settings_on(self):
+        """Each result is freed once, although a call may free those that wait."""
+
+        async def scenario(testbed):
+            gateway = await testbed.add_gateway("gateway-1", **self.SETTINGS)
+            headers = {
+                **PROMPT,
+                "X-Prefix-Hash": "all:30,own:10",
+                "X-Pieces": "2,3",
+                "X-Piece-Key": "k",
+            }
+            for _ in range(3):
+                answers = await asyncio.gather(
+                    *(
+                        testbed.send_request("/advice/a", "POST", **headers)
+                        for _ in range(4)
+                    )
+                )
+                assert [status for status, _, _ in answers] == [200] * 4
+            stages = [t for t in testbed.targets.values() if t.service == "repair"]
+            made = sum(sum(target.batches) for target in stages)
+            await wait_until(
+                lambda: sum(len(target.freed) for target in stages) >= made
+            )
+            freed = [handle for target in stages for handle in target.freed]
+            assert made == 12 * 5 and len(freed) == len(set(freed)) == made
+            text = generate_latest(gateway.metrics.registry).decode()
+            name = "firworks_staged_answer_seconds_count"
+            assert f'{name}{{service="engines"}} 12.0' in text
+
+        play_testbed(scenario, gateways=0)
+
+    def test_jobs_name_the_home_domain_only_when_asked(self):
+        """A deployment in service is scheduled as before."""
+
+        async def serve(locality):
+            async with run_testbed(0) as testbed:
+                await testbed.add_target(PlatformEngine, "far", "engines", "fd-2")
+                gateway = await testbed.add_gateway("g", result_locality=locality)
+                jobs = []
+                submit = gateway.pools._client.submit
+
+                def record(service, job, now):
+                    if service == "repair":
+                        jobs.append(job)
+                    return submit(service, job, now)
+
+                gateway.pools._client.submit = record
+                headers = {**PROMPT, "X-Pieces": "2,3", "X-Piece-Key": "k"}
+                await testbed.send_request("/advice/a", "POST", **headers)
+                return {job.home_domain for job in jobs}
+
+        assert asyncio.run(serve("off")) == {""}
+        home = choose_home_domain("a1", ("fd-1", "fd-2"))
+        assert asyncio.run(serve("home")) == {home}
