--- a/bench/pool_replay.py
+++ b/bench/pool_replay.py
@@ -15,7 +15,7 @@
 from firworks.kernel.pools import critical_path, fetches, ordering, stages
 from firworks.kernel.pools.retained_results import RetainedResults
 from firworks.tests.fluid_bound import compute_credit_bound
-from firworks.tests.pool_simulation import evict_all
+from firworks.tests.pool_simulation import evict_all, vary_speeds
 from firworks.tests.pool_workloads import SITES, Site
 
 LENGTH_S = 34.0
@@ -48,6 +48,12 @@
     world.run(LENGTH_S)
 
 
+def play_uneven_targets(world, site):
+    """Play a calm time in which the speed of each target changes all the time."""
+    vary_speeds(world, LENGTH_S)
+    world.run(LENGTH_S)
+
+
 def play_lost_schedulers(world, site):
     """Play bursts while a pool loses its scheduler every 2 s."""
     world.expires = True
@@ -56,7 +62,14 @@
     world.run(LENGTH_S, site.bursts)
 
 
-LOADS = (play_calm, play_bursts, play_errors, play_slow_target, play_lost_schedulers)
+LOADS = (
+    play_calm,
+    play_bursts,
+    play_errors,
+    play_slow_target,
+    play_uneven_targets,
+    play_lost_schedulers,
+)
 
 
 @contextmanager
@@ -82,6 +95,7 @@
     ("answers of engines measured", (Site, "measures_answers", True)),
     ("memory used while it is freed", (Site, "reuses_memory", True)),
     ("large results made near engines", (Site, "prefers_home", True)),
+    ("speed of targets reported", (Site, "reports_loads", True)),
 )
 
 
--- a/firworks/gateway/availability.py
+++ b/firworks/gateway/availability.py
@@ -5,7 +5,11 @@
 from firworks.events import LogEvent, log_event
 from firworks.kernel.forwarding.notices import TargetBackoffs
 from firworks.kernel.forwarding.suspicions import LeavingTold
-from firworks.platform.headers import read_notice, read_rate_notice
+from firworks.platform.headers import (
+    read_load_notice,
+    read_notice,
+    read_rate_notice,
+)
 
 # A target that was not found at its address is tried again after this time if all
 # others are limited.
@@ -126,6 +130,19 @@
         else:
             self._backoffs.mark_accepted(target.incarnation, now)
 
+    def read_load(self, target, exchange):
+        """Return the `LoadNotice` in a response, or None.
+
+        Args:
+            target (Target): The target that responded.
+            exchange (Exchange): An exchange whose response head has been received.
+        """
+        if exchange.misdirected:
+            return None
+        notice, unusual_value = read_load_notice(exchange.headers)
+        self._log_unusual(target, "load", unusual_value)
+        return notice
+
     def apply_peer_report(self, record):
         """Apply another gateway's report that a target is leaving (LeavingTold)."""
         incarnation = (record.target_id, record.born_ms)
--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -69,6 +69,7 @@
         limits (TargetLimits): Permits for targets that name a limit.
         reuses_memory (bool): Stage calls may use memory that is being freed.
         prefers_home (bool): Large results are made near the engines that read them.
+        reads_loads (bool): Stage targets state their speed, which predicts calls.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -86,7 +87,9 @@
         limits,
         reuses_memory=False,
         prefers_home=False,
+        reads_loads=False,
     ):
+        self._reads_loads = reads_loads
         self.peers = None
         self._prefers_home = prefers_home
         self._reuses_memory = reuses_memory
@@ -406,6 +409,7 @@
                 self._limits,
                 self._reuses_memory,
                 self._prefers_home,
+                self._reads_loads,
             )
         else:
             runner.scheduler.spec = service.stage_pool
--- a/firworks/gateway/process.py
+++ b/firworks/gateway/process.py
@@ -151,6 +151,7 @@
             self.limits,
             self.settings.stage_memory_reuse,
             self.settings.result_locality == "home",
+            self.settings.target_load_reports,
         )
         pools.peers = PeerConnections(
             self.settings,
--- a/firworks/gateway/stage_pools.py
+++ b/firworks/gateway/stage_pools.py
@@ -43,6 +43,7 @@
         limits (TargetLimits): Permits for targets that name a limit.
         reuses_memory (bool): Calls may use memory that is being freed.
         prefers_home (bool): Large results are made near the engines that read them.
+        reads_loads (bool): Targets state their speed, which predicts calls.
     """
 
     def __init__(
@@ -57,7 +58,9 @@
         limits,
         reuses_memory=False,
         prefers_home=False,
+        reads_loads=False,
     ):
+        self._reads_loads = reads_loads
         self.service = service
         self.scheduler = StageScheduler(service.stage_pool, limits.limiter)
         self.scheduler.freeing.enabled = reuses_memory
@@ -233,6 +236,7 @@
         try:
             await exchange.send(head, body)
             self._availability.record_response(target, exchange)
+            self._note_load(target, exchange)
             data = await exchange.read_all()
         except TimeoutError:
             exchange.abort()
@@ -247,6 +251,15 @@
             return None
         raise AttemptError(BROKEN, True, f"status {exchange.status}")
 
+    def _note_load(self, target, exchange):
+        """Pass the speed that a response states to the scheduler."""
+        if not self._reads_loads:
+            return
+        notice = self._availability.read_load(target, exchange)
+        if notice is not None and notice.slowdown is not None:
+            now = self._clock()
+            self.scheduler.note_load(target.incarnation, notice.slowdown, now)
+
     async def _free(self, pending, permitted):
         """Ask a target to free results.
 
--- a/firworks/kernel/forwarding/notices.py
+++ b/firworks/kernel/forwarding/notices.py
@@ -48,6 +48,20 @@
     __slots__ = ("rate_per_s", "readable", "unusual_value")
 
 
+class LoadNotice(Struct):
+    """What a response states about the load of its target.
+
+    Attributes:
+        running (float): Requests that it executes.
+        waiting (float): Requests that wait at it.
+        slots (float): Requests that it can execute at a time.
+        slowdown (float or None): Duration of work now, relative to the usual one; None
+            if it is not stated.
+    """
+
+    __slots__ = ("running", "waiting", "slots", "slowdown")
+
+
 EMPTY_NOTICE = Notice(False, 0.0, "")
 
 
--- a/firworks/kernel/pools/stages.py
+++ b/firworks/kernel/pools/stages.py
@@ -202,6 +202,18 @@
             self.freeing.note_memory_full(self.spec, now)
         return actions + self.plan(now)
 
+    def note_load(self, incarnation, slowdown, now):
+        """Record how long calls take by a target's own account, relative to the usual.
+
+        Args:
+            incarnation (tuple): The target's.
+            slowdown (float): 1 is the usual duration.
+            now (float): Monotonic seconds.
+        """
+        worker = self._workers.get(incarnation)
+        if worker is not None:
+            worker.reported.note(slowdown, now)
+
     def pause_target(self, incarnation, until_s):
         """Send no calls to an incarnation of a target before a time."""
         worker = self._workers.get(incarnation)
--- a/firworks/kernel/pools/workers.py
+++ b/firworks/kernel/pools/workers.py
@@ -2,6 +2,8 @@
 
 import heapq
 
+from firworks.kernel.pools.reported_loads import ReportedLoad
+
 # Weight of the latest call in the moving average of a target's slowdown.
 SLOWDOWN_WEIGHT = 0.5
 MAX_SLOWDOWN = 20.0
@@ -63,6 +65,7 @@
         held_bytes (int): Size of the results that it retains, those of calls in flight
             included.
         freeing_bytes (int): Part of `held_bytes` that it is being told to free.
+        reported (ReportedLoad): What it states about its speed.
         paused_until_s (float): No calls are sent before this time.
     """
 
@@ -76,6 +79,7 @@
         "_unknown_s",
         "paused_until_s",
         "_failures",
+        "reported",
     )
 
     def __init__(self, target):
@@ -88,6 +92,7 @@
         self._unknown_s = 0.0
         self.paused_until_s = 0.0
         self._failures = 0
+        self.reported = ReportedLoad()
 
     @property
     def idle_from_s(self):
@@ -108,7 +113,8 @@
 
     def predict(self, nominal_s, now):
         """Return when a call sent now is expected to end."""
-        return max(now, self.idle_from_s) + nominal_s * self.slowdown
+        slowdown = self.reported.combine(self.slowdown, now)
+        return max(now, self.idle_from_s) + nominal_s * slowdown
 
     def add(self, call):
         """Add a call that is being sent."""
--- a/firworks/platform/headers.py
+++ b/firworks/platform/headers.py
@@ -14,6 +14,7 @@
     EMPTY_NOTICE,
     MAX_BACKOFF_S,
     MAX_LIMIT_PER_S,
+    LoadNotice,
     Notice,
     RateNotice,
 )
@@ -27,6 +28,10 @@
 _LEAVING = "Server-Leaving"
 _RETRY_AFTER = "Retry-After"
 _LIMIT = "Server-Limit"
+_LOAD = "X-Server-Load"
+_LOAD_SEPARATOR = compile_pattern(r"\s*[,;/]\s*|\s+", ASCII)
+# The duration of work that targets state as usual.
+USUAL_LOAD = 100.0
 _DECIMAL = compile_pattern(r"\s*\+?(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?\s*", ASCII)
 SERVICE_UNAVAILABLE = 503
 # A connection that idled for longer is not reused.
@@ -235,6 +240,29 @@
     return RateNotice(rate_per_s, rate_per_s is not None or unlimited, text)
 
 
+def read_load_notice(headers):
+    """Return what a response states about the load of its target.
+
+    Args:
+        headers (mapping): Response headers with case-insensitive names.
+
+    Returns:
+        tuple: `LoadNotice` or None without a readable one, and the header (str) if it
+        is malformed, otherwise empty.
+    """
+    text = headers.get(_LOAD)
+    if text is None:
+        return None, ""
+    parts = _LOAD_SEPARATOR.split(text.strip())
+    if len(parts) in (3, 4) and all(map(_DECIMAL.fullmatch, parts)):
+        running, waiting, slots, *usual = map(float, parts)
+        figures = (running, waiting, slots, *usual)
+        stated = usual[0] / USUAL_LOAD if usual else None
+        if max(figures) <= MAX_NUMBER and slots > 0 and stated != 0.0:
+            return LoadNotice(running, waiting, slots, stated), ""
+    return None, text[:MAX_LOGGED_CHARACTERS] or "(empty)"
+
+
 def _read_retry_after_s(retry_after, unix_s):
     """Return the delay of a Retry-After value in seconds, or None if malformed."""
     try:
--- a/firworks/tests/pool_simulation.py
+++ b/firworks/tests/pool_simulation.py
@@ -185,6 +185,7 @@
         wasted_pieces (int): Pieces processed for requests that failed.
         held_s (float): Total time that requests waited that were not served.
         free_delay_s (float): Time for which results to free are collected.
+        reports_loads (bool): Targets state their speed in responses.
         has_homes (bool): Jobs name the failure domain of their engine.
         engine_bytes (float): Bytes of results in other failure domains than that.
         reuses_memory (bool): Results to free are freed when a call is sent.
@@ -241,6 +242,7 @@
         self.schedulers = {name: make_scheduler(spec) for name, spec in pools.items()}
         self.reuses_memory = False
         self.has_homes = False
+        self.reports_loads = False
         self.engine_bytes = 0.0
         self.reserves_early = False
         self._pending_frees = {}
@@ -647,6 +649,9 @@
 
     def _answer(self, name, scheduler, call, results):
         if scheduler is self.schedulers[name]:
+            if self.reports_loads:
+                slowness = self.targets[call.target.target_id].slowness
+                scheduler.note_load(call.target.incarnation, slowness, self.now)
             actions = scheduler.complete_call(call.call_id, results, self.now)
             self._execute(name, actions)
 
@@ -676,3 +681,23 @@
     """
     for job_id in list(results._evictable):
         yield results.pop(job_id)
+
+
+def vary_speeds(world, length_s):
+    """Let each target be half as fast for 1.5 of 6 s, and vary by 30% besides.
+
+    Args:
+        world (PoolSimulation): The simulation, not yet begun.
+        length_s (float): Until when the speeds change.
+    """
+    rng = Random(5)
+    phases_s = {target_id: rng.uniform(0, 6) for target_id in world.targets}
+
+    def change():
+        for target_id, fake in world.targets.items():
+            slow = (world.now + phases_s[target_id]) % 6 < 1.5
+            fake.slowness = (2.0 if slow else 1.0) * rng.uniform(0.7, 1.3)
+        if world.now < length_s:
+            world.at(world.now + 0.15, change)
+
+    world.at(0.0, change)
--- a/firworks/tests/pool_workloads.py
+++ b/firworks/tests/pool_workloads.py
@@ -299,6 +299,8 @@
     reuses_memory = False
     # Whether large results are made near the engines that read them.
     prefers_home = False
+    # Whether targets state their speed in responses.
+    reports_loads = False
 
     def __init__(
         self,
@@ -345,6 +347,7 @@
             scheduler.freeing.enabled = self.reuses_memory
             scheduler.prefers_home = self.prefers_home
         world.has_homes = self.prefers_home
+        world.reports_loads = self.reports_loads
         world.free_delay_s = SLOW_FREE_S if self.strict else 0.0
         return world
 
--- a/firworks/tests/test_stage_load.py
+++ b/firworks/tests/test_stage_load.py
@@ -1,6 +1,7 @@
 """Tests of stage pools near their capacity, with replays of two sites."""
 
 import asyncio
+from random import Random
 
 import pytest
 from prometheus_client import generate_latest
@@ -20,13 +21,20 @@
     get_last_shared_part,
 )
 from firworks.kernel.pools.jobs import PieceJob
+from firworks.kernel.pools.reported_loads import (
+    MAX_REPORTED,
+    MIN_REPORTED,
+    REPORT_AGE_S,
+    ReportedLoad,
+)
 from firworks.kernel.pools.stages import StageScheduler
 from firworks.kernel.pools.workers import StageCall, StageWorker
+from firworks.platform.headers import read_load_notice
 from firworks.standins.platform_targets import PlatformEngine
 from firworks.tests.fluid_bound import compute_credit_bound, compute_served_bound
 from firworks.tests.gateway_testbed import PROMPT, run_testbed, wait_until
 from firworks.tests.gateway_testbed import play as play_testbed
-from firworks.tests.pool_simulation import ENGINE_S, make_targets
+from firworks.tests.pool_simulation import ENGINE_S, make_targets, vary_speeds
 from firworks.tests.pool_workloads import HARBOUR, TOURS, make_harbour
 
 LENGTH_S = 34.0
@@ -241,11 +249,109 @@
             assert served[1] > 0.99 * served[0]
 
 
+class TestReportedLoads:
+    def test_a_report_counts_less_than_calls_and_only_while_it_is_new(self):
+        """A target that stated a false speed would draw all calls, or get none."""
+        load = ReportedLoad()
+        assert load.combine(1.0, 0.0) == 1.0
+        for stated in (0.0, 1e9):
+            load.note(stated, 10.0)
+            limit = min(MAX_REPORTED, max(MIN_REPORTED, stated))
+            assert abs(load.combine(1.0, 10.0) - 1.0) < 0.5 * abs(limit - 1.0)
+            assert load.combine(1.0, 10.0 + REPORT_AGE_S) == 1.0
+
+    def test_more_is_served_by_targets_whose_speed_changes(self):
+        """Calls were sent to targets that had become slow since their last call."""
+        for site in (HARBOUR, TOURS):
+            served = []
+            for reports in (False, True):
+                world = site.simulate(1)
+                world.reports_loads = reports
+                vary_speeds(world, LENGTH_S)
+                world.run(LENGTH_S)
+                served.append(world.count("on time") + world.count("late"))
+            assert served[1] > 1.03 * served[0]
+
+    def test_calls_do_not_herd_and_choices_do_not_flap(self):
+        """The target that looked fast last would get most of the calls."""
+        calls = {}
+        for reports in (False, True):
+            world = HARBOUR.simulate(1)
+            world.reports_loads = reports
+            rng = Random(3)
+
+            def change(world=world, rng=rng):
+                for fake in world.targets.values():
+                    fake.slowness = rng.uniform(0.7, 1.3)
+                if world.now < 15.0:
+                    world.at(world.now + 0.15, change)
+
+            world.at(0.0, change)
+            counts = dict.fromkeys(world.targets, 0)
+            begin = world._begin_call
+
+            def count_call(name, scheduler, call, counts=counts, begin=begin):
+                counts[call.target.target_id] += 1
+                begin(name, scheduler, call)
+
+            world._begin_call = count_call
+            world.run(15.0)
+            for service in world.specs:
+                shares = [
+                    number
+                    for target_id, number in counts.items()
+                    if world.targets[target_id].target.service == service
+                ]
+                mean = sum(shares) / len(shares)
+                assert max(shares) < 1.3 * mean and min(shares) > 0.7 * mean
+            calls[reports] = sum(counts.values())
+        assert calls[True] < 1.1 * calls[False]
+
+
+class TestLoadHeader:
+    @pytest.mark.parametrize(
+        ("text", "slowdown"),
+        [
+            ("1,0,1,100", 1.0),
+            ("3, 2, 8, 250", 2.5),
+            ("1 0 1 70.5", 0.705),
+            ("1/0/1", None),
+        ],
+    )
+    def test_three_or_four_figures_are_read(self, text, slowdown):
+        """Older targets state no speed."""
+        notice, unusual = read_load_notice({"X-Server-Load": text})
+        assert notice.slowdown == slowdown and notice.slots >= 1 and not unusual
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "",
+            "x",
+            "1,0",
+            "1,0,1,nan",
+            "1,0,1,-5",
+            "1,0,1,0",
+            "1,0,0,100",
+            "1,,1,100",
+            "1,0,1,100,7",
+            "1,0,1,1e999",
+            "1,0,1,100" * 100,
+        ],
+    )
+    def test_a_malformed_value_is_named_and_not_used(self, text):
+        """A target that sends rubbish must not change the schedule."""
+        notice, unusual = read_load_notice({"X-Server-Load": text})
+        assert notice is None and 0 < len(unusual) <= 100
+        assert read_load_notice({}) == (None, "")
+
+
 class TestGateways:
     SETTINGS = {
         "stage_wait_reports": True,
         "stage_memory_reuse": True,
         "result_locality": "home",
+        "target_load_reports": True,
     }
 
     def test_staged_requests_are_served_with_all_settings_on(self):
