--- a/firworks/gateway/pools.py
+++ b/firworks/gateway/pools.py
@@ -69,7 +69,8 @@
         availability (TargetAvailability): Tells which targets accept work.
         limits (TargetLimits): Permits for targets that name a limit.
         settings (GatewaySettings): How engines are chosen, shares of accounts, use of
-            memory that is being freed, and where large results are made.
+            memory that is being freed, where large results are made, and whether
+            targets state their speed.
 
     Attributes:
         peers (Peers or None): Set by the gateway before it starts.
@@ -422,6 +423,7 @@
                 make_shares(self._settings.account_shares),
                 self._settings.stage_memory_reuse,
                 self._settings.result_locality == "home",
+                self._settings.target_load_reports,
             )
         else:
             runner.scheduler.spec = service.stage_pool
