--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -27,25 +27,15 @@
 if chosen by the settings, rates engines by expected time in place of tokens.
 """
 
-from collections import Counter, OrderedDict, deque
-
-from xxhash import xxh64_intdigest
+from collections import Counter
 
 from firworks.kernel.messages import Struct
 from firworks.kernel.pools.accounts import UnsharedCapacity
-from firworks.kernel.pools.jobs import sum_remote_bytes
+from firworks.kernel.pools.engine_state import EngineState
 from firworks.kernel.pools.timed_placement import TimedPlacement
+from firworks.kernel.pools.token_placement import choose_by_tokens
 from firworks.kernel.target_limits.unlimited import UnlimitedTargets
 
-# Cost of a running request, in prompt tokens: it slows the engine's steps as much as
-# the prefill of this many tokens.
-TOKENS_PER_RUNNING = 150
-# Extra cost of the prefill of a token that another engine has cached, in tokens.
-RECOMPUTE_WEIGHT = 2.0
-# Cost of each position in the rendezvous order of a prompt's first part.
-TOKENS_PER_HASH_RANK = 300
-# Cost of fetching a megabyte of results from another failure domain.
-TOKENS_PER_REMOTE_MB = 400
 # Share of an engine's memory that placements may fill.
 MEMORY_SHARE = 0.92
 # Share of an engine's slots and memory that requests may fill which other engines could
@@ -58,8 +48,6 @@
 EXPIRY_S = 1.0
 # Time from a placement to the first event, at least, for which a permit is reserved.
 FIRST_EVENT_S = 0.25
-# Sliding window over which requests to a cold engine are counted.
-COLD_WINDOW_S = 1.0
 MEGABYTE = 1_000_000
 # Retry-After for callers when no engine had capacity before their deadline.
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -104,92 +92,6 @@
     __slots__ = ("job", "candidates", "latest_start_s")
 
 
-class _Engine:
-    """Scheduler state of one engine."""
-
-    __slots__ = (
-        "target",
-        "jobs",
-        "pending_prefill",
-        "parts",
-        "paused_until_s",
-        "failures",
-        "cold_until_s",
-        "cold_placements_s",
-    )
-
-    def __init__(self, target):
-        self.target = target
-        self.jobs = {}
-        self.pending_prefill = {}
-        self.parts = OrderedDict()
-        self.paused_until_s = 0.0
-        self.failures = 0
-        self.cold_until_s = 0.0
-        # Times of the placements within the window, while the engine is cold.
-        self.cold_placements_s = deque()
-
-    def accepts_from_s(self, cold_per_s, now):
-        """Return from when the engine accepts another request.
-
-        Args:
-            cold_per_s (float): Requests per second that a cold engine accepts; 0 for no
-                limit.
-            now (float): Monotonic seconds.
-        """
-        if self.cold_until_s <= now or not cold_per_s:
-            self.cold_placements_s.clear()
-            return now
-        while (
-            self.cold_placements_s and self.cold_placements_s[0] + COLD_WINDOW_S <= now
-        ):
-            self.cold_placements_s.popleft()
-        if len(self.cold_placements_s) < cold_per_s:
-            return now
-        return min(self.cold_until_s, self.cold_placements_s[0] + COLD_WINDOW_S)
-
-    @property
-    def pending_prefill_tokens(self):
-        return sum(self.pending_prefill.values())
-
-    @property
-    def held_bytes(self):
-        """Bytes of the stage results of its requests (int)."""
-        return sum(sum(job.input_bytes) for job in self.jobs.values())
-
-    @property
-    def used_tokens(self):
-        return sum(job.tokens_in + job.tokens_out for job in self.jobs.values())
-
-    def add(self, job, pending_prefill, capacity):
-        """Add a request and cache its prompt parts, evicting the oldest (LRU).
-
-        Returns:
-            list of str: The evicted parts.
-        """
-        self.jobs[job.job_id] = job
-        self.pending_prefill[job.job_id] = pending_prefill
-        for part_id, tokens in zip(job.part_ids, job.part_tokens, strict=True):
-            self.parts[part_id] = tokens
-            self.parts.move_to_end(part_id)
-        cached = sum(self.parts.values())
-        evicted = []
-        while cached > capacity and self.parts:
-            part_id, tokens = self.parts.popitem(last=False)
-            cached -= tokens
-            evicted.append(part_id)
-        return evicted
-
-    def count_cached(self, job):
-        """Return the number of cached tokens in the prompt's prefix."""
-        cached = 0
-        for part_id, tokens in zip(job.part_ids, job.part_tokens, strict=True):
-            if part_id not in self.parts:
-                break
-            cached += tokens
-        return min(cached, job.tokens_in)
-
-
 class EngineScheduler:
     """Chooses an engine for each request of one pool.
 
@@ -258,7 +160,7 @@
             if not self._engines[incarnation].jobs:
                 self._clear_cache(self._engines.pop(incarnation))
         for incarnation, target in by_incarnation.items():
-            engine = self._engines.setdefault(incarnation, _Engine(target))
+            engine = self._engines.setdefault(incarnation, EngineState(target))
             if engine.target != target or engine.cold_until_s == 0.0:
                 engine.cold_until_s = now + target.cold_s
             engine.target = target
@@ -461,14 +363,7 @@
         if self._has_versions and not self._is_bound(job):
             shared = [one for one in eligible if self._has_shared_room(one, job)]
             eligible = shared or eligible
-        max_cached = max(engine.count_cached(job) for engine in self._engines.values())
-        order = sorted(eligible, key=lambda engine: _hash_engine(engine, job))
-        costs = {
-            engine: self._estimate_cost(engine, job, max_cached)
-            + TOKENS_PER_HASH_RANK * rank
-            for rank, engine in enumerate(order)
-        }
-        return min(order, key=costs.get)
+        return choose_by_tokens(job, eligible, self._engines.values())
 
     def _choose_by_time(self, job, now):
         """Return the eligible engine with the least expected time, or None.
@@ -556,30 +451,7 @@
         excluded = [target_id in job.excluded for target_id, _ in self._usable]
         return bool(excluded) and all(excluded)
 
-    def _estimate_cost(self, engine, job, max_cached):
-        """Return the cost of a placement in prompt tokens.
-
-        Args:
-            engine (_Engine): The engine to rate.
-            job (EngineJob): The request.
-            max_cached (int): Most tokens of its prompt that any engine has cached.
-        """
-        cached = engine.count_cached(job)
-        pending_prefill = (
-            job.tokens_in - cached + RECOMPUTE_WEIGHT * (max_cached - cached)
-        )
-        running = TOKENS_PER_RUNNING * len(engine.jobs)
-        remote = sum_remote_bytes(job, engine.target.failure_domain)
-        fetching = TOKENS_PER_REMOTE_MB * remote / MEGABYTE
-        return engine.pending_prefill_tokens + pending_prefill + running + fetching
-
 
 def _describe_demand(job):
     """Return account, weight and tokens (tuple) of a request."""
     return job.account, job.weight, job.tokens_in + job.tokens_out
-
-
-def _hash_engine(engine, job):
-    """Return the rendezvous hash of an engine for the first part of a prompt."""
-    first = job.part_ids[0] if job.part_ids else ""
-    return xxh64_intdigest(f"{first}/{engine.target.target_id}".encode())
