--- a/firworks/gateway/answer_times.py
+++ b/firworks/gateway/answer_times.py
@@ -18,7 +18,7 @@
 
     def estimate_s(self, context):
         """Return the seconds (float) that stages of a request have to leave for it."""
-        if not self._gateway.settings.stage_wait_reports:
+        if not self._gateway.settings.stage_answer_times:
             return self._minimum_s
         goal_s = context.admitted.route.goal_s
         now = self._gateway.clock()
--- a/firworks/gateway/settings_file.py
+++ b/firworks/gateway/settings_file.py
@@ -15,7 +15,7 @@
     "retry_ratio",
     "retry_slack",
     "retry_window_s",
-    "stage_wait_reports",
+    "stage_answer_times",
     "seeds",
 )
 # Interval between checks of the file's mtime.
--- a/firworks/tests/test_stage_load.py
+++ b/firworks/tests/test_stage_load.py
@@ -348,7 +348,7 @@
 
 class TestGateways:
     SETTINGS = {
-        "stage_wait_reports": True,
+        "stage_answer_times": True,
         "stage_memory_reuse": True,
         "result_locality": "home",
         "target_load_reports": True,
