Refuse requests at crashed engines in the simulation of prompt parts

Cause: a request that waited for a trial ran at the engine chosen before, also when that had crashed meanwhile; no second crash broke it off, so the crashed engine 'answered' and cleared the deadly part. Whether it happened hung on the order of a set of futures, by memory address. The simulated engine now refuses the connection, as a crashed one does. The product is as it was; the bounds are kept.

--- a/firworks/tests/part_simulation.py
+++ b/firworks/tests/part_simulation.py
@@ -13,7 +13,12 @@
 from firworks.gateway.pools import PoolRefusedError
 from firworks.gateway.suspensions import Suspensions
 from firworks.kernel.forwarding.features import make_fingerprint, make_part_fingerprint
-from firworks.kernel.forwarding.outcomes import BROKEN, AttemptError, Progress
+from firworks.kernel.forwarding.outcomes import (
+    BROKEN,
+    NOT_RUN,
+    AttemptError,
+    Progress,
+)
 from firworks.kernel.pools.messages import MemberEntry
 from firworks.kernel.pools.roster import Roster
 
@@ -35,8 +40,8 @@
         name (str): Its id.
         run (int): Number of its incarnation.
         up (bool): It runs.
-        in_flight (set of asyncio.Future): One for each request that it has; set when
-            it crashes.
+        in_flight (dict of asyncio.Future): One for each request that it has; set when
+            it crashes, in the order in which the requests came.
     """
 
     __slots__ = ("name", "run", "up", "in_flight")
@@ -45,7 +50,7 @@
         self.name = name
         self.run = 0
         self.up = True
-        self.in_flight = set()
+        self.in_flight = {}
 
     @property
     def incarnation(self):
@@ -106,6 +111,8 @@
         gateways (int): Number of gateways.
         engines (int): Number of engines.
         seed (int): Seed of all random choices.
+        order_seed (int or None): Seed of the order in which requests notice a crash of
+            their engine; None for the order in which they came.
 
     Attributes:
         requests (list of Request): All requests, in order.
@@ -114,12 +121,13 @@
         messages (int): Records sent between gateways.
     """
 
-    def __init__(self, gateways, engines, seed=1):
+    def __init__(self, gateways, engines, seed=1, order_seed=None):
         self.requests = []
         self.crashes_s = []
         self.deadly_sends_s = []
         self.messages = 0
         self._rng = Random(seed)
+        self._order_rng = None if order_seed is None else Random(order_seed)
         self._engines = [Engine(f"engine-{n}") for n in range(engines)]
         self.gateways = {}
         for number in range(gateways):
@@ -241,9 +249,12 @@
                     return False
 
     async def _run(self, gateway, request, engine):
+        if not engine.up:
+            # It crashed while the request waited for a trial.
+            raise AttemptError(NOT_RUN, False, "connection refused")
         broken = asyncio.get_running_loop().create_future()
         incarnation = request.incarnation = engine.incarnation
-        engine.in_flight.add(broken)
+        engine.in_flight[broken] = None
         try:
             if request.deadly:
                 self.deadly_sends_s.append(asyncio.get_running_loop().time())
@@ -257,7 +268,7 @@
             self._spawn(self._check(gateway, incarnation, request))
             raise AttemptError(BROKEN, True, "reset") from error
         finally:
-            engine.in_flight.discard(broken)
+            engine.in_flight.pop(broken)
         request.part_trial = ()
         gateway.crashes.record_answer(request.features)
 
@@ -274,7 +285,10 @@
         if engine.up:
             engine.up = False
             engine.run += 1
-            for broken in engine.in_flight:
+            requests = list(engine.in_flight)
+            if self._order_rng is not None:
+                self._order_rng.shuffle(requests)
+            for broken in requests:
                 broken.set_result(None)
             asyncio.get_running_loop().call_later(BACK_S, setattr, engine, "up", True)
 
--- a/firworks/tests/test_part_quarantine.py
+++ b/firworks/tests/test_part_quarantine.py
@@ -59,6 +59,18 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("order_seed", range(20))
+    def test_the_order_in_which_connections_break_does_not_matter(self, order_seed):
+        """A crashed engine that answered in the simulation cleared the deadly part."""
+
+        async def scenario():
+            simulation = PartSimulation(4, 6, order_seed=order_seed)
+            await play_all(simulation, 40)
+            assert simulation.count_late() <= MAX_LATE_SENDS
+            assert len(simulation.crashes_s) <= MAX_CRASHES
+
+        play(scenario)
+
     def test_gateways_that_start_or_are_killed_learn_of_the_part(self):
         async def scenario():
             simulation = PartSimulation(18, 10)
