--- a/firworks/gateway/metrics.py
+++ b/firworks/gateway/metrics.py
@@ -40,6 +40,18 @@
             "Connections and requests that a limit on callers ended.",
             ("listener", "reason"),
         )
+        self.drain_requests = self._counter(
+            "drain_requests",
+            "Requests that would outlast a drain, by what was done.",
+            ("outcome",),
+        )
+        self._make_attempt_metrics()
+        self._make_pool_metrics()
+        self._make_target_metrics()
+        self._make_state_metrics()
+
+    def _make_attempt_metrics(self):
+        """Make the metrics of attempts at targets, extra ones among them."""
         self.attempts_failed = self._counter(
             "attempts_failed", "Attempts without a usable answer.", ("service", "kind")
         )
@@ -58,11 +70,9 @@
             "Time of attempts that were cancelled for another one.",
             ("service",),
         )
-        self.drain_requests = self._counter(
-            "drain_requests",
-            "Requests that would outlast a drain, by what was done.",
-            ("outcome",),
-        )
+
+    def _make_pool_metrics(self):
+        """Make the metrics of stage pools and of shares of accounts."""
         self.stage_calls = self._counter(
             "stage_calls", "Calls of stage pools, by result.", ("service", "result")
         )
@@ -82,8 +92,6 @@
             "From the end of the stages to the first event.",
             ("service",),
         )
-        self._make_target_metrics()
-        self._make_state_metrics()
 
     def _make_target_metrics(self):
         """Make the metrics of members, checks, backoffs and limits."""
--- a/firworks/kernel/attempts/policy.py
+++ b/firworks/kernel/attempts/policy.py
@@ -11,7 +11,7 @@
 from firworks.kernel.messages import Struct
 from firworks.kernel.retries import ShareBudget
 
-MAX_ATTEMPTS = "max-attempts"
+MAX_ATTEMPTS = "attempts"
 NO_TARGET = "no target"
 BUSY = "busy"
 SHARE = "share"
