--- a/firworks/gateway/engine_pools.py
+++ b/firworks/gateway/engine_pools.py
@@ -1,7 +1,8 @@
 """Runs the scheduler of an engine pool."""
 
 from firworks.gateway.timers import RestartableTimer
-from firworks.kernel.pools.engines import MEGABYTE, EngineScheduler
+from firworks.kernel.pools.engines import EngineScheduler
+from firworks.kernel.pools.token_placement import MEGABYTE
 
 
 class EnginePoolRunner:
--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -48,7 +48,6 @@
 EXPIRY_S = 1.0
 # Time from a placement to the first event, at least, for which a permit is reserved.
 FIRST_EVENT_S = 0.25
-MEGABYTE = 1_000_000
 # Retry-After for callers when no engine had capacity before their deadline.
 DEFAULT_RETRY_AFTER_S = 1.0
 # Ways to rate placements: by prompt tokens, or by the expected time.
