--- a/review/site2.py
+++ b/review/site2.py
@@ -202,8 +202,8 @@
             f"X-Server-Stamp: {STAMP}",
             "Transfer-Encoding: chunked",
         ]
-        if self.limit is not None:
-            head.append(f"Server-Limit: {self.limit}")
+        notices = self._list_notices(200, request_id)
+        head += [f"{name}: {value}" for name, value in notices]
         writer.write("\r\n".join(head).encode() + HEAD_END)
         begin = int(headers.get("last-event-id", 0)) + 1
         for number in range(begin, self.events + 1):
@@ -261,7 +261,7 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write("\r\n".join(lines).encode() + HEAD_END + body)
             await read_answer(reader, answer)
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+    except (OSError, TimeoutError, EOFError):
         pass  # what was read until then stands in the answer
     finally:
         if writer is not None:
@@ -282,7 +282,7 @@
         answer.body = await reader.readexactly(length)
         answer.whole = True
         return
-    while size := int(await reader.readline(), 16):
+    while size := int(await reader.readuntil(b"\n"), 16):
         answer.body += (await reader.readexactly(size + 2))[:-2]
     await reader.readexactly(2)
     answer.whole = True
