--- a/review/site2.py
+++ b/review/site2.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,6 +25,7 @@
 HOST = "desk.example"
 KEY = "club-key"
 READY_TIMEOUT_S = 30.0
+FIRST_PORT, LAST_PORT = 20_001, 31_999
 POLL_S = 0.05
 HELD, BROKEN, UNABLE = 0, 1, 2
 # As the settings of the two small deployments state them.
@@ -294,10 +296,11 @@
     Args:
         folder (Path): For settings and logs.
         record (TextIO): Gets what was sent, answered and run.
+        store (PlatformStore): The store.
     """
 
-    def __init__(self, folder, record, store=None):
-        self.store = store or PlatformStore()
+    def __init__(self, folder, record, store):
+        self.store = store
         self.gateways = []
         self.targets = []
         self._folder = folder
@@ -361,11 +364,20 @@
 
 
 def find_free_ports(count):
-    """Return free ports (list of int) of the loopback address."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return free ports (list of int) of the loopback address.
+
+    They are below those that outgoing connections get, and far from those of another
+    script that runs at the same time.
+    """
+    ports, port = [], random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+    while len(ports) < count:
+        port = port + 1 if port < LAST_PORT else FIRST_PORT
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
     return ports
 
 
@@ -430,13 +442,14 @@
             writer.transport.abort()
 
 
-def run_case(case, folder):
+def run_case(case, folder, make_store=PlatformStore):
     """Run a case; exit with 0 if the rule held, 1 if it broke, 2 if it could not run.
 
     Args:
         case (callable): ``case(site, troubled)`` is a coroutine that returns whether
             the rule held.
         folder (Path): Of the case, for its record.
+        make_store (callable): Returns the store (PlatformStore).
     """
     troubled = os.environ.get("TROUBLE", "1") != "0"
 
@@ -445,13 +458,13 @@
             tempfile.TemporaryDirectory() as temporary,
             (folder / "record.txt").open("w") as record,
         ):
-            site = Site(Path(temporary), record)
+            site = Site(Path(temporary), record, make_store())
             try:
                 async with asyncio.timeout(110):
                     held = await case(site, troubled)
                 site.note("the rule held" if held else "the rule was broken")
                 return HELD if held else BROKEN
-            except (UnableError, TimeoutError, OSError) as error:
+            except Exception as error:  # an exit with 1 would mean a broken rule
                 site.note(f"the case could not run: {error!r}")
                 return UNABLE
             finally:
