Let streams of a split route go on after their gateway was killed

What callers saw: a route was split between two services, all servers of one software version.

Cause: records of streams were made only where one service had several versions, but without a record the origin was inferred only if the whole route had a single pair of service and version. A split route has two pairs at least, so that nothing was recorded and nothing could be inferred.

Change: one condition, over all services of a route, decides whether streams are recorded and whether their origin is inferred. Services are drawn from the id of the attempt, which a caller names again, so that a stream goes on at its own service while the weights stay; if that has no target left, at another one of its route with the same version, also within a response. Related path: a stream was resumed at the service that a new configuration names whatever the version was that began it; the services of earlier configurations count for the life of a stream.

--- a/firworks/gateway/callers.py
+++ b/firworks/gateway/callers.py
@@ -160,7 +160,8 @@
             return response
         held_again = len(body) if body and len(body) > ASSURED_BYTES else 0
         http.protocol.mark_running(held_again)
-        service = choose_service(admitted.route, gateway.rng)
+        drawn_by = request.resumed_id or request.request_id
+        service = choose_service(admitted.route, drawn_by)
         gateway.retry_budget.record_request(service, started_s)
         context = RequestContext(http, admitted, service, body)
         response = await gateway.relay.serve(context)
@@ -177,7 +178,7 @@
             version=admitted.version,
             account="" if admitted.account is None else admitted.account.name,
             priority=admitted.priority,
-            service=service,
+            service=context.service,
             target=context.target_id,
             software=context.software,
             begun_as=request.begun_as,
--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -106,16 +106,13 @@
         if resumes and context.admitted.route.streaming:
             versions = self._gateway.stream_versions
             origin = await versions.find_origin(context)
-            context.service = origin.service
-            context.stream_version = origin.version
-            versions.check_usable(context)
-            versions.record_resumption(context)
+            versions.resume(context, origin)
 
     async def _attempt_repeatedly(self, context):
         versions = self._gateway.stream_versions
         while True:
             try:
-                versions.check_usable(context)
+                versions.follow_version(context)
                 await self._run_stages(context)
                 return await self._attempts.run(context)
             except PoolRefusedError as error:
--- a/firworks/gateway/version_admission.py
+++ b/firworks/gateway/version_admission.py
@@ -4,11 +4,14 @@
 
 from firworks.events import LogEvent, log_event
 from firworks.kernel.forwarding.outcomes import WRONG_VERSION, AttemptError
+from firworks.kernel.versions.resumption import is_ambiguous
 from firworks.kernel.versions.served import (
+    MIN_LIFE_S,
     ServedVersion,
     ServedVersions,
     compute_stream_life_s,
 )
+from firworks.kernel.versions.services import StreamServices
 from firworks.platform.store import StoreError
 
 # The keeper of a service writes a new version to the store; others do so after this.
@@ -27,15 +30,20 @@
         gateway (Gateway): Provides targets, peers and the state of the store.
         store (VersionStore): Reads and writes the versions.
         keepers (KeeperSelector): Selects the gateway that writes those of a service.
+
+    Attributes:
+        store (VersionStore): As given.
     """
 
     def __init__(self, gateway, store, keepers):
         self._gateway = gateway
         self._clock = gateway.clock
-        self._store = store
+        self.store = store
         self._keepers = keepers
         self._served = ServedVersions()
+        self._routes = StreamServices(MIN_LIFE_S)
         self._services = set()
+        self._recorded = set()
         self._loaded = False
         self._load_task = None
         self._admissions = {}
@@ -44,24 +52,50 @@
 
     @property
     def services(self):
-        """Names of the services that streams are forwarded to (set of str)."""
+        """Names of the services that streams were forwarded to lately (set of str)."""
         return self._services
 
     def configure(self, configuration):
         """Apply a new configuration."""
-        self._served.life_s = compute_stream_life_s(configuration)
-        self._services = {
-            service
-            for route in configuration.routes
-            if route.streaming
-            for service, _ in route.services
-        }
+        life_s = compute_stream_life_s(configuration)
+        self._served.life_s = self._routes.life_s = life_s
+        self._routes.configure(configuration, self._clock())
+        self._update_services()
 
     def observe(self, targets):
         """Take note of the listed targets (list of Target)."""
-        self._served.observe(targets, self._clock())
+        self._served.observe(targets, self._services, self._clock())
+        self._update_recorded()
         self._admit_listed()
 
+    def needs_records(self, service):
+        """Return whether streams of a service can't be resumed without a record."""
+        return service in self._recorded
+
+    async def list_candidates(self, host, path):
+        """Return the services at which streams of a path may have begun.
+
+        A gateway that started lately has not seen all configurations under which they
+        began.
+
+        Args:
+            host (str): Value of the Host header.
+            path (str): Path of the request, without its query.
+
+        Returns:
+            (list of str, list of str): Those that certainly or probably forwarded the
+            path, and those of which there may be records.
+        """
+        services = self._routes.list_services(host, path, self._clock())
+        if self._routes.knows_history(self._clock()):
+            return services, services
+        if not self._loaded:
+            await self._load()
+        stored = {served.service for served in self._served.list_stored()}
+        probable = services + sorted(stored - self._services - set(services))
+        recorded = probable + sorted(self._services - set(probable))
+        return probable, recorded
+
     def load_again(self):
         """List the versions again, as the store may have lost some."""
         self._loaded = False
@@ -78,6 +112,7 @@
                 service=served.service,
                 software=served.version,
             )
+            self._update_recorded()
             self._wake_waiting()
 
     def send_versions(self, peer):
@@ -90,6 +125,8 @@
 
         None is removed with an old view of the targets: others may list it again.
         """
+        self._routes.expire(self._clock())
+        self._update_services()
         if not self._loaded and (self._load_task is None or self._load_task.done()):
             self._load_task = asyncio.ensure_future(self._load())
         self._admit_listed()
@@ -140,20 +177,20 @@
     async def list_stored(self, services):
         """Return the versions (dict of str to set) that may have served each service.
 
-        They are empty if the store does not answer.
+        They are empty if the store does not answer, or need not be asked.
         """
-        if len(services) == 1 and len(self.list_versions(services[0])) > 1:
+        if is_ambiguous(self._list_by_service(services)):
             return {}
         if self._gateway.store_unavailable:
             return {}
-        stored = await self._store.list_versions()
+        stored = await self.store.list_versions()
         if stored is None:
             return {}
         self._apply_stored(stored)
-        return {service: self.list_versions(service) for service in services}
+        return self._list_by_service(services)
 
     async def _load(self):
-        stored = await self._store.list_versions()
+        stored = await self.store.list_versions()
         if stored is not None:
             self._loaded = True
             self._apply_stored(stored)
@@ -161,8 +198,28 @@
 
     def _apply_stored(self, stored):
         self._served.replace_stored(stored, self._clock())
+        self._update_recorded()
         self._wake_waiting()
 
+    def _list_by_service(self, services):
+        return {service: self.list_versions(service) for service in services}
+
+    def _update_services(self):
+        now = self._clock()
+        self._services = self._routes.list_lately(now)
+        self._update_recorded()
+
+    def _update_recorded(self):
+        """Find the services whose streams can't be resumed without a record."""
+        groups = self._routes.list_groups(self._clock())
+        groups += [[service] for service in self._services]
+        self._recorded = {
+            service
+            for group in groups
+            if is_ambiguous(self._list_by_service(group))
+            for service in group
+        }
+
     def _wake_waiting(self):
         self._admitted.set()
         self._admitted = asyncio.Event()
@@ -183,7 +240,7 @@
                 await asyncio.sleep(ADMISSION_DELAY_S)
             if self._served.is_stored(served):
                 return
-            await self._store.add_version(served)
+            await self.store.add_version(served)
             self.note_stored(served)
             self._gateway.broadcast(served)
         except StoreError as error:
@@ -204,7 +261,7 @@
 
     async def _remove_stored(self, served):
         try:
-            await self._store.remove_version(served)
+            await self.store.remove_version(served)
         except StoreError as error:
             log_event(LogEvent.STORE_LOST, topic=served.service, error=str(error))
             # Reviewed again after another life of a stream.
--- a/firworks/kernel/forwarding/admission.py
+++ b/firworks/kernel/forwarding/admission.py
@@ -1,5 +1,7 @@
 """Admission control: authenticates, routes and sets deadlines for caller requests."""
 
+from random import Random
+
 from firworks.codes import Code
 from firworks.errors import RequestError
 from firworks.kernel.messages import Struct
@@ -123,13 +125,21 @@
     return share * compute_caller_timeout_s(route)
 
 
-def choose_service(route, rng):
-    """Return the name of one of a route's services, drawn at random by weight."""
-    if len(route.services) == 1:
-        return route.services[0][0]
+def choose_service(route, request_id):
+    """Return the name of one of a route's services, drawn by weight.
+
+    All daemons draw the same one for a request id, so that a stream is resumed at the
+    service that began it while the route's weights stay the same.
+
+    Args:
+        route (Route): The route.
+        request_id (str): Id of the request, or of the attempt that it resumes.
+    """
     names = [name for name, _ in route.services]
     weights = [weight for _, weight in route.services]
-    return rng.choices(names, weights)[0] if sum(weights) > 0 else names[0]
+    if len(names) == 1 or sum(weights) <= 0:
+        return names[0]
+    return Random(f"{route.name}/{request_id}").choices(names, weights)[0]
 
 
 def _find_account(request, route, configuration):
--- a/firworks/kernel/forwarding/requests.py
+++ b/firworks/kernel/forwarding/requests.py
@@ -51,6 +51,11 @@
 
     DEFAULTS = {"begun_as": None}
 
+    @property
+    def resumed_id(self):
+        """Id of the attempt whose stream is resumed (str); None for a new request."""
+        return self.begun_as if self.last_event_id is not None else None
+
     @property
     def path(self):
         """The path without its query string."""
--- a/firworks/kernel/versions/resumption.py
+++ b/firworks/kernel/versions/resumption.py
@@ -4,6 +4,9 @@
 targets of their version leave. The version is known from a record of the stream, or
 because only one can have served it. Otherwise the resumption is refused: a guess would
 join the output of two versions, which its caller cannot see.
+
+Load pattern: a route is split between services. A stream goes on at its own service or,
+if that has no target left, at another service of the route with targets of its version.
 """
 
 from firworks.kernel.messages import Struct
@@ -21,7 +24,7 @@
     """Where a stream that is resumed began.
 
     Attributes:
-        service (str): Its service.
+        service (str): Its service; empty if several may have served it.
         version (str): Software version of the target; empty if it stated none.
         evidence (str): ``OWN_RECORD``, ``PEER_RECORD`` or ``ONLY_VERSION``.
     """
@@ -29,6 +32,16 @@
     __slots__ = ("service", "version", "evidence")
 
 
+def is_ambiguous(versions_by_service):
+    """Return whether streams without a record can't be resumed.
+
+    Args:
+        versions_by_service (dict of str to set of str): All versions that may have
+            served them, by service.
+    """
+    return len(_list_software(versions_by_service)) > 1
+
+
 def infer_origin(versions_by_service):
     """Return the `Origin` of a stream of which there is no record, or None.
 
@@ -36,14 +49,40 @@
         versions_by_service (dict of str to set of str): All versions that may have
             served the stream, by service.
     """
-    candidates = [
-        (service, version)
+    software = _list_software(versions_by_service)
+    if len(software) != 1:
+        return None
+    ((_, version),) = software
+    serving = [name for name, versions in versions_by_service.items() if versions]
+    return Origin(serving[0] if len(serving) == 1 else "", version, ONLY_VERSION)
+
+
+def _list_software(versions_by_service):
+    """Return what may have served a stream (set of (str, str)).
+
+    Targets that state no version are of the same one only within their service.
+    """
+    return {
+        ("" if version else service, version)
         for service, versions in versions_by_service.items()
         for version in versions
-    ]
-    if len(candidates) != 1:
-        return None
-    return Origin(*candidates[0], ONLY_VERSION)
+    }
+
+
+def choose_service(began, others, version, targets_by_service):
+    """Return the service (str) at which a stream goes on, or None.
+
+    Args:
+        began (str): The service that began it; empty if unknown.
+        others (list of str): Where it goes on if that one has no target, the best
+            service first.
+        version (str): Version at which it began. Targets that state none are of the
+            same one only within their service.
+        targets_by_service (dict of str to list of Target): The compatible usable
+            targets of each service of its route.
+    """
+    services = [began or others[0], *(others if version else ())]
+    return next((one for one in services if targets_by_service.get(one)), None)
 
 
 def is_compatible(target, version, versions):
--- a/firworks/kernel/versions/served.py
+++ b/firworks/kernel/versions/served.py
@@ -50,9 +50,19 @@
         self._listed = set()
         self._stored = set()
 
-    def observe(self, targets, now):
-        """Record the targets (iterable of Target) that are listed now."""
-        listed = {ServedVersion(one.service, one.version) for one in targets}
+    def observe(self, targets, services, now):
+        """Record the targets that are listed now.
+
+        Args:
+            targets (iterable of Target): All that are listed.
+            services (container of str): Services that streams are forwarded to.
+            now (float): Monotonic seconds.
+        """
+        listed = {
+            ServedVersion(one.service, one.version)
+            for one in targets
+            if one.service in services
+        }
         for served in self._listed | listed:
             self._listed_s[served] = now
         self._listed = listed
