Suspect all shared parts of a prompt, however many it has

What callers saw: a part of prompts crashed each server that began on it, in the middle of a prompt of 80 parts.

Cause: only 64 parts of a prompt were considered, 32 from each end, to bound the work and the messages. A part between them was no feature of the request: it could not be suspected, and the sound parts beside it were quarantined for its crashes.

Change: all parts but the last are features. What the bound was for is bounded where it arises: answered parts are kept in two tables that are updated as a whole; features are looked up only while there are suspects; a crash is charged to all parts without a response, but only to the 64 answered ones whose latest response is the oldest; attempts are abandoned and lines logged once a crash, not once a part. The wait for requests with fewer suspects ends after 3 s, as a sound request may have all parts of a deadly one but one: it was a second for each part.

The test of the bound of 64 pinned the fault; tests that all parts are features, and that what a crash reports is bounded, take its place. Answered parts are forgotten by halves of the table now, so its test checks that.

--- a/firworks/gateway/checks.py
+++ b/firworks/gateway/checks.py
@@ -5,7 +5,7 @@
 from firworks.errors import CodecError
 from firworks.events import LogEvent, log_event
 from firworks.gateway.exchanges import Exchange
-from firworks.kernel.forwarding.features import describe_feature
+from firworks.kernel.forwarding.features import describe_features
 from firworks.kernel.forwarding.liveness import (
     ALIVE,
     ENDED,
@@ -270,5 +270,5 @@
         born_ms=incarnation[1],
         verdict=verdict,
         evidence=evidence,
-        fingerprints=sorted(describe_feature(one) for one in fingerprints),
+        fingerprints=sorted(describe_features(fingerprints)),
     )
--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -6,7 +6,11 @@
 from firworks.events import LogEvent, log_event
 from firworks.gateway.checks import LivenessChecker
 from firworks.gateway.suspicion_store import SuspicionStore
-from firworks.kernel.forwarding.features import describe_feature, is_part
+from firworks.kernel.forwarding.features import (
+    describe_feature,
+    describe_features,
+    is_part,
+)
 from firworks.kernel.forwarding.suspects import Suspects
 from firworks.kernel.forwarding.suspicions import (
     SuspectCleared,
@@ -34,12 +38,12 @@
         gateway (Gateway): Provides targets, services and members from the store.
 
     Attributes:
-        on_crash (callable): ``on_crash(fingerprint)`` is called for each feature in
-            quarantine that was at more than one crash, after the latest of them.
+        on_crash (callable): ``on_crash(fingerprints)`` is called after a crash with the
+            features (set of bytes) in quarantine that were at another one before.
     """
 
     def __init__(self, gateway):
-        self.on_crash = lambda fingerprint: None
+        self.on_crash = lambda fingerprints: None
         self._gateway = gateway
         self._suspects = Suspects()
         self._clock = gateway.clock
@@ -73,11 +77,13 @@
     def is_suspected(self, fingerprints):
         """Return whether any of some features may have caused a crash."""
         now = self._clock()
-        return any(self._suspects.is_suspect(one, now) for one in fingerprints)
+        suspects = self._suspects.select_suspects(fingerprints)
+        return any(self._suspects.is_suspect(one, now) for one in suspects)
 
     def select_quarantined(self, fingerprints):
         """Return those (tuple of bytes) of some features that are in quarantine."""
-        return tuple(one for one in fingerprints if self.is_quarantined(one))
+        suspects = self._suspects.select_suspects(fingerprints)
+        return tuple(one for one in suspects if self.is_quarantined(one))
 
     def select_unanswered(self, parts):
         """Return those (list of bytes) of some parts that had no response lately."""
@@ -143,15 +149,13 @@
             incarnation (tuple): Id and start time of the target.
             fingerprints (iterable of bytes): Features of the requests.
         """
-        parts = [one for one in fingerprints if is_part(one)]
-        record = TargetCrashed(
-            tuple(fingerprints),
-            f"{incarnation[0]}/{incarnation[1]}",
-            tuple(part for part in parts if self._suspects.is_answered(part)),
-        )
+        reported, answered = self._suspects.select_reported(fingerprints)
+        name = f"{incarnation[0]}/{incarnation[1]}"
+        record = TargetCrashed(reported, name, answered)
         self._record_crash(record)
-        for part in parts:
-            self._suspects.mark_reported(part)
+        for fingerprint in reported:
+            if is_part(fingerprint):
+                self._suspects.mark_reported(fingerprint)
         self._gateway.broadcast(record)
 
     def apply_stored_suspicion(self, value):
@@ -202,8 +206,9 @@
 
     @receive.register
     def _(self, record: TargetCrashed, peer):
+        answered = set(record.answered)
         for fingerprint in record.fingerprints:
-            if is_part(fingerprint) and fingerprint not in record.answered:
+            if is_part(fingerprint) and fingerprint not in answered:
                 self._tell_if_answered(fingerprint, peer)
         self._record_crash(record)
 
@@ -245,21 +250,24 @@
 
     def _record_crash(self, record):
         """Record a crash (TargetCrashed) that this gateway or a peer has found."""
-        now = self._clock()
-        for fingerprint in record.fingerprints:
-            is_new = self._suspects.record_crash(
-                fingerprint, record.incarnation, now, fingerprint in record.answered
+        now, answered = self._clock(), set(record.answered)
+        new = [
+            fingerprint
+            for fingerprint in record.fingerprints
+            if self._suspects.record_crash(
+                fingerprint, record.incarnation, now, fingerprint in answered
+            )
+        ]
+        suspected = [one for one in new if not is_part(one) or self.is_quarantined(one)]
+        if suspected:
+            log_event(
+                LogEvent.REQUEST_SUSPECTED,
+                fingerprint=describe_all(suspected),
+                target=record.incarnation,
             )
-            if not is_new:
-                continue
-            if not is_part(fingerprint) or self.is_quarantined(fingerprint):
-                log_event(
-                    LogEvent.REQUEST_SUSPECTED,
-                    fingerprint=describe_feature(fingerprint),
-                    target=record.incarnation,
-                )
-            if self._suspects.has_crashed_repeatedly(fingerprint):
-                self.on_crash(fingerprint)
+        repeated = {one for one in new if self._suspects.has_crashed_repeatedly(one)}
+        if repeated:
+            self.on_crash(repeated)
 
     def _choose_granter(self):
         """Return the name of the gateway that grants trials now."""
@@ -294,4 +302,4 @@
 
 def describe_all(fingerprints):
     """Return the text (str) by which logs name some features."""
-    return " ".join(describe_feature(one) for one in fingerprints)
+    return " ".join(describe_features(fingerprints))
--- a/firworks/gateway/suspensions.py
+++ b/firworks/gateway/suspensions.py
@@ -116,8 +116,8 @@
         suspects = self._crashes.select_quarantined(context.parts)
         return not suspects or self._crashes.is_trial_due(suspects)
 
-    def _suspend(self, fingerprint):
-        """Abandon the attempts with a feature that have no response yet."""
+    def _suspend(self, fingerprints):
+        """Abandon the attempts with any of some features that have no response yet."""
         for scope, context in self._unanswered.items():
-            if fingerprint in context.parts and not context.part_trial:
+            if not context.part_trial and not fingerprints.isdisjoint(context.parts):
                 scope.reschedule(0.0)
--- a/firworks/kernel/forwarding/features.py
+++ b/firworks/kernel/forwarding/features.py
@@ -4,6 +4,7 @@
 """
 
 from hashlib import blake2b
+from itertools import islice
 
 FINGERPRINT_BYTES = 16
 PART_PREFIX = b"part/"
@@ -12,8 +13,8 @@
 # A stream that continues this long after its first event shows that the parts of its
 # prompt do not crash targets.
 PROOF_S = 1.0
-# Parts of a prompt that are considered, half of them from its end.
-MAX_PARTS = 64
+# Features that a log line or a response names.
+MAX_DESCRIBED = 16
 
 
 def make_fingerprint(target_path, account, body):
@@ -53,11 +54,8 @@
     """
     if prompt is None:
         return ()
-    part_ids = [part_id for part_id, _ in prompt.parts[:-1]]
-    if len(part_ids) > MAX_PARTS:
-        half = MAX_PARTS // 2
-        part_ids = [*part_ids[:half], *part_ids[-half:]]
-    return tuple(dict.fromkeys(make_part_fingerprint(one) for one in part_ids))
+    part_ids = dict.fromkeys(part_id for part_id, _ in prompt.parts[:-1])
+    return tuple(make_part_fingerprint(one) for one in part_ids)
 
 
 def is_part(fingerprint):
@@ -72,6 +70,19 @@
     return fingerprint.hex()
 
 
+def describe_features(fingerprints):
+    """Return the texts (list of str) by which logs name some features.
+
+    Args:
+        fingerprints (collection of bytes): The features; of many, the first ones and
+            the number of the others are named.
+    """
+    texts = [describe_feature(one) for one in islice(fingerprints, MAX_DESCRIBED)]
+    if len(fingerprints) > MAX_DESCRIBED:
+        texts.append(f"and {len(fingerprints) - MAX_DESCRIBED} more")
+    return texts
+
+
 class StreamProof:
     """Determines when a stream has shown that the parts of its prompt are sound."""
 
--- a/firworks/kernel/forwarding/suspects.py
+++ b/firworks/kernel/forwarding/suspects.py
@@ -31,6 +31,7 @@
 from collections import OrderedDict
 from functools import singledispatch
 
+from firworks.kernel.forwarding.answered_parts import AnsweredParts
 from firworks.kernel.forwarding.features import is_part
 from firworks.kernel.forwarding.suspicions import Suspicion
 from firworks.kernel.messages import Struct
@@ -51,8 +52,10 @@
 # The same for parts; the last one repeats. The platform's rules allow three sends in
 # the whole fleet later than a few seconds after the fifth crash.
 PART_TRIAL_DELAYS_S = (0.5, 5.0, 30.0, 600.0, 86_400.0)
-# Added to the delay of a trial for each further part of the request in quarantine.
+# Added to the delay of a trial for each further part of the request in quarantine, and
+# the limit of that: a sound request may have all parts of a deadly one but one.
 FURTHER_PART_DELAY_S = 1.0
+MAX_FURTHER_DELAY_S = 3.0
 # Delay before another trial if the last one reached no target.
 RETURNED_TRIAL_DELAY_S = 0.1
 # Delay before another trial if targets rejected the last one, allowed once per request:
@@ -67,8 +70,9 @@
 FINAL_RETRY_AFTER_S = 60.0
 # Maximum number of suspects; the least recently used is evicted first.
 MAX_SUSPECTS = 4_096
-# Maximum number of answered parts that are remembered, likewise.
-MAX_ANSWERED = 16_384
+# Answered parts that are reported with a crash, those without a response for longest.
+# Sound ones that prompts share are answered again and again.
+MAX_ANSWERED_REPORTED = 64
 # Crashes kept per suspect; more would not change any decision.
 MAX_CRASHES_KEPT = 8
 
@@ -236,7 +240,8 @@
     is_solo = suspect_count == 1 and not suspect.is_convicted
     count = len(suspect.solo_trials_s if is_solo else suspect.trials_s)
     delay_s = PART_TRIAL_DELAYS_S[min(count, len(PART_TRIAL_DELAYS_S) - 1)]
-    return delay_s + FURTHER_PART_DELAY_S * (suspect_count - 1)
+    further_s = FURTHER_PART_DELAY_S * (suspect_count - 1)
+    return delay_s + min(further_s, MAX_FURTHER_DELAY_S)
 
 
 @singledispatch
@@ -255,7 +260,7 @@
 
     def __init__(self):
         self._suspects = OrderedDict()
-        self._answered = OrderedDict()
+        self._answered = AnsweredParts()
         self._convicted = set()
 
     @property
@@ -355,6 +360,28 @@
         """Return whether a part had a response after all crashes that are known."""
         return fingerprint in self._answered and fingerprint not in self._suspects
 
+    def select_reported(self, fingerprints):
+        """Return the features that a crash of their target is charged to.
+
+        Args:
+            fingerprints (iterable of bytes): Features that the target was running.
+
+        Returns:
+            (tuple of bytes, tuple of bytes): The features, and those of them that are
+            parts which had a response after all crashes that are known.
+        """
+        suspected, answered = [], []
+        for one in fingerprints:
+            (answered if self.is_answered(one) else suspected).append(one)
+        stalest = self._answered.list_stalest(answered, MAX_ANSWERED_REPORTED)
+        return (*suspected, *stalest), tuple(stalest)
+
+    def select_suspects(self, fingerprints):
+        """Return those (list of bytes) of some features that are kept as suspects."""
+        if not self._suspects:
+            return []
+        return [one for one in fingerprints if one in self._suspects]
+
     def is_reported_here(self, fingerprint):
         """Return whether a part is a suspect by a report of this daemon."""
         suspect = self._suspects.get(fingerprint)
@@ -364,30 +391,25 @@
         """Record a response to a request; return what other daemons need to know.
 
         Args:
-            fingerprints (iterable of bytes): Fingerprints of its features.
+            fingerprints (collection of bytes): Fingerprints of its features.
 
         Returns:
             list of bytes: Those that other daemons may hold in quarantine.
         """
         cleared = []
-        for fingerprint in fingerprints:
-            suspect = self._suspects.get(fingerprint)
-            if suspect is not None and (
-                len(suspect.crashes) > 1 or not suspect.answered
-            ):
+        for fingerprint in self.select_suspects(fingerprints):
+            suspect = self._suspects[fingerprint]
+            if len(suspect.crashes) > 1 or not suspect.answered:
                 cleared.append(fingerprint)
-            self.clear(fingerprint)
+            self._remove(fingerprint)
+        self._answered.add([one for one in fingerprints if is_part(one)])
         return cleared
 
     def clear(self, fingerprint):
         """Remove a feature that was answered; return whether it was a suspect."""
-        if is_part(fingerprint):
-            self._answered[fingerprint] = True
-            self._answered.move_to_end(fingerprint)
-            if len(self._answered) > MAX_ANSWERED:
-                self._answered.popitem(last=False)
-        self._convicted.discard(fingerprint)
-        return self._suspects.pop(fingerprint, None) is not None
+        was_suspect = fingerprint in self._suspects
+        self.record_answer((fingerprint,))
+        return was_suspect
 
     def is_suspect(self, fingerprint, now):
         """Return whether a feature was at a crash and has not been cleared since."""
@@ -473,10 +495,13 @@
             self._suspects[fingerprint] = suspect
         self._suspects.move_to_end(fingerprint)
         if len(self._suspects) > MAX_SUSPECTS:
-            evicted, _ = self._suspects.popitem(last=False)
-            self._convicted.discard(evicted)
+            self._remove(next(iter(self._suspects)))
         return suspect
 
+    def _remove(self, fingerprint):
+        del self._suspects[fingerprint]
+        self._convicted.discard(fingerprint)
+
     def _make(self, fingerprint):
         if is_part(fingerprint):
             return _SuspectPart(fingerprint in self._answered)
@@ -487,8 +512,7 @@
         if suspect is None:
             return None
         if now - suspect.updated_s >= _get_forget_delay_s(suspect):
-            del self._suspects[fingerprint]
-            self._convicted.discard(fingerprint)
+            self._remove(fingerprint)
             return None
         return suspect
 
--- a/firworks/tests/part_simulation.py
+++ b/firworks/tests/part_simulation.py
@@ -12,13 +12,14 @@
 from firworks.gateway.metrics import GatewayMetrics
 from firworks.gateway.pools import PoolRefusedError
 from firworks.gateway.suspensions import Suspensions
-from firworks.kernel.forwarding.features import make_fingerprint, make_part_fingerprint
+from firworks.kernel.forwarding.features import list_shared_parts, make_fingerprint
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
     NOT_RUN,
     AttemptError,
     Progress,
 )
+from firworks.kernel.forwarding.requests import Prompt
 from firworks.kernel.pools.messages import MemberEntry
 from firworks.kernel.pools.roster import Roster
 
@@ -93,7 +94,8 @@
 
     def __init__(self, number, part_ids):
         self.fingerprint = make_fingerprint(f"/{number}", None, None)
-        self.parts = tuple(make_part_fingerprint(one) for one in part_ids)
+        prompt = Prompt("m", 0, 0, tuple((one, 0) for one in (*part_ids, "own")))
+        self.parts = list_shared_parts(prompt)
         self.features = (self.fingerprint, *self.parts)
         self.progress = Progress(True, MAX_ATTEMPTS)
         self.trial, self.part_trial = False, ()
--- a/firworks/tests/test_part_quarantine.py
+++ b/firworks/tests/test_part_quarantine.py
@@ -5,7 +5,7 @@
 import pytest
 
 from firworks.kernel.forwarding.features import make_part_fingerprint
-from firworks.kernel.forwarding.suspects import MAX_SUSPECTS
+from firworks.kernel.forwarding.suspects import MAX_ANSWERED_REPORTED, MAX_SUSPECTS
 from firworks.tests.part_simulation import DEADLY_PART, SYSTEM_PART, PartSimulation
 from firworks.tests.virtual_loop import run_virtual
 
@@ -192,6 +192,92 @@
         play(scenario)
 
 
+# A deadly part with more than 64 others was a suspect only near the ends of its prompt:
+# it went on crashing engines, and the sound parts beside it were quarantined instead.
+class TestLongPrompts:
+    def make_sound(self, count):
+        """Return a maker of prompts that share all of some parts."""
+        return lambda rng: tuple(f"{number:x}" for number in range(count))
+
+    def make_deadly(self, count, place):
+        """Return a maker of the same prompts with the deadly part at a place."""
+        parts = self.make_sound(count)(None)
+        return lambda rng: (*parts[:place], DEADLY_PART, *parts[place + 1 :])
+
+    def check(self, simulation, begun_s):
+        """Check that the part is found and that sound requests are served."""
+        assert simulation.count_late() <= MAX_LATE_SENDS
+        assert len(simulation.crashes_s) <= MAX_CRASHES
+        assert simulation.measure_served(begun_s + SETTLED_S) >= MIN_SERVED
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    @pytest.mark.parametrize(
+        ("count", "place"),
+        [(64, 32), (65, 32), (80, 40), (80, 0), (80, 79), (300, 150), (1_999, 1_000)],
+    )
+    def test_a_deadly_part_at_any_place_is_found(self, count, place, seed):
+        async def scenario():
+            simulation = PartSimulation(4, 6, seed)
+            makers = (self.make_sound(count), self.make_deadly(count, place))
+            begun_s = await play_all(simulation, 4, *makers)
+            self.check(simulation, begun_s)
+
+        play(scenario)
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize("count", [3, 65, 300])
+    def test_a_deadly_part_is_found_when_nothing_was_answered_before(self, count, seed):
+        async def scenario():
+            simulation = PartSimulation(4, 6, seed)
+            makers = (self.make_sound(count), self.make_deadly(count, count // 2))
+            await simulation.play(LENGTH_S, 12, 4, *makers)
+            self.check(simulation, 0.0)
+
+        play(scenario)
+
+    def test_sound_requests_share_some_of_the_parts(self):
+        parts = self.make_sound(300)(None)
+
+        def sound(rng):
+            return tuple(rng.sample(parts, 100))
+
+        async def scenario():
+            simulation = PartSimulation(4, 6)
+            begun_s = await play_all(simulation, 4, sound, self.make_deadly(300, 150))
+            self.check(simulation, begun_s)
+
+        play(scenario)
+
+    def test_gateways_start_and_are_killed_meanwhile(self):
+        async def scenario():
+            simulation = PartSimulation(6, 6)
+            makers = (self.make_sound(300), self.make_deadly(300, 150))
+            running = asyncio.ensure_future(play_all(simulation, 4, *makers))
+            for number in range(20):
+                await asyncio.sleep(1.5)
+                simulation.remove_gateway(list(simulation.gateways)[0])
+                simulation.add_gateway(f"new-{number}")
+            self.check(simulation, await running)
+
+        play(scenario)
+
+    def test_a_crash_is_told_in_one_message_of_bounded_size(self):
+        async def scenario():
+            simulation = PartSimulation(2, 6)
+            gateway = list(simulation.gateways.values())[0]
+            parts = [make_part_fingerprint(f"{number:x}") for number in range(2_000)]
+            gateway.crashes.record_answer(parts)
+            sent = []
+            gateway.broadcast = sent.append
+            deadly = make_part_fingerprint(DEADLY_PART)
+            gateway.crashes.record_ended(("engine-0", 0), {*parts, deadly})
+            (record,) = sent
+            assert deadly in record.fingerprints and deadly not in record.answered
+            assert len(record.fingerprints) == MAX_ANSWERED_REPORTED + 1
+
+        play(scenario)
+
+
 class TestBounds:
     def test_strangers_part_is_served_while_a_caller_names_it_in_deadly_requests(self):
         def deadly(rng):
--- a/firworks/tests/test_suspicions.py
+++ b/firworks/tests/test_suspicions.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from firworks.kernel.forwarding.answered_parts import MAX_ANSWERED
 from firworks.kernel.forwarding.directory import Target
 from firworks.kernel.forwarding.features import (
-    MAX_PARTS,
     list_shared_parts,
     make_part_fingerprint,
 )
@@ -21,7 +21,8 @@
 from firworks.kernel.forwarding.suspects import (
     CRASHES_TO_QUARANTINE,
     FORGET_AFTER_S,
-    MAX_ANSWERED,
+    MAX_ANSWERED_REPORTED,
+    MAX_FURTHER_DELAY_S,
     PART_TRIAL_DELAYS_S,
     REJECTED_TRIAL_DELAY_S,
     RETURNED_TRIAL_DELAY_S,
@@ -214,10 +215,41 @@
 
     def test_answered_parts_are_remembered_up_to_a_number(self):
         suspects = Suspects()
-        suspects.record_answer([b"part/%d" % number for number in range(MAX_ANSWERED)])
-        assert suspects.is_answered(b"part/0")
-        suspects.record_answer([b"part/more"])
+        suspects.record_answer([b"part/first"])
+        for number in range(MAX_ANSWERED // 2 - 1):
+            suspects.record_answer([b"part/%d" % number])
+        assert suspects.is_answered(b"part/first") and suspects.is_answered(b"part/0")
+        for number in range(MAX_ANSWERED):
+            suspects.record_answer([b"part/more/%d" % number])
+            suspects.record_answer([b"part/first"])
+        assert suspects.is_answered(b"part/first")
         assert not suspects.is_answered(b"part/0")
+        numbers = range(2 * MAX_ANSWERED)
+        known = [suspects.is_answered(b"part/more/%d" % number) for number in numbers]
+        assert MAX_ANSWERED // 2 <= sum(known) <= MAX_ANSWERED
+
+    def test_a_crash_is_charged_to_the_answered_parts_without_a_response_for_longest(
+        self,
+    ):
+        suspects = Suspects()
+        turned = b"part/turned"
+        sound = [b"part/%d" % number for number in range(500)]
+        suspects.record_answer([*sound, turned])
+        suspects.record_answer(sound)
+        reported, answered = suspects.select_reported([POISON, *sound, turned, PART])
+        assert reported[:2] == (POISON, PART)
+        assert answered[0] == turned and len(answered) == MAX_ANSWERED_REPORTED
+        assert reported[2:] == answered
+
+    def test_wait_for_requests_with_fewer_suspects_is_bounded(self):
+        suspects = Suspects()
+        parts = [b"part/%d" % number for number in range(300)]
+        for part in parts:
+            suspects.record_crash(part, "run-1", 0.0)
+            suspects.record_crash(part, "run-2", 1.0)
+        delay_s = PART_TRIAL_DELAYS_S[0] + MAX_FURTHER_DELAY_S
+        assert not suspects.check_trial(parts, 0.9 + delay_s).due
+        assert suspects.check_trial(parts, 1.0 + delay_s).due
 
 
 class TestFeatures:
@@ -226,11 +258,14 @@
         assert list_shared_parts(prompt) == (b"part/aa", b"part/bb")
         assert list_shared_parts(None) == ()
 
-    def test_long_prompts_and_ids_are_bounded(self):
-        parts = [(f"{number:x}", 1) for number in range(500)]
-        shared = list_shared_parts(Prompt("m", 500, 5, tuple(parts)))
-        assert len(shared) == MAX_PARTS
-        assert shared[0] == b"part/0" and shared[-1] == b"part/1f2"
+    def test_all_parts_but_the_last_are_features(self):
+        parts = [(f"{number:x}", 1) for number in range(2_000)]
+        shared = list_shared_parts(Prompt("m", 2_000, 5, tuple(parts)))
+        assert shared == tuple(b"part/%x" % number for number in range(1_999))
+
+    def test_repeated_parts_and_long_ids_are_bounded(self):
+        parts = (("aa", 10), ("bb", 10), ("aa", 10), ("cc", 10))
+        assert list_shared_parts(Prompt("m", 40, 5, parts)) == (b"part/aa", b"part/bb")
         assert len(make_part_fingerprint("a" * 10_000)) < 100
 
 
