Estimate the cost of long prompts in linear time

Cause: CachedParts.extend summed the wasted tokens of all earlier parts again for each part, and the depth of each engine was set once a part: the work for a placement grew with the square of the number of parts.

Change: wasted tokens are summed once, from the end; depths are set when an engine lacks a part.

--- a/firworks/kernel/pools/prompt_parts.py
+++ b/firworks/kernel/pools/prompt_parts.py
@@ -27,6 +27,7 @@
 
 from collections import Counter, OrderedDict
 from heapq import nlargest
+from itertools import accumulate
 from math import ceil, log
 
 from xxhash import xxh64_intdigest
@@ -94,18 +95,16 @@
         depths (dict of tuple to int): Number of leading shared parts that an engine has
             cached, by its incarnation; others have none.
         read_tokens (list of int): Tokens to be read, by that number.
-        wasted_tokens (dict of str to list of int): Tokens of these that would be waste,
-            likewise, by failure domain.
         wanted (int): Number of engines that should have all shared parts.
     """
 
-    __slots__ = ("depths", "read_tokens", "wasted_tokens", "wanted")
+    __slots__ = ("depths", "read_tokens", "wanted", "_wasted")
 
     def __init__(self, tokens_in, domains):
         self.depths = {}
         self.read_tokens = [tokens_in]
-        self.wasted_tokens = {domain: [0] for domain in domains}
         self.wanted = 1
+        self._wasted = {domain: [] for domain in domains}
 
     def extend(self, tokens, wasted):
         """Add a shared part.
@@ -117,9 +116,17 @@
             wasted (container of str): Failure domains where reading it is waste.
         """
         self.read_tokens.append(max(0, self.read_tokens[-1] - tokens))
-        for domain, counts in self.wasted_tokens.items():
-            added = tokens if domain in wasted else 0
-            self.wasted_tokens[domain] = [count + added for count in counts] + [0]
+        for domain, counts in self._wasted.items():
+            counts.append(tokens if domain in wasted else 0)
+
+    def sum_wasted_tokens(self, domain):
+        """Return the tokens (list of int) that would be waste in a failure domain.
+
+        They are in the order of ``read_tokens``.
+        """
+        sums = list(accumulate(reversed(self._wasted[domain]), initial=0))
+        sums.reverse()
+        return sums
 
 
 class PromptParts:
@@ -184,9 +191,10 @@
         for depth, part_id in enumerate(shared):
             part = self._parts.get(part_id)
             cached.wanted = self.count_wanted(part_id, slots, now)
-            holders = _intersect(holders, part)
-            for incarnation in holders:
-                cached.depths[incarnation] = depth + 1
+            having = _intersect(holders, part)
+            if holders is not None and len(having) < len(holders):
+                cached.depths.update(dict.fromkeys(holders - having, depth))
+            holders = having
             if part is None or now - part.used_s >= REUSE_S:
                 wasted = ()
             elif depth + 1 < len(shared):
@@ -194,6 +202,7 @@
             else:
                 wasted = domains if len(holders) >= cached.wanted else ()
             cached.extend(job.part_tokens[depth], wasted)
+        cached.depths.update(dict.fromkeys(holders or (), len(shared)))
         return cached
 
     def _drop_unused(self, part_id, part):
--- a/firworks/kernel/pools/timed_placement.py
+++ b/firworks/kernel/pools/timed_placement.py
@@ -192,7 +192,7 @@
             remote = REMOTE_BYTE_S * sum_remote_bytes(job, domain)
             rates[domain] = [
                 waste_weight * (remote + REREAD_WEIGHT * wasted / USUAL_TOKENS_PER_S)
-                for wasted in cached.wasted_tokens[domain]
+                for wasted in cached.sum_wasted_tokens(domain)
             ]
         return rates
 
--- a/firworks/tests/test_prompt_parts.py
+++ b/firworks/tests/test_prompt_parts.py
@@ -165,30 +165,28 @@
         now = self.begin(parts, 120, 3.0)
         cached = self.find(parts, now)
         assert cached.wanted > 1
-        assert cached.wasted_tokens["fd-0"] == [0, 0, 0]
+        assert cached.sum_wasted_tokens("fd-0") == [0, 0, 0]
         for number in range(cached.wanted):
             target = self.make_engine(f"e{number}")
             parts.begin(make_job(f"x{number}"), target, 0.0, now)
-        assert self.find(parts, now).wasted_tokens["fd-0"] == [6300, 3780, 0]
+        assert self.find(parts, now).sum_wasted_tokens("fd-0") == [6300, 3780, 0]
 
     def test_a_first_part_is_wanted_in_each_failure_domain(self):
         # Subjects have their homes in all domains; their stage results are made there.
         parts = PromptParts()
         parts.begin(make_job("a"), self.make_engine("e"), 0.1, 0.0)
         cached = self.find(parts, 0.1)
-        assert cached.wasted_tokens == {
-            "fd-0": [6300, 3780, 0],
-            "fd-1": [3780, 3780, 0],
-        }
+        assert cached.sum_wasted_tokens("fd-0") == [6300, 3780, 0]
+        assert cached.sum_wasted_tokens("fd-1") == [3780, 3780, 0]
         parts.begin(make_job("b"), self.make_engine("f", "fd-1"), 0.1, 0.0)
-        assert self.find(parts, 0.1).wasted_tokens["fd-1"] == [6300, 3780, 0]
+        assert self.find(parts, 0.1).sum_wasted_tokens("fd-1") == [6300, 3780, 0]
         parts.evict(("f", 1), ["first"])
-        assert self.find(parts, 0.1).wasted_tokens["fd-1"] == [3780, 3780, 0]
+        assert self.find(parts, 0.1).sum_wasted_tokens("fd-1") == [3780, 3780, 0]
 
     def test_reading_a_part_that_is_seldom_used_is_no_waste(self):
         parts = PromptParts()
         now = self.begin(parts, 1, 1.0) + REUSE_S
-        assert self.find(parts, now).wasted_tokens["fd-0"] == [0, 0, 0]
+        assert self.find(parts, now).sum_wasted_tokens("fd-0") == [0, 0, 0]
 
     def test_evicted_parts_are_no_longer_cached(self):
         parts = PromptParts()
