Tell peers of many suspect parts in one message

What callers would see: a gateway without responses reports a crash beside prompts of 2,000 parts; each of its peers that knows the parts as sound replied with 2,000 messages, and a trial sent 2,000 to each peer, each of some 60 us at its receiver.

Change: SuspectsCleared and Suspicions hold several features, for peers of protocol version 2; older ones get single records as before.

Measured: five gateways exchanged fewer than 60 messages over 2,000 answered and 2,000 unanswered parts (test_messages_do_not_grow_with_the_number_of_parts, which failed before with 2,000 and passed with 3).

--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -7,14 +7,15 @@
 from firworks.gateway.checks import LivenessChecker
 from firworks.gateway.suspicion_store import SuspicionStore
 from firworks.kernel.forwarding.features import (
-    describe_feature,
     describe_features,
     is_part,
 )
 from firworks.kernel.forwarding.suspects import Suspects
 from firworks.kernel.forwarding.suspicions import (
     SuspectCleared,
+    SuspectsCleared,
     Suspicion,
+    Suspicions,
     TargetCrashed,
     TrialAnswered,
     TrialAsked,
@@ -138,9 +139,10 @@
 
     def record_answer(self, fingerprints):
         """Clear the features of a request of suspicion after its response."""
-        for fingerprint in self._suspects.record_answer(fingerprints):
-            log_event(LogEvent.SUSPECT_CLEARED, feature=describe_feature(fingerprint))
-            self._gateway.broadcast(SuspectCleared(fingerprint))
+        cleared = self._suspects.record_answer(fingerprints)
+        if cleared:
+            log_event(LogEvent.SUSPECT_CLEARED, feature=describe_all(cleared))
+            self._tell_cleared(cleared, self._gateway.roster.names)
 
     def record_ended(self, incarnation, fingerprints):
         """Record that a target crashed while it ran requests of this gateway.
@@ -170,10 +172,7 @@
 
     def send_suspicions(self, peer):
         """Send a peer all features under suspicion that it needs to know."""
-        now = self._clock()
-        for fingerprint in self._suspects.list_repeat_suspects():
-            record = self._suspects.describe(fingerprint, now)
-            self._gateway.pools.peers.send(peer, record)
+        self._tell_suspicions(self._suspects.list_repeat_suspects(), (peer,))
 
     def tick(self):
         """Resolve open checks, expire suspicions and write the store's copies."""
@@ -207,27 +206,31 @@
     @receive.register
     def _(self, record: TargetCrashed, peer):
         answered = set(record.answered)
-        for fingerprint in record.fingerprints:
-            if is_part(fingerprint) and fingerprint not in answered:
-                self._tell_if_answered(fingerprint, peer)
+        unanswered = [
+            one for one in record.fingerprints if is_part(one) and one not in answered
+        ]
+        self._tell_answered(unanswered, peer)
         self._record_crash(record)
 
     @receive.register
     def _(self, record: SuspectCleared, peer):
-        # A peer that has had a response tells only the one that reported the crash.
-        if self._suspects.is_reported_here(record.fingerprint):
-            self._gateway.broadcast(record)
-        self._suspects.clear(record.fingerprint)
+        self._clear((record.fingerprint,))
+
+    @receive.register
+    def _(self, record: SuspectsCleared, peer):
+        self._clear(record.fingerprints)
 
     @receive.register
     def _(self, record: Suspicion, peer):
-        if not self._suspects.merge(record, self._clock()):
-            self._tell_if_answered(record.fingerprint, peer)
+        self._merge((record,), peer)
+
+    @receive.register
+    def _(self, record: Suspicions, peer):
+        self._merge(record.suspicions, peer)
 
     @receive.register
     def _(self, record: TrialAsked, peer):
-        for suspicion in record.suspicions:
-            self.receive(suspicion, peer)
+        self._merge(record.suspicions, peer)
         fingerprints = tuple(one.fingerprint for one in record.suspicions)
         granted = self._grant(fingerprints, peer)
         self._gateway.pools.peers.send(peer, TrialAnswered(fingerprints, granted))
@@ -243,10 +246,53 @@
         now = self._clock()
         self._suspects.return_trial(record.fingerprints, record.reached, now)
 
-    def _tell_if_answered(self, part, peer):
-        """Tell a peer that suspects a part if it has had a response here."""
-        if self._suspects.is_answered(part):
-            self._gateway.pools.peers.send(peer, SuspectCleared(part))
+    def _clear(self, fingerprints):
+        """Clear features that had a response at a peer."""
+        # A peer that has had a response tells only the one that reported the crash.
+        reported = [one for one in fingerprints if self._suspects.is_reported_here(one)]
+        self._tell_cleared(reported, self._gateway.roster.names)
+        for fingerprint in fingerprints:
+            self._suspects.clear(fingerprint)
+
+    def _merge(self, suspicions, peer):
+        """Merge what a peer knows of features (iterable of Suspicion)."""
+        now = self._clock()
+        answered = [
+            suspicion.fingerprint
+            for suspicion in suspicions
+            if not self._suspects.merge(suspicion, now)
+        ]
+        self._tell_answered(answered, peer)
+
+    def _tell_answered(self, parts, peer):
+        """Tell a peer that suspects some parts which of them had a response here."""
+        answered = [part for part in parts if self._suspects.is_answered(part)]
+        self._tell_cleared(answered, (peer,))
+
+    def _tell_cleared(self, fingerprints, peers):
+        """Tell peers (iterable of str) that some features had a response."""
+        singles = [SuspectCleared(one) for one in fingerprints]
+        self._tell(SuspectsCleared(tuple(fingerprints)), singles, peers)
+
+    def _tell_suspicions(self, fingerprints, peers):
+        """Tell peers (iterable of str) what is known of some features."""
+        now = self._clock()
+        singles = [self._suspects.describe(one, now) for one in fingerprints]
+        self._tell(Suspicions(tuple(singles)), singles, peers)
+
+    def _tell(self, record, singles, peers):
+        """Send a record to peers, or several single ones to those that don't know it.
+
+        Args:
+            record (Record): What the single ones say together.
+            singles (list of Record): Single ones.
+            peers (iterable of str): Names of the peers.
+        """
+        for peer in peers if singles else ():
+            protocol = self._gateway.pools.peers.get_protocol(peer)
+            joined = protocol is None or protocol >= record.PROTOCOL
+            for one in (record,) if joined else singles:
+                self._gateway.pools.peers.send(peer, one)
 
     def _record_crash(self, record):
         """Record a crash (TargetCrashed) that this gateway or a peer has found."""
@@ -280,8 +326,7 @@
             return False
         suspects = self.select_quarantined(fingerprints)
         self._suspects.record_trial(suspects, now)
-        for fingerprint in suspects:
-            self._gateway.broadcast(self._suspects.describe(fingerprint, now))
+        self._tell_suspicions(suspects, self._gateway.roster.names)
         return True
 
     async def _request_grant(self, fingerprints, granter):
--- a/firworks/kernel/forwarding/suspicions.py
+++ b/firworks/kernel/forwarding/suspicions.py
@@ -68,6 +68,24 @@
     TYPES = (bytes, (str,), (float,), (float,), (float,), bool)
 
 
+@register_record
+class SuspectsCleared(Record):
+    """Suspect features (tuple of bytes, fingerprints) had a complete response."""
+
+    __slots__ = ("fingerprints",)
+    TYPES = ((bytes,),)
+    PROTOCOL = 2
+
+
+@register_record
+class Suspicions(Record):
+    """Several features (tuple of Suspicion), as known to the sender."""
+
+    __slots__ = ("suspicions",)
+    TYPES = ((Suspicion,),)
+    PROTOCOL = 2
+
+
 @register_record
 class TrialAsked(Record):
     """Requests permission for a trial of a request with quarantined features.
@@ -110,7 +128,9 @@
 SUSPICION_RECORDS = (
     TargetCrashed,
     SuspectCleared,
+    SuspectsCleared,
     Suspicion,
+    Suspicions,
     TrialAsked,
     TrialAnswered,
     TrialReturned,
--- a/firworks/plugins/peer_handshake.py
+++ b/firworks/plugins/peer_handshake.py
@@ -14,7 +14,7 @@
 NONCE_BYTES = 16
 # Version of the peers' protocol. The accepting end appends it to its nonce; daemons
 # that do not know it use the nonce as it is.
-PROTOCOL = 1
+PROTOCOL = 2
 # Name prefix of daemons that are known only by address.
 ANY_PEER = "any/"
 
--- a/firworks/tests/part_simulation.py
+++ b/firworks/tests/part_simulation.py
@@ -22,6 +22,7 @@
 from firworks.kernel.forwarding.requests import Prompt
 from firworks.kernel.pools.messages import MemberEntry
 from firworks.kernel.pools.roster import Roster
+from firworks.plugins.peer_handshake import PROTOCOL
 
 SYSTEM_PART = "system"
 DEADLY_PART = "dead"
@@ -79,6 +80,10 @@
         """Send a record to a peer, which gets it a little later."""
         self._fleet.deliver(self, peer, record)
 
+    def get_protocol(self, peer):
+        """Return the protocol version (int) of a peer."""
+        return self._fleet.protocol
+
     def broadcast(self, record):
         """Send a record to all peers."""
         for name in self.roster.names:
@@ -121,6 +126,7 @@
         crashes_s (list of float): When requests crashed engines.
         deadly_sends_s (list of float): When requests with the deadly part reached one.
         messages (int): Records sent between gateways.
+        protocol (int): Version of the protocol between them.
     """
 
     def __init__(self, gateways, engines, seed=1, order_seed=None):
@@ -128,6 +134,7 @@
         self.crashes_s = []
         self.deadly_sends_s = []
         self.messages = 0
+        self.protocol = PROTOCOL
         self._rng = Random(seed)
         self._order_rng = None if order_seed is None else Random(order_seed)
         self._engines = [Engine(f"engine-{n}") for n in range(engines)]
--- a/firworks/tests/test_part_quarantine.py
+++ b/firworks/tests/test_part_quarantine.py
@@ -204,6 +204,10 @@
         parts = self.make_sound(count)(None)
         return lambda rng: (*parts[:place], DEADLY_PART, *parts[place + 1 :])
 
+    def make_fingerprints(self, count):
+        """Return the fingerprints (list of bytes) of some parts."""
+        return [make_part_fingerprint(f"{number:x}") for number in range(count)]
+
     def check(self, simulation, begun_s):
         """Check that the part is found and that sound requests are served."""
         assert simulation.count_late() <= MAX_LATE_SENDS
@@ -265,7 +269,7 @@
         async def scenario():
             simulation = PartSimulation(2, 6)
             gateway = list(simulation.gateways.values())[0]
-            parts = [make_part_fingerprint(f"{number:x}") for number in range(2_000)]
+            parts = self.make_fingerprints(2_000)
             gateway.crashes.record_answer(parts)
             sent = []
             gateway.broadcast = sent.append
@@ -277,6 +281,44 @@
 
         play(scenario)
 
+    async def exchange(self, simulation, count):
+        """Let gateways suspect parts and clear them again; check that all know it."""
+        known = self.make_fingerprints(2 * count)
+        new = known[count:]
+        first, *others = [one.crashes for one in simulation.gateways.values()]
+        # One gateway has had no response to parts that all others know as sound.
+        for other in others:
+            other.record_answer(known[:count])
+        first.record_ended(("engine-0", 0), set(known[:count]))
+        await asyncio.sleep(1.0)
+        assert not first.is_suspected(known)
+        # Nobody has had a response to others, which a trial clears.
+        first.record_ended(("engine-1", 0), set(new))
+        await asyncio.sleep(1.0)
+        assert all(len(one.select_quarantined(new)) == count for one in others)
+        assert await first.request_trial(first.select_quarantined(new))
+        first.record_answer(new)
+        await asyncio.sleep(1.0)
+        assert not any(one.is_suspected(new) for one in (first, *others))
+
+    @pytest.mark.parametrize("count", [3, 2_000])
+    def test_messages_do_not_grow_with_the_number_of_parts(self, count):
+        async def scenario():
+            simulation = PartSimulation(5, 6)
+            await self.exchange(simulation, count)
+            assert simulation.messages < 60
+
+        play(scenario)
+
+    def test_older_gateways_get_one_message_a_part(self):
+        async def scenario():
+            simulation = PartSimulation(5, 6)
+            simulation.protocol = 1
+            await self.exchange(simulation, 40)
+            assert simulation.messages > 40
+
+        play(scenario)
+
 
 class TestBounds:
     def test_strangers_part_is_served_while_a_caller_names_it_in_deadly_requests(self):
