Reject statuses that HTTP does not have

What callers saw: a target in trouble sent status 600 or 999, and its caller got it as an answer. With 000, 001 or 099 and a body, the request waited for its deadline.

Cause: the parser takes any three digits. Above 599 the response counted as the target's own failure and was forwarded; below 100 it was skipped as an interim one.

Change: connections to targets abort a response whose status is outside 100 to 599 (RFC 9110, 15). It counts as broken: the request may have run, is sent to another target if it may be repeated, and is answered 502 otherwise.

--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -3,11 +3,7 @@
 import asyncio
 from collections import deque
 
-from aiohttp.client_exceptions import ClientPayloadError
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.helpers import set_exception
-from aiohttp.http_exceptions import HttpProcessingError
-
+from firworks.client_connections import CheckedResponseHandler
 from firworks.decoding import parse_integer
 from firworks.errors import CodecError
 from firworks.kernel.buffers import ResponseBuffers
@@ -39,7 +35,7 @@
     """No connection could be opened, so nothing was sent."""
 
 
-class TargetConnection(ResponseHandler):
+class TargetConnection(CheckedResponseHandler):
     """One HTTP connection to a target.
 
     Data that arrives while no request is in progress closes the connection. Data after
@@ -120,13 +116,7 @@
             return
         self._overhead += max(size, MIN_PARSE_COST_BYTES)
         if self._overhead > MAX_OVERHEAD_BYTES and not self._response_complete:
-            self._abort_response(f"over {MAX_OVERHEAD_BYTES} bytes without body data")
-
-    def _abort_response(self, detail):
-        if self._payload is not None:
-            set_exception(self._payload, ClientPayloadError(detail))
-        self.set_exception(HttpProcessingError(code=0, message=detail))
-        self.transport.abort()
+            self.abort_response(f"over {MAX_OVERHEAD_BYTES} bytes without body data")
 
     def _find_response_end(self, data):
         """Return the most bytes of ``data`` that can belong to the current response.
@@ -140,6 +130,8 @@
 
     def feed_data(self, data, size=0):
         """Receive a response head and its payload from the parser."""
+        if not self.check_status(data[0].code):
+            return
         if data[0].code < FIRST_FINAL_STATUS:
             self._informational = True
             return
@@ -149,7 +141,7 @@
             try:
                 self._body_remaining = parse_integer(length, "Content-Length")
             except CodecError as error:
-                self._abort_response(str(error))
+                self.abort_response(str(error))
                 return
         super().feed_data(data, size)
 
@@ -163,12 +155,9 @@
             self._resume_reading_for_buffer()
 
     def connection_lost(self, exc):
-        """Mark a response that was cut by a connection reset as incomplete."""
+        """Remove the connection from the open ones."""
         if self._on_lost is not None:
             self._on_lost(self)
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            set_exception(payload, ClientPayloadError(f"connection lost: {exc!r}"))
         super().connection_lost(exc)
 
     def send(self, head, body, skip_body):
--- a/firworks/standins/platform_targets.py
+++ b/firworks/standins/platform_targets.py
@@ -80,6 +80,8 @@
             on the way), "unframed torn" (the same, a stream that ends inside an
             event), "torn", "stalled", "large" (a body of ``LARGE_BODY_BYTES``, half of
             it before the gate), "missing" (404) and the keys of ``ENDLESS``.
+        early (callable or None): Coroutine ``early(writer, headers)`` answers a request
+            before its body is read, and ends the connection.
         leaves (bool): All responses announce that it is about to stop.
         retry_after (str or None): Retry-After of responses with status 503.
         limit (str or None): Server-Limit of all responses.
@@ -108,6 +110,7 @@
         self.received = []
         self.runs = []
         self.fault = ""
+        self.early = None
         self.arrivals = []
         self.announced = []
         self.leaves = False
@@ -160,6 +163,9 @@
             while True:
                 head = await reader.readuntil(_HEAD_END)
                 line, headers = _parse_head(head)
+                if self.early is not None and "x-request-id" in headers:
+                    await self.early(writer, headers)
+                    return
                 if self.fault == "early":
                     self._answer(writer, headers, 503, b"{}", {"X-Not-Run": "1"})
                     continue
