Go on with a begun stream only with a stream

What callers saw: a stream had begun and broke off; the next target answered with a 200 or 201 and a text, and what stood before its blank lines was in the stream. With a 204 the stream ended as if it were complete.

Cause: the response to an attempt that goes on with a stream was checked for a status of 200 to 299 only.

Change: it needs status 200 and, where it states a type, text/event-stream. Others are failures of the target: the stream goes on at a further one or is broken off.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -21,6 +21,7 @@
     is_mismatched,
     log_mismatch,
     raise_failure,
+    verify_continuation,
     verify_response,
 )
 from firworks.kernel.forwarding.admission import (
@@ -28,7 +29,6 @@
 )
 from firworks.kernel.forwarding.outcomes import (
     BROKEN,
-    FAILED,
     INPUTS_GONE,
     NOT_RUN,
     AttemptError,
@@ -404,10 +404,9 @@
             exchange.finish()
             self._attempts.record_refusal(context.service, exchange)
             raise_failure(exchange, body)
+        if context.progress.has_begun:
+            verify_continuation(exchange)
         success = 200 <= exchange.status < 300
-        if context.progress.has_begun and not success:
-            detail = f"status {exchange.status} to a stream that has begun"
-            raise AttemptError(FAILED, True, detail)
         if not success or not context.admitted.route.streaming:
             return await self._forwarder.forward_buffered(context, exchange, attempt)
         return await self._forwarder.forward_events(
--- a/firworks/gateway/verification.py
+++ b/firworks/gateway/verification.py
@@ -11,6 +11,7 @@
 from firworks.platform.headers import REQUEST_ID, STAMP
 
 INPUT_STATUSES = (400, 409)
+EVENT_STREAM = "text/event-stream"
 
 
 def is_mismatched(context, exchange):
@@ -29,6 +30,19 @@
         raise AttemptError(BROKEN, True, f"response to {echoed!r}")
 
 
+def verify_continuation(exchange):
+    """Raise `AttemptError` for a response that is not the rest of a begun stream.
+
+    Load pattern: a target answers with an error, or with a text of another kind and a
+    status that states success.
+    """
+    content_type = exchange.headers.get("Content-Type", EVENT_STREAM)
+    is_stream = content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+    if exchange.status != 200 or not is_stream:
+        detail = f"status {exchange.status}, {content_type}, to a stream that has begun"
+        raise AttemptError(FAILED, True, detail)
+
+
 def log_mismatch(context, exchange):
     """Log that a target sent a response to another request."""
     log_event(
--- a/firworks/tests/test_broken_answers.py
+++ b/firworks/tests/test_broken_answers.py
@@ -1,5 +1,6 @@
 """Tests that callers get no part of a broken or invalid response as a whole one."""
 
+import asyncio
 from functools import partial
 from itertools import count
 
@@ -9,10 +10,13 @@
 from firworks.standins.platform_targets import (
     EVENTS,
     STAMP,
+    PlatformEngine,
     PlatformStage,
     PlatformTarget,
     end_connection,
+    make_event,
 )
+from firworks.tests.gateway_process import Caller
 from firworks.tests.gateway_testbed import PROMPT, make_configuration, play, wait_until
 
 HEAD_END = b"\r\n\r\n"
@@ -217,3 +221,60 @@
     async def answer_stage(self, cut, end, writer, line, headers, body):
         writer.write(cut)
         await end_connection(writer, reset=end == "reset")
+
+
+# A stream had begun and broke off; the next target answered with an error. Callers
+# found its text in the middle of their stream, or the stream ended as if complete.
+class TestResumedStreams:
+    async def begin(self, gate, writer, line, headers, body):
+        """Send two events, and break off in the third one once the gate opens."""
+        head = make_head("200", headers["x-request-id"], "chunks", 0)
+        events = [make_event(number, "v1") for number in (1, 2, 3)]
+        data = events[0] + events[1]
+        writer.write(head + b"%x\r\n%b\r\n" % (len(data), data))
+        await gate.wait()
+        part = events[2][: self.torn_at]
+        writer.write(b"%x\r\n%b\r\n" % (len(part), part) if part else b"")
+        await end_connection(writer, reset=True)
+
+    async def fail(self, status, framing, writer, line, headers, body):
+        """Answer the attempt that goes on with an error, with text of its own."""
+        text = b"" if status == "204" else ERROR
+        head = make_head(status, headers["x-request-id"], framing, len(text))
+        head = head.replace(HEAD_END, b"\r\nContent-Type: text/plain" + HEAD_END)
+        if status == "302":
+            head = head.replace(HEAD_END, b"\r\nLocation: /rules/b" + HEAD_END)
+        writer.write(head + frame_body(text, framing))
+        if framing in ("none", "close"):
+            await end_connection(writer)
+
+    @pytest.mark.parametrize("torn_at", [0, -4], ids=["between events", "inside one"])
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    @pytest.mark.parametrize(
+        "status", ["200", "201", "204", "302", "400", "404", "500", "502", "503", "600"]
+    )
+    @pytest.mark.parametrize("path", ["/rules/a", "/once/a"])
+    def test_no_byte_of_an_error_reaches_the_caller(
+        self, path, status, framing, torn_at
+    ):
+        self.torn_at = torn_at
+
+        async def scenario(testbed):
+            gate = asyncio.Event()
+            engines = list_targets(testbed, PlatformEngine)
+            for target in engines:
+                target.serve = partial(self.begin, gate)
+            async with Caller(testbed.gateways[0].callers.port) as caller:
+                caller.send(path, **PROMPT)
+                assert (await caller.read_head())[0] == 200
+                begun = await caller.read_until(make_event(2, "v1"))
+                for target in engines:
+                    target.serve = partial(self.fail, status, framing)
+                gate.set()
+                rest = await caller.read_rest()
+            assert begun.count(b"id: ") == 2
+            assert b"error" not in rest and b"second line" not in rest
+            assert b"HTTP/1.1" not in rest and b"id:" not in rest
+            assert not rest.endswith(b"0\r\n\r\n")
+
+        play(scenario)
