Let all clients tell a reset from the end of a response

What users would see: a response of the store, or of a target of firworksd, that has no length and is reset on the way was taken as complete; statuses such as 600 reached the code behind the sessions of firworksd.

Cause: aiohttp ends a response without a length at any loss of its connection. The gateway's connections to targets checked for that, all other sessions did not.

Change: all sessions use the connections of firworks.client_connections.

--- a/firworks/platform/store.py
+++ b/firworks/platform/store.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from firworks.bodies import BodyTooLargeError, read_body
+from firworks.client_connections import make_connector
 from firworks.decoding import parse_integer
 from firworks.errors import CodecError, FirworksError
 from firworks.events import LogEvent, log_event
@@ -91,7 +92,7 @@
 
     async def start(self):
         """Open the HTTP session; must run on the event loop that makes the calls."""
-        connector = aiohttp.TCPConnector(
+        connector = make_connector(
             limit=0, keepalive_timeout=IDLE_TIMEOUT_S, socket_factory=open_socket
         )
         self._session = aiohttp.ClientSession(
--- a/firworks/plugins/http_log.py
+++ b/firworks/plugins/http_log.py
@@ -6,6 +6,7 @@
 import cbor2
 
 from firworks.bodies import read_body, read_json
+from firworks.client_connections import make_connector
 from firworks.errors import CodecError, LogUnavailableError
 from firworks.events import LogEvent, log_event
 from firworks.kernel.buffers import ResponseBuffers
@@ -94,7 +95,9 @@
 
     def _open(self):
         if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=self._timeout)
+            self._session = aiohttp.ClientSession(
+                connector=make_connector(), timeout=self._timeout
+            )
         return self._session
 
     def _path(self, stream):
--- a/firworks/plugins/http_orders.py
+++ b/firworks/plugins/http_orders.py
@@ -6,6 +6,7 @@
 
 from firworks.adapter import Adapter
 from firworks.bodies import read_json
+from firworks.client_connections import make_connector
 from firworks.events import LogEvent, log_event
 from firworks.kernel.buffers import ResponseBuffers
 from firworks.kernel.orders.records import (
@@ -92,7 +93,7 @@
 
 def _open(timeout_s):
     timeout = aiohttp.ClientTimeout(total=timeout_s)
-    connector = aiohttp.TCPConnector(force_close=True)
+    connector = make_connector(force_close=True)
     return aiohttp.ClientSession(timeout=timeout, connector=connector)
 
 
--- a/firworks/plugins/http_vms.py
+++ b/firworks/plugins/http_vms.py
@@ -7,6 +7,7 @@
 
 from firworks.adapter import Adapter
 from firworks.bodies import read_json
+from firworks.client_connections import make_connector
 from firworks.decoding import describe_value
 from firworks.events import LogEvent, log_event
 from firworks.kernel.buffers import ResponseBuffers
@@ -57,7 +58,9 @@
 
     async def _poll(self):
         timeout = ClientTimeout(total=POLL_TIMEOUT_S)
-        async with ClientSession(timeout=timeout) as session:
+        async with ClientSession(
+            connector=make_connector(), timeout=timeout
+        ) as session:
             while True:
                 size = await self._read(session)
                 await asyncio.sleep(max(self._period_s, size / BUDGET_BYTES_PER_S))
--- a/firworks/plugins/target_calls.py
+++ b/firworks/plugins/target_calls.py
@@ -6,6 +6,7 @@
 
 from firworks.adapter import Adapter
 from firworks.bodies import read_json
+from firworks.client_connections import make_connector
 from firworks.events import LogEvent, log_event
 from firworks.kernel.buffers import ResponseBuffers
 from firworks.kernel.calls import (
@@ -78,7 +79,7 @@
         self._retired = set()
 
     def _open(self, single_use):
-        connector = aiohttp.TCPConnector(
+        connector = make_connector(
             limit=0,
             force_close=single_use,
             keepalive_timeout=None if single_use else KEEPALIVE_S,
--- a/firworks/tests/test_broken_answers.py
+++ b/firworks/tests/test_broken_answers.py
@@ -7,6 +7,8 @@
 import aiohttp
 import pytest
 
+from firworks.platform.store import CONFIGURATION_TOPIC, StoreError
+from firworks.plugins.target_calls import TargetSessions
 from firworks.standins.platform_targets import (
     EVENTS,
     STAMP,
@@ -16,6 +18,7 @@
     end_connection,
     make_event,
 )
+from firworks.standins.web import LOOPBACK
 from firworks.tests.gateway_process import Caller
 from firworks.tests.gateway_testbed import PROMPT, make_configuration, play, wait_until
 
@@ -278,3 +281,74 @@
             assert not rest.endswith(b"0\r\n\r\n")
 
         play(scenario)
+
+
+class RawServer:
+    """Server that answers each request with some bytes and ends the connection.
+
+    Args:
+        data (bytes): The bytes.
+        reset (bool): The connection is reset.
+    """
+
+    def __init__(self, data, reset):
+        self._data = data
+        self._reset = reset
+        self._server = None
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        return f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def __aexit__(self, *_):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(HEAD_END)
+        writer.write(self._data)
+        await end_connection(writer, self._reset)
+
+
+# Clients of the store, and of the targets of firworksd, took what came before a reset
+# as a whole response without a length.
+class TestClients:
+    LISTING = b'{"entries": [], "end": 0}'
+
+    RESPONSES = pytest.mark.parametrize(
+        ("data", "reset"),
+        [
+            (b"HTTP/1.1 200 OK\r\n\r\n" + LISTING, True),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + LISTING, False),
+            (b"HTTP/1.1 200 OK\r\nContent-", False),
+            (b"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}", False),
+            (b"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", False),
+        ],
+        ids=["unframed reset", "short", "cut head", "status 600", "status 000"],
+    )
+
+    @RESPONSES
+    def test_a_broken_response_of_the_store_is_an_error(self, data, reset):
+        async def scenario(testbed):
+            store = testbed.gateways[0].store
+            async with RawServer(data, reset) as address:
+                base, store._base = store._base, f"http://{address}"
+                try:
+                    with pytest.raises(StoreError):
+                        await store.list_newest(CONFIGURATION_TOPIC)
+                finally:
+                    store._base = base
+
+        play(scenario)
+
+    @RESPONSES
+    def test_a_broken_response_of_a_target_is_an_error(self, data, reset):
+        async def scenario(testbed):
+            sessions = TargetSessions(1.0)
+            async with RawServer(data, reset) as address:
+                for session in (sessions.get(address), sessions.open_single_use()):
+                    with pytest.raises(aiohttp.ClientError):
+                        async with session.post(f"http://{address}/call") as response:
+                            await response.read()
+                    await session.close()
+
+        play(scenario)
--- a/firworks/tools/admin_client.py
+++ b/firworks/tools/admin_client.py
@@ -3,6 +3,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from firworks.bodies import read_json
+from firworks.client_connections import make_connector
 from firworks.codes import Code
 from firworks.errors import AdminResponseError, UnreachableError
 from firworks.kernel.buffers import ResponseBuffers
@@ -24,7 +25,9 @@
         self._timeout = ClientTimeout(total=timeout_s)
 
     async def __aenter__(self):
-        self._session = ClientSession(headers=self._headers, timeout=self._timeout)
+        self._session = ClientSession(
+            connector=make_connector(), headers=self._headers, timeout=self._timeout
+        )
         return self
 
     async def __aexit__(self, *error):
