--- a/firworks/gateway/crashes.py
+++ b/firworks/gateway/crashes.py
@@ -6,10 +6,7 @@
 from firworks.events import LogEvent, log_event
 from firworks.gateway.checks import LivenessChecker
 from firworks.gateway.suspicion_store import SuspicionStore
-from firworks.kernel.forwarding.features import (
-    describe_features,
-    is_part,
-)
+from firworks.kernel.forwarding.features import describe_features, is_part
 from firworks.kernel.forwarding.suspects import Suspects
 from firworks.kernel.forwarding.suspicions import (
     SuspectCleared,
--- a/firworks/gateway/stream_versions.py
+++ b/firworks/gateway/stream_versions.py
@@ -73,8 +73,7 @@
             context (RequestContext): The request.
 
         Raises:
-            ResumptionRefusedError: When it is not known, or no target of its version is
-                usable.
+            ResumptionRefusedError: When it is not known.
         """
         origin = await self._search_origin(context)
         if origin is None:
--- a/firworks/gateway/version_admission.py
+++ b/firworks/gateway/version_admission.py
@@ -83,13 +83,13 @@
             path (str): Path of the request, without its query.
 
         Returns:
-            (list of str, list of str): Those that certainly or probably forwarded the
-            path, and those of which there may be records.
+            (list of str, list of str): Those that the path was or may have been
+            forwarded to, and beside these all that may have a record of the stream.
         """
         services = self._routes.list_services(host, path, self._clock())
         if self._routes.knows_history(self._clock()):
             return services, services
-        if not self._loaded:
+        if not self._loaded and not self._gateway.store_unavailable:
             await self._load()
         stored = {served.service for served in self._served.list_stored()}
         probable = services + sorted(stored - self._services - set(services))
--- a/firworks/tests/test_broken_answers.py
+++ b/firworks/tests/test_broken_answers.py
@@ -111,8 +111,14 @@
             writer.write_eof()
         await end_connection(writer, reset=end != "closed")
 
+    async def make_parts(self, size):
+        """Yield a body in parts, which is sent in chunks."""
+        for _ in range(10):
+            yield bytes(size // 10)
+
     @pytest.mark.parametrize(("framing", "end", "size"), CUT_SHORT)
-    def test_a_part_is_not_passed_on_as_whole(self, framing, end, size):
+    @pytest.mark.parametrize("chunked", [False, True], ids=["whole", "chunked"])
+    def test_a_part_is_not_passed_on_as_whole(self, chunked, framing, end, size):
         async def scenario(testbed):
             configuration = make_configuration(2)
             configuration["limits"]["max-body-bytes"] = 2 * UPLOAD_BYTES
@@ -122,7 +128,8 @@
             for target in list_targets(testbed):
                 target.early = partial(self.answer, framing, end)
             for path in PATHS:
-                status, body = await send_to(testbed, path, bytes(size))
+                upload = self.make_parts(size) if chunked else bytes(size)
+                status, body = await send_to(testbed, path, upload)
                 assert not 200 <= status < 300, (path, status, body)
                 assert PART not in body
 
@@ -188,6 +195,7 @@
     CUTS = (
         *(b"H", b"HTTP/1.1", b"HTTP/1.1 200", b"HTTP/1.1 200 Status\r\n"),
         *(b"HTTP/1.1 200 Status\r\nX-Req", HEAD[:-4], HEAD[:-2], HEAD[:-1]),
+        *(b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 103 Hints\r\n\r\n" + HEAD[:-4]),
     )
 
     async def answer(self, cut, end, writer, line, headers, body):
