--- a/firworks/tests/test_stream_versions.py
+++ b/firworks/tests/test_stream_versions.py
@@ -128,6 +128,21 @@
     return went_on
 
 
+def select_ids(testbed, begun, version):
+    """Return the ids (set of str) of the streams that began at a version."""
+    return {
+        request_id
+        for request_id, target_id in begun.items()
+        if get_version(testbed, target_id) == version
+    }
+
+
+async def wait_until_recorded(testbed, versions):
+    """Wait until the store has all streams, if services have several versions."""
+    if len(set(versions)) > 1:
+        await wait_until(lambda: len(list_stored_streams(testbed)) >= STREAMS)
+
+
 def get_service(testbed, target_id):
     """Return the service of a target."""
     return testbed.targets[target_id].service
@@ -499,10 +514,7 @@
             async with run_split(3, versions, weights) as testbed:
                 killed = testbed.gateways[0]
                 begun = await begin_streams(testbed, killed, STREAMS)
-                if len(set(versions)) > 1:
-                    await wait_until(
-                        lambda: len(list_stored_streams(testbed)) >= STREAMS
-                    )
+                await wait_until_recorded(testbed, versions)
                 await kill(testbed, [killed])
                 went_on = await take_all_up(testbed, begun, testbed.gateways[-1])
                 assert begun.keys() == went_on.keys()
@@ -580,22 +592,14 @@
         async def test():
             async with run_split(2, versions) as testbed:
                 begun = await begin_streams(testbed, testbed.gateways[0], STREAMS)
-                if len(set(versions)) > 1:
-                    await wait_until(
-                        lambda: len(list_stored_streams(testbed)) >= STREAMS
-                    )
+                await wait_until_recorded(testbed, versions)
                 await change_split(testbed, 3, {"engines-b": 100})
                 if all_killed:
                     await kill(testbed, list(testbed.gateways))
                     await testbed.add_gateway("gateway-3")
                 went_on = await take_all_up(testbed, begun, testbed.gateways[-1])
                 # Those of another version have no target left on the route.
-                fitting = {
-                    request_id
-                    for request_id, target_id in begun.items()
-                    if get_version(testbed, target_id) == versions[1]
-                }
-                assert went_on.keys() == fitting
+                assert went_on.keys() == select_ids(testbed, begun, versions[1])
                 services = {get_service(testbed, one) for one in went_on.values()}
                 assert services == {"engines-b"}
 
@@ -616,12 +620,7 @@
                             )
                         )
                 went_on = await take_all_up(testbed, begun, testbed.gateways[1])
-                fitting = {
-                    request_id
-                    for request_id, target_id in begun.items()
-                    if get_version(testbed, target_id) == versions[1]
-                }
-                assert went_on.keys() == fitting
+                assert went_on.keys() == select_ids(testbed, begun, versions[1])
 
         run(test)
 
@@ -630,10 +629,7 @@
         async def test():
             async with run_split(2, versions) as testbed:
                 begun = await begin_streams(testbed, testbed.gateways[0], STREAMS)
-                if len(set(versions)) > 1:
-                    await wait_until(
-                        lambda: len(list_stored_streams(testbed)) >= STREAMS
-                    )
+                await wait_until_recorded(testbed, versions)
                 await kill(testbed, list(testbed.gateways))
                 await testbed.add_gateway("gateway-3")
                 went_on = await take_all_up(testbed, begun, testbed.gateways[0])
