--- a/firworks/tests/part_simulation.py
+++ b/firworks/tests/part_simulation.py
@@ -106,7 +106,7 @@
         self.trial, self.part_trial = False, ()
         self.incarnation = self.response = None
         self.may_have_run = False
-        self.deadly = DEADLY_PART in part_ids
+        self.deadly = any(one.startswith(DEADLY_PART) for one in part_ids)
         self.served = None
         self.begun_s = asyncio.get_running_loop().time()
 
--- a/firworks/tests/test_part_quarantine.py
+++ b/firworks/tests/test_part_quarantine.py
@@ -239,6 +239,29 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize("count", [3, 80, 300])
+    def test_two_deadly_parts_are_found(self, count, seed):
+        places = (count // 2, count // 3)
+        first, second = (self.make_deadly(count, place)(None) for place in places)
+        second = tuple(
+            f"{DEADLY_PART}-2" if one == DEADLY_PART else one for one in second
+        )
+
+        async def scenario():
+            simulation = PartSimulation(4, 6, seed)
+            begun_s = await play_all(
+                simulation,
+                4,
+                self.make_sound(count),
+                lambda rng: rng.choice((first, second)),
+            )
+            # The bound of late sends holds for each part.
+            assert simulation.count_late() <= 2 * MAX_LATE_SENDS
+            assert simulation.measure_served(begun_s + SETTLED_S) >= MIN_SERVED
+
+        play(scenario)
+
     def test_sound_requests_share_some_of_the_parts(self):
         parts = self.make_sound(300)(None)
 
