Give processes of tests ports below those of outgoing connections

A gateway had ended at its start: "[Errno 98] Address already in use" for the port of its metrics, 42423.

Cause: find_free_port asked for any free port and closed it again.

Change: ports come from 10,000 to 19,999, in turn, from a start that depends on the process. No check of a test is changed.

--- a/firworks/standins/site.py
+++ b/firworks/standins/site.py
@@ -1,7 +1,9 @@
 """A small site on loopback: platform, targets and daemons in one event loop."""
 
 import asyncio
+import os
 import socket
+from itertools import count
 
 from aiohttp.web import AppRunner, TCPSite
 
@@ -16,6 +18,11 @@
 
 FAILURE_DOMAINS = ("fd-1", "fd-2", "fd-3")
 READY_POLL_S = 0.02
+# Linux gives ports from 32768 on to outgoing connections.
+FIRST_PORT = 10_000
+PORTS = 10_000
+# Processes that run side by side begin at different ports.
+_ports = (FIRST_PORT + (os.getpid() * 97 + number) % PORTS for number in count())
 
 
 class Site:
@@ -143,7 +150,15 @@
 
 
 def find_free_port():
-    """Return a loopback port that is currently free."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """Return a loopback port that nothing uses, another one at each call.
+
+    It lies below the ports of outgoing connections, one of which might take it before
+    its listener is opened.
+    """
+    for port in _ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue  # something listens there
+        return port
--- a/firworks/tests/test_site.py
+++ b/firworks/tests/test_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import socket
 from contextlib import asynccontextmanager
 
 import pytest
@@ -13,11 +14,13 @@
 from firworks.standins.engine import make_token
 from firworks.standins.link import Link
 from firworks.standins.service import StandinService
-from firworks.standins.site import Site
-from firworks.standins.web import TargetFaults
+from firworks.standins.site import Site, find_free_port
+from firworks.standins.web import LOOPBACK, TargetFaults
 from firworks.tests.kit import OTHER_TOKEN, TOKEN, make_document, make_document_bytes
 
 TIMEOUT_S = 60.0
+# Linux uses these and higher ones for outgoing connections.
+FIRST_OUTGOING_PORT = 32_768
 TOKENS = 12
 
 
@@ -319,3 +322,16 @@
             assert result.code == Code.UNKNOWN_RESULT
 
         run(body)
+
+
+class TestPorts:
+    def test_ports_of_processes_are_not_those_of_outgoing_connections(self):
+        # A gateway could not start, as a connection had the port that it was given.
+        ports = [find_free_port() for _ in range(200)]
+        assert len(set(ports)) == len(ports)
+        assert max(ports) < FIRST_OUTGOING_PORT
+
+    def test_a_port_in_use_is_left_out(self):
+        port = find_free_port()
+        with socket.create_server((LOOPBACK, port + 1)):
+            assert find_free_port() not in (port, port + 1)
