--- a/review/lab3.py
+++ b/review/lab3.py
@@ -163,6 +163,11 @@
         self._running = True
         self._keeper = asyncio.ensure_future(self._keep())
 
+    @property
+    def is_running(self):
+        """Whether the process runs (bool)."""
+        return self.process is not None and self.process.poll() is None
+
     async def _keep(self):
         while self._running:
             self._launch()
@@ -275,9 +280,14 @@
             "models": [{"name": "m", "version": 1, "adapters": []}],
             "sequence": self._sequence,
             "born": self.born_ms,
+            **self.list_entry_fields(),
         }
         self.lab.store.put_target(self.server_id, entry)
 
+    def list_entry_fields(self):
+        """Return what its entry states beside the usual (dict)."""
+        return {}
+
     def remove_entry(self):
         """Let the platform remove its entry."""
         self.lab.store.put_target(self.server_id, None)
