Show that a spoiled header value makes gateways hang

One server of three spoils one answer in 50 for 5.5 s: 16,000 digits and a letter as Server-Limit, twice, and as X-Server-Load.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,140 +1,174 @@
-"""Streams join two software versions after a server came back as a newer one.
+"""A few spoiled answers of one server make gateways hang.
 
-While the store is silent, a model server goes down and up by turns. It comes back under
-its id, with newer software, and can't say so in its entry. Streams that begin there are
-taken for ones of the version before, and go on at a server of that version.
+One of three servers spoils one answer in 50 for some seconds: where its head names a
+limit and a load, it has digits that end in a letter.
 """
 
 import asyncio
-import re
 import sys
 import time
+from random import Random
 
 from lab3 import (
     BROKEN,
-    ENGINE,
     HELD,
     TROUBLE,
-    Engine,
     Lab,
+    PlainServer,
+    Reply,
     main,
     make_configuration,
     make_route,
     make_service,
+    read_reply,
 )
 
-# Seconds after the start of the traffic.
-SILENT_S = (2.0, 6.5)
-FIRST_DOWN_S, SECOND_DOWN_S, DOWN_S = 2.3, 6.0, 0.4
-CROWD_FROM_S = 3.7
-LENGTH_S = 10.0
-EARLY_CALLERS, LATE_CALLERS = 2, 14
-# The rule allows so many streams with events of two versions.
-ALLOWED = 2
-
-
-class FlappingEngine(Engine):
-    """A server that may crash and come back under its id and at its address."""
-
-    events = 60
-    pause_s = 0.05
-
-    async def come_back(self, version):
-        """Crash, and start again some time later with other software."""
-        port = self.port
-        self.lab.record.note(f"{self.server_id} crashes")
-        await self.stop()
-        await asyncio.sleep(DOWN_S)
-        self.version, self.born_ms = version, int(time.time() * 1000)
-        await self.start(port)
-        self.lab.record.note(f"{self.server_id} is back with {version}")
-
-    def write_entry(self):
-        """Write its entry, if the store answers."""
-        if not self.lab.store.silent:
-            super().write_entry()
-
-
-async def ask(lab, caller, from_s, until_s, joined):
-    """Ask for one stream after the other; note those of two versions."""
-    await asyncio.sleep(max(0.0, from_s - time.monotonic()))
-    number = 0
-    while time.monotonic() < until_s:
-        number += 1
-        request_id, reply = await lab.send(
-            lab.gateways[(caller + number) % 2],
-            "/chat/1",
-            body=b"{}",
-            deadline_ms=8000,
-            X_Model="m",
-            X_Token_Counts="700,60",
-            X_Prefix_Hash=f"a1:172,b{caller}:500,c{caller}-{number}:28",
-        )
-        tokens = re.findall(rb"data: (v\d) token (\d+)", reply.body)
-        versions = sorted({version.decode() for version, _ in tokens})
-        if len(versions) > 1:
-            joined.append(request_id)
-            changes = [
-                f"{before[0].decode()} {before[1].decode()}, then {after[0].decode()}"
-                for before, after in zip(tokens, tokens[1:], strict=False)
-                if before[0] != after[0]
-            ]
-            lab.record.note(f"{request_id} holds events of {versions}: {changes}")
-        if reply.status != 200:
-            await asyncio.sleep(0.3)
-
-
-async def disturb(lab, server, began_s):
-    """Silence the store, and let a server go down and up twice meanwhile."""
-    if not TROUBLE:
-        return
-
-    async def wait_for(time_s):
-        await asyncio.sleep(max(0.0, began_s + time_s - time.monotonic()))
-
-    await wait_for(SILENT_S[0])
-    lab.store.silent = True
-    lab.record.note("the store is silent")
-    await wait_for(FIRST_DOWN_S)
-    await server.come_back("v2")
-    await wait_for(SECOND_DOWN_S)
-    await server.come_back("v2")
-    await wait_for(SILENT_S[1])
-    lab.store.silent = False
-    lab.record.note("the store answers")
+# The spoiled answers: one in so many, for so long, and the bytes of a spoiled value.
+ONE_IN = 50
+SPOILED_S = 5.5
+VALUE = "1" * 16_000 + "x"
+# Ordinary callers, and the timeout of their route.
+CALLERS = 16
+TIMEOUT_S = 4.0
+ORDINARY_S = 30.0
+# The rule asks for an answer this long after the timeout.
+GRACE_S = 0.5
+# It counts if so many requests, and more than half of the late ones, have none.
+LEAST = 8
+
+
+class SpoilingServer(PlainServer):
+    """A server that spoils some of its answers for a while."""
+
+    spoils = False
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.answers = self.spoiled = 0
+
+    def list_notices(self):
+        """Return further headers of its next answer (list of (str, str))."""
+        if not self.spoils:
+            return []
+        self.answers += 1
+        if self.answers % ONE_IN:
+            return []
+        self.spoiled += 1
+        self.lab.record.note(f"{self.server_id} spoils an answer")
+        load = ("X-Server-Load", f"{VALUE},0,8")
+        return [("Server-Limit", VALUE), ("Server-Limit", VALUE), load]
+
+
+class Desk:
+    """Ordinary callers, who book again and again on kept channels.
+
+    Args:
+        lab (Lab): The deployment.
+    """
+
+    def __init__(self, lab):
+        self.lab = lab
+        self.answered, self.late, self.unanswered = 0, 0, []
+        self._rng = Random(14)
+
+    async def book(self, gateway, until_s):
+        """Send bookings on a channel, and on a new one after each that ended."""
+        while time.monotonic() < until_s:
+            try:
+                async with asyncio.timeout(1.0):
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", gateway.ports[0]
+                    )
+            except (OSError, TimeoutError):
+                continue
+            try:
+                while time.monotonic() < until_s:
+                    await self._book_once(reader, writer, gateway)
+                    await asyncio.sleep(0.1)
+            except TimeoutError:
+                # The caller gave up, and comes back some time later.
+                await asyncio.sleep(self._rng.uniform(0.0, TIMEOUT_S))
+            except (OSError, asyncio.IncompleteReadError):
+                pass  # the channel has ended
+            finally:
+                writer.transport.abort()
+
+    async def _book_once(self, reader, writer, gateway):
+        request_id, reply = self.lab.make_id(), Reply()
+        deadline_ms = int(TIMEOUT_S * 1000)
+        head = self.lab.make_head("POST", "/book/1", request_id, deadline_ms, 2)
+        sent_s = time.monotonic()
+        writer.write(head + b"{}")
+        try:
+            async with asyncio.timeout(TIMEOUT_S + GRACE_S):
+                await read_reply(reader, reply)
+        finally:
+            took_s = time.monotonic() - sent_s
+            if reply.complete:
+                self.answered += 1
+                self.late += took_s > TIMEOUT_S
+            elif took_s >= TIMEOUT_S + GRACE_S:
+                self.unanswered.append(request_id)
+            self.lab.record.note(
+                f"{request_id} at {gateway.name}: {reply.status} after {took_s:.2f} s"
+            )
+
+
+async def watch_readiness(lab, gateway, missed):
+    """Ask once a second whether a gateway is ready, as the platform does."""
+    while True:
+        asked_s = time.monotonic()
+        if await lab.ask_ready(gateway) != 200:
+            missed.append(gateway.name)
+            lab.record.note(f"{gateway.name} does not say that it is ready")
+        await asyncio.sleep(max(0.0, asked_s + 1.0 - time.monotonic()))
+
+
+async def spoil(server):
+    """Let a server spoil some of its answers for a while."""
+    server.spoils = True
+    await asyncio.sleep(SPOILED_S)
+    server.spoils = False
 
 
 async def run(folder):
     """Run the case; return its exit code."""
     async with Lab(folder, gateways=2) as lab:
-        more = {"timeout-ms": 8000, "goal-ms": 910, "gap-aim-ms": 300}
-        routes = [
-            make_route("chat", "llm", "streaming", sticky=True, resumable=True, **more)
-        ]
-        services = [make_service("llm", engine=ENGINE)]
+        routes = [make_route("book", "orders", "non_idempotent", **{"max-attempts": 1})]
+        services = [make_service("orders")]
         lab.store.put_configuration(make_configuration(1, routes, services))
         servers = [
-            await lab.add_server(FlappingEngine(lab, f"i-llm-{number}", "llm", 64))
-            for number in range(2)
+            await lab.add_server(SpoilingServer(lab, f"i-desk-{number}", "orders"))
+            for number in range(3)
         ]
         await lab.start_gateways()
-        began_s, joined = time.monotonic(), []
-        until_s = began_s + LENGTH_S
-        callers = [
-            ask(
-                lab,
-                caller,
-                began_s + (CROWD_FROM_S if caller >= EARLY_CALLERS else 0.0),
-                until_s,
-                joined,
-            )
-            for caller in range(EARLY_CALLERS + LATE_CALLERS)
+        ordinary, missed = Desk(lab), []
+        watches = [
+            asyncio.ensure_future(watch_readiness(lab, gateway, missed))
+            for gateway in lab.gateways
+        ]
+        until_s = time.monotonic() + ORDINARY_S
+        tasks = [
+            asyncio.ensure_future(ordinary.book(lab.gateways[number % 2], until_s))
+            for number in range(CALLERS)
         ]
-        await asyncio.gather(disturb(lab, servers[0], began_s), *callers)
+        await asyncio.sleep(3.0)
+        if TROUBLE:
+            await spoil(servers[0])
+        await asyncio.gather(*tasks)
+        for watch in watches:
+            watch.cancel()
+        ran = {request_id for _, _, request_id in lab.runs}
+        unanswered = len(ordinary.unanswered)
+        began = len([one for one in ordinary.unanswered if one in ran])
         lab.record.say(
-            f"{len(lab.runs)} runs; {len(joined)} streams with events of two versions"
+            f"{servers[0].spoiled} answers spoiled; {ordinary.answered} bookings "
+            f"answered, {ordinary.late} of them after {TIMEOUT_S} s; {unanswered} "
+            f"without an answer {GRACE_S} s later, {began} of which a server ran; "
+            f"readiness missed {len(missed)} times"
         )
-        return BROKEN if len(joined) > ALLOWED else HELD
+        broken = unanswered >= LEAST and unanswered > ordinary.late
+        return BROKEN if broken else HELD
 
 
 main(run, sys.argv[1])
