--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,18 +1,20 @@
-"""A few spoiled answers of one server make gateways hang.
+"""A crowd whose prompts have very many short parts makes a gateway hang.
 
-One of three servers spoils one answer in 50 for some seconds: where its head names a
-limit and a load, it has digits that end in a letter.
+The crowd asks a pool of engines for more than it can serve at once. Ordinary callers
+book at another service meanwhile, whose servers are free. Without the trouble the crowd
+sends prompts of the same length, in three parts.
 """
 
 import asyncio
 import sys
 import time
-from random import Random
 
 from lab3 import (
     BROKEN,
+    ENGINE,
     HELD,
     TROUBLE,
+    Engine,
     Lab,
     PlainServer,
     Reply,
@@ -23,40 +25,26 @@
     read_reply,
 )
 
-# The spoiled answers: one in so many, for so long, and the bytes of a spoiled value.
-ONE_IN = 50
-SPOILED_S = 5.5
-VALUE = "1" * 16_000 + "x"
+# The crowd: callers, tokens of each prompt, and for how long.
+CROWD = 120
+TOKENS = 2_000
+CROWD_S = 25.0
 # Ordinary callers, and the timeout of their route.
 CALLERS = 16
 TIMEOUT_S = 4.0
-ORDINARY_S = 30.0
 # The rule asks for an answer this long after the timeout.
 GRACE_S = 0.5
 # It counts if so many requests, and more than half of the late ones, have none.
 LEAST = 8
 
 
-class SpoilingServer(PlainServer):
-    """A server that spoils some of its answers for a while."""
-
-    spoils = False
-
-    def __init__(self, *args, **kwargs):
-        super().__init__(*args, **kwargs)
-        self.answers = self.spoiled = 0
-
-    def list_notices(self):
-        """Return further headers of its next answer (list of (str, str))."""
-        if not self.spoils:
-            return []
-        self.answers += 1
-        if self.answers % ONE_IN:
-            return []
-        self.spoiled += 1
-        self.lab.record.note(f"{self.server_id} spoils an answer")
-        load = ("X-Server-Load", f"{VALUE},0,8")
-        return [("Server-Limit", VALUE), ("Server-Limit", VALUE), load]
+def make_parts(number):
+    """Return the value of ``X-Prefix-Hash`` for a caller of the crowd (str)."""
+    if TROUBLE:
+        shared = [f"{part + 1:x}:1" for part in range(TOKENS - 1)]
+    else:
+        shared = [f"1:{TOKENS // 2}", f"2:{TOKENS // 2 - 1}"]
+    return ",".join([*shared, f"f{number:05x}:1"])
 
 
 class Desk:
@@ -69,7 +57,6 @@
     def __init__(self, lab):
         self.lab = lab
         self.answered, self.late, self.unanswered = 0, 0, []
-        self._rng = Random(14)
 
     async def book(self, gateway, until_s):
         """Send bookings on a channel, and on a new one after each that ended."""
@@ -85,11 +72,8 @@
                 while time.monotonic() < until_s:
                     await self._book_once(reader, writer, gateway)
                     await asyncio.sleep(0.1)
-            except TimeoutError:
-                # The caller gave up, and comes back some time later.
-                await asyncio.sleep(self._rng.uniform(0.0, TIMEOUT_S))
-            except (OSError, asyncio.IncompleteReadError):
-                pass  # the channel has ended
+            except (OSError, asyncio.IncompleteReadError, TimeoutError):
+                pass  # the channel has ended, or the caller gave up
             finally:
                 writer.transport.abort()
 
@@ -114,6 +98,26 @@
             )
 
 
+async def crowd(lab):
+    """Let many callers ask again and again."""
+    until_s = time.monotonic() + CROWD_S
+
+    async def ask(number):
+        while time.monotonic() < until_s:
+            await lab.send(
+                lab.gateways[number % len(lab.gateways)],
+                "/chat/1",
+                body=b"{}",
+                deadline_ms=8000,
+                X_Model="m",
+                X_Token_Counts=f"{TOKENS},70",
+                X_Prefix_Hash=make_parts(number),
+            )
+            await asyncio.sleep(0.1)
+
+    await asyncio.gather(*(ask(number) for number in range(CROWD)))
+
+
 async def watch_readiness(lab, gateway, missed):
     """Ask once a second whether a gateway is ready, as the platform does."""
     while True:
@@ -124,37 +128,35 @@
         await asyncio.sleep(max(0.0, asked_s + 1.0 - time.monotonic()))
 
 
-async def spoil(server):
-    """Let a server spoil some of its answers for a while."""
-    server.spoils = True
-    await asyncio.sleep(SPOILED_S)
-    server.spoils = False
-
-
 async def run(folder):
     """Run the case; return its exit code."""
     async with Lab(folder, gateways=2) as lab:
-        routes = [make_route("book", "orders", "non_idempotent", **{"max-attempts": 1})]
-        services = [make_service("orders")]
-        lab.store.put_configuration(make_configuration(1, routes, services))
-        servers = [
-            await lab.add_server(SpoilingServer(lab, f"i-desk-{number}", "orders"))
-            for number in range(3)
+        streaming = {"timeout-ms": 8000, "goal-ms": 1700, "gap-aim-ms": 250}
+        routes = [
+            make_route("chat", "llm", "streaming", sticky=True, **streaming),
+            make_route("book", "orders", "non_idempotent", **{"max-attempts": 1}),
         ]
+        engine = {**ENGINE, "slots": 16}
+        services = [make_service("llm", engine=engine), make_service("orders")]
+        lab.store.put_configuration(make_configuration(1, routes, services))
+        for number in range(3):
+            server = Engine(lab, f"i-llm-{number}", "llm", slots=16)
+            server.events, server.pause_s = 70, 0.05
+            await lab.add_server(server)
+            await lab.add_server(PlainServer(lab, f"i-desk-{number}", "orders"))
         await lab.start_gateways()
         ordinary, missed = Desk(lab), []
         watches = [
             asyncio.ensure_future(watch_readiness(lab, gateway, missed))
             for gateway in lab.gateways
         ]
-        until_s = time.monotonic() + ORDINARY_S
+        until_s = time.monotonic() + CROWD_S + 6.0
         tasks = [
             asyncio.ensure_future(ordinary.book(lab.gateways[number % 2], until_s))
             for number in range(CALLERS)
         ]
-        await asyncio.sleep(3.0)
-        if TROUBLE:
-            await spoil(servers[0])
+        await asyncio.sleep(2.0)
+        await crowd(lab)
         await asyncio.gather(*tasks)
         for watch in watches:
             watch.cancel()
@@ -162,10 +164,9 @@
         unanswered = len(ordinary.unanswered)
         began = len([one for one in ordinary.unanswered if one in ran])
         lab.record.say(
-            f"{servers[0].spoiled} answers spoiled; {ordinary.answered} bookings "
-            f"answered, {ordinary.late} of them after {TIMEOUT_S} s; {unanswered} "
-            f"without an answer {GRACE_S} s later, {began} of which a server ran; "
-            f"readiness missed {len(missed)} times"
+            f"{ordinary.answered} bookings answered, {ordinary.late} of them after "
+            f"{TIMEOUT_S} s; {unanswered} without an answer {GRACE_S} s later, "
+            f"{began} of which a server ran; readiness missed {len(missed)} times"
         )
         broken = unanswered >= LEAST and unanswered > ordinary.late
         return BROKEN if broken else HELD
