--- a/review/11/case.py
+++ b/review/11/case.py
@@ -21,10 +21,12 @@
     make_service,
 )
 
-CALLERS = 8
-LENGTH_S = 12.0
-# One server of three fails so many of its requests, as `srv_grey` does on the site.
+CALLERS = 16
+LENGTH_S = 9.0
+# One server of three fails so many of its requests, for so long, as `srv_grey` does on
+# the site.
 FAILED_SHARE = 0.45
+GREY_FROM_S, GREY_S = 1.0, 6.5
 # These statuses promise that a request has not run.
 PROMISES = (408, 421, 429, 503)
 
@@ -67,6 +69,14 @@
         await asyncio.sleep(0.1)
 
 
+async def turn_grey(server):
+    """Let a server fail part of its requests for a while."""
+    await asyncio.sleep(GREY_FROM_S)
+    server.grey = TROUBLE
+    await asyncio.sleep(GREY_S)
+    server.grey = False
+
+
 async def run(folder):
     """Run the case; return its exit code."""
     async with Lab(folder, gateways=2) as lab:
@@ -74,13 +84,15 @@
         routes = [make_route("book", "orders", "non_idempotent")]
         services = [make_service("orders")]
         lab.store.put_configuration(make_configuration(1, routes, services))
-        for number in range(3):
-            server = await lab.add_server(GreyServer(lab, f"i-desk-{number}", "orders"))
-            server.grey = TROUBLE and number == 0
+        servers = [
+            await lab.add_server(GreyServer(lab, f"i-desk-{number}", "orders"))
+            for number in range(3)
+        ]
         await lab.start_gateways()
         until_s, broken = time.monotonic() + LENGTH_S, []
         await asyncio.gather(
-            *(book(lab, caller, until_s, broken) for caller in range(CALLERS))
+            turn_grey(servers[0]),
+            *(book(lab, caller, until_s, broken) for caller in range(CALLERS)),
         )
         twice = len(lab.bookings) - len(set(lab.bookings))
         lab.record.say(
