Answer 502 after a run whose target fails with a status that means "not run"

What callers saw: a booking was answered 503, 429 or 408 although it had run.

Cause: a response of a target without X-Not-Run was forwarded with its status, whatever that promises, although the gateway itself counts such an attempt as one that may have run. It reached callers in three ways: a held response of 500 and above, a held one below, and one too long to be held.

Change: all responses of targets pass verify_refusal before any of their body is read or forwarded. Callers of repeatable requests still get the target's response unchanged. The gateway's own codes pass Progress.correct in one place, which replaces two checks of single cases.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -22,6 +22,7 @@
     log_mismatch,
     raise_failure,
     verify_continuation,
+    verify_refusal,
     verify_response,
 )
 from firworks.kernel.forwarding.admission import (
@@ -399,6 +400,7 @@
         verify_response(context, exchange)
         availability = self._gateway.availability
         availability.record_response(exchange.target, exchange, context.request_id)
+        verify_refusal(context, exchange)
         if exchange.not_run or exchange.status >= 500:
             body = await exchange.read_all()
             exchange.finish()
@@ -434,8 +436,6 @@
     def _handle_pool_refusal(self, context, error):
         if context.response is not None:
             raise ResponseAbortedError(error.reason)
-        if context.progress.may_have_run:
-            return self._reject(context, Code.TARGET_FAILED, error.reason)
         if error.reason == REASON_SUSPENDED:
             return self._reject_quarantined(context)
         return self._reject(context, Code.OVERLOADED, error.reason, error.retry_after_s)
@@ -448,13 +448,12 @@
     def _reject_resumption(self, context, reason):
         """Reject a stream that cannot go on; its caller may start a new one at once."""
         self._gateway.metrics.resumptions_refused.labels(reason).inc()
-        if context.response is None and context.progress.may_have_run:
-            return self._reject(context, Code.TARGET_FAILED, reason)
         return self._reject(context, Code.NOT_RESUMABLE, reason)
 
     def _reject(self, context, code, detail, retry_after_s=None):
         if context.response is not None:
             raise ResponseAbortedError(detail)
+        code = context.progress.correct(code)
         log_event(
             LogEvent.REQUEST_REFUSED,
             request=context.request_id,
--- a/firworks/gateway/verification.py
+++ b/firworks/gateway/verification.py
@@ -8,6 +8,7 @@
     NOT_RUN,
     AttemptError,
 )
+from firworks.platform.headers import NOT_RUN as NOT_RUN_HEADER
 from firworks.platform.headers import REQUEST_ID, STAMP
 
 INPUT_STATUSES = (400, 409)
@@ -30,6 +31,17 @@
         raise AttemptError(BROKEN, True, f"response to {echoed!r}")
 
 
+def verify_refusal(context, exchange):
+    """Raise `AttemptError` for a status that means "not run" if that is not stated.
+
+    Every response of a target passes here before any of it reaches the caller.
+    """
+    if not exchange.not_run and not context.progress.may_state(exchange.status):
+        target_id, status = exchange.target.target_id, exchange.status
+        detail = f"{target_id}: status {status} without {NOT_RUN_HEADER}"
+        raise AttemptError(FAILED, True, detail)
+
+
 def verify_continuation(exchange):
     """Raise `AttemptError` for a response that is not the rest of a begun stream.
 
--- a/firworks/kernel/forwarding/outcomes.py
+++ b/firworks/kernel/forwarding/outcomes.py
@@ -22,6 +22,10 @@
 # Not sent, as the stream may not begin, or go on, at the target's software version.
 WRONG_VERSION = "wrong version"
 
+# Statuses that promise callers that their request has not run and never will; callers
+# then send it again, also one that may run only once.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
 # Less time before the deadline is too short for a retry to succeed.
 MIN_RETRY_TIME_S = 0.05
 # Retry-After of refusals for which no better estimate exists.
@@ -126,6 +130,27 @@
         may_repeat = self.repeatable or not self.may_have_run
         return may_repeat and self.sends < self.max_attempts
 
+    def may_state(self, status):
+        """Whether a target's response that states nothing else may reach the caller.
+
+        Load pattern: a target runs a request, fails, and responds as an overloaded one
+        does. Only callers of requests that may be repeated can do with that status.
+
+        Args:
+            status (int): HTTP status of the response.
+        """
+        return self.repeatable or status not in NOT_RUN_STATUSES
+
+    def correct(self, code):
+        """Return a code that promises nothing if the request may have run.
+
+        Args:
+            code (Code): What the caller would be told if it had not.
+        """
+        if self.may_have_run and code.http_status in NOT_RUN_STATUSES:
+            return Code.TARGET_FAILED
+        return code
+
     def judge(self, failure, left_s, within_budget):
         """Return the `RetryDecision` after a failure that has been recorded.
 
@@ -137,9 +162,4 @@
         time_left = left_s > MIN_RETRY_TIME_S
         if self.may_retry and time_left and within_budget:
             return RetryDecision(True, Code.OK)
-        return RetryDecision(False, self._choose_refusal_code(failure))
-
-    def _choose_refusal_code(self, failure):
-        if not self.may_have_run:
-            return Code.OVERLOADED
-        return Code.TARGET_FAILED
+        return RetryDecision(False, self.correct(Code.OVERLOADED))
