Reject a request without stages whose target answers 400 or 409, not run

What callers saw: 500 "internal error" where a target had refused a request with 400 or 409 and X-Not-Run (a target does so for a request without an id).

Cause: both statuses were taken to mean that results of stages are gone, so that the stages run again, also for requests that have none: restarting them raised AttributeError.

Change: only a request that was sent with inputs can have lost them. Any other one is a refused attempt: it goes to another target, and if none takes it, its caller gets 503.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -405,7 +405,7 @@
             body = await exchange.read_all()
             exchange.finish()
             self._attempts.record_refusal(context.service, exchange)
-            raise_failure(exchange, body)
+            raise_failure(context, exchange, body)
         if context.progress.has_begun:
             verify_continuation(exchange)
         success = 200 <= exchange.status < 300
--- a/firworks/gateway/verification.py
+++ b/firworks/gateway/verification.py
@@ -66,10 +66,10 @@
     )
 
 
-def raise_failure(exchange, body):
+def raise_failure(context, exchange, body):
     """Raise the `AttemptError` for an error response with a body (bytes)."""
     detail = f"{exchange.target.target_id}: status {exchange.status}"
-    if exchange.not_run and exchange.status in INPUT_STATUSES:
+    if exchange.not_run and context.inputs and exchange.status in INPUT_STATUSES:
         raise AttemptError(INPUTS_GONE, True, detail)
     if exchange.not_run:
         raise AttemptError(NOT_RUN, True, detail, misdirected=exchange.misdirected)
--- a/firworks/tests/test_unconfirmed_refusals.py
+++ b/firworks/tests/test_unconfirmed_refusals.py
@@ -187,7 +187,7 @@
     @pytest.mark.parametrize(
         ("status", "rows"),
         [
-            *((status, "X-Not-Run: 1\r\n") for status in (*STATUSES, 500)),
+            *((status, "X-Not-Run: 1\r\n") for status in (*STATUSES, 400, 409, 500)),
             *((503, f"x-not-run:{value}\r\n") for value in ("", " 0", " false")),
             (421, ""),
         ],
