Read values of targets' headers in linear time and up to a length

Cause: the pattern of a decimal number could divide a row of digits between its two runs in any way, which takes time in the square of the length of a value that is no number, and nothing limited that length. X-Server-Load used the same pattern.

Change: parse_decimal takes 64 characters at the most, and its pattern matches each character in one way. Server-Limit, X-Server-Load, Retry-After and Keep-Alive are malformed over 256 characters in all lines: they change nothing and are logged cut to 100. A caller's deadline over 64 characters is a malformed request.

--- a/firworks/decoding.py
+++ b/firworks/decoding.py
@@ -5,6 +5,8 @@
 hold lone surrogates, which cannot be encoded again.
 """
 
+from re import ASCII
+from re import compile as compile_pattern
 from reprlib import Repr
 
 from firworks.errors import CodecError
@@ -16,6 +18,11 @@
 MAX_NUMBER = 1e15
 # Digits of a decimal integer in a header.
 MAX_DIGITS = 18
+# Characters of a decimal number in a header; a float needs no more than 24.
+MAX_DECIMAL_CHARACTERS = 64
+# No character can match in two ways, so that a text that does not match is given up in
+# linear time.
+_DECIMAL = compile_pattern(r"\s*\+?(\d+(\.\d*)?|\.\d+)([eE][+-]?\d+)?\s*", ASCII)
 
 _shortener = Repr()
 _shortener.maxlevel = 3
@@ -92,3 +99,15 @@
     if not (digits.isascii() and digits.isdecimal()) or len(digits) > MAX_DIGITS:
         raise CodecError(f"{name}: {describe_value(text)} is not an integer")
     return check_integer(int(digits), name, maximum=maximum)
+
+
+def parse_decimal(text):
+    """Return the non-negative number (float) that a text states, or None.
+
+    Args:
+        text (str): Decimal digits with an optional point and exponent; blanks around
+            them are ignored. One that no float holds is infinite.
+    """
+    if len(text) > MAX_DECIMAL_CHARACTERS or not _DECIMAL.fullmatch(text):
+        return None
+    return float(text)
--- a/firworks/platform/headers.py
+++ b/firworks/platform/headers.py
@@ -8,7 +8,14 @@
 from multidict import CIMultiDict
 
 from firworks.codes import Code
-from firworks.decoding import MAX_NUMBER, check_number, describe_value, parse_integer
+from firworks.decoding import (
+    MAX_DECIMAL_CHARACTERS,
+    MAX_NUMBER,
+    check_number,
+    describe_value,
+    parse_decimal,
+    parse_integer,
+)
 from firworks.errors import CodecError, RequestError
 from firworks.kernel.forwarding.notices import (
     EMPTY_NOTICE,
@@ -32,13 +39,15 @@
 _LOAD_SEPARATOR = compile_pattern(r"\s*[,;/]\s*|\s+", ASCII)
 # The duration of work that targets state as usual.
 USUAL_LOAD = 100.0
-_DECIMAL = compile_pattern(r"\s*\+?(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?\s*", ASCII)
 SERVICE_UNAVAILABLE = 503
 # A connection that idled for longer is not reused.
 MAX_KEEP_ALIVE_S = 86_400
 # Upper limits of what a request states about itself.
 MAX_PIECES = 100_000
 MAX_TOKENS = 1_000_000_000
+# Of all lines of a header in which a target states something about itself; longer ones
+# are malformed and not read.
+MAX_NOTICE_CHARACTERS = 256
 # Of a header that is logged as malformed.
 MAX_LOGGED_CHARACTERS = 100
 
@@ -193,7 +202,10 @@
 
 def read_keep_alive_s(headers):
     """Return the idle timeout of the Keep-Alive header in seconds, or None."""
-    for part in headers.get("Keep-Alive", "").split(","):
+    text = headers.get("Keep-Alive", "")
+    if len(text) > MAX_NOTICE_CHARACTERS:
+        return None
+    for part in text.split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout":
             try:
@@ -218,7 +230,8 @@
     backoff_s = _read_retry_after_s(retry_after.strip(), unix_s)
     unusual = backoff_s is None or not 0.0 <= backoff_s <= MAX_BACKOFF_S
     backoff_s = 0.0 if backoff_s is None else min(MAX_BACKOFF_S, max(0.0, backoff_s))
-    return Notice(leaving, backoff_s, retry_after if unusual else "")
+    text = retry_after[:MAX_LOGGED_CHARACTERS] if unusual else ""
+    return Notice(leaving, backoff_s, text)
 
 
 def read_rate_notice(headers):
@@ -230,14 +243,18 @@
     if _LIMIT not in headers:
         return RateNotice(None, True, "")
     lines = CIMultiDict(headers).getall(_LIMIT)
+    shortened = ", ".join(lines)[:MAX_LOGGED_CHARACTERS]
+    if sum(map(len, lines)) > MAX_NOTICE_CHARACTERS:
+        return RateNotice(None, False, shortened)
     texts = [text for line in lines for text in line.split(",")]
-    rates_per_s = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    numbers = map(parse_decimal, texts)
+    rates_per_s = [number for number in numbers if number is not None]
     finite = [rate for rate in rates_per_s if rate <= MAX_LIMIT_PER_S]
     unlimited = any(isinf(rate) or rate > MAX_LIMIT_PER_S for rate in rates_per_s)
     rate_per_s = min(finite, default=None)
     usual = len(texts) == 1 and rate_per_s is not None
-    text = "" if usual else ", ".join(lines)[:MAX_LOGGED_CHARACTERS]
-    return RateNotice(rate_per_s, rate_per_s is not None or unlimited, text)
+    readable = rate_per_s is not None or unlimited
+    return RateNotice(rate_per_s, readable, "" if usual else shortened)
 
 
 def read_load_notice(headers):
@@ -253,18 +270,26 @@
     text = headers.get(_LOAD)
     if text is None:
         return None, ""
-    parts = _LOAD_SEPARATOR.split(text.strip())
-    if len(parts) in (3, 4) and all(map(_DECIMAL.fullmatch, parts)):
-        running, waiting, slots, *usual = map(float, parts)
-        figures = (running, waiting, slots, *usual)
+    figures = _read_figures(text)
+    if len(figures) in (3, 4) and None not in figures:
+        running, waiting, slots, *usual = figures
         stated = usual[0] / USUAL_LOAD if usual else None
         if max(figures) <= MAX_NUMBER and slots > 0 and stated != 0.0:
             return LoadNotice(running, waiting, slots, stated), ""
     return None, text[:MAX_LOGGED_CHARACTERS] or "(empty)"
 
 
+def _read_figures(text):
+    """Return the numbers (tuple of float) of a load; None for what is not one."""
+    if len(text) > MAX_NOTICE_CHARACTERS:
+        return ()
+    return tuple(map(parse_decimal, _LOAD_SEPARATOR.split(text.strip())))
+
+
 def _read_retry_after_s(retry_after, unix_s):
     """Return the delay of a Retry-After value in seconds, or None if malformed."""
+    if len(retry_after) > MAX_NOTICE_CHARACTERS:
+        return None
     try:
         seconds = float(retry_after)
     except ValueError:
@@ -311,6 +336,8 @@
     if value is None:
         return None
     try:
+        if len(value) > MAX_DECIMAL_CHARACTERS:
+            raise ValueError("too long")
         milliseconds = float(value)
         return max(0.0, check_number(milliseconds, "", -MAX_NUMBER) / 1000)
     except (ValueError, CodecError) as error:
--- /dev/null
+++ b/firworks/tests/test_decoder_costs.py
@@ -0,0 +1,141 @@
+"""Tests that the work of a decoder is bounded, whatever it is sent."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from multidict import CIMultiDict
+
+from firworks import decoding
+from firworks.errors import RequestError
+from firworks.events import LogEvent
+from firworks.gateway import availability
+from firworks.platform import headers
+from firworks.platform.headers import (
+    MAX_LOGGED_CHARACTERS,
+    MAX_NOTICE_CHARACTERS,
+    read_keep_alive_s,
+    read_load_notice,
+    read_notice,
+    read_rate_notice,
+    read_request,
+)
+from firworks.tests.gateway_process import Caller
+from firworks.tests.gateway_testbed import play
+
+# The longest line of a response head.
+MAX_LINE_CHARACTERS = 16_384
+# A row of digits that ends in a letter, as a spoiled answer had it.
+SPOILED = "1" * 16_000 + "x"
+RUNS = ("1", "1.", ".", "1e", " ", "1 ", ",", "1,", ", ", "/", "(", '"', "x", "-", "+")
+
+
+class CountingPattern:
+    """A compiled pattern that counts the characters of the texts it is applied to.
+
+    Args:
+        pattern (re.Pattern): The pattern.
+    """
+
+    def __init__(self, pattern):
+        self.characters = 0
+        self._pattern = pattern
+
+    def fullmatch(self, text):
+        """See `re.Pattern`."""
+        self.characters += len(text)
+        return self._pattern.fullmatch(text)
+
+    def split(self, text):
+        """See `re.Pattern`."""
+        self.characters += len(text)
+        return self._pattern.split(text)
+
+
+def list_patterns(module):
+    """Return the names (list of str) of the compiled patterns of a module."""
+    return [name for name, value in vars(module).items() if hasattr(value, "fullmatch")]
+
+
+@st.composite
+def draw_lines(draw):
+    """Draw the lines (list of str) of one header in a response."""
+    texts = st.builds(
+        lambda run, count, end: (run * count + end)[:MAX_LINE_CHARACTERS],
+        st.sampled_from(RUNS),
+        st.integers(0, MAX_LINE_CHARACTERS),
+        st.sampled_from(("", "x", "1", ",", "e", ".", " 1")),
+    )
+    return draw(st.lists(texts, min_size=1, max_size=4))
+
+
+# A target's spoiled limit of 16,000 digits and a letter held the loop for seconds, so
+# that callers of all targets had no answer.
+class TestNotices:
+    READERS = {
+        "Server-Limit": read_rate_notice,
+        "X-Server-Load": read_load_notice,
+        "Retry-After": lambda fields: read_notice(503, fields, 0.0),
+        "Keep-Alive": read_keep_alive_s,
+        "Server-Leaving": lambda fields: read_notice(200, fields, 0.0),
+    }
+
+    @pytest.mark.parametrize("name", READERS)
+    @given(lines=draw_lines())
+    def test_patterns_see_few_characters_of_a_header(self, name, lines):
+        fields = CIMultiDict((name, line) for line in lines)
+        with pytest.MonkeyPatch.context() as patch:
+            counting = []
+            for module in (decoding, headers):
+                for pattern in list_patterns(module):
+                    counting.append(CountingPattern(getattr(module, pattern)))
+                    patch.setattr(module, pattern, counting[-1])
+            self.READERS[name](fields)
+        assert counting
+        assert sum(one.characters for one in counting) <= 2 * MAX_NOTICE_CHARACTERS
+
+    @pytest.mark.parametrize("name", ["Server-Limit", "X-Server-Load", "Retry-After"])
+    @pytest.mark.parametrize("text", [SPOILED, "5," * 200, "1" * 300, " " * 300 + "x"])
+    def test_a_value_that_is_too_long_changes_nothing(self, name, text):
+        notice = self.READERS[name](CIMultiDict({name: text}))
+        if name == "X-Server-Load":
+            assert notice == (None, text[:MAX_LOGGED_CHARACTERS])
+            return
+        assert 0 < len(notice.unusual_value) <= MAX_LOGGED_CHARACTERS
+        if name == "Server-Limit":
+            assert notice.rate_per_s is None and not notice.readable
+        else:
+            assert notice.backoff_s == 0.0 and not notice.leaving
+
+    def test_a_gateway_serves_beside_spoiled_limits(self, monkeypatch):
+        logged = []
+
+        def log(event, **fields):
+            if event == LogEvent.TARGET_WISH_ODD:
+                logged.append(fields["value"])
+
+        monkeypatch.setattr(availability, "log_event", log)
+
+        async def scenario(testbed):
+            for target in testbed.targets.values():
+                target.limit = SPOILED
+            (gateway,) = testbed.gateways
+            async with Caller(gateway.callers.port) as caller:
+                for number in range(12):
+                    caller.send(("/stock/a", "/book/a")[number % 2])
+                    assert (await caller.read())[0] == 200
+            targets = gateway.directory.list_all()
+            assert not gateway.limits.list_limited(targets)
+
+        play(scenario)
+        assert logged and max(map(len, logged)) <= MAX_LOGGED_CHARACTERS
+
+
+class TestRequests:
+    @given(lines=draw_lines())
+    def test_a_long_deadline_is_refused_unread(self, lines):
+        fields = CIMultiDict({"X-Deadline-Ms": lines[0]})
+        if len(lines[0]) <= decoding.MAX_DECIMAL_CHARACTERS:
+            return
+        with pytest.raises(RequestError) as raised:
+            read_request("GET", "/a", fields)
+        assert len(raised.value.detail) <= 2 * MAX_LOGGED_CHARACTERS
