Refuse CBOR tags and maps with other keys than strings

A record of the store or a message of another daemon of legal size could hold the loop, also a message before the handshake: a decimal fraction of 16,000 bytes for 160 ms, one of 256,000 bytes for 39 s, a map of 256 KB with number keys of equal hashes for 7 s (cbor2.loads, measured apart). A message may have 4 MB.

Cause: the decoder builds the values that tags name, among them fractions, patterns and mail messages, and no limit but the size of the message applied.

Change: decode_cbor, which the codec and the client of the log use, refuses every tag and keys that are no strings; no record has either. The name of an unknown record type is shortened in the error that is logged.

--- a/firworks/kernel/codec.py
+++ b/firworks/kernel/codec.py
@@ -4,7 +4,12 @@
 
 import cbor2
 
-from firworks.decoding import MIN_INTEGER, check_integer, check_number
+from firworks.decoding import (
+    MIN_INTEGER,
+    check_integer,
+    check_number,
+    describe_value,
+)
 from firworks.errors import CodecError
 from firworks.kernel.messages import Record
 
@@ -38,17 +43,44 @@
     return cbor2.dumps(_pack(record))
 
 
-def decode_record(data):
-    """Return the record decoded from CBOR bytes.
+class _RefusedTags(dict):
+    """Decoders of tagged values, all of which refuse them."""
+
+    def __missing__(self, tag):
+        return _refuse_tag
+
+
+def _refuse_tag(decoder):
+    raise ValueError("tagged values are not used")
+
+
+_REFUSED_TAGS = _RefusedTags()
+
+
+def decode_cbor(data):
+    """Return the value decoded from CBOR bytes, in time linear in their number.
+
+    Tagged values and maps with other keys than strings are refused: a decimal fraction,
+    a pattern or keys of equal hashes take the square of their length.
 
     Raises:
-        CodecError: If the bytes are not one well-formed record of a known type.
+        CodecError: If the bytes are not a well-formed value without such parts.
     """
     try:
-        packed = cbor2.loads(data)
+        return cbor2.loads(
+            data, semantic_decoders=_REFUSED_TAGS, strict_hashable_types=True
+        )
     except Exception as error:  # cbor2 raises many types on malformed input
         raise CodecError(f"malformed CBOR: {error}") from error
-    return _unpack(packed, 0)
+
+
+def decode_record(data):
+    """Return the record decoded from CBOR bytes.
+
+    Raises:
+        CodecError: If the bytes are not one well-formed record of a known type.
+    """
+    return _unpack(decode_cbor(data), 0)
 
 
 def _pack(value):
@@ -69,7 +101,7 @@
     name = packed[0]
     cls = _RECORDS.get(name) if isinstance(name, str) else None
     if cls is None:
-        raise CodecError(f"unknown record type {name!r}")
+        raise CodecError(f"unknown record type {describe_value(name)}")
     if len(packed) - 1 != len(cls.TYPES):
         raise CodecError(f"{name} must have {len(cls.TYPES)} fields")
     values = [
--- a/firworks/plugins/http_log.py
+++ b/firworks/plugins/http_log.py
@@ -10,7 +10,7 @@
 from firworks.errors import CodecError, LogUnavailableError
 from firworks.events import LogEvent, log_event
 from firworks.kernel.buffers import ResponseBuffers
-from firworks.kernel.codec import decode_record, encode_record
+from firworks.kernel.codec import decode_cbor, decode_record, encode_record
 from firworks.kernel.messages import LogEntry, LogRead
 
 REQUEST_TIMEOUT_S = 2.0
@@ -80,11 +80,11 @@
             request = self._open().get(self._path(stream), params=params)
             async with request as response:
                 _check_status(response)
-                body = cbor2.loads(await read_body(response, self._buffers))
+                body = decode_cbor(await read_body(response, self._buffers))
                 items = _limit_batch(body["entries"])
                 entries = tuple(_decode_entry(stream, item) for item in items)
                 return LogRead(stream, offset, body["oldest"], body["head"], entries)
-        except (*_FAILURES, cbor2.CBORDecodeError) as error:
+        except (*_FAILURES, CodecError) as error:
             raise LogUnavailableError(f"read of {stream}: {error!r}") from error
 
     async def close(self):
@@ -142,8 +142,8 @@
 def _decode_records(stream, offset, data):
     """Yield the records of an entry; log and skip those that cannot be decoded."""
     try:
-        items = cbor2.loads(data)
-    except Exception as error:  # cbor2 raises many types on malformed input
+        items = decode_cbor(data)
+    except CodecError as error:
         items = [error]
     if not isinstance(items, list):
         items = [items]
--- a/firworks/tests/test_decoder_costs.py
+++ b/firworks/tests/test_decoder_costs.py
@@ -1,14 +1,19 @@
 """Tests that the work of a decoder is bounded, whatever it is sent."""
 
+import struct
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from multidict import CIMultiDict
 
 from firworks import decoding
-from firworks.errors import RequestError
+from firworks.errors import CodecError, RequestError
 from firworks.events import LogEvent
 from firworks.gateway import availability
+from firworks.kernel.codec import decode_cbor, decode_record, encode_record
+from firworks.kernel.forwarding.readers import FollowStore
+from firworks.kernel.pools.messages import MemberEntry
 from firworks.platform import headers
 from firworks.platform.headers import (
     MAX_LOGGED_CHARACTERS,
@@ -139,3 +144,34 @@
         with pytest.raises(RequestError) as raised:
             read_request("GET", "/a", fields)
         assert len(raised.value.detail) <= 2 * MAX_LOGGED_CHARACTERS
+
+
+# Tagged values of CBOR held the loop: a decimal fraction of 256 KB for half a minute.
+class TestRecords:
+    NUMBER = b"\xc2\x5a" + struct.pack(">I", 4_000) + b"\xf7" * 4_000
+    TAGS = (*range(300), 1_004, 43_000, 43_001, 55_799, 2**32)
+
+    @pytest.mark.parametrize("value", [b"\x01", NUMBER, b"\x82\x01\x02", b"\x61a"])
+    def test_tagged_values_are_refused(self, value):
+        for tag in self.TAGS:
+            data = b"\xdb" + struct.pack(">Q", tag) + value
+            for record in (data, b"\x82\x61a" + data):
+                with pytest.raises(CodecError):
+                    decode_cbor(record)
+                with pytest.raises(CodecError):
+                    decode_record(record)
+
+    @pytest.mark.parametrize("key", [b"\x01", b"\xfb" + bytes(8), b"\x81\x01", b"\xf5"])
+    def test_keys_that_may_have_equal_hashes_are_refused(self, key):
+        with pytest.raises(CodecError):
+            decode_cbor(b"\xa1" + key + b"\x01")
+
+    def test_messages_of_other_daemons_are_decoded(self):
+        entry = MemberEntry("a", "a.1", "10.0.0.1:1", "fd-1", 1.0)
+        assert decode_record(encode_record(FollowStore(entry))) == FollowStore(entry)
+        assert decode_cbor(b"\xa1\x61a\x82\x01\x40") == {"a": [1, b""]}
+
+    def test_a_long_name_is_not_logged(self):
+        with pytest.raises(CodecError) as raised:
+            decode_record(b"\x81\x7a" + struct.pack(">I", 10_000) + b"a" * 10_000)
+        assert len(str(raised.value)) < 200
