Extend the buffer of an event in place

What callers saw: nothing by itself; a target whose event arrives in very many small pieces took processor time from all others.

Cause: each piece was joined to what was held of the event, which copied all of it: time in the square of the event's length.

Change: the splitter holds a bytearray.

Evidence: TestEvents counts the pieces for which a whole copy is allocated; it fails with the code before.

--- a/firworks/kernel/forwarding/event_stream.py
+++ b/firworks/kernel/forwarding/event_stream.py
@@ -23,7 +23,8 @@
 
     def __init__(self, last_id=None):
         self.last_id = last_id
-        self._buffer = b""
+        # Extended in place: an event may arrive in very many pieces.
+        self._buffer = bytearray()
 
     @property
     def has_partial_event(self):
@@ -46,7 +47,8 @@
             raise EventTooLongError(f"an event of over {MAX_EVENT_BYTES} bytes")
         if not end:
             return b""
-        events, self._buffer = self._buffer[:end], self._buffer[end:]
+        events = bytes(self._buffer[:end])
+        del self._buffer[:end]
         found = _ID.findall(events)
         if found:
             self.last_id = found[-1].decode("utf-8", "replace")
--- a/firworks/tests/test_decoder_costs.py
+++ b/firworks/tests/test_decoder_costs.py
@@ -1,6 +1,7 @@
 """Tests that the work of a decoder is bounded, whatever it is sent."""
 
 import struct
+import tracemalloc
 
 import pytest
 from hypothesis import given
@@ -12,6 +13,7 @@
 from firworks.events import LogEvent
 from firworks.gateway import availability
 from firworks.kernel.codec import decode_cbor, decode_record, encode_record
+from firworks.kernel.forwarding.event_stream import EventSplitter
 from firworks.kernel.forwarding.readers import FollowStore
 from firworks.kernel.pools.messages import MemberEntry
 from firworks.platform import headers
@@ -175,3 +177,26 @@
         with pytest.raises(CodecError) as raised:
             decode_record(b"\x81\x7a" + struct.pack(">I", 10_000) + b"a" * 10_000)
         assert len(str(raised.value)) < 200
+
+
+# An event that arrived in small pieces was copied as a whole for each of them.
+class TestEvents:
+    PIECE = b"x" * 16
+    # What a call allocates beside the event.
+    OWN_BYTES = 2_000
+
+    def test_a_long_event_is_not_copied_for_each_piece(self):
+        splitter, copies = EventSplitter(), 0
+        tracemalloc.start()
+        try:
+            for number in range(1, 4_000):
+                held, _ = tracemalloc.get_traced_memory()
+                tracemalloc.reset_peak()
+                splitter.feed(self.PIECE)
+                _, peak = tracemalloc.get_traced_memory()
+                copies += peak - held > self.OWN_BYTES + number * len(self.PIECE) // 2
+        finally:
+            tracemalloc.stop()
+        assert copies < 100
+        assert splitter.feed(b"\n\n") == 3_999 * self.PIECE + b"\n\n"
+        assert not splitter.has_partial_event
