Read responses without a length in smaller pieces

What callers saw: nothing by itself; a target that sends many blank lines in a body without a length delayed the others of a gateway.

Cause: the end of such a body is searched for by its blank line, and the parser is called anew after each one: 16,384 times for one read of 65,536 bytes, 74 ms in one step of the loop.

Change: at most 16,384 bytes are read at once while the end has to be searched for; a body with a length is read 65,536 at a time as before.

Evidence: 6 of 9 cases of TestResponses fail with the code before.

--- a/firworks/gateway/connections.py
+++ b/firworks/gateway/connections.py
@@ -27,6 +27,9 @@
 READ_BUFFER_BYTES = 32_768
 # Most bytes of one read, from the socket or of a body.
 MAX_READ_BYTES = 65_536
+# The same while the end of the response has to be searched for: each empty line may be
+# that end, so that the parser is called anew after it.
+SEARCHED_READ_BYTES = 16_384
 FIRST_FINAL_STATUS = 200
 HEAD_END = b"\r\n\r\n"
 
@@ -78,7 +81,12 @@
     def connection_made(self, transport):
         """Limit the bytes of one read, 256 KiB by default."""
         super().connection_made(transport)
-        transport.max_size = MAX_READ_BYTES
+        self._limit_read(SEARCHED_READ_BYTES)
+
+    def _limit_read(self, size):
+        """Set the most bytes (int) of one read, unless the connection is closed."""
+        if self.transport is not None:
+            self.transport.max_size = size
 
     def data_received(self, data):
         """Process bytes received from the target."""
@@ -143,6 +151,7 @@
             except CodecError as error:
                 self.abort_response(str(error))
                 return
+            self._limit_read(MAX_READ_BYTES)
         super().feed_data(data, size)
 
     def skip_response(self):
@@ -182,6 +191,7 @@
         self._payload = None
         self._body_remaining = None
         self._overhead = self._body_bytes = 0
+        self._limit_read(SEARCHED_READ_BYTES)
         self.set_response_params(
             skip_payload=self._skip_body,
             read_until_eof=True,
--- a/firworks/tests/test_decoder_costs.py
+++ b/firworks/tests/test_decoder_costs.py
@@ -1,5 +1,6 @@
 """Tests that the work of a decoder is bounded, whatever it is sent."""
 
+import asyncio
 import struct
 import tracemalloc
 
@@ -12,6 +13,7 @@
 from firworks.errors import CodecError, RequestError
 from firworks.events import LogEvent
 from firworks.gateway import availability
+from firworks.gateway.connections import TargetConnection
 from firworks.kernel.codec import decode_cbor, decode_record, encode_record
 from firworks.kernel.forwarding.event_stream import EventSplitter
 from firworks.kernel.forwarding.readers import FollowStore
@@ -26,6 +28,7 @@
     read_rate_notice,
     read_request,
 )
+from firworks.tests.fake_transport import FakeTransport
 from firworks.tests.gateway_process import Caller
 from firworks.tests.gateway_testbed import play
 
@@ -200,3 +203,42 @@
         assert copies < 100
         assert splitter.feed(b"\n\n") == 3_999 * self.PIECE + b"\n\n"
         assert not splitter.has_partial_event
+
+
+class CountingConnection(TargetConnection):
+    """Counts the calls of the parser, each of which is followed by a check."""
+
+    calls = 0
+
+    def _check_overhead(self, size):
+        self.calls += 1
+        super()._check_overhead(size)
+
+
+# One read of a body of blank lines called the parser 16,384 times.
+class TestResponses:
+    HEAD = b"HTTP/1.1 200 OK\r\n"
+    BODIES = {
+        "chunks": (b"Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", 5_000),
+        "unframed": (b"\r\n", 5_000),
+        "length": (b"Content-Length: 99999999\r\n\r\n", 1),
+    }
+
+    @pytest.mark.parametrize("framing", BODIES)
+    @pytest.mark.parametrize("line", [b"\r\n\r\n", b"data: x\r\n\r\n", b"0\r\n\r\n"])
+    def test_the_parser_is_called_few_times_for_a_read(self, framing, line):
+        async def scenario():
+            connection = CountingConnection(asyncio.get_running_loop())
+            connection.connection_made(FakeTransport())
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", b"", False)
+            begin, most = self.BODIES[framing]
+            data = self.HEAD + begin + line * 200_000
+            connection.data_received(data[: len(self.HEAD + begin)])
+            data = data[len(self.HEAD + begin) :]
+            for _ in range(4):
+                size, connection.calls = connection.transport.max_size, 0
+                connection.data_received(data[:size])
+                assert 0 < connection.calls <= most
+                data = data[size:]
+
+        asyncio.run(scenario())
--- a/firworks/tests/test_endless_answers.py
+++ b/firworks/tests/test_endless_answers.py
@@ -25,6 +25,7 @@
 )
 from firworks.platform import store
 from firworks.standins.platform_targets import ENDLESS
+from firworks.tests.fake_transport import FakeTransport
 from firworks.tests.gateway_testbed import PROMPT, play
 from firworks.tests.test_gateway import list_requests, set_fault
 
@@ -37,36 +38,6 @@
 )
 
 
-class FakeTransport(asyncio.Transport):
-    """A test double that records whether it was closed or paused."""
-
-    def __init__(self):
-        super().__init__()
-        self.closed = False
-        self.paused = False
-
-    def write(self, data):
-        """Discard the data."""
-
-    def is_closing(self):
-        """Return whether the transport was closed."""
-        return self.closed
-
-    def close(self):
-        """Record a close."""
-        self.closed = True
-
-    abort = close
-
-    def pause_reading(self):
-        """Record that reading is paused."""
-        self.paused = True
-
-    def resume_reading(self):
-        """Record that reading is resumed."""
-        self.paused = False
-
-
 async def open_connection():
     """Return a connection that waits for a response."""
     connection = TargetConnection(asyncio.get_running_loop())
