Cut long fields of log lines

What callers saw: nothing; an id or a value of 16,000 characters, which callers and targets choose, stood in each log line about it, and 2,000 parts of a prompt in the line of a failed attempt.

Cause: only some values were cut, each where it is logged.

Change: log_event cuts texts at 1,000 characters and lists at 100 items; of a trace the last 20,000 characters are kept, which hold the cause.

Evidence: 4 cases of TestLongFields fail without the cut.

Measured: the tests of the log and of its tables passed.

--- a/firworks/events.py
+++ b/firworks/events.py
@@ -7,6 +7,10 @@
 
 from loguru import logger
 
+# Of a field of a log line; callers and targets choose some of the values.
+MAX_FIELD_CHARACTERS = 1_000
+MAX_FIELD_ITEMS = 100
+MAX_TRACE_CHARACTERS = 20_000
 TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}"
 
 
@@ -151,8 +155,24 @@
 
     Args:
         event (LogEvent): The event.
-        **fields: Structured fields of the event.
+        **fields: Structured fields of the event; long texts and lists are shortened.
     """
+    _write(event, {name: _shorten(value) for name, value in fields.items()})
+
+
+def _shorten(value):
+    """Return a value of a field without what is beyond the limits."""
+    if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
+        return f"{value[:MAX_FIELD_CHARACTERS]}..."
+    if isinstance(value, list | tuple):
+        kept = [_shorten(item) for item in value[:MAX_FIELD_ITEMS]]
+        if len(value) > MAX_FIELD_ITEMS:
+            kept.append(f"and {len(value) - MAX_FIELD_ITEMS} more")
+        return type(value)(kept)
+    return value
+
+
+def _write(event, fields):
     level = LEVELS.get(event, "INFO")
     text = " ".join(f"{name}={value}" for name, value in fields.items())
     bound = logger.bind(event=int(event), event_name=event.name, **fields)
@@ -167,7 +187,9 @@
         error (Exception): The exception.
     """
     trace = "".join(format_exception(error))
-    log_event(LogEvent.PART_FAILED, handled=handled, error=repr(error), trace=trace)
+    fields = {"handled": _shorten(handled), "error": _shorten(repr(error))}
+    # The cause is at the end of the trace.
+    _write(LogEvent.PART_FAILED, {**fields, "trace": trace[-MAX_TRACE_CHARACTERS:]})
 
 
 def configure_logs(log_format, sink=None):
