Merge the tokens of an engine in place

What callers saw: nothing by itself; an engine of firworksd that sends many short events at once held the loop.

Cause: the tokens of contiguous events were joined to a new tuple for each event, in the square of their number.

Change: they are collected in a list and joined once.

Evidence: TestPieces counts the events for which all tokens are copied; it fails with the code before.

--- a/firworks/plugins/http_engines.py
+++ b/firworks/plugins/http_engines.py
@@ -114,22 +114,26 @@
 
     def __init__(self, action):
         self._call_id = action.call_id
+        # Identity, offset and tokens (list, extended in place) of each merged chunk.
         self._chunks = []
 
     def add(self, identity, offset, tokens):
         """Add a chunk: `identity` (str), `offset` (int) and `tokens` (list of str)."""
-        last = self._chunks[-1] if self._chunks else None
-        contiguous = last is not None and last.offset + len(last.tokens) == offset
-        if contiguous and last.identity == identity:
-            last.tokens += tuple(tokens)
-        else:
-            chunk = CallChunk(self._call_id, identity, offset, tuple(tokens))
-            self._chunks.append(chunk)
+        if self._chunks:
+            last_identity, last_offset, last_tokens = self._chunks[-1]
+            end = last_offset + len(last_tokens)
+            if (last_identity, end) == (identity, offset):
+                last_tokens.extend(tokens)
+                return
+        self._chunks.append((identity, offset, list(tokens)))
 
     def pop_chunks(self):
         """Return and clear the merged chunks (list of CallChunk)."""
         chunks, self._chunks = self._chunks, []
-        return chunks
+        return [
+            CallChunk(self._call_id, identity, offset, tuple(tokens))
+            for identity, offset, tokens in chunks
+        ]
 
 
 def _make_body(action):
--- a/firworks/tests/test_decoder_costs.py
+++ b/firworks/tests/test_decoder_costs.py
@@ -14,6 +14,7 @@
 from firworks.events import LogEvent
 from firworks.gateway import availability
 from firworks.gateway.connections import TargetConnection
+from firworks.kernel.calls import StartCall
 from firworks.kernel.codec import decode_cbor, decode_record, encode_record
 from firworks.kernel.forwarding.event_stream import EventSplitter
 from firworks.kernel.forwarding.readers import FollowStore
@@ -28,6 +29,7 @@
     read_rate_notice,
     read_request,
 )
+from firworks.plugins.http_engines import ChunkMerger
 from firworks.tests.fake_transport import FakeTransport
 from firworks.tests.gateway_process import Caller
 from firworks.tests.gateway_testbed import play
@@ -36,6 +38,8 @@
 MAX_LINE_CHARACTERS = 16_384
 # A row of digits that ends in a letter, as a spoiled answer had it.
 SPOILED = "1" * 16_000 + "x"
+# What a call allocates beside the data.
+OWN_BYTES = 2_000
 RUNS = ("1", "1.", ".", "1e", " ", "1 ", ",", "1,", ", ", "/", "(", '"', "x", "-", "+")
 
 
@@ -182,28 +186,53 @@
         assert len(str(raised.value)) < 200
 
 
-# An event that arrived in small pieces was copied as a whole for each of them.
-class TestEvents:
-    PIECE = b"x" * 16
-    # What a call allocates beside the event.
-    OWN_BYTES = 2_000
+def count_copies(add, count, size):
+    """Return how many of some calls allocate half of what all before have added.
+
+    Args:
+        add (callable): ``add(number)`` adds `size` bytes.
+        count (int): Number of calls.
+        size (int): In bytes.
+    """
+    copies = 0
+    tracemalloc.start()
+    try:
+        for number in range(count):
+            held, _ = tracemalloc.get_traced_memory()
+            tracemalloc.reset_peak()
+            add(number)
+            _, peak = tracemalloc.get_traced_memory()
+            copies += peak - held > OWN_BYTES + number * size // 2
+    finally:
+        tracemalloc.stop()
+    return copies
+
+
+# What came in small pieces was copied as a whole for each of them.
+class TestPieces:
+    COUNT = 4_000
 
     def test_a_long_event_is_not_copied_for_each_piece(self):
-        splitter, copies = EventSplitter(), 0
-        tracemalloc.start()
-        try:
-            for number in range(1, 4_000):
-                held, _ = tracemalloc.get_traced_memory()
-                tracemalloc.reset_peak()
-                splitter.feed(self.PIECE)
-                _, peak = tracemalloc.get_traced_memory()
-                copies += peak - held > self.OWN_BYTES + number * len(self.PIECE) // 2
-        finally:
-            tracemalloc.stop()
+        splitter, piece = EventSplitter(), b"x" * 16
+        copies = count_copies(lambda _: splitter.feed(piece), self.COUNT, len(piece))
         assert copies < 100
-        assert splitter.feed(b"\n\n") == 3_999 * self.PIECE + b"\n\n"
+        assert splitter.feed(b"\n\n") == self.COUNT * piece + b"\n\n"
         assert not splitter.has_partial_event
 
+    def test_merged_tokens_are_not_copied_for_each_event(self):
+        call = StartCall(1, None, "t", "engine", "", timeout_s=1.0, body=None)
+        merger = ChunkMerger(call)
+        copies = count_copies(
+            lambda number: merger.add("a", number, ["x"]), self.COUNT, 8
+        )
+        assert copies < 100
+        merger.add("b", self.COUNT, ["y"])
+        merger.add("b", self.COUNT + 2, ["z"])
+        chunks = merger.pop_chunks()
+        assert [len(one.tokens) for one in chunks] == [self.COUNT, 1, 1]
+        assert [one.offset for one in chunks] == [0, self.COUNT, self.COUNT + 2]
+        assert merger.pop_chunks() == []
+
 
 class CountingConnection(TargetConnection):
     """Counts the calls of the parser, each of which is followed by a check."""
