--- a/firworks/events.py
+++ b/firworks/events.py
@@ -168,7 +168,7 @@
         kept = [_shorten(item) for item in value[:MAX_FIELD_ITEMS]]
         if len(value) > MAX_FIELD_ITEMS:
             kept.append(f"and {len(value) - MAX_FIELD_ITEMS} more")
-        return type(value)(kept)
+        return tuple(kept) if isinstance(value, tuple) else kept
     return value
 
 
