Limit what schedulers hold of prompts of many parts

Cause: the scheduler of a pool kept an object with three tables for each part that an engine is taken to have cached, up to the engine's number of tokens, and a chain of up to 16 KB for each of 4,096 orders of engines.

Change: parts after the 64th are placed in groups that double in size, at most 76 for 2,000 parts, the same for prompts that share them; an engine is taken to have 4,096 parts at most, a pool knows 16,384, those used last; orders are known by the hash of their chain. Prompts of up to 65 parts are placed as before.

--- a/firworks/gateway/relays.py
+++ b/firworks/gateway/relays.py
@@ -214,7 +214,7 @@
             return ""
         engines = gateway.directory.get_usable(context.service)
         return choose_home_domain(
-            get_last_shared_part(context.admitted.request.prompt),
+            get_last_shared_part(context.placed_parts),
             (engine.failure_domain for engine in engines),
         )
 
@@ -285,7 +285,7 @@
 
     def _make_engine_job(self, context, attempt):
         prompt = context.admitted.request.prompt
-        parts = () if prompt is None else prompt.parts
+        parts = context.placed_parts
         domains, sizes = (), ()
         if context.stages is not None:
             domains, sizes = context.stages.sum_bytes_by_domain(context.inputs)
--- a/firworks/gateway/request_contexts.py
+++ b/firworks/gateway/request_contexts.py
@@ -2,6 +2,7 @@
 
 from firworks.kernel.forwarding.features import list_shared_parts, make_fingerprint
 from firworks.kernel.forwarding.outcomes import Progress
+from firworks.kernel.pools.part_groups import group_parts
 
 
 class RequestContext:
@@ -23,6 +24,8 @@
         fingerprint (bytes): Hash of path, client account and body.
         parts (tuple of bytes): Fingerprints of the parts of its prompt that other
             requests may share.
+        placed_parts (tuple of (str, int)): Id and tokens of the parts of its prompt by
+            which it is placed on an engine; long prompts have groups of them.
         part_trial (tuple of bytes): Those that it has a trial for on one target.
         target_id (str): Last target that it was sent to; empty before.
         incarnation (tuple or None): Its incarnation; None before.
@@ -50,6 +53,7 @@
         "trial",
         "fingerprint",
         "parts",
+        "placed_parts",
         "part_trial",
         "target_id",
         "incarnation",
@@ -88,7 +92,9 @@
         account = self.account_name
         path = admitted.request.target_path
         self.fingerprint = make_fingerprint(path, account, body)
-        self.parts = list_shared_parts(admitted.request.prompt)
+        prompt = admitted.request.prompt
+        self.parts = list_shared_parts(prompt)
+        self.placed_parts = () if prompt is None else group_parts(prompt.parts)
         self.part_trial = ()
 
     @property
--- a/firworks/kernel/pools/engine_state.py
+++ b/firworks/kernel/pools/engine_state.py
@@ -2,6 +2,9 @@
 
 from collections import OrderedDict, deque
 
+# Parts that an engine is taken to have cached, at most. Usual ones have a thousand
+# tokens each, so that the memory of an engine for tokens is the limit.
+MAX_CACHED_PARTS = 4_096
 # Sliding window over which requests to a cold engine are counted.
 COLD_WINDOW_S = 1.0
 
@@ -91,7 +94,7 @@
             self.parts.move_to_end(part_id)
         cached = sum(self.parts.values())
         evicted = []
-        while cached > capacity and self.parts:
+        while self.parts and (cached > capacity or len(self.parts) > MAX_CACHED_PARTS):
             part_id, tokens = self.parts.popitem(last=False)
             cached -= tokens
             evicted.append(part_id)
--- a/firworks/kernel/pools/home_domains.py
+++ b/firworks/kernel/pools/home_domains.py
@@ -28,14 +28,12 @@
     )
 
 
-def get_last_shared_part(prompt):
+def get_last_shared_part(parts):
     """Return the id (str) of the last part of a prompt that requests share.
 
     The last part of all belongs to the request itself or to its session.
 
     Args:
-        prompt (Prompt or None): The prompt of a request.
+        parts (tuple of (str, int)): Id and tokens of each part, as they are placed.
     """
-    if prompt is None or len(prompt.parts) < 2:
-        return ""
-    return prompt.parts[-2][0]
+    return parts[-2][0] if len(parts) > 1 else ""
--- a/firworks/kernel/pools/prompt_parts.py
+++ b/firworks/kernel/pools/prompt_parts.py
@@ -25,12 +25,12 @@
   engine again; the others evict it when they need the memory.
 """
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from heapq import nlargest
 from itertools import accumulate
 from math import ceil, log
 
-from xxhash import xxh64_intdigest
+from xxhash import xxh64_intdigest, xxh128_digest
 
 from firworks.kernel.pools.home_domains import choose_home_domain
 
@@ -47,6 +47,8 @@
 ORDER_LENGTH = 16
 # Number of orders kept, of those used last. Each takes up to 0.5 KB.
 MAX_ORDERS = 4096
+# Number of parts known, of those used last. Each takes up to 1 KB.
+MAX_PARTS = 16_384
 
 
 def list_shared_parts(part_ids):
@@ -60,27 +62,18 @@
 class _Part:
     """Engines that have a part, and the demand for it."""
 
-    __slots__ = ("holders", "domains", "jobs", "reading_s", "used_s")
+    __slots__ = ("holders", "jobs", "reading_s", "used_s")
 
     def __init__(self):
-        # Failure domains by incarnation, and the number of engines in each.
+        # Failure domains by incarnation.
         self.holders = {}
-        self.domains = Counter()
         self.jobs = set()
         self.reading_s = 0.0
         self.used_s = float("-inf")
 
-    def add(self, target):
-        """Add an engine (Target)."""
-        if target.incarnation not in self.holders:
-            self.holders[target.incarnation] = target.failure_domain
-            self.domains[target.failure_domain] += 1
-
-    def discard(self, incarnation):
-        """Remove an engine (tuple)."""
-        domain = self.holders.pop(incarnation, None)
-        if domain is not None:
-            self.domains[domain] -= 1
+    def count_domain(self, domain):
+        """Return the number (int) of engines in a failure domain that have it."""
+        return sum(one == domain for one in self.holders.values())
 
     def get_reading_s(self, now):
         """Return the decayed sum (float) of seconds read for its requests."""
@@ -133,7 +126,11 @@
     """Shared prompt parts of a pool: their engines and the demand for them."""
 
     def __init__(self):
-        self._parts = {}
+        # The least recently used first.
+        self._parts = OrderedDict()
+
+    def __len__(self):
+        return len(self._parts)
 
     def begin(self, job, target, reading_s, now):
         """Record a placed request, which its engine caches.
@@ -145,11 +142,17 @@
             now (float): Monotonic seconds.
         """
         for part_id in list_shared_parts(job.part_ids):
-            part = self._parts.setdefault(part_id, _Part())
+            part = self._parts.get(part_id)
+            if part is None:
+                part = self._parts[part_id] = _Part()
+            else:
+                self._parts.move_to_end(part_id)
             part.reading_s = part.get_reading_s(now) + reading_s
             part.used_s = max(now, part.used_s)
             part.jobs.add(job.job_id)
-            part.add(target)
+            part.holders[target.incarnation] = target.failure_domain
+        while len(self._parts) > MAX_PARTS:
+            self._parts.popitem(last=False)
 
     def end(self, job):
         """Record that a request (EngineJob) has left its engine."""
@@ -164,7 +167,7 @@
         for part_id in part_ids:
             part = self._parts.get(part_id)
             if part is not None:
-                part.discard(incarnation)
+                part.holders.pop(incarnation, None)
                 self._drop_unused(part_id, part)
 
     def count_wanted(self, part_id, slots, now):
@@ -247,19 +250,19 @@
         shared = list_shared_parts(part_ids)
         if not shared or not self._seeds:
             return [], []
-        chain = "/".join(shared)
+        data = "/".join(shared).encode()
+        chain = xxh128_digest(data)
         order = self._orders.get(chain)
         if order is None:
-            order = self._orders[chain] = self._sort(chain, shared[-1])
+            order = self._orders[chain] = self._sort(data, shared[-1])
             if len(self._orders) > MAX_ORDERS:
                 self._orders.popitem(last=False)
         else:
             self._orders.move_to_end(chain)
         return order
 
-    def _sort(self, chain, last_shared):
+    def _sort(self, data, last_shared):
         home = choose_home_domain(last_shared, self._domains)
-        data = chain.encode()
         near, far = [], []
         for incarnation, (seed, domain) in self._seeds.items():
             scored = (xxh64_intdigest(data, seed), incarnation)
@@ -281,4 +284,4 @@
 def _list_supplied(part, wanted, domains):
     """Return the failure domains (set) that have their share of the wanted engines."""
     share = ceil(wanted / len(domains))
-    return {domain for domain in domains if part.domains[domain] >= share}
+    return {domain for domain in domains if part.count_domain(domain) >= share}
--- a/firworks/tests/test_stage_load.py
+++ b/firworks/tests/test_stage_load.py
@@ -7,7 +7,6 @@
 from prometheus_client import generate_latest
 
 from firworks.kernel.forwarding.configuration import StagePoolSpec
-from firworks.kernel.forwarding.requests import Prompt
 from firworks.kernel.pools.answer_times import (
     MAX_AGE_S,
     MAX_GOAL_SHARE,
@@ -207,9 +206,9 @@
 
     def test_a_request_without_shared_part_or_engines_has_none(self):
         """A request alone has nothing cached, so no engine is nearer than others."""
-        own = Prompt("m", 10, 10, (("own", 10),))
-        shared = Prompt("m", 10, 10, (("all", 5), ("site", 4), ("own", 1)))
-        assert get_last_shared_part(None) == get_last_shared_part(own) == ""
+        own = (("own", 10),)
+        shared = (("all", 5), ("site", 4), ("own", 1))
+        assert get_last_shared_part(()) == get_last_shared_part(own) == ""
         assert get_last_shared_part(shared) == "site"
         assert choose_home_domain("", ("fd-1",)) == ""
         assert choose_home_domain("site", ()) == ""
