Rate no engines while none has a free slot

Cause: at each event of a pool, all waiting requests were rated for all engines, part by part, also while no engine had a place.

Change: requests are rated only while an engine has a free slot.

--- a/firworks/kernel/pools/engines.py
+++ b/firworks/kernel/pools/engines.py
@@ -370,6 +370,9 @@
         When no engine has places beyond those kept for requests that can't go
         elsewhere, those of the version with the most engines are taken first.
         """
+        if not any(self._has_free_slot(incarnation) for incarnation in self._usable):
+            # While many requests wait, none of them is rated without need.
+            return None
         needs_shared_room = self._has_versions and not self._is_bound(job)
         best = None
         for incarnation in self._timed.rank(job, self.spec.slots, now):
@@ -401,6 +404,9 @@
         self._track(job, engine)
         return Placed(job, engine.target, cached)
 
+    def _has_free_slot(self, incarnation):
+        return len(self._engines[incarnation].jobs) < self.spec.slots
+
     def _is_eligible(self, engine, job, now):
         if engine.target.target_id in job.excluded or engine.paused_until_s > now:
             return False
--- a/firworks/tests/test_long_prompts.py
+++ b/firworks/tests/test_long_prompts.py
@@ -1,6 +1,7 @@
 """Tests that prompts of very many parts take bounded memory and work to be placed."""
 
 import tracemalloc
+from random import Random
 
 import pytest
 from hypothesis import given
@@ -8,6 +9,7 @@
 
 from firworks.kernel.forwarding.configuration import EngineSpec
 from firworks.kernel.forwarding.directory import Target
+from firworks.kernel.pools import timed_placement
 from firworks.kernel.pools.engine_state import MAX_CACHED_PARTS, EngineState
 from firworks.kernel.pools.engines import BY_TIME, EngineScheduler, Placed
 from firworks.kernel.pools.jobs import EngineJob
@@ -120,3 +122,29 @@
         finally:
             tracemalloc.stop()
         assert held < 1_000 * 1_000
+
+
+# All waiting requests were rated anew at each event, while no engine had a place.
+class TestWork:
+    def test_nothing_is_rated_while_no_engine_has_a_place(self, monkeypatch):
+        rated = []
+
+        class CountingParts(PromptParts):
+            def find_cached(self, job, slots, domains, now):
+                rated.append(job.job_id)
+                return super().find_cached(job, slots, domains, now)
+
+        monkeypatch.setattr(timed_placement, "PromptParts", CountingParts)
+        scheduler, rng = make_scheduler(), Random(1)
+        for number in range(200):
+            scheduler.submit(make_job(f"j{number}", make_parts(LONG)), 0.0)
+        running = [f"j{number}" for number in range(48)]
+        assert len(rated) == len(running)
+        scheduler.plan(0.5)
+        assert len(rated) == len(running)
+        for number in range(48, 100):
+            ended = running.pop(rng.randrange(len(running)))
+            actions = scheduler.end(ended, False, 1.0)
+            running += [action.job.job_id for action in actions]
+            assert len(running) == 48
+            assert len(rated) == number + 1
